--- /dev/null
+++ b/crates/standins/src/cmd.rs
@@ -0,0 +1,4 @@
+//! The subcommands, one file each.
+
+pub mod demo;
+pub mod load;
--- /dev/null
+++ b/crates/standins/src/load.rs
@@ -0,0 +1,1 @@
+//! Load driver.
