--- /dev/null
+++ b/crates/check/src/fleet.rs
@@ -0,0 +1,1 @@
+//! placeholder
--- a/crates/core/src/executor.rs
+++ b/crates/core/src/executor.rs
@@ -50,6 +50,8 @@
     },
     /// Stop it there and free its memory.
     Stop { attempt: Attempt },
+    /// Close the link to this peer: its lease lapsed, and its streams here have ended.
+    Hang { peer: Peer },
 }
 
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -61,14 +63,28 @@
     Failed { reason: Reason, ran: bool },
 }
 
+/// A request that waits for an attempt.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct Owner {
+    peer: Peer,
+    waiter: u64,
+}
+
+/// An owner's open stream.
+#[derive(Clone, Debug)]
+struct Watcher {
+    owner: Owner,
+    id: u64,
+}
+
 #[derive(Clone, Debug)]
 struct Task {
     admission: Admission,
     state: State,
     text: String,
     kv: Option<KvHandle>,
-    watchers: Vec<(Peer, u64)>,
-    owners: BTreeSet<Peer>,
+    watchers: Vec<Watcher>,
+    owners: BTreeSet<Owner>,
     orphan_at: Moment,
     forget_at: Moment,
 }
@@ -184,7 +200,7 @@
     /// The link to a peer broke: its streams end, its lease goes on.
     pub fn on_link_down(&mut self, peer: &Peer) {
         for task in self.tasks.values_mut() {
-            task.watchers.retain(|(p, _)| p != peer);
+            task.watchers.retain(|w| w.owner.peer != *peer);
         }
         self.parked.retain(|p| p.peer != *peer);
     }
@@ -200,7 +216,17 @@
                 answer(&mut out, peer, id, Answer::OtherLife { life: self.life });
             }
             ask @ Ask::Attach { .. } => self.attach(now, peer, id, ask, &mut out),
-            Ask::Detach { attempt, cancel } => self.detach(now, peer, attempt, cancel, &mut out),
+            Ask::Detach {
+                attempt,
+                waiter,
+                cancel,
+            } => {
+                let owner = Owner {
+                    peer: peer.clone(),
+                    waiter,
+                };
+                self.detach(now, &owner, attempt, cancel, &mut out);
+            }
             Ask::Cancel { attempt } => {
                 let ran = self.cancel(now, attempt, &mut out);
                 answer(&mut out, peer, id, Answer::Sealed { ran });
@@ -226,13 +252,13 @@
         }
         let offset = task.text.len() as u64;
         task.text.push_str(bytes);
-        for (peer, id) in &task.watchers {
+        for Watcher { owner, id } in &task.watchers {
             let chunk = Answer::Chunk {
                 attempt,
                 offset,
                 bytes: bytes.to_owned(),
             };
-            answer(&mut out, peer, *id, chunk);
+            answer(&mut out, &owner.peer, *id, chunk);
         }
         out
     }
@@ -290,6 +316,8 @@
         for peer in self.leases.lapsed(now) {
             self.on_link_down(&peer);
             self.disown(now, &peer);
+            // A peer that only slept must learn that its streams have ended, and attach again.
+            out.push(Effect::Hang { peer });
         }
         for attempt in self.slots.expire(now) {
             self.refuse_open(now, attempt, Reason::Deadline, &mut out);
@@ -315,6 +343,7 @@
             let prefix = prefix_digest(b"");
             let ask = Ask::Attach {
                 attempt,
+                waiter: adm.waiter,
                 life: self.life,
                 offset: 0,
                 prefix,
@@ -350,13 +379,20 @@
         };
         self.stats.admitted += 1;
         let text = adm.prefix.clone();
+        let owner = Owner {
+            peer: peer.clone(),
+            waiter: adm.waiter,
+        };
         let task = Task {
             admission: adm,
             state: State::Waiting,
             text,
             kv: None,
-            watchers: vec![(peer.clone(), id)],
-            owners: BTreeSet::from([peer.clone()]),
+            watchers: vec![Watcher {
+                owner: owner.clone(),
+                id,
+            }],
+            owners: BTreeSet::from([owner]),
             orphan_at: Moment::NEVER,
             forget_at: Moment::NEVER,
         };
@@ -427,6 +463,7 @@
     fn attach(&mut self, now: Moment, peer: &Peer, id: u64, ask: Ask, out: &mut Vec<Effect>) {
         let Ask::Attach {
             attempt,
+            waiter,
             offset,
             prefix,
             ..
@@ -469,9 +506,16 @@
         match final_answer(attempt, task) {
             Some(last) => answer(out, peer, id, last),
             None => {
-                task.watchers.retain(|(p, _)| p != peer);
-                task.watchers.push((peer.clone(), id));
-                task.owners.insert(peer.clone());
+                let owner = Owner {
+                    peer: peer.clone(),
+                    waiter,
+                };
+                task.watchers.retain(|w| w.owner != owner);
+                task.watchers.push(Watcher {
+                    owner: owner.clone(),
+                    id,
+                });
+                task.owners.insert(owner);
                 task.orphan_at = Moment::NEVER;
             }
         }
@@ -480,7 +524,7 @@
     fn detach(
         &mut self,
         now: Moment,
-        peer: &Peer,
+        owner: &Owner,
         attempt: Attempt,
         cancel: bool,
         out: &mut Vec<Effect>,
@@ -488,8 +532,8 @@
         let Some(task) = self.tasks.get_mut(&attempt) else {
             return;
         };
-        task.watchers.retain(|(p, _)| p != peer);
-        task.owners.remove(peer);
+        task.watchers.retain(|w| w.owner != *owner);
+        task.owners.remove(owner);
         if task.open() && task.owners.is_empty() {
             task.orphan_at = if cancel { now } else { orphan_at(now, task) };
         }
@@ -529,7 +573,9 @@
             let Some(task) = self.tasks.get_mut(attempt) else {
                 continue;
             };
-            if task.owners.remove(peer) && task.owners.is_empty() {
+            let before = task.owners.len();
+            task.owners.retain(|o| o.peer != *peer);
+            if task.owners.len() < before && task.owners.is_empty() {
                 task.orphan_at = orphan_at(now, task);
             }
         }
@@ -595,8 +641,8 @@
         let Some(last) = final_answer(attempt, task) else {
             return;
         };
-        for (peer, id) in task.watchers.drain(..) {
-            answer(out, &peer, id, last.clone());
+        for Watcher { owner, id } in task.watchers.drain(..) {
+            answer(out, &owner.peer, id, last.clone());
         }
     }
 
--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -59,6 +59,8 @@
     records: HashMap<Key, Record>,
     expiry: BTreeSet<(Moment, Key)>,
     counter: u64,
+    /// Placements before this epoch are not put in force: slots were released for it.
+    floor: u64,
 }
 
 impl Ledger {
@@ -71,6 +73,7 @@
             records: HashMap::new(),
             expiry: BTreeSet::new(),
             counter: 0,
+            floor: 0,
         }
     }
 
@@ -94,9 +97,14 @@
         self.owned.len()
     }
 
+    /// The slots owned now.
+    pub fn owned_slots(&self) -> impl Iterator<Item = u16> {
+        self.owned.iter().copied()
+    }
+
     /// Puts a placement in force, unless it is not newer; says what must be taken over.
     pub fn adopt(&mut self, placement: &Placement) -> Vec<Wanted> {
-        if placement.epoch > self.placement.epoch {
+        if placement.epoch > self.placement.epoch && placement.epoch >= self.floor {
             let before = std::mem::replace(&mut self.placement, placement.clone());
             for slot in 0..self.placement.rows.len() {
                 self.adopt_slot(slot as u16, &before);
@@ -124,9 +132,11 @@
     /// Slots placed here that the earlier home has not handed over yet.
     pub fn wanted(&self) -> Vec<Wanted> {
         let mut by_home: BTreeMap<Peer, Vec<u16>> = BTreeMap::new();
+        // What was released for a later epoch is not taken back in an earlier one.
+        let stale = self.floor > self.placement.epoch;
         for (slot, row) in self.placement.rows.iter().enumerate() {
             let slot = slot as u16;
-            if row.owner != self.me || self.owned.contains(&slot) {
+            if stale || row.owner != self.me || self.owned.contains(&slot) {
                 continue;
             }
             if let Some(from) = &row.from {
@@ -155,6 +165,8 @@
         if epoch < self.placement.epoch || (epoch == self.placement.epoch && self.owns_any(slots)) {
             return None;
         }
+        // An epoch between may name this home: it must not own again what it released.
+        self.floor = self.floor.max(epoch);
         for slot in slots {
             self.owned.remove(slot);
         }
@@ -173,7 +185,7 @@
 
     /// New home: takes records over and owns the slots, if the placement still says so.
     pub fn take_over(&mut self, epoch: u64, slots: &[u16], records: Vec<Record>) {
-        if epoch != self.placement.epoch {
+        if epoch != self.placement.epoch || epoch < self.floor {
             return;
         }
         let count = self.placement.rows.len() as u16;
@@ -226,7 +238,8 @@
             attempt,
             executor: executor.clone(),
             state: Recorded::Open,
-            clean: true,
+            // A key whose earlier records may be lost or forgotten is never called clean.
+            clean: key.issued().is_some() && !self.is_void(now, key),
             forget_at: now.after(RETENTION),
         });
         Answer::Granted { attempt }
@@ -351,7 +364,7 @@
         self.counter += 1;
         Attempt {
             epoch: self.placement.epoch,
-            home: self.me.life.0,
+            home: self.me.number(),
             number: self.counter,
         }
     }
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -103,6 +103,8 @@
 /// A request to be admitted by an executor.
 #[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct Admission {
+    /// Number of the request at its entry; several may wait for one attempt.
+    pub waiter: u64,
     /// The attempt that the home granted.
     pub attempt: Attempt,
     /// The life of the executor that it was granted for.
@@ -154,12 +156,17 @@
     /// Executor: send the answer from `offset` on; `prefix` digests the bytes before it.
     Attach {
         attempt: Attempt,
+        waiter: u64,
         life: Incarnation,
         offset: u64,
         prefix: u64,
     },
-    /// Executor: the caller of this session is gone.
-    Detach { attempt: Attempt, cancel: bool },
+    /// Executor: this waiter's caller is gone.
+    Detach {
+        attempt: Attempt,
+        waiter: u64,
+        cancel: bool,
+    },
     /// Executor: stop this attempt, whoever waits for it.
     Cancel { attempt: Attempt },
     /// Executor: never run this attempt, or say that it may have run.
--- a/crates/core/src/orders.rs
+++ b/crates/core/src/orders.rs
@@ -13,7 +13,7 @@
 use crate::time::Moment;
 
 /// Longest time between a sidecar's check of a lease and the engine taking the order.
-pub const ORDER_DELAY: Duration = Duration::from_secs(2);
+pub const ORDER_DELAY: Duration = Duration::from_secs(5);
 /// Lease of an order's holder.
 pub const ORDER_LEASE: Duration = Duration::from_secs(15);
 
@@ -105,7 +105,7 @@
             self.quiet_at = self.quiet_at.max(now.after(ORDER_DELAY));
         }
         self.seen = Some(order.fence);
-        if !self.refuses && now < self.quiet_at {
+        if !self.refuses && now <= self.quiet_at {
             return Err(OrderResult::Wait {
                 until: self.quiet_at,
             });
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -96,25 +96,26 @@
         lives
     }
 
-    /// A home leaves gracefully: its slots move to `others`, which wait for its hand-over.
+    /// A home leaves gracefully: its slots move to `others`, which wait for its hand-over. A slot
+    /// whose own hand-over is still awaited stays until that is done.
     pub fn leave(&self, peer: &Peer, others: &[Peer]) -> Option<Placement> {
         let others: Vec<Peer> = others.iter().filter(|o| *o != peer).cloned().collect();
         let mut next = self.clone();
-        for (slot, row) in next
-            .rows
-            .iter_mut()
-            .enumerate()
-            .filter(|(_, r)| r.owner == *peer)
-        {
+        let mut changed = false;
+        let settled = |r: &SlotRow| r.owner == *peer && r.from.is_none();
+        for (slot, row) in next.rows.iter_mut().enumerate().filter(|(_, r)| settled(r)) {
             row.owner = best(slot as u16, &others)?.clone();
-            // Records still lie with the first of a chain that never handed over.
-            row.from = Some(row.from.take().unwrap_or_else(|| peer.clone()));
+            row.from = Some(peer.clone());
+            changed = true;
         }
         next.epoch += 1;
-        Some(next)
+        changed.then_some(next)
     }
 
     /// A home is confirmed gone: its slots move at once, and earlier keys become void.
+    ///
+    /// Where its own hand-over was still awaited nobody knows whether it happened: the earlier home
+    /// must release the slot all the same, and its records do not count as complete.
     pub fn gone(&self, peer: &Peer, others: &[Peer], now: Moment) -> Option<Placement> {
         let others: Vec<Peer> = others.iter().filter(|o| *o != peer).cloned().collect();
         let void = now.after(SKEW);
@@ -124,13 +125,11 @@
                 row.from = None;
                 row.void_before = void;
             }
-            if row.owner != *peer {
-                continue;
-            }
-            row.owner = best(slot as u16, &others)?.clone();
-            // If the owner never got its hand-over the records still lie with `from`.
-            if row.from.is_none() {
+            if row.owner == *peer {
+                row.owner = best(slot as u16, &others)?.clone();
                 row.void_before = void;
+                // The earlier home may be the new owner again: it has nothing to wait for.
+                row.from = row.from.take().filter(|f| *f != row.owner);
             }
         }
         next.epoch += 1;
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -52,6 +52,8 @@
 /// What a request is, fixed when its route was resolved.
 #[derive(Clone, Debug)]
 pub struct Spec {
+    /// Number of the request, unique in its entry's life.
+    pub waiter: u64,
     /// What the caller wants.
     pub intent: Intent,
     /// Its key.
@@ -155,6 +157,14 @@
         self.phase == Phase::Closed
     }
 
+    /// What it is doing, for operators and traces.
+    pub fn state(&self) -> String {
+        format!(
+            "{:?} at {:?}, waits until {:?}",
+            self.phase, self.executor, self.wait_until
+        )
+    }
+
     /// The attempt in force.
     pub fn attempt(&self) -> Option<Attempt> {
         self.attempt
@@ -283,10 +293,15 @@
             return out;
         }
         self.forget_prefill(&mut out);
+        let waiter = self.spec.waiter;
         if let (Some(attempt), Some(to)) = (self.attempt, self.executor.clone()) {
             out.push(Step::Tell {
                 to,
-                ask: Ask::Detach { attempt, cancel },
+                ask: Ask::Detach {
+                    attempt,
+                    waiter,
+                    cancel,
+                },
             });
         }
         if cancel {
@@ -359,6 +374,7 @@
             Begin::AtOnce
         };
         let admission = Admission {
+            waiter: self.spec.waiter,
             attempt,
             life: executor.life,
             class: self.spec.class,
@@ -409,6 +425,7 @@
         self.phase = Phase::Attaching;
         let ask = Ask::Attach {
             attempt,
+            waiter: self.spec.waiter,
             life: executor.life,
             offset: self.held.len() as u64,
             prefix: prefix_digest(self.held.as_bytes()),
--- a/crates/daemon/src/entry/callers.rs
+++ b/crates/daemon/src/entry/callers.rs
@@ -12,7 +12,7 @@
 use ebonyloft_core::config::{Document, Labels, Route, Target};
 use ebonyloft_core::ids::{Account, Digest, Key, prefix_digest};
 use ebonyloft_core::limits::Limiter;
-use ebonyloft_core::message::{Completion, PlainCall, Work};
+use ebonyloft_core::message::{Completion, PlainCall, Repeat, Work};
 use ebonyloft_core::placement::SKEW;
 use ebonyloft_core::request::{Intent, Spec};
 use ebonyloft_core::time::Moment;
@@ -269,6 +269,7 @@
         });
         let spec = Spec {
             intent,
+            waiter: 0,
             key: Key {
                 account: caller.account,
                 text: key,
@@ -276,7 +277,7 @@
             first: false,
             class: route.class,
             deadline: now.after(DEADLINE_LIMIT),
-            repeat: ebonyloft_core::message::Repeat::Idempotent,
+            repeat: Repeat::Idempotent,
             split: false,
             work,
             avoid: Vec::new(),
@@ -390,8 +391,14 @@
         if key.issued().is_some_and(|at| at > now.after(SKEW)) {
             return Err(bad(KEY_HEADER, "the key's time lies in the future"));
         }
+        if route.repeat == Repeat::Once && key.issued().is_none() {
+            let reason =
+                "a call that runs once needs a version 7 UUID, whose time tells old keys from new";
+            return Err(bad(KEY_HEADER, reason));
+        }
         Ok(Spec {
             intent: Intent::Run,
+            waiter: 0,
             key,
             first: is_first(headers),
             class: route.class,
@@ -412,7 +419,7 @@
 
     async fn submit(
         &self,
-        spec: Spec,
+        mut spec: Spec,
         route: Rc<Route>,
         headers: &HeaderMap,
         shape: Shape,
@@ -420,6 +427,7 @@
         let (skip, prefix) = position(headers)?;
         let id = self.next_id.get() + 1;
         self.next_id.set(id);
+        spec.waiter = id;
         let key = spec.key.text.clone();
         let model = match &spec.work {
             Work::Completion(c) => c.model.clone(),
--- a/crates/daemon/src/sidecar/desk.rs
+++ b/crates/daemon/src/sidecar/desk.rs
@@ -436,10 +436,24 @@
                     }
                 }
                 Effect::Stop { attempt } => self.server.stop(&attempt),
+                Effect::Hang { peer } => self.hang(&peer),
             }
         }
     }
 
+    /// Closes the link of a peer whose lease lapsed, and forgets its prefill work.
+    fn hang(&mut self, peer: &Peer) {
+        let now = self.clock.now();
+        tracing::info!(peer = %peer.id, "lease lapsed");
+        if let Some(link) = self.by_peer.remove(peer)
+            && let Some(link) = self.links.remove(&link)
+        {
+            link.sender.close();
+        }
+        let effects = self.machines.prefills.on_lapsed(now, peer);
+        self.apply_prefill(effects);
+    }
+
     fn apply_prefill(&mut self, effects: Vec<prefill::Effect>) {
         for effect in effects {
             match effect {
--- a/crates/daemon/src/sidecar/server.rs
+++ b/crates/daemon/src/sidecar/server.rs
@@ -13,7 +13,7 @@
 use ebonyloft_core::affinity::head_of;
 use ebonyloft_core::ids::{Attempt, MemberId};
 use ebonyloft_core::message::{Admission, Completion, KvHandle, PlainCall, Work};
-use ebonyloft_core::orders::{Order, OrderResult};
+use ebonyloft_core::orders::{ORDER_DELAY, Order, OrderResult};
 use ebonyloft_core::time::Moment;
 use futures_util::StreamExt;
 use serde::{Deserialize, Serialize};
@@ -264,7 +264,8 @@
                     status => Err(format!("the engine answered {status}")),
                 }
             };
-            match compio::time::timeout(CALL_WAIT, sent).await {
+            // The gate counts on no order being under way for longer than this.
+            match compio::time::timeout(ORDER_DELAY, sent).await {
                 Ok(result) => result,
                 Err(_) => Err("the engine did not answer".to_owned()),
             }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -9,4 +9,4 @@
 pub mod relay;
 pub mod service;
 pub mod site;
-pub mod tokens;
+pub use ebonyloft_check::tokens;
