--- a/crates/check/src/specs/ledger.rs
+++ b/crates/check/src/specs/ledger.rs
@@ -683,10 +683,8 @@
                     self.finish(entry, Phase::MayHaveRun);
                 }
             }
-            Message::Done { entry, at } => {
-                if self.asks(entry, at).is_some() {
-                    self.finish(entry, Phase::Answered);
-                }
+            Message::Done { entry, at } if self.asks(entry, at).is_some() => {
+                self.finish(entry, Phase::Answered);
             }
             Message::Sealed { entry, at } => {
                 if let Some((home, _)) = self.asks(entry, at) {
@@ -698,15 +696,15 @@
                     self.lose(entry, home, at);
                 }
             }
-            Message::Settled { entry, at, clean } => {
-                if self.entries[usize::from(entry)].phase == (Phase::Settling { at }) {
-                    let phase = if clean {
-                        Phase::NotRun
-                    } else {
-                        Phase::MayHaveRun
-                    };
-                    self.finish(entry, phase);
-                }
+            Message::Settled { entry, at, clean }
+                if self.entries[usize::from(entry)].phase == (Phase::Settling { at }) =>
+            {
+                let phase = if clean {
+                    Phase::NotRun
+                } else {
+                    Phase::MayHaveRun
+                };
+                self.finish(entry, phase);
             }
             _ => {}
         }
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -25,6 +25,8 @@
 pub const SUSPICION: Duration = Duration::from_secs(6);
 /// Members asked to probe a silent one.
 pub const HELPERS: usize = 2;
+/// How long a member's own word outweighs what others say of it.
+pub const DIRECT: Duration = Duration::from_secs(5);
 /// How long a dead or departed member is remembered.
 pub const GRAVE: Duration = Duration::from_secs(600);
 /// Probes looked back on when an observer doubts itself.
@@ -138,6 +140,8 @@
     card: Card,
     sends_left: u32,
     since: Moment,
+    /// When it last spoke to this process itself.
+    heard_at: Moment,
 }
 
 struct Probe {
@@ -205,6 +209,13 @@
         self.all().filter(move |c| c.role == role && c.usable())
     }
 
+    /// What is known was learned from one who spreads it already: pass nothing on as news.
+    pub fn settle(&mut self) {
+        for known in self.known.values_mut() {
+            known.sends_left = 0;
+        }
+    }
+
     /// Has this life certainly ended?
     pub fn ended(&self, peer: &Peer) -> bool {
         self.card(&peer.id).is_some_and(|c| {
@@ -224,24 +235,49 @@
         if card.peer.id == self.me.peer.id {
             return self.refute(&card);
         }
-        let fresh = match self.known.get(&card.peer.id) {
-            None => true,
-            Some(k) => card.rank() > k.card.rank(),
-        };
-        if fresh {
+        let known = self.known.get(&card.peer.id);
+        let fresh = known.is_none_or(|k| card.rank() > k.card.rank());
+        let hearsay = known.is_some_and(|k| {
+            k.card.peer == card.peer
+                && k.card.version == card.version
+                && matches!(card.standing, Standing::Suspect | Standing::Dead)
+                && k.heard_at.after(DIRECT) > now
+        });
+        if fresh && !hearsay {
+            let same = known.filter(|k| k.card.peer == card.peer);
+            let heard_at = same.map_or(Moment(0), |k| k.heard_at);
             let sends_left = self.sends();
             self.changes += 1;
+            let id = card.peer.id.clone();
             self.known.insert(
-                card.peer.id.clone(),
+                id,
                 Known {
                     card,
                     sends_left,
                     since: now,
+                    heard_at,
                 },
             );
         }
     }
 
+    /// This life spoke to this process itself, by datagram or link: it is not dead.
+    pub fn on_contact(&mut self, now: Moment, peer: &Peer) {
+        let Some(known) = self
+            .known
+            .get_mut(&peer.id)
+            .filter(|k| k.card.peer == *peer)
+        else {
+            return;
+        };
+        known.heard_at = now;
+        if matches!(known.card.standing, Standing::Suspect | Standing::Dead) {
+            known.card.standing = Standing::Live;
+            known.since = now;
+            self.changes += 1;
+        }
+    }
+
     /// The platform's list confirms that this life is gone.
     pub fn confirm_gone(&mut self, now: Moment, peer: &Peer) {
         let Some(known) = self.known.get(&peer.id) else {
@@ -277,15 +313,32 @@
         data: Datagram,
         heard: Heard,
     ) -> Vec<Send> {
-        let sender = data.from.peer.id.clone();
+        let sender_peer = data.from.peer.clone();
+        let sender = sender_peer.id.clone();
         self.learn(now, data.from);
         for card in data.cards {
             self.learn(now, card);
         }
         let mut out = Vec::new();
+        // Whoever is wrongly called dead learns of it at once, and can say otherwise.
+        let wronged = self
+            .known
+            .get(&sender)
+            .filter(|k| k.card.standing > Standing::Leaving);
+        if let Some(card) = wronged.map(|k| k.card.clone()) {
+            let from = self.me.clone();
+            let data = Datagram {
+                kind: Kind::News,
+                from,
+                heard,
+                cards: vec![card],
+            };
+            out.push(Send { to: src, data });
+        }
+        self.on_contact(now, &sender_peer);
         match data.kind {
             Kind::Probe { seq } => out.push(self.datagram(src, Kind::Ack { seq }, heard)),
-            Kind::Ack { seq } => self.on_ack(now, &sender, seq, heard, &mut out),
+            Kind::Ack { seq } => self.on_ack(seq, heard, &mut out),
             Kind::ProbeFor { seq, target } => {
                 self.seq += 1;
                 self.relays.insert(self.seq, (src, seq, now.after(PERIOD)));
@@ -297,14 +350,7 @@
         out
     }
 
-    fn on_ack(
-        &mut self,
-        now: Moment,
-        sender: &MemberId,
-        seq: u64,
-        heard: Heard,
-        out: &mut Vec<Send>,
-    ) {
+    fn on_ack(&mut self, seq: u64, heard: Heard, out: &mut Vec<Send>) {
         if let Some((asker, theirs, _)) = self.relays.remove(&seq) {
             let kind = Kind::Ack { seq: theirs };
             return out.push(self.datagram(asker, kind, heard));
@@ -313,12 +359,6 @@
             self.probe = None;
             self.failures = self.failures.saturating_sub(1);
         }
-        // A direct answer proves life: the suspicion was this process's own.
-        if let Some(k) = self.known.get_mut(sender)
-            && matches!(k.card.standing, Standing::Suspect)
-        {
-            k.since = now;
-        }
     }
 
     /// Time passes: probe, suspect, bury.
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -86,8 +86,8 @@
     Failed(Topic),
     /// The platform's list of VMs.
     Vms(Vec<VmRow>),
-    /// A card learned on a link.
-    Learn(Box<Card>),
+    /// A peer spoke on a link.
+    Contact(Peer),
     /// Ledger slots that were taken over.
     Taken(Vec<u16>),
     /// This process takes a standing.
@@ -283,7 +283,7 @@
             ControlMessage::Empty(topic) => self.on_empty(now, topic),
             ControlMessage::Failed(topic) => self.spread(topic).on_platform_failed(),
             ControlMessage::Vms(rows) => self.on_vms(now, rows),
-            ControlMessage::Learn(card) => self.members.learn(now, *card),
+            ControlMessage::Contact(peer) => self.members.on_contact(now, &peer),
             ControlMessage::Taken(slots) => self.taken = slots,
             ControlMessage::Standing(standing) => {
                 self.members.set_standing(standing);
--- a/crates/daemon/src/entry/desk.rs
+++ b/crates/daemon/src/entry/desk.rs
@@ -172,6 +172,9 @@
                 link, peer, sender, ..
             } => {
                 if self.dialer.on_heard(now, link) {
+                    let _ = self
+                        .control
+                        .unbounded_send(ControlMessage::Contact(peer.clone()));
                     let lost = self.dialer.on_up(now, link, peer, sender);
                     self.on_lost(now, lost);
                 } else {
--- a/crates/daemon/src/entry/dialer.rs
+++ b/crates/daemon/src/entry/dialer.rs
@@ -22,6 +22,8 @@
 pub const SILENCE: Duration = Duration::from_millis(1_500);
 /// Pause between two dials of one peer.
 pub const REDIAL: Duration = Duration::from_millis(150);
+/// Longest such pause, for a peer that nothing waits for.
+pub const LONGEST_REDIAL: Duration = Duration::from_secs(5);
 /// How long a link outside the subset is kept without use.
 pub const KEEP: Duration = Duration::from_secs(30);
 
@@ -53,6 +55,8 @@
     silent_at: Moment,
     used_at: Moment,
     seq: u64,
+    /// Dials that failed since the link was last open.
+    fails: u32,
 }
 
 impl Line {
@@ -67,6 +71,7 @@
             silent_at: Moment::NEVER,
             used_at: Moment(0),
             seq: 0,
+            fails: 0,
         }
     }
 }
@@ -121,7 +126,12 @@
                 let gone = peer.life > to.life;
                 return id.map(|id| Lost { id, gone });
             }
-            _ => line.queue.push((id, to.clone(), ask)),
+            State::Idle { dial_at } => {
+                let dial_at = (*dial_at).min(now.after(REDIAL));
+                line.state = State::Idle { dial_at };
+                line.queue.push((id, to.clone(), ask));
+            }
+            State::Dialing => line.queue.push((id, to.clone(), ask)),
         }
         None
     }
@@ -144,6 +154,7 @@
             return Vec::new();
         };
         line.heard_at = now;
+        line.fails = 0;
         line.ping_at = now;
         line.silent_at = Moment::NEVER;
         line.state = State::Open {
@@ -193,8 +204,13 @@
         if let State::Open { sender, .. } = &line.state {
             self.closed_bytes += sender.sent();
         }
+        let pause = match line.queue.is_empty() {
+            true => (REDIAL * 2_u32.pow(line.fails.min(8))).min(LONGEST_REDIAL),
+            false => REDIAL,
+        };
+        line.fails += 1;
         line.state = State::Idle {
-            dial_at: now.after(REDIAL),
+            dial_at: now.after(pause),
         };
         let mut lost: Vec<Lost> = line
             .open
--- a/crates/daemon/src/entry/views.rs
+++ b/crates/daemon/src/entry/views.rs
@@ -28,6 +28,7 @@
     doc: Rc<Document>,
     placement: Rc<Placement>,
     pools: BTreeMap<PoolName, PoolView>,
+    kept: HashSet<MemberId>,
     policy: Box<dyn Policy>,
     reading: Reading,
     budget: RetryBudget,
@@ -60,6 +61,7 @@
             doc: Rc::default(),
             placement: Rc::default(),
             pools: BTreeMap::new(),
+            kept: HashSet::new(),
             policy,
             reading,
             budget: RetryBudget::new(now),
@@ -90,13 +92,10 @@
         self.placement = placement;
     }
 
-    /// The sidecars whose links are held open.
+    /// The sidecars whose links are held open; those called dead among them, for a link that opens
+    /// is the first sign of life.
     pub fn kept(&self) -> HashSet<MemberId> {
-        self.pools
-            .values()
-            .flat_map(PoolView::servers)
-            .map(|s| s.peer.id.clone())
-            .collect()
+        self.kept.clone()
     }
 
     /// A load report.
@@ -171,25 +170,32 @@
 
     fn rebuild(&mut self) {
         let mut old = std::mem::take(&mut self.pools);
+        self.kept.clear();
         for (name, pool) in &self.doc.pools {
             let fits = |c: &&Card| c.role == Role::Sidecar && pool.select.matches(&c.labels);
-            let mut cards: Vec<&Card> = self
+            let known: Vec<&Card> = self
                 .cards
                 .iter()
                 .filter(fits)
-                .filter(|c| c.usable())
+                .filter(|c| c.standing != Standing::Left)
                 .collect();
-            if cards.is_empty() {
-                // Rather a suspect than nobody.
-                let suspect = |c: &&Card| c.standing == Standing::Suspect;
-                cards = self.cards.iter().filter(fits).filter(suspect).collect();
-            }
-            let ids: Vec<MemberId> = cards.iter().map(|c| c.peer.id.clone()).collect();
+            let ids: Vec<MemberId> = known.iter().map(|c| c.peer.id.clone()).collect();
             let kept = route::subset(&self.me, name, &ids, route::SUBSET);
-            let kept = cards.into_iter().filter(|c| kept.contains(&c.peer.id));
+            let mine: Vec<&Card> = known
+                .into_iter()
+                .filter(|c| kept.contains(&c.peer.id))
+                .collect();
+            let live = mine.iter().filter(|c| c.usable()).count();
+            // Rather a suspect than nobody.
+            let may = |c: &&Card| c.usable() || (live == 0 && c.standing == Standing::Suspect);
+            let servers = mine
+                .into_iter()
+                .filter(may)
+                .map(|c| (c.peer.clone(), c.zone.clone()));
             let mut view = old.remove(name).unwrap_or_default();
-            view.set(kept.map(|c| (c.peer.clone(), c.zone.clone())));
+            view.set(servers);
             self.pools.insert(name.clone(), view);
+            self.kept.extend(kept);
         }
     }
 }
--- a/crates/standins/src/cmd.rs
+++ b/crates/standins/src/cmd.rs
@@ -2,3 +2,4 @@
 
 pub mod demo;
 pub mod load;
+pub mod prove;
--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -18,13 +18,16 @@
     /// Show the main job from end to end in one process
     Demo(cmd::demo::Args),
     /// Send load and report goodput under both latency targets and wasted prefill
-    Load(cmd::load::Args),
+    Load(Box<cmd::load::Args>),
+    /// Prove the protocols by search and by randomised runs
+    Prove(cmd::prove::Args),
 }
 
 fn main() -> ExitCode {
     let good = match Cli::parse().command {
         Command::Demo(args) => cmd::demo::run(args),
-        Command::Load(args) => cmd::load::run(args),
+        Command::Load(args) => cmd::load::run(*args),
+        Command::Prove(args) => cmd::prove::run(args),
     };
     if good {
         ExitCode::SUCCESS
