--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -182,7 +182,7 @@
 }
 
 /// The whole document.
-#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Document {
     /// Pools by name.
@@ -200,11 +200,32 @@
     /// Weights of the measures.
     #[serde(default)]
     pub weights: Weights,
+    /// Loads from the weight store at once, over all engines.
+    #[serde(default = "default_loads")]
+    pub weight_loads: usize,
     /// Accounts by name.
     #[serde(default)]
     pub accounts: BTreeMap<Account, AccountRule>,
 }
 
+fn default_loads() -> usize {
+    4
+}
+
+impl Default for Document {
+    fn default() -> Self {
+        Document {
+            pools: BTreeMap::new(),
+            routes: Vec::new(),
+            limits: Vec::new(),
+            operators: BTreeMap::new(),
+            weights: Weights::default(),
+            weight_loads: default_loads(),
+            accounts: BTreeMap::new(),
+        }
+    }
+}
+
 impl Document {
     /// The first route that takes a request with these labels.
     pub fn route(&self, labels: &Labels) -> Option<&Route> {
--- a/crates/core/src/config/check.rs
+++ b/crates/core/src/config/check.rs
@@ -182,6 +182,9 @@
 }
 
 fn check_weights(doc: &Document, faults: &mut Faults) {
+    if doc.weight_loads == 0 {
+        faults.add("weight_loads", "must be at least 1");
+    }
     for (name, value) in [
         ("goodput", doc.weights.goodput),
         ("waste", doc.weights.waste),
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -318,6 +318,14 @@
         manifest: String,
         parts: Vec<String>,
     },
+    /// Ask for the revision in force.
+    AskRevision,
+    /// The revision and placement epoch in force.
+    RevisionIs { revision: u64, epoch: u64 },
+    /// Ask for all members known.
+    PullMembers,
+    /// All members known.
+    MembersAre(Vec<crate::members::Card>),
     /// Ask for the placement in force.
     PullPlacement,
     /// The placement in force.
--- a/crates/core/src/orders.rs
+++ b/crates/core/src/orders.rs
@@ -113,3 +113,61 @@
         Ok(())
     }
 }
+
+/// How long a load from the weight store may hold its permit.
+pub const PERMIT: Duration = Duration::from_secs(120);
+
+/// Loads from the weight store under way; one small value in the platform's service, changed by
+/// compare-and-swap, so that the store's rate is shared by the whole fleet.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Permits {
+    rows: Vec<Permit>,
+}
+
+/// One load under way.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+struct Permit {
+    member: MemberId,
+    ends_at: Moment,
+}
+
+impl Permits {
+    /// The permits with one more, or the moment at which one comes free.
+    pub fn take(&self, now: Moment, member: &MemberId, limit: usize) -> Result<Permits, Moment> {
+        let mut rows: Vec<Permit> = self
+            .rows
+            .iter()
+            .filter(|p| p.ends_at > now)
+            .cloned()
+            .collect();
+        rows.retain(|p| p.member != *member);
+        if rows.len() >= limit {
+            let first = rows.iter().map(|p| p.ends_at).min();
+            return Err(first.unwrap_or(now.after(PERMIT)));
+        }
+        rows.push(Permit {
+            member: member.clone(),
+            ends_at: now.after(PERMIT),
+        });
+        Ok(Permits { rows })
+    }
+
+    /// The permits without this member's.
+    pub fn give(&self, member: &MemberId) -> Permits {
+        Permits {
+            rows: self
+                .rows
+                .iter()
+                .filter(|p| p.member != *member)
+                .cloned()
+                .collect(),
+        }
+    }
+}
+
+impl Action {
+    /// Does it read from the weight store?
+    pub fn loads(&self) -> bool {
+        matches!(self, Action::LoadModel { .. } | Action::LoadAdapter { .. })
+    }
+}
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -86,6 +86,8 @@
     Failed(Topic),
     /// The platform's list of VMs.
     Vms(Vec<VmRow>),
+    /// A peer told all members that it knows.
+    Cards(Vec<Card>),
     /// A peer spoke on a link.
     Contact(Peer),
     /// Ledger slots that were taken over.
@@ -192,6 +194,8 @@
     change_at: Moment,
     taken: Vec<u16>,
     told: u64,
+    /// Changes of the members for which the reader's duty was last worked out.
+    duty_at: u64,
     bytes: u64,
     reader: Rc<std::cell::Cell<bool>>,
 }
@@ -218,6 +222,7 @@
             change_at: Moment(0),
             taken: Vec::new(),
             told: 0,
+            duty_at: u64::MAX,
             bytes: 0,
             reader: Rc::new(std::cell::Cell::new(true)),
         }
@@ -248,18 +253,39 @@
             let kind = ebonyloft_core::members::Kind::Probe { seq: 0 };
             let from = self.members.me().clone();
             let heard = spread::heard(&self.config, &self.placing);
+            let cards = Vec::new();
             self.send(Send {
                 to,
                 data: Datagram {
                     kind,
                     from,
                     heard,
-                    cards: Vec::new(),
+                    cards,
                 },
             });
+            self.pull_members(to);
         }
     }
 
+    /// A process that starts asks for all members at once; datagrams would take minutes.
+    fn pull_members(&self, to: SocketAddr) {
+        let (identity, sender) = (self.identity.clone(), self.sender.clone());
+        compio::runtime::spawn(async move {
+            let answer = link::call(to, &identity, Control::PullMembers).await;
+            if let Ok(Control::MembersAre(cards)) = answer {
+                let _ = sender.unbounded_send(ControlMessage::Cards(cards));
+            }
+        })
+        .detach();
+    }
+
+    fn on_cards(&mut self, now: Moment, cards: Vec<Card>) {
+        for card in cards {
+            self.members.learn(now, card);
+        }
+        self.members.settle();
+    }
+
     fn on_message(&mut self, message: ControlMessage) {
         let now = self.clock.now();
         match message {
@@ -283,6 +309,7 @@
             ControlMessage::Empty(topic) => self.on_empty(now, topic),
             ControlMessage::Failed(topic) => self.spread(topic).on_platform_failed(),
             ControlMessage::Vms(rows) => self.on_vms(now, rows),
+            ControlMessage::Cards(cards) => self.on_cards(now, cards),
             ControlMessage::Contact(peer) => self.members.on_contact(now, &peer),
             ControlMessage::Taken(slots) => self.taken = slots,
             ControlMessage::Standing(standing) => {
@@ -301,7 +328,10 @@
         for send in self.members.on_tick(now, &mut self.rng, heard) {
             self.send(send);
         }
-        self.reader.set(spread::is_reader(&self.members));
+        if self.duty_at != self.members.changes() {
+            self.duty_at = self.members.changes();
+            self.reader.set(spread::is_reader(&self.members));
+        }
         for topic in [Topic::Config, Topic::Placement] {
             let mut rng = self.rng.clone();
             let effects = self.spread(topic).on_tick(now, &mut rng);
@@ -341,8 +371,13 @@
                     parts: parts.collect(),
                 }
             }
+            Control::AskRevision => Control::RevisionIs {
+                revision: self.config.revision(),
+                epoch: self.placing.revision(),
+            },
+            Control::PullMembers => Control::MembersAre(self.members.all().cloned().collect()),
             Control::PullPlacement => Control::PlacementIs(Box::new((*self.placement).clone())),
-            other => other,
+            _ => Control::Unfit,
         }
     }
 
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -49,6 +49,8 @@
     Gone(u64),
     /// Leave gracefully.
     Leave,
+    /// Tell the pools with their servers.
+    Pools(futures_channel::oneshot::Sender<serde_json::Value>),
     /// Explain where a request with these labels goes.
     Explain(
         ebonyloft_core::config::Labels,
--- a/crates/daemon/src/entry/admin.rs
+++ b/crates/daemon/src/entry/admin.rs
@@ -13,7 +13,7 @@
 use ebonyloft_core::limits::Bucket;
 use ebonyloft_core::members::Card;
 use ebonyloft_core::message::Control;
-use ebonyloft_core::orders::{Action, ORDER_LEASE, Order, OrderResult};
+use ebonyloft_core::orders::{Action, ORDER_LEASE, Order, OrderResult, Permits};
 use futures_channel::mpsc::UnboundedSender;
 use futures_channel::oneshot;
 use hyper::body::Incoming;
@@ -32,6 +32,8 @@
 
 /// Largest body of an operator's request: a whole document.
 const BODY_LIMIT: usize = 16 << 20;
+/// Key of the loads from the weight store.
+const PERMIT_KEY: &str = "ebonyloft/weights/permits";
 /// Rows listed a member.
 const ROW_LIMIT: u32 = 200;
 /// Requests of one operator a second.
@@ -147,6 +149,10 @@
                 self.allow(&req, Right::Read)?;
                 self.explain(req.uri().query().unwrap_or_default()).await
             }
+            (Method::GET, ["admin", "pools"]) => {
+                self.allow(&req, Right::Read)?;
+                self.pools().await
+            }
             (Method::GET, ["admin", "requests"]) => {
                 self.allow(&req, Right::Read)?;
                 self.requests().await
@@ -326,24 +332,29 @@
             Err(StoreError::Refused { status }) => Err(unavailable(&format!(
                 "the platform's service refused with {status}; nothing was changed"
             ))),
-            Err(_) => self.resolve(change).await,
+            Err(_) => self.resolve(change, index).await,
         }
     }
 
-    async fn resolve(&self, change: &str) -> Result<u64, Problem> {
+    /// After a lost answer only reading is left. The write is known to have failed when the index
+    /// has moved on without it; until then it may still take effect.
+    async fn resolve(&self, change: &str, index: u64) -> Result<u64, Problem> {
         for _ in 0..RESOLVE_TRIES {
-            if let Ok((_, current)) = self.stored_manifest().await {
-                return match current.accepted(change) {
-                    Some(record) => Ok(record.to),
-                    None => Err(unavailable(
-                        "the write did not take effect; nothing was changed",
-                    )),
-                };
+            if let Ok((stored, current)) = self.stored_manifest().await {
+                if let Some(record) = current.accepted(change) {
+                    return Ok(record.to);
+                }
+                if stored.index != index {
+                    return Err(unavailable(
+                        "another change came first; nothing was changed",
+                    ));
+                }
             }
             compio::time::sleep(RESOLVE_PAUSE).await;
         }
         let detail = format!(
-            "not known whether change `{change}` was accepted; send it again with the same id"
+            "not known whether change `{change}` was accepted; look for it in the history, \
+             or send it again with the same id"
         );
         Err(Problem::new(StatusCode::BAD_GATEWAY, "unknown", detail))
     }
@@ -404,10 +415,7 @@
     }
 
     async fn revision_of(&self, card: &Card) -> Lag {
-        let ask = Control::Pull {
-            have: Vec::new(),
-            revision: u64::MAX,
-        };
+        let ask = Control::AskRevision;
         let answer = match card.peer == self.ways.identity.peer {
             true => {
                 let (reply, answer) = oneshot::channel();
@@ -420,9 +428,7 @@
             false => link::call(card.addr, &self.ways.identity, ask).await.ok(),
         };
         let revision = match answer {
-            Some(Control::Parts { manifest, .. }) => serde_json::from_str::<Manifest>(&manifest)
-                .ok()
-                .map(|m| m.revision),
+            Some(Control::RevisionIs { revision, .. }) => Some(revision),
             _ => None,
         };
         Lag {
@@ -448,6 +454,15 @@
         Ok(http::json(StatusCode::OK, &value))
     }
 
+    async fn pools(&self) -> Answered {
+        let (reply, answer) = oneshot::channel();
+        let _ = self.ways.events.unbounded_send(Event::Pools(reply));
+        let value = answer
+            .await
+            .map_err(|_| unavailable("the process is stopping"))?;
+        Ok(http::json(StatusCode::OK, &value))
+    }
+
     async fn requests(&self) -> Answered {
         let cards = self.status().await?.members;
         let mut rows = BTreeMap::new();
@@ -484,13 +499,26 @@
         let body = read(req).await?;
         let form: OrderForm = serde_json::from_slice(&body).map_err(|e| bad(&e.to_string()))?;
         let card = self.member(name).await?;
+        let loads = form.action.loads();
+        if loads {
+            self.take_permit(&card.peer.id).await?;
+        }
+        let answered = self.send_order(&card, form.action, who).await;
+        if loads {
+            self.give_permit(&card.peer.id).await;
+        }
+        answered
+    }
+
+    async fn send_order(&self, card: &Card, action: Action, who: String) -> Answered {
+        let name = card.peer.id.as_str();
         let (fence, lease_end) = self.take_fence(name, &who).await?;
         let order = Order {
             target: card.peer.id.clone(),
             fence,
             holder: who.clone(),
             lease_end,
-            action: form.action,
+            action,
         };
         tracing::info!(%who, member = name, fence, action = ?order.action, "order given");
         let answer = link::call(card.addr, &self.ways.identity, Control::Order(order)).await;
@@ -551,6 +579,60 @@
         }
     }
 
+    /// Takes one of the few loads from the weight store that may be under way at once.
+    async fn take_permit(&self, member: &MemberId) -> Result<(), Problem> {
+        let now = self.ways.clock.now();
+        let limit = self.ways.in_force.borrow().doc.weight_loads;
+        let (stored, permits) = self.permits().await?;
+        let next = permits.take(now, member, limit).map_err(|at| {
+            let mut p = unavailable("as many loads from the weight store are under way as may be");
+            p.retry_after = Some(at.since(now).as_secs().max(1));
+            p
+        })?;
+        let body = serde_json::to_vec(&next).map_err(|e| bad(&e.to_string()))?;
+        match self
+            .ways
+            .store
+            .swap(PERMIT_KEY, body.into(), stored.index)
+            .await
+        {
+            Ok(true) => Ok(()),
+            Ok(false) => Err(Problem::new(
+                StatusCode::CONFLICT,
+                "raced",
+                "another load came first",
+            )),
+            Err(e) => Err(not_accepted(&e)),
+        }
+    }
+
+    /// Gives a permit back; one that is not given back ends by itself.
+    async fn give_permit(&self, member: &MemberId) {
+        if let Ok((stored, permits)) = self.permits().await
+            && let Ok(body) = serde_json::to_vec(&permits.give(member))
+        {
+            let _ = self
+                .ways
+                .store
+                .swap(PERMIT_KEY, body.into(), stored.index)
+                .await;
+        }
+    }
+
+    async fn permits(&self) -> Result<(Stored, Permits), Problem> {
+        let stored = self
+            .ways
+            .store
+            .read(PERMIT_KEY)
+            .await
+            .map_err(|e| not_accepted(&e))?;
+        let permits = stored
+            .value
+            .as_ref()
+            .and_then(|v| serde_json::from_slice(v).ok());
+        Ok((stored, permits.unwrap_or_default()))
+    }
+
     async fn member(&self, name: &str) -> Result<Card, Problem> {
         let cards = self.status().await?.members;
         cards
--- a/crates/daemon/src/entry/desk.rs
+++ b/crates/daemon/src/entry/desk.rs
@@ -133,6 +133,9 @@
             Event::Submit(submission) => self.on_submit(now, *submission),
             Event::Gone(id) => self.on_gone(id),
             Event::Leave => self.begin_leave(),
+            Event::Pools(reply) => {
+                let _ = reply.send(self.views.explain_all());
+            }
             Event::Explain(labels, reply) => {
                 let _ = reply.send(self.views.explain(&labels));
             }
--- a/crates/daemon/src/entry/views.rs
+++ b/crates/daemon/src/entry/views.rs
@@ -146,6 +146,14 @@
         })
     }
 
+    /// All pools with the servers that this entry sends to.
+    pub fn explain_all(&self) -> serde_json::Value {
+        self.pools
+            .keys()
+            .map(|name| self.explain_pool(name))
+            .collect()
+    }
+
     fn explain_pools(&self, target: &Target) -> serde_json::Value {
         let names = match target {
             Target::Plain { pool } => vec![pool],
@@ -153,19 +161,24 @@
                 decode, prefill, ..
             } => std::iter::once(decode).chain(prefill.as_ref()).collect(),
         };
-        let rows = names.into_iter().map(|name| {
-            let servers = self.pools.get(name).map(|p| {
-                let row = |s: &route::Server| {
-                    serde_json::json!({
-                        "member": s.peer.id, "zone": s.zone, "used": s.load.used,
-                        "slots": s.load.slots, "waiting": s.load.waiting, "leaving": s.load.leaving,
-                    })
-                };
-                p.servers().map(row).collect::<Vec<_>>()
-            });
-            serde_json::json!({ "pool": name, "servers": servers.unwrap_or_default() })
-        });
-        rows.collect()
+        names
+            .into_iter()
+            .map(|name| self.explain_pool(name))
+            .collect()
+    }
+
+    fn explain_pool(&self, name: &PoolName) -> serde_json::Value {
+        let row = |s: &route::Server| {
+            serde_json::json!({
+                "member": s.peer.id, "zone": s.zone, "used": s.load.used,
+                "slots": s.load.slots, "waiting": s.load.waiting, "leaving": s.load.leaving,
+            })
+        };
+        let servers = self
+            .pools
+            .get(name)
+            .map(|p| p.servers().map(row).collect::<Vec<_>>());
+        serde_json::json!({ "pool": name, "servers": servers.unwrap_or_default() })
     }
 
     fn rebuild(&mut self) {
--- a/crates/daemon/src/sidecar/desk.rs
+++ b/crates/daemon/src/sidecar/desk.rs
@@ -277,10 +277,7 @@
                 Control::Ok
             }
             Control::Order(order) => return self.on_order(now, link, id, order),
-            body @ (Control::Pull { .. } | Control::PullPlacement) => {
-                return self.pass_control(link, id, body);
-            }
-            _ => Control::Unfit,
+            body => return self.pass_control(link, id, body),
         };
         self.send(link, &Frame::Control { id, body: answer });
     }
--- a/crates/standins/src/site.rs
+++ b/crates/standins/src/site.rs
@@ -108,10 +108,9 @@
     /// Starts all nodes.
     pub fn start(spec: SiteSpec) -> Site {
         let pid = std::process::id();
-        let net = (
-            20 + (pid % 200) as u8,
-            NEXT_NET.fetch_add(1, Ordering::Relaxed) as u8,
-        );
+        // Networks of processes that run at the same time must differ.
+        let count = NEXT_NET.fetch_add(1, Ordering::Relaxed);
+        let net = (20 + (pid % 200) as u8, ((pid / 200 + count) % 250) as u8);
         let mut site = Site {
             spec,
             net,
@@ -420,6 +419,24 @@
         self.places.get(name).expect("node").node.ended()
     }
 
+    /// How often a subject ran at the plain services.
+    pub fn runs_of(&self, subject: &str) -> u64 {
+        self.runs
+            .lock()
+            .expect("runs lock")
+            .get(subject)
+            .copied()
+            .unwrap_or(0)
+    }
+
+    /// The sidecar whose engine writes now; the first of several.
+    pub fn writing(&self) -> Option<usize> {
+        (0..self.spec.decode).find(|i| {
+            let stats = &self.engines[&format!("decode-{i}")];
+            stats.lock().expect("stats lock").running > 0
+        })
+    }
+
     /// Engine memory held now, over all engines.
     pub fn held(&self) -> u64 {
         self.engines
@@ -483,6 +500,31 @@
     }
 }
 
+/// Starts a site, opens it and runs `body` on it.
+pub fn with_site<F, T>(spec: SiteSpec, body: F) -> T
+where
+    F: AsyncFnOnce(&mut Site) -> T,
+{
+    let mut site = Site::start(spec);
+    let runtime = compio::runtime::Runtime::new().expect("runtime");
+    runtime.block_on(async {
+        site.open().await;
+        body(&mut site).await
+    })
+}
+
+/// Waits until `done`; false when `limit` passes first.
+pub async fn eventually(limit: Duration, mut done: impl FnMut() -> bool) -> bool {
+    let until = Instant::now() + limit;
+    while Instant::now() < until {
+        if done() {
+            return true;
+        }
+        compio::time::sleep(Duration::from_millis(20)).await;
+    }
+    done()
+}
+
 /// Asks an entry's administration interface.
 pub async fn admin_get(client: &cyper::Client, admin: SocketAddr, path: &str) -> Option<Value> {
     let url = format!("http://{admin}/admin/{path}");
