--- a/crates/daemon/src/entry/admin.rs
+++ b/crates/daemon/src/entry/admin.rs
@@ -561,8 +561,11 @@
             return Err(Problem::new(StatusCode::CONFLICT, "held", detail));
         }
         let lease_end = now.after(ORDER_LEASE);
+        // Who holds the number already goes on with it: a new one would make the gate wait anew.
+        let holds = row.lease_end > now && row.holder == who;
+        let fence = if holds { row.fence } else { row.fence + 1 };
         let next = FenceRow {
-            fence: row.fence + 1,
+            fence,
             holder: who.to_owned(),
             lease_end,
         };
