A key that may have run is never called clean again; slopes and overheads

Cause: the search at 0 crashes, 0 moves and 1 further try found it in 19 steps: an idempotent call ran, lost its entry, was granted again, sealed and settled; its record was removed, and the next claim looked like the first, so not-run was said of a key that ran. The record stays as vacant.

--- a/crates/check/src/specs/ledger.rs
+++ b/crates/check/src/specs/ledger.rs
@@ -44,10 +44,12 @@
     MovesOn,
     /// A key whose earlier records are lost is called clean.
     VoidClean,
+    /// A home forgets a key that may have run when its last attempt is sealed.
+    ForgetsRun,
 }
 
 /// All mutants.
-pub const MUTANTS: [Mutant; 15] = [
+pub const MUTANTS: [Mutant; 16] = [
     Mutant::OwnsAtOnce,
     Mutant::OldKeysValid,
     Mutant::RefusalOpen,
@@ -63,6 +65,7 @@
     Mutant::NoFloor,
     Mutant::MovesOn,
     Mutant::VoidClean,
+    Mutant::ForgetsRun,
 ];
 
 type Id = u8;
@@ -90,6 +93,7 @@
         clean: bool,
     },
     Lost,
+    Vacant,
 }
 
 /// A message.
@@ -541,8 +545,10 @@
             return self.send(Message::NoAnswerHere { entry });
         }
         let h = usize::from(home.id);
-        if let Some(record) = self.homes[h].record {
-            return self.send_record(entry, record);
+        match self.homes[h].record {
+            Some(Record::Vacant) => return self.grant(entry, home, executor, false),
+            Some(record) => return self.send_record(entry, record),
+            None => {}
         }
         let void = self.placements[usize::from(self.homes[h].epoch)].void;
         if void && self.once && !self.is(Mutant::OldKeysValid) {
@@ -560,7 +566,7 @@
                     executor,
                 });
             }
-            Record::Lost => self.send(Message::Void { entry }),
+            Record::Lost | Record::Vacant => self.send(Message::Void { entry }),
         }
     }
 
@@ -601,6 +607,7 @@
                 }
                 self.grant(entry, home, executor, clean && sealed);
             }
+            Some(Record::Vacant) => self.grant(entry, home, executor, false),
             Some(record) => self.send_record(entry, record),
             None => self.send(Message::Void { entry }),
         }
@@ -615,7 +622,8 @@
             Some(Record::Open {
                 at: current, clean, ..
             }) if current == at => {
-                self.homes[h].record = None;
+                let keeps = !clean && !self.is(Mutant::ForgetsRun);
+                self.homes[h].record = keeps.then_some(Record::Vacant);
                 clean
             }
             _ => false,
--- a/crates/check/tests/search.rs
+++ b/crates/check/tests/search.rs
@@ -60,6 +60,7 @@
             VoidClean => (false, bounds(1, 1, 0)),
             NoFloor => (true, bounds(0, 3, 0)),
             MovesOn => (true, bounds(0, 2, 0)),
+            ForgetsRun => (false, bounds(0, 0, 1)),
             LostAgain => (true, bounds(0, 0, 1)),
             Unsettled | AnyAttempt | AttachOpen | RefusalOpen => (true, bounds(0, 0, 1)),
             AttachAnyLife | AnyLife => (true, bounds(1, 0, 1)),
--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -218,8 +218,13 @@
             };
         }
         self.forget(now);
-        if let Some(record) = self.records.get(key) {
-            return existing(record, digest);
+        if let Some(record) = self.records.get(key).cloned() {
+            let vacant = record.state == Recorded::Vacant && record.digest == digest;
+            return if vacant {
+                self.regrant(now, record, executor)
+            } else {
+                existing(&record, digest)
+            };
         }
         if repeat == Repeat::Once && self.is_void(now, key) {
             return Answer::Void;
@@ -253,9 +258,10 @@
             };
         }
         self.forget(now);
-        self.records
-            .get(key)
-            .map_or(Answer::Absent, |r| existing(r, r.digest))
+        match self.records.get(key) {
+            Some(r) if r.state != Recorded::Vacant => existing(r, r.digest),
+            _ => Answer::Absent,
+        }
     }
 
     /// Grants another attempt in place of one that ended, if the rules allow one.
@@ -275,6 +281,9 @@
         let Some(mut record) = self.records.get(key).cloned() else {
             return Answer::Void;
         };
+        if record.state == Recorded::Vacant {
+            return self.regrant(now, record, executor);
+        }
         if record.attempt != attempt || record.state != Recorded::Open {
             return existing(&record, record.digest);
         }
@@ -287,12 +296,17 @@
                 return answer;
             }
         }
-        record.attempt = self.next_attempt();
+        self.regrant(now, record, executor)
+    }
+
+    fn regrant(&mut self, now: Moment, mut record: Record, executor: &Peer) -> Answer {
+        let attempt = self.next_attempt();
+        record.attempt = attempt;
         record.executor = executor.clone();
+        record.state = Recorded::Open;
         record.forget_at = now.after(RETENTION);
-        let granted = record.attempt;
         self.put(record);
-        Answer::Granted { attempt: granted }
+        Answer::Granted { attempt }
     }
 
     /// Notes how an attempt ended for good.
@@ -309,15 +323,13 @@
             return Answer::Settled { clean: false };
         }
         match (ended, record.repeat) {
-            (Ended::Sealed, _) if record.state == Recorded::Open => {
+            (Ended::Sealed, _) if record.state == Recorded::Open && record.clean => {
                 self.remove(key);
-                Answer::Settled {
-                    clean: record.clean,
-                }
+                Answer::Settled { clean: true }
             }
+            (Ended::Sealed, _) if record.state == Recorded::Open => self.vacate(now, record),
             (Ended::Lost, Repeat::Idempotent) if record.state == Recorded::Open => {
-                self.remove(key);
-                Answer::Settled { clean: false }
+                self.vacate(now, record)
             }
             (Ended::Done, _) => {
                 record.state = Recorded::Done;
@@ -334,6 +346,15 @@
         }
     }
 
+    /// The key may have run: forgetting it would let the next claim look like the first.
+    fn vacate(&mut self, now: Moment, mut record: Record) -> Answer {
+        record.state = Recorded::Vacant;
+        record.clean = false;
+        record.forget_at = now.after(RETENTION);
+        self.put(record);
+        Answer::Settled { clean: false }
+    }
+
     /// Forgets what is past its retention.
     pub fn forget(&mut self, now: Moment) {
         while let Some((at, key)) = self.expiry.first().cloned() {
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -203,6 +203,9 @@
     Done,
     /// May have run; nobody can know.
     Lost,
+    /// Ended without an answer after a run that may have taken place; the next claim is granted.
+    /// Homes keep it to themselves.
+    Vacant,
 }
 
 /// What a sidecar answers.
--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -19,6 +19,8 @@
     Demo(cmd::demo::Args),
     /// Send load and report goodput under both latency targets and wasted prefill
     Load(Box<cmd::load::Args>),
+    /// Measure slopes and overheads
+    Measure(cmd::measure::Args),
     /// Prove the protocols by search and by randomised runs
     Prove(cmd::prove::Args),
 }
@@ -27,6 +29,7 @@
     let good = match Cli::parse().command {
         Command::Demo(args) => cmd::demo::run(args),
         Command::Load(args) => cmd::load::run(*args),
+        Command::Measure(args) => cmd::measure::run(args),
         Command::Prove(args) => cmd::prove::run(args),
     };
     if good {
--- a/crates/standins/tests/config.rs
+++ b/crates/standins/tests/config.rs
@@ -260,12 +260,18 @@
         assert_eq!(status, 409, "{body}");
         assert!(body["wait"].is_object(), "{body}");
         assert_eq!(order("nobody").await.0, 404);
-        assert!(
+        let taken = || {
             site.engines["decode-0"]
                 .lock()
                 .expect("stats")
                 .orders
-                .is_empty()
-        );
+                .clone()
+        };
+        assert!(taken().is_empty());
+        // The same holder goes on with its number once nothing else can be under way.
+        compio::time::sleep(6 * SECOND).await;
+        let (status, body) = order("write-0").await;
+        assert_eq!(status, 200, "{body}");
+        assert_eq!(taken(), [1]);
     });
 }
