--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -18,7 +18,7 @@
 use crate::time::Moment;
 
 /// Time between two probes of one member.
-pub const PERIOD: Duration = Duration::from_millis(2_000);
+pub const PERIOD: Duration = Duration::from_millis(3_000);
 /// Cards a datagram carries beside the sender's own.
 pub const CARDS: usize = 5;
 /// How long a suspicion lasts before the member counts as dead.
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -22,7 +22,7 @@
 /// Candidates compared when the first ones are full.
 pub const MORE_CHOICES: usize = 6;
 /// Sidecars of a pool that an entry keeps links to.
-pub const SUBSET: usize = 24;
+pub const SUBSET: usize = 12;
 /// How long a server that failed is passed over.
 pub const PENALTY: Duration = Duration::from_secs(2);
 /// What another zone costs, as a delay.
@@ -342,12 +342,17 @@
 fn candidates(list: &[&Server], head: u64, rng: &mut dyn rand::RngCore) -> Vec<usize> {
     let rank = |i: &usize| xxh3_64_with_seed(list[*i].peer.id.0.as_bytes(), head);
     let mut few: Vec<usize> = Vec::with_capacity(2 * CHOICES);
-    let first = (0..list.len()).max_by_key(rank);
-    let second = (0..list.len())
-        .filter(|i| Some(*i) != first)
-        .max_by_key(rank);
-    few.extend(first);
-    few.extend(second);
+    let (mut first, mut second) = ((0, None), (0, None));
+    for i in 0..list.len() {
+        let ranked = (rank(&i), Some(i));
+        if ranked.0 >= first.0 {
+            second = std::mem::replace(&mut first, ranked);
+        } else if ranked.0 > second.0 {
+            second = ranked;
+        }
+    }
+    few.extend(first.1);
+    few.extend(second.1);
     few.extend((0..list.len()).choose_multiple(rng, CHOICES));
     few
 }
--- a/crates/daemon/src/entry/dialer.rs
+++ b/crates/daemon/src/entry/dialer.rs
@@ -15,7 +15,7 @@
 use crate::link::{self, Identity, LinkSender, Sink};
 
 /// Time between two probes of a link in use; well below the lease.
-pub const PING_EVERY: Duration = Duration::from_millis(1_000);
+pub const PING_EVERY: Duration = Duration::from_millis(1_400);
 /// Time between two probes of an idle link.
 pub const IDLE_PING: Duration = Duration::from_millis(5_000);
 /// Silence after a probe that ends a link.
