Promise a slot only shortly before it comes free, by the ends that count

Cause: half of the exports were evicted at 0.9 of capacity. What was ruled out: the link (30 % used), the prefill runners (67 %), the engine's own slots. The moment promised to slow work counted the ends of urgent work, which only refill the reserve, and ends of work that had not begun; entries saw the slow moment for urgent work too and refused it.

A slot is told again 0.6 s before it comes free, from the tokens that are left, and the prompt is read then. Work whose first byte would come after the route's target is refused at once, with the moment to come back.

Conclusion: the promise was the fault, not the order of the steps.

--- a/crates/check/src/soak/world.rs
+++ b/crates/check/src/soak/world.rs
@@ -493,6 +493,7 @@
             } else {
                 Class::Slow
             },
+            first_by: self.now.after(Duration::from_secs(4)),
             deadline: self.now.after(Duration::from_secs(8)),
             repeat: if once {
                 Repeat::Once
@@ -901,7 +902,7 @@
         }
         if writer.place() < TOKENS {
             let text = writer.write();
-            let effects = self.sidecars[s].executor.on_output(attempt, &text);
+            let effects = self.sidecars[s].executor.on_output(now, attempt, &text, 1);
             self.effects(s, effects);
             self.after(
                 TOKEN,
@@ -928,7 +929,9 @@
         if self.sidecars[s].runs.remove(&attempt).is_none() {
             return;
         }
-        let mut effects = self.sidecars[s].executor.on_output(attempt, "done ");
+        let mut effects = self.sidecars[s]
+            .executor
+            .on_output(now, attempt, "done ", 1);
         effects.extend(
             self.sidecars[s]
                 .executor
--- a/crates/core/benches/decide.rs
+++ b/crates/core/benches/decide.rs
@@ -44,6 +44,7 @@
         },
         first: true,
         class: Class::Slow,
+        first_by: NOW.after(Duration::from_secs(3)),
         deadline: NOW.after(Duration::from_secs(30)),
         repeat: Repeat::Idempotent,
         split: true,
--- a/crates/core/src/executor.rs
+++ b/crates/core/src/executor.rs
@@ -27,6 +27,12 @@
 /// How long an admitted attempt waits with a slot for its KV cache; only a lost message lets it pass.
 pub const KV_WAIT: Duration = Duration::from_secs(15);
 
+/// How far ahead a waiting attempt is told of its slot. The ends of running work are known well so
+/// shortly before; a promise made earlier was wrong by more than an exported KV cache lives.
+pub const NOTICE: Duration = Duration::from_millis(600);
+/// Weight of a new observation in the token time.
+const PACE_WEIGHT: f64 = 0.02;
+
 /// What the executor knows of its backend server's speed.
 #[derive(Clone, Copy, Debug)]
 pub struct Pace {
@@ -87,9 +93,20 @@
     owners: BTreeSet<Owner>,
     orphan_at: Moment,
     forget_at: Moment,
+    /// Output tokens so far, and when the last one came.
+    tokens: u32,
+    token_at: Moment,
+    /// Who was told to have the prompt read.
+    reader: Option<Owner>,
 }
 
 impl Task {
+    /// Waits for its KV cache to be computed elsewhere?
+    fn wants_kv(&self) -> bool {
+        let waits = matches!(self.state, State::Waiting | State::AwaitingKv { .. });
+        waits && self.admission.begin == Begin::AwaitKv && self.kv.is_none()
+    }
+
     fn open(&self) -> bool {
         !matches!(self.state, State::Ended { .. } | State::Failed { .. })
     }
@@ -179,6 +196,7 @@
             slots: self.slots.total(),
             waiting: self.slots.waiting() as u32,
             free_at: self.slots.free_at(now, Class::Slow),
+            urgent_at: self.slots.free_at(now, Class::Urgent),
             leaving: self.leaving,
             ..LoadReport::default()
         }
@@ -241,8 +259,14 @@
         out
     }
 
-    /// Output of the backend server.
-    pub fn on_output(&mut self, attempt: Attempt, bytes: &str) -> Vec<Effect> {
+    /// Output of the backend server, of so many tokens.
+    pub fn on_output(
+        &mut self,
+        now: Moment,
+        attempt: Attempt,
+        bytes: &str,
+        tokens: u32,
+    ) -> Vec<Effect> {
         let mut out = Vec::new();
         let Some(task) = self.tasks.get_mut(&attempt) else {
             return out;
@@ -250,6 +274,18 @@
         if task.state != State::Running {
             return out;
         }
+        if let Work::Completion(c) = &task.admission.work {
+            if task.tokens > 0 {
+                let took = now.since(task.token_at).as_secs_f64() / f64::from(tokens.max(1));
+                let pace = self.pace.token.as_secs_f64();
+                let pace = pace + (took - pace) * PACE_WEIGHT;
+                self.pace.token = Duration::from_secs_f64(pace);
+            }
+            task.tokens += tokens;
+            task.token_at = now;
+            let left = c.max_tokens.saturating_sub(task.tokens);
+            self.slots.begin(now, &attempt, self.pace.token * left);
+        }
         let offset = task.text.len() as u64;
         task.text.push_str(bytes);
         for Watcher { owner, id } in &task.watchers {
@@ -327,6 +363,8 @@
         self.sealed.retain(|_, until| *until > now);
         self.tasks.retain(|_, t| t.forget_at > now);
         self.settle_slots(now, &mut out);
+        self.call_readers(now, &mut out);
+        self.call_holders(now, &mut out);
         self.check();
         out
     }
@@ -395,9 +433,17 @@
             owners: BTreeSet::from([owner]),
             orphan_at: Moment::NEVER,
             forget_at: Moment::NEVER,
+            tokens: 0,
+            token_at: now,
+            reader: None,
         };
         self.tasks.insert(attempt, task);
         self.open.insert(attempt);
+        if slot_at <= now.after(NOTICE)
+            && let Some(task) = self.tasks.get_mut(&attempt)
+        {
+            task.reader = task.watchers.first().map(|w| w.owner.clone());
+        }
         answer(out, peer, id, Answer::Admitted { slot_at });
         if grant == Grant::Now {
             self.on_slot(now, attempt, out);
@@ -420,6 +466,51 @@
         }
     }
 
+    /// Tells one of those that wait to have the prompt read by the moment of the slot.
+    fn call_reader(
+        &mut self,
+        now: Moment,
+        attempt: Attempt,
+        slot_at: Moment,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(task) = self.tasks.get_mut(&attempt) else {
+            return;
+        };
+        let told = task
+            .reader
+            .as_ref()
+            .is_some_and(|r| task.owners.contains(r));
+        if told || !task.wants_kv() || slot_at > now.after(NOTICE) {
+            return;
+        }
+        if let Some(Watcher { owner, id }) = task.watchers.first().cloned() {
+            task.reader = Some(owner.clone());
+            answer(out, &owner.peer, id, Answer::Admitted { slot_at });
+        }
+    }
+
+    /// Tells those that hold a slot and whose reader is gone.
+    fn call_holders(&mut self, now: Moment, out: &mut Vec<Effect>) {
+        let holds: Vec<(Attempt, Duration)> = self
+            .open_tasks()
+            .filter(|(_, t)| matches!(t.state, State::AwaitingKv { .. }) && t.wants_kv())
+            .map(|(a, t)| (*a, hold_of(&self.pace, &t.admission)))
+            .collect();
+        for (attempt, hold) in holds {
+            // What has not begun does not end sooner for having waited.
+            self.slots.begin(now, &attempt, hold);
+            self.call_reader(now, attempt, now, out);
+        }
+    }
+
+    /// Tells those whose slots come free soon.
+    fn call_readers(&mut self, now: Moment, out: &mut Vec<Effect>) {
+        for (attempt, slot_at) in self.slots.expected(now) {
+            self.call_reader(now, attempt, slot_at, out);
+        }
+    }
+
     fn run(&mut self, now: Moment, attempt: Attempt, out: &mut Vec<Effect>) {
         if self.sealed.contains_key(&attempt) {
             self.stats.double_starts += 1;
@@ -698,6 +789,7 @@
     fn need(&self, adm: &Admission) -> Need {
         Need {
             class: adm.class,
+            first_by: adm.first_by,
             deadline: adm.deadline,
             hold: hold_of(&self.pace, adm),
         }
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -119,6 +119,8 @@
     pub life: Incarnation,
     /// Class of the work.
     pub class: Class,
+    /// When the first byte is wanted; work that would get its slot later is refused.
+    pub first_by: Moment,
     /// When an answer is of no use any more.
     pub deadline: Moment,
     /// May it run more than once?
@@ -284,6 +286,8 @@
     pub waiting: u32,
     /// When a new admission of slow work would get a slot.
     pub free_at: Moment,
+    /// When one of urgent work would.
+    pub urgent_at: Moment,
     /// Prefill work queued, in tokens.
     pub backlog: u64,
     /// Prefixes lately cached, by digest of their head.
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use crate::config::Class;
+use crate::executor::NOTICE;
 use crate::ids::{Attempt, Key, Peer, prefix_digest};
 use crate::message::{Admission, Answer, Ask, Begin, Ended, KvHandle, Recorded, Repeat, Work};
 use crate::time::Moment;
@@ -62,6 +63,8 @@
     pub first: bool,
     /// Class of its route.
     pub class: Class,
+    /// When its first byte is wanted.
+    pub first_by: Moment,
     /// When its answer is of no use any more.
     pub deadline: Moment,
     /// May it run again?
@@ -378,6 +381,7 @@
             attempt,
             life: executor.life,
             class: self.spec.class,
+            first_by: self.spec.first_by,
             deadline: self.spec.deadline,
             repeat: self.spec.repeat,
             begin,
@@ -456,7 +460,9 @@
         self.phase = Phase::Streaming;
         self.wait_until = Moment::NEVER;
         self.slot_at = slot_at;
-        if self.spec.split {
+        // A slot too far ahead is told again when it comes near.
+        let soon = slot_at <= now.after(NOTICE);
+        if self.spec.split && soon && self.prefill_seq == 0 {
             self.prefill(now, fleet, out);
         }
     }
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -11,7 +11,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::affinity::head_of;
-use crate::config::Weights;
+use crate::config::{Class, Weights};
 use crate::ids::{MemberId, Peer, PoolName, Zone};
 use crate::message::{Completion, LoadReport, Work};
 use crate::request::Spec;
@@ -62,24 +62,36 @@
         }
     }
 
-    /// When a request sent now would get a slot; `hold` is how long one is held.
-    fn free_at(&self, now: Moment, hold: Duration) -> Moment {
+    /// When a request sent now would get a slot.
+    fn free_at(&self, now: Moment, need: &Need) -> Moment {
         let slots = self.load.slots.max(1);
-        let used = self.load.used + self.load.waiting + self.sent;
-        if used < slots && self.load.free_at <= now {
+        let reported = match need.class {
+            Class::Urgent => self.load.urgent_at,
+            Class::Slow => self.load.free_at,
+        };
+        let used = self.load.used + self.sent;
+        if used < slots && reported <= now {
             // Ties among free servers go to the emptier one.
             let share = f64::from(used) / f64::from(slots);
             return now.after(Duration::from_micros((share * 1_000.0) as u64));
         }
-        let behind = hold.mul_f64(f64::from(self.sent) / f64::from(slots));
-        self.load
-            .free_at
+        let behind = need.hold.mul_f64(f64::from(self.sent) / f64::from(slots));
+        reported
             .max(now)
             .after(behind)
             .after(Duration::from_millis(1))
     }
 }
 
+/// What a choice needs to know of the work.
+#[derive(Clone, Copy, Debug)]
+pub struct Need {
+    /// Its class.
+    pub class: Class,
+    /// How long it holds a slot, estimated.
+    pub hold: Duration,
+}
+
 /// How a candidate is chosen; the baselines implement it as well.
 pub trait Policy {
     /// Picks one of `servers`; `None` when there is none.
@@ -87,7 +99,7 @@
         &mut self,
         now: Moment,
         servers: &[&Server],
-        hold: Duration,
+        need: &Need,
         rng: &mut dyn rand::RngCore,
     ) -> Option<usize>;
     /// Does it refuse work that it expects to end too late?
@@ -107,7 +119,7 @@
         &mut self,
         now: Moment,
         servers: &[&Server],
-        hold: Duration,
+        need: &Need,
         rng: &mut dyn rand::RngCore,
     ) -> Option<usize> {
         let cost = |i: &usize| {
@@ -117,7 +129,7 @@
             } else {
                 ZONE_COST
             };
-            s.free_at(now, hold).after(far)
+            s.free_at(now, need).after(far)
         };
         let few = (0..servers.len()).choose_multiple(rng, CHOICES);
         let best = few.into_iter().min_by_key(cost)?;
@@ -143,7 +155,7 @@
         &mut self,
         _: Moment,
         servers: &[&Server],
-        _: Duration,
+        _: &Need,
         rng: &mut dyn rand::RngCore,
     ) -> Option<usize> {
         (0..servers.len()).choose(rng)
@@ -161,7 +173,7 @@
         &mut self,
         _: Moment,
         servers: &[&Server],
-        _: Duration,
+        _: &Need,
         _: &mut dyn rand::RngCore,
     ) -> Option<usize> {
         if servers.is_empty() {
@@ -180,7 +192,7 @@
         &mut self,
         _: Moment,
         servers: &[&Server],
-        _: Duration,
+        _: &Need,
         _: &mut dyn rand::RngCore,
     ) -> Option<usize> {
         let load = |i: &usize| servers[*i].load.used + servers[*i].load.waiting;
@@ -246,10 +258,14 @@
         if list.is_empty() {
             list = self.servers.values().filter(able).collect();
         }
-        let index = policy.pick(now, &list, hold, rng).ok_or(None)?;
+        let need = Need {
+            class: spec.class,
+            hold,
+        };
+        let index = policy.pick(now, &list, &need, rng).ok_or(None)?;
         let chosen = list[index];
-        let at = chosen.free_at(now, hold);
-        if policy.predicts() && at.after(hold) > spec.deadline {
+        let at = chosen.free_at(now, &need);
+        if policy.predicts() && (at > spec.first_by || at.after(hold) > spec.deadline) {
             return Err(Some(at));
         }
         let peer = chosen.peer.clone();
--- a/crates/core/src/slots.rs
+++ b/crates/core/src/slots.rs
@@ -18,11 +18,23 @@
 /// Share of the slots that the reserve may take, as a divisor.
 const RESERVE_SHARE: u32 = 4;
 
+/// When the first byte of work with a slot at `at` may be counted on: a moment further ahead is
+/// known less well, and slow work has its prompt brought over after the slot came free.
+pub fn first_at(now: Moment, at: Moment, class: Class) -> Moment {
+    let margin = match class {
+        Class::Urgent => Duration::from_millis(50),
+        Class::Slow => Duration::from_millis(250),
+    };
+    at.after(at.since(now) / 10).after(margin)
+}
+
 /// What the machine needs to know of a piece of work.
 #[derive(Clone, Copy, Debug)]
 pub struct Need {
     /// Its class.
     pub class: Class,
+    /// When its first byte is wanted.
+    pub first_by: Moment,
     /// When its answer is of no use any more.
     pub deadline: Moment,
     /// How long it holds a slot, estimated.
@@ -105,7 +117,8 @@
             return Grant::Now;
         }
         let at = self.free_at(now, need.class);
-        let hopeless = at.after(need.hold) > need.deadline;
+        let hopeless =
+            first_at(now, at, need.class) > need.first_by || at.after(need.hold) > need.deadline;
         if hopeless || self.waiting() >= self.queue_limit {
             return Grant::Full(at);
         }
@@ -163,35 +176,67 @@
         late
     }
 
+    /// Those that wait, in the order in which they will get slots, with the moment of each as far as
+    /// the ends of running work tell.
+    pub fn expected(&self, now: Moment) -> Vec<(Attempt, Moment)> {
+        let urgent = self
+            .urgent
+            .values()
+            .map(|w| w.attempt)
+            .zip(self.ends(now, Class::Urgent));
+        let slow = self
+            .slow
+            .values()
+            .map(|w| w.attempt)
+            .zip(self.ends(now, Class::Slow));
+        urgent.chain(slow).collect()
+    }
+
+    /// When the slots that work of this class may take come free, the earliest first.
+    ///
+    /// Urgent work may take any slot. Slow work gets none by an urgent end, which only refills the
+    /// reserve: it gets those that are free beyond the reserve, and then those of slow work.
+    fn ends(&self, now: Moment, class: Class) -> Vec<Moment> {
+        let of = |c: Class| {
+            self.running
+                .values()
+                .filter(move |(k, _)| *k == c)
+                .map(move |(_, end)| (*end).max(now))
+        };
+        let urgent_held = of(Class::Urgent).count();
+        let mut ends: Vec<Moment> = of(Class::Slow).collect();
+        let slots = match class {
+            Class::Urgent => {
+                ends.extend(of(Class::Urgent));
+                self.total as usize
+            }
+            Class::Slow => {
+                let kept = urgent_held.max(self.reserve(now) as usize);
+                (self.total as usize).saturating_sub(kept)
+            }
+        };
+        ends.sort_unstable();
+        match slots.checked_sub(ends.len()) {
+            Some(free) => std::iter::repeat_n(now, free).chain(ends).collect(),
+            // More slow work runs than may at present: its first ends free nothing.
+            None => ends.split_off(ends.len() - slots.max(1)),
+        }
+    }
+
     /// When a new piece of work of this class would get a slot.
     pub fn free_at(&self, now: Moment, class: Class) -> Moment {
         if self.waiting() == 0 && self.may_take(now, class) {
             return now;
         }
-        let mut ends: Vec<Moment> = self
-            .running
-            .values()
-            .map(|(_, end)| (*end).max(now))
-            .collect();
-        ends.resize((self.total as usize).max(1), now);
-        let lent = match class {
-            Class::Urgent => 0,
-            Class::Slow => self.reserve(now) as usize,
-        };
-        // Slots that slow work may not touch count as the latest to come free.
-        ends.sort_unstable();
-        ends.truncate(ends.len().saturating_sub(lent).max(1));
         let ahead: Vec<Duration> = match class {
             Class::Urgent => self.urgent.values().map(|w| w.hold).collect(),
-            Class::Slow => self
-                .urgent
-                .values()
-                .chain(self.slow.values())
-                .map(|w| w.hold)
-                .collect(),
+            Class::Slow => self.slow.values().map(|w| w.hold).collect(),
         };
-        let mut heap: std::collections::BinaryHeap<std::cmp::Reverse<Moment>> =
-            ends.into_iter().map(std::cmp::Reverse).collect();
+        let mut heap: std::collections::BinaryHeap<std::cmp::Reverse<Moment>> = self
+            .ends(now, class)
+            .into_iter()
+            .map(std::cmp::Reverse)
+            .collect();
         for hold in ahead {
             if let Some(std::cmp::Reverse(end)) = heap.pop() {
                 heap.push(std::cmp::Reverse(end.after(hold)));
--- a/crates/core/tests/machines.rs
+++ b/crates/core/tests/machines.rs
@@ -175,9 +175,11 @@
 // Slots.
 
 fn need(class: Class, deadline: Duration) -> Need {
+    let deadline = NOW.after(deadline);
     Need {
         class,
-        deadline: NOW.after(deadline),
+        first_by: deadline,
+        deadline,
         hold: SECOND,
     }
 }
@@ -258,6 +260,7 @@
         attempt: attempt(number),
         life: Incarnation(1),
         class: Class::Slow,
+        first_by: NOW.after(30 * SECOND),
         deadline: NOW.after(30 * SECOND),
         repeat,
         begin: Begin::AtOnce,
@@ -267,11 +270,13 @@
 }
 
 fn answers(effects: &[Effect]) -> Vec<&Answer> {
-    let answer = |e| match e {
-        &Effect::Answer { ref answer, .. } => Some(answer),
-        _ => None,
-    };
-    effects.iter().filter_map(answer).collect()
+    let mut found = Vec::new();
+    for effect in effects {
+        if let Effect::Answer { answer, .. } = effect {
+            found.push(answer);
+        }
+    }
+    found
 }
 
 #[test]
@@ -353,7 +358,7 @@
         1,
         Ask::Admit(admission(1, Repeat::Idempotent)),
     );
-    executor.on_output(attempt(1), "one two ");
+    executor.on_output(NOW, attempt(1), "one two ", 2);
     let attach = Ask::Attach {
         attempt: attempt(1),
         waiter: 2,
--- a/crates/daemon/src/sidecar/desk.rs
+++ b/crates/daemon/src/sidecar/desk.rs
@@ -378,8 +378,15 @@
 
     fn on_server(&mut self, now: Moment, event: ServerEvent) {
         match event {
-            ServerEvent::Output { attempt, text } => {
-                let effects = self.machines.executor.on_output(attempt, &text);
+            ServerEvent::Output {
+                attempt,
+                text,
+                tokens,
+            } => {
+                let effects = self
+                    .machines
+                    .executor
+                    .on_output(now, attempt, &text, tokens);
                 self.apply(effects);
             }
             ServerEvent::End {
@@ -515,6 +522,7 @@
         let l = self.links.get_mut(&link)?;
         if (LoadReport {
             free_at: load.free_at,
+            urgent_at: load.urgent_at,
             ..l.told.clone()
         }) == load
         {
--- a/crates/daemon/src/sidecar/server.rs
+++ b/crates/daemon/src/sidecar/server.rs
@@ -28,7 +28,11 @@
 /// What the backend server said.
 pub enum ServerEvent {
     /// Answer bytes.
-    Output { attempt: Attempt, text: String },
+    Output {
+        attempt: Attempt,
+        text: String,
+        tokens: u32,
+    },
     /// The answer is whole.
     End {
         attempt: Attempt,
@@ -344,6 +348,7 @@
     while let Some(bytes) = stream.next().await {
         lines.push(&bytes.ok()?);
         let mut text = String::new();
+        let mut tokens = 0;
         let mut ended = false;
         for line in lines.by_ref() {
             let Some(data) = line.strip_prefix("data: ") else {
@@ -354,10 +359,15 @@
                 break;
             }
             let chunk: CompletionChunk = serde_json::from_str(data).ok()?;
+            tokens += 1;
             text.extend(chunk.choices.into_iter().map(|c| c.text));
         }
         if !text.is_empty() {
-            sink(ServerEvent::Output { attempt, text });
+            sink(ServerEvent::Output {
+                attempt,
+                text,
+                tokens,
+            });
         }
         if ended {
             return Some(());
@@ -412,7 +422,11 @@
     match sent.await {
         Some((status, mime, text)) => {
             if !text.is_empty() {
-                sink(ServerEvent::Output { attempt, text });
+                sink(ServerEvent::Output {
+                    attempt,
+                    text,
+                    tokens: 1,
+                });
             }
             sink(ServerEvent::End {
                 attempt,
--- a/crates/standins/src/client.rs
+++ b/crates/standins/src/client.rs
@@ -203,8 +203,13 @@
         let mut position = None;
         let mut first_at: Option<Instant> = None;
         let mut pieces = 0;
+        let mut refused = None;
+        let mut sent_before = false;
         for entry in entries.iter().cycle() {
             let mut again = call.clone();
+            if !std::mem::replace(&mut sent_before, true) {
+                again = again.with("ebonyloft-first", "true");
+            }
             if let Some(last) = &position {
                 again = again.with("last-event-id", last);
             }
@@ -227,7 +232,8 @@
                     if !again || Instant::now() >= until {
                         return Outcome::Refused(p);
                     }
-                    held = p.text;
+                    held = p.text.clone();
+                    refused = Some(p);
                     compio::time::sleep(RECONNECT).await;
                 }
                 Ok(Outcome::Broken { text, last }) => {
@@ -244,6 +250,7 @@
                     }
                     compio::time::sleep(RECONNECT).await;
                 }
+                Err(_) if refused.is_some() => break,
                 Err(_) => {
                     return Outcome::Broken {
                         text: held,
@@ -252,9 +259,12 @@
                 }
             }
         }
-        Outcome::Broken {
-            text: held,
-            last: position,
+        match refused {
+            Some(p) => Outcome::Refused(p),
+            None => Outcome::Broken {
+                text: held,
+                last: position,
+            },
         }
     }
 }
