--- a/crates/check/src/soak/world.rs
+++ b/crates/check/src/soak/world.rs
@@ -39,71 +39,21 @@
 
 #[derive(Clone, Debug)]
 enum Event {
-    Parcel {
-        key: LinkKey,
-        generation: u64,
-        to_sidecar: bool,
-        parcel: Parcel,
-    },
-    TickSidecar {
-        at: usize,
-        life: Incarnation,
-    },
-    TickEntry {
-        at: usize,
-        life: Incarnation,
-    },
-    Lost {
-        entry: usize,
-        life: Incarnation,
-        ask: u64,
-        gone: bool,
-    },
-    Token {
-        at: usize,
-        life: Incarnation,
-        attempt: Attempt,
-    },
-    CallEnds {
-        at: usize,
-        life: Incarnation,
-        attempt: Attempt,
-    },
-    Submit {
-        key: u64,
-    },
-    HangUp {
-        entry: usize,
-        life: Incarnation,
-        id: u64,
-        cancel: bool,
-    },
+    Parcel { key: LinkKey, generation: u64, to_sidecar: bool, parcel: Parcel },
+    TickSidecar { at: usize, life: Incarnation },
+    TickEntry { at: usize, life: Incarnation },
+    Lost { entry: usize, life: Incarnation, ask: u64, gone: bool },
+    Token { at: usize, life: Incarnation, attempt: Attempt },
+    CallEnds { at: usize, life: Incarnation, attempt: Attempt },
+    Submit { key: u64 },
+    HangUp { entry: usize, life: Incarnation, id: u64, cancel: bool },
     Fault,
-    Learn {
-        at: usize,
-        epoch: u64,
-    },
-    LearnEntry {
-        at: usize,
-        epoch: u64,
-    },
-    TakeOver {
-        to: usize,
-        life: Incarnation,
-        from: Peer,
-        epoch: u64,
-        slots: Vec<u16>,
-    },
-    Restart {
-        sidecar: bool,
-        at: usize,
-    },
-    ConfirmGone {
-        peer: Peer,
-    },
-    Leave {
-        at: usize,
-    },
+    Learn { at: usize, epoch: u64 },
+    LearnEntry { at: usize, epoch: u64 },
+    TakeOver { to: usize, life: Incarnation, from: Peer, epoch: u64, slots: Vec<u16> },
+    Restart { sidecar: bool, at: usize },
+    ConfirmGone { peer: Peer },
+    Leave { at: usize },
 }
 
 struct Run {
@@ -168,17 +118,11 @@
 impl Fleet for View<'_> {
     fn home(&self, key: &Key) -> Option<(Peer, u64)> {
         let slot = key.slot(SLOT_COUNT);
-        self.placement
-            .home(slot)
-            .map(|p| (p.clone(), self.placement.epoch))
+        self.placement.home(slot).map(|p| (p.clone(), self.placement.epoch))
     }
 
     fn executor(&mut self, _: Moment, spec: &Spec) -> Result<Peer, Option<Moment>> {
-        let able: Vec<&Peer> = self
-            .known
-            .iter()
-            .filter(|p| !spec.avoid.contains(p))
-            .collect();
+        let able: Vec<&Peer> = self.known.iter().filter(|p| !spec.avoid.contains(p)).collect();
         match able.is_empty() {
             true => Err(None),
             false => Ok(able[self.rng.random_range(0..able.len())].clone()),
@@ -258,8 +202,7 @@
             // Callers' clocks differ from those here by a second at most.
             let skew = self.rng.random_range(0..2_000);
             let issued = START.after(Duration::from_millis(first + skew));
-            self.issued
-                .insert(key, issued.before(Duration::from_secs(1)));
+            self.issued.insert(key, issued.before(Duration::from_secs(1)));
             for r in 0..repeats {
                 let gap = self.rng.random_range(0..3_000) * r;
                 self.after(Duration::from_millis(first + gap), Event::Submit { key });
@@ -272,15 +215,8 @@
     }
 
     fn new_sidecar(&mut self, i: usize, life: Incarnation) -> Sidecar {
-        let peer = Peer {
-            id: MemberId(format!("sidecar-{i}")),
-            life,
-        };
-        let pace = Pace {
-            token: TOKEN,
-            prefill_rate: 1e6,
-            call: CALL,
-        };
+        let peer = Peer { id: MemberId(format!("sidecar-{i}")), life };
+        let pace = Pace { token: TOKEN, prefill_rate: 1e6, call: CALL };
         Sidecar {
             ledger: Ledger::new(peer.clone()),
             executor: Executor::new(life, Slots::new(3, 6), pace),
@@ -294,10 +230,7 @@
 
     fn new_entry(&mut self, i: usize, life: Incarnation, placement: &Placement) -> EntryNode {
         EntryNode {
-            peer: Peer {
-                id: MemberId(format!("entry-{i}")),
-                life,
-            },
+            peer: Peer { id: MemberId(format!("entry-{i}")), life },
             alive: true,
             paused_until: Moment(0),
             placement: placement.clone(),
@@ -334,11 +267,7 @@
                     | Event::TickSidecar { .. }
                     | Event::Token { .. }
                     | Event::Parcel {
-                        parcel: Parcel::Ping
-                            | Parcel::Answer {
-                                answer: Answer::Chunk { .. },
-                                ..
-                            },
+                        parcel: Parcel::Ping | Parcel::Answer { answer: Answer::Chunk { .. }, .. },
                         ..
                     }
             );
@@ -372,31 +301,16 @@
 
     fn handle(&mut self, event: Event) {
         match event {
-            Event::Parcel {
-                key,
-                generation,
-                to_sidecar,
-                parcel,
-            } => {
+            Event::Parcel { key, generation, to_sidecar, parcel } => {
                 self.on_parcel(&key, generation, to_sidecar, parcel);
             }
             Event::TickSidecar { at, life } => self.tick_sidecar(at, life),
             Event::TickEntry { at, life } => self.tick_entry(at, life),
-            Event::Lost {
-                entry,
-                life,
-                ask,
-                gone,
-            } => self.on_lost(entry, life, ask, gone),
+            Event::Lost { entry, life, ask, gone } => self.on_lost(entry, life, ask, gone),
             Event::Token { at, life, attempt } => self.on_token(at, life, attempt),
             Event::CallEnds { at, life, attempt } => self.on_call_end(at, life, attempt),
             Event::Submit { key } => self.submit(key),
-            Event::HangUp {
-                entry,
-                life,
-                id,
-                cancel,
-            } => self.hang_up(entry, life, id, cancel),
+            Event::HangUp { entry, life, id, cancel } => self.hang_up(entry, life, id, cancel),
             Event::Fault => self.fault(),
             Event::Learn { at, epoch } => self.learn(at, epoch),
             Event::LearnEntry { at, epoch } => {
@@ -406,13 +320,7 @@
                     entry.placement = placement;
                 }
             }
-            Event::TakeOver {
-                to,
-                life,
-                from,
-                epoch,
-                slots,
-            } => {
+            Event::TakeOver { to, life, from, epoch, slots } => {
                 self.take_over(to, life, &from, epoch, &slots);
             }
             Event::Restart { sidecar, at } => self.restart(sidecar, at),
@@ -444,15 +352,7 @@
             let wait = Duration::from_millis(self.rng.random_range(0..1_500));
             let life = self.entries[e].peer.life;
             let cancel = self.rng.random_bool(0.3);
-            self.after(
-                wait,
-                Event::HangUp {
-                    entry: e,
-                    life,
-                    id,
-                    cancel,
-                },
-            );
+            self.after(wait, Event::HangUp { entry: e, life, id, cancel });
         }
         self.drive(e, id, |request, now, fleet| request.begin(now, fleet));
     }
@@ -463,9 +363,7 @@
         let mut tail = [0_u8; 10];
         tail[..8].copy_from_slice(&key.to_be_bytes());
         let ms = self.issued.get(&key).map_or(0, |at| at.as_millis());
-        let text = uuid::Builder::from_unix_timestamp_millis(ms, &tail)
-            .into_uuid()
-            .to_string();
+        let text = uuid::Builder::from_unix_timestamp_millis(ms, &tail).into_uuid().to_string();
         let work = match once {
             true => Work::Plain(PlainCall {
                 method: "POST".to_owned(),
@@ -483,23 +381,12 @@
         Spec {
             intent: Intent::Run,
             waiter: self.next_id,
-            key: Key {
-                account: Account::from("a"),
-                text,
-            },
+            key: Key { account: Account::from("a"), text },
             first: false,
-            class: if key.is_multiple_of(4) {
-                Class::Urgent
-            } else {
-                Class::Slow
-            },
+            class: if key.is_multiple_of(4) { Class::Urgent } else { Class::Slow },
             first_by: self.now.after(Duration::from_secs(4)),
             deadline: self.now.after(Duration::from_secs(8)),
-            repeat: if once {
-                Repeat::Once
-            } else {
-                Repeat::Idempotent
-            },
+            repeat: if once { Repeat::Once } else { Repeat::Idempotent },
             split: false,
             work,
             avoid: Vec::new(),
@@ -529,22 +416,15 @@
         let Some(live) = entry.live.get_mut(&id) else {
             return;
         };
-        let mut view = View {
-            placement: &entry.placement,
-            known: &entry.known,
-            rng: &mut self.rng,
-        };
+        let mut view =
+            View { placement: &entry.placement, known: &entry.known, rng: &mut self.rng };
         let steps = call(&mut live.request, self.now, &mut view);
         let (attempt, key) = (live.request.attempt(), live.key);
         if let Some(attempt) = attempt {
             self.key_of.insert(attempt, key);
         }
         self.steps(e, id, steps);
-        if self.entries[e]
-            .live
-            .get(&id)
-            .is_some_and(|l| l.request.closed())
-        {
+        if self.entries[e].live.get(&id).is_some_and(|l| l.request.closed()) {
             self.finish(e, id);
         }
     }
@@ -584,17 +464,11 @@
         if is_once(live.key) {
             return;
         }
-        let runs: HashSet<&str> = live
-            .delivered
-            .split_ascii_whitespace()
-            .filter_map(|t| t.split('.').nth(1))
-            .collect();
+        let runs: HashSet<&str> =
+            live.delivered.split_ascii_whitespace().filter_map(|t| t.split('.').nth(1)).collect();
         self.tally.resumed += u64::from(runs.len() > 1);
         if let Err(flaw) = tokens::check(&prompt(live.key), &live.delivered, TOKENS) {
-            let rule = format!(
-                "key {}: the answer is {flaw:?}: {}",
-                live.key, live.delivered
-            );
+            let rule = format!("key {}: the answer is {flaw:?}: {}", live.key, live.delivered);
             self.break_rule(rule);
         }
     }
@@ -605,10 +479,7 @@
             return;
         };
         if submission == Verdict::NotRun && !live.delivered.is_empty() {
-            let rule = format!(
-                "key {}: not-run was said of an answer that had begun",
-                live.key
-            );
+            let rule = format!("key {}: not-run was said of an answer that had begun", live.key);
             self.break_rule(rule);
         }
     }
@@ -627,42 +498,21 @@
         let life = self.entries[e].peer.life;
         if gone || !known {
             let wait = Duration::from_millis(if gone { 1 } else { 200 });
-            return self.after(
-                wait,
-                Event::Lost {
-                    entry: e,
-                    life,
-                    ask: number,
-                    gone,
-                },
-            );
+            return self.after(wait, Event::Lost { entry: e, life, ask: number, gone });
         }
         self.send(e, to, Parcel::Ask { id: number, ask });
     }
 
     fn send(&mut self, e: usize, to: &Peer, parcel: Parcel) {
-        let key = LinkKey {
-            entry: self.entries[e].peer.clone(),
-            sidecar: to.clone(),
-        };
+        let key = LinkKey { entry: self.entries[e].peer.clone(), sidecar: to.clone() };
         let delay = Duration::from_micros(self.rng.random_range(200..8_000));
         let now = self.now;
         let link = self.net.link(&key, now);
-        let at = now
-            .after(delay)
-            .max(link.last_out.after(Duration::from_micros(1)));
+        let at = now.after(delay).max(link.last_out.after(Duration::from_micros(1)));
         link.last_out = at;
         let generation = link.generation;
         if !link.mute_out {
-            self.at(
-                at,
-                Event::Parcel {
-                    key,
-                    generation,
-                    to_sidecar: true,
-                    parcel,
-                },
-            );
+            self.at(at, Event::Parcel { key, generation, to_sidecar: true, parcel });
         }
     }
 
@@ -670,29 +520,16 @@
         if id == 0 {
             return;
         }
-        let key = LinkKey {
-            entry: to.clone(),
-            sidecar: self.sidecars[s].peer.clone(),
-        };
+        let key = LinkKey { entry: to.clone(), sidecar: self.sidecars[s].peer.clone() };
         let delay = Duration::from_micros(self.rng.random_range(200..8_000));
         let now = self.now;
         let link = self.net.link(&key, now);
-        let at = now
-            .after(delay)
-            .max(link.last_back.after(Duration::from_micros(1)));
+        let at = now.after(delay).max(link.last_back.after(Duration::from_micros(1)));
         link.last_back = at;
         let generation = link.generation;
         if !link.mute_back {
             let parcel = Parcel::Answer { id, answer };
-            self.at(
-                at,
-                Event::Parcel {
-                    key,
-                    generation,
-                    to_sidecar: false,
-                    parcel,
-                },
-            );
+            self.at(at, Event::Parcel { key, generation, to_sidecar: false, parcel });
         }
     }
 
@@ -710,23 +547,13 @@
             return;
         }
         if to_sidecar {
-            let Some(s) = self
-                .sidecar_at(&key.sidecar)
-                .filter(|s| self.sidecars[*s].alive)
-            else {
+            let Some(s) = self.sidecar_at(&key.sidecar).filter(|s| self.sidecars[*s].alive) else {
                 return;
             };
             if self.sidecars[s].paused_until > now {
                 let at = self.sidecars[s].paused_until;
-                return self.at(
-                    at,
-                    Event::Parcel {
-                        key: key.clone(),
-                        generation,
-                        to_sidecar,
-                        parcel,
-                    },
-                );
+                return self
+                    .at(at, Event::Parcel { key: key.clone(), generation, to_sidecar, parcel });
             }
             self.at_sidecar(s, &key.entry, parcel);
         } else {
@@ -735,15 +562,8 @@
             };
             if self.entries[e].paused_until > now {
                 let at = self.entries[e].paused_until;
-                return self.at(
-                    at,
-                    Event::Parcel {
-                        key: key.clone(),
-                        generation,
-                        to_sidecar,
-                        parcel,
-                    },
-                );
+                return self
+                    .at(at, Event::Parcel { key: key.clone(), generation, to_sidecar, parcel });
             }
             self.net.link(key, now).heard_at = now;
             let Parcel::Answer { id, answer } = parcel else {
@@ -752,9 +572,7 @@
             let Some((request, seq, _)) = self.entries[e].asks.get(&id).cloned() else {
                 return;
             };
-            self.drive(e, request, |r, now, fleet| {
-                r.on_answer(now, fleet, seq, answer)
-            });
+            self.drive(e, request, |r, now, fleet| r.on_answer(now, fleet, seq, answer));
         }
     }
 
@@ -766,24 +584,13 @@
         };
         let ledger = &mut self.sidecars[s].ledger;
         let answer = match ask {
-            Ask::Claim {
-                key,
-                digest,
-                repeat,
-                executor,
-                ..
-            } => ledger.claim(now, &key, digest, repeat, &executor),
-            Ask::Reassign {
-                key,
-                attempt,
-                ended,
-                executor,
-            } => ledger.reassign(now, &key, attempt, ended, &executor),
-            Ask::Settle {
-                key,
-                attempt,
-                ended,
-            } => {
+            Ask::Claim { key, digest, repeat, executor, .. } => {
+                ledger.claim(now, &key, digest, repeat, &executor)
+            }
+            Ask::Reassign { key, attempt, ended, executor } => {
+                ledger.reassign(now, &key, attempt, ended, &executor)
+            }
+            Ask::Settle { key, attempt, ended } => {
                 let answer = ledger.settle(now, &key, attempt, ended);
                 self.check_settled(attempt, ended, &answer);
                 answer
@@ -843,32 +650,13 @@
         match &admission.work {
             Work::Plain(_) => {
                 self.sidecars[s].runs.insert(attempt, Run { writer: None });
-                self.after(
-                    CALL,
-                    Event::CallEnds {
-                        at: s,
-                        life,
-                        attempt,
-                    },
-                );
+                self.after(CALL, Event::CallEnds { at: s, life, attempt });
             }
             Work::Completion(work) => {
                 self.next_run += 1;
                 let writer = Writer::new(&work.prompt, &admission.prefix, self.next_run);
-                self.sidecars[s].runs.insert(
-                    attempt,
-                    Run {
-                        writer: Some(writer),
-                    },
-                );
-                self.after(
-                    TOKEN,
-                    Event::Token {
-                        at: s,
-                        life,
-                        attempt,
-                    },
-                );
+                self.sidecars[s].runs.insert(attempt, Run { writer: Some(writer) });
+                self.after(TOKEN, Event::Token { at: s, life, attempt });
             }
         }
     }
@@ -879,14 +667,7 @@
         }
         if self.sidecars[s].paused_until > self.now {
             let at = self.sidecars[s].paused_until;
-            return self.at(
-                at,
-                Event::Token {
-                    at: s,
-                    life,
-                    attempt,
-                },
-            );
+            return self.at(at, Event::Token { at: s, life, attempt });
         }
         let now = self.now;
         let Some(run) = self.sidecars[s].runs.get_mut(&attempt) else {
@@ -904,19 +685,10 @@
             let text = writer.write();
             let effects = self.sidecars[s].executor.on_output(now, attempt, &text, 1);
             self.effects(s, effects);
-            self.after(
-                TOKEN,
-                Event::Token {
-                    at: s,
-                    life,
-                    attempt,
-                },
-            );
+            self.after(TOKEN, Event::Token { at: s, life, attempt });
         } else {
             self.sidecars[s].runs.remove(&attempt);
-            let effects = self.sidecars[s]
-                .executor
-                .on_end(now, attempt, 200, "text/plain");
+            let effects = self.sidecars[s].executor.on_end(now, attempt, 200, "text/plain");
             self.effects(s, effects);
         }
     }
@@ -929,14 +701,8 @@
         if self.sidecars[s].runs.remove(&attempt).is_none() {
             return;
         }
-        let mut effects = self.sidecars[s]
-            .executor
-            .on_output(now, attempt, "done ", 1);
-        effects.extend(
-            self.sidecars[s]
-                .executor
-                .on_end(now, attempt, 200, "text/plain"),
-        );
+        let mut effects = self.sidecars[s].executor.on_output(now, attempt, "done ", 1);
+        effects.extend(self.sidecars[s].executor.on_end(now, attempt, 200, "text/plain"));
         self.effects(s, effects);
     }
 
@@ -991,10 +757,7 @@
         let me = self.entries[e].peer.clone();
         let life = me.life;
         for (to, asks) in by_peer {
-            let key = LinkKey {
-                entry: me.clone(),
-                sidecar: to.clone(),
-            };
+            let key = LinkKey { entry: me.clone(), sidecar: to.clone() };
             let dead = self.sidecar_at(&to).is_none_or(|s| !self.sidecars[s].alive);
             let silent = self.net.link(&key, now).heard_at.after(SILENCE) <= now;
             if dead || silent {
@@ -1005,15 +768,7 @@
                 let gone = self.ended.contains(&to);
                 for ask in asks {
                     let wait = Duration::from_millis(if gone { 1 } else { 150 });
-                    self.after(
-                        wait,
-                        Event::Lost {
-                            entry: e,
-                            life,
-                            ask,
-                            gone,
-                        },
-                    );
+                    self.after(wait, Event::Lost { entry: e, life, ask, gone });
                 }
             } else {
                 self.send(e, &to, Parcel::Ping);
@@ -1025,10 +780,7 @@
     /// A living, unpaused sidecar answers a probe unless the link back is silent.
     fn answer_ping(&mut self, e: usize, to: &Peer) {
         let now = self.now;
-        let key = LinkKey {
-            entry: self.entries[e].peer.clone(),
-            sidecar: to.clone(),
-        };
+        let key = LinkKey { entry: self.entries[e].peer.clone(), sidecar: to.clone() };
         let Some(s) = self.sidecar_at(to) else { return };
         let answers = self.sidecars[s].alive && self.sidecars[s].paused_until <= now;
         let link = self.net.link(&key, now);
@@ -1042,11 +794,7 @@
     fn put_placement(&mut self, next: Option<Placement>) {
         let Some(next) = next else { return };
         let epoch = next.epoch;
-        assert_eq!(
-            epoch as usize,
-            self.placements.len() + 1,
-            "one change an epoch"
-        );
+        assert_eq!(epoch as usize, self.placements.len() + 1, "one change an epoch");
         self.placements.push(next);
         for at in 0..SIDECARS {
             let wait = Duration::from_millis(self.rng.random_range(1..1_500));
@@ -1085,16 +833,7 @@
         for wanted in self.sidecars[at].ledger.wanted() {
             let wait = Duration::from_millis(self.rng.random_range(1..300));
             let (from, slots) = (wanted.from, wanted.slots);
-            self.after(
-                wait,
-                Event::TakeOver {
-                    to: at,
-                    life,
-                    from,
-                    epoch,
-                    slots,
-                },
-            );
+            self.after(wait, Event::TakeOver { to: at, life, from, epoch, slots });
         }
     }
 
@@ -1172,13 +911,7 @@
         self.sidecars[s].alive = false;
         let peer = self.sidecars[s].peer.clone();
         let back = Duration::from_millis(self.rng.random_range(100..6_000));
-        self.after(
-            back,
-            Event::Restart {
-                sidecar: true,
-                at: s,
-            },
-        );
+        self.after(back, Event::Restart { sidecar: true, at: s });
         let told = Duration::from_millis(self.rng.random_range(500..8_000));
         self.after(told, Event::ConfirmGone { peer });
     }
@@ -1194,13 +927,7 @@
             s.executor.on_link_down(&me);
         }
         let back = Duration::from_millis(self.rng.random_range(100..4_000));
-        self.after(
-            back,
-            Event::Restart {
-                sidecar: false,
-                at: e,
-            },
-        );
+        self.after(back, Event::Restart { sidecar: false, at: e });
     }
 
     fn restart(&mut self, sidecar: bool, at: usize) {
@@ -1261,21 +988,13 @@
         for ask in asks {
             self.after(
                 Duration::from_millis(150),
-                Event::Lost {
-                    entry: e,
-                    life,
-                    ask,
-                    gone: false,
-                },
+                Event::Lost { entry: e, life, ask, gone: false },
             );
         }
     }
 
     fn key(&self, e: usize, s: usize) -> LinkKey {
-        LinkKey {
-            entry: self.entries[e].peer.clone(),
-            sidecar: self.sidecars[s].peer.clone(),
-        }
+        LinkKey { entry: self.entries[e].peer.clone(), sidecar: self.sidecars[s].peer.clone() }
     }
 
     /// A sidecar leaves gracefully, unless it is the last.
@@ -1329,31 +1048,15 @@
                 return Err(format!("{} still holds memory at the end", sidecar.peer.id));
             }
         }
-        let open: usize = self
-            .entries
-            .iter()
-            .filter(|e| e.alive)
-            .map(|e| e.live.len())
-            .sum();
+        let open: usize = self.entries.iter().filter(|e| e.alive).map(|e| e.live.len()).sum();
         if open > 0 {
-            let live = self
-                .entries
-                .iter()
-                .filter(|e| e.alive)
-                .flat_map(|e| e.live.values());
+            let live = self.entries.iter().filter(|e| e.alive).flat_map(|e| e.live.values());
             let states: Vec<String> = live.map(|l| l.request.state()).collect();
             return Err(format!("{open} requests never ended: {states:?}"));
         }
-        let owned: usize = self
-            .sidecars
-            .iter()
-            .filter(|s| s.alive)
-            .map(|s| s.ledger.owned())
-            .sum();
+        let owned: usize = self.sidecars.iter().filter(|s| s.alive).map(|s| s.ledger.owned()).sum();
         if owned != usize::from(SLOT_COUNT) {
-            return Err(format!(
-                "{owned} of {SLOT_COUNT} slots have an owner at the end"
-            ));
+            return Err(format!("{owned} of {SLOT_COUNT} slots have an owner at the end"));
         }
         Ok(())
     }
--- a/crates/check/tests/fleet.rs
+++ b/crates/check/tests/fleet.rs
@@ -34,25 +34,14 @@
 
 #[test]
 fn an_outage_delays_a_change_and_reverts_nothing() {
-    let spec = FleetSpec {
-        nodes: 60,
-        outage: 120,
-        after: 150,
-        restarts: 6,
-        ..SPEC
-    };
+    let spec = FleetSpec { nodes: 60, outage: 120, after: 150, restarts: 6, ..SPEC };
     let report = run(spec);
     assert!((120_000..135_000).contains(&report.all_ms), "{report:?}");
 }
 
 #[test]
 fn a_zone_that_was_cut_off_comes_back() {
-    let spec = FleetSpec {
-        nodes: 80,
-        cut: 60,
-        after: 150,
-        ..SPEC
-    };
+    let spec = FleetSpec { nodes: 80, cut: 60, after: 150, ..SPEC };
     let report = run(spec);
     assert_eq!(report.wrong, 0, "{report:?}");
     assert!(report.all_ms < 75_000, "{report:?}");
@@ -60,10 +49,6 @@
 
 #[test]
 fn restarted_members_know_the_change() {
-    let report = run(FleetSpec {
-        nodes: 100,
-        restarts: 10,
-        ..SPEC
-    });
+    let report = run(FleetSpec { nodes: 100, restarts: 10, ..SPEC });
     assert!(report.all_ms < 30_000, "{report:?}");
 }
--- a/crates/core/src/executor.rs
+++ b/crates/core/src/executor.rs
@@ -50,10 +50,7 @@
     /// Send an answer to the question `id` of `to`.
     Answer { to: Peer, id: u64, answer: Answer },
     /// Start the attempt at the backend server.
-    Run {
-        attempt: Attempt,
-        kv: Option<KvHandle>,
-    },
+    Run { attempt: Attempt, kv: Option<KvHandle> },
     /// Stop it there and free its memory.
     Stop { attempt: Attempt },
     /// Close the link to this peer: its lease lapsed, and its streams here have ended.
@@ -165,9 +162,7 @@
 
     /// Attempts that hold memory of the backend server now.
     pub fn running(&self) -> usize {
-        self.open_tasks()
-            .filter(|(_, t)| t.state == State::Running)
-            .count()
+        self.open_tasks().filter(|(_, t)| t.state == State::Running).count()
     }
 
     /// Attempts that have not ended.
@@ -204,10 +199,7 @@
 
     /// Open attempts, for operators.
     pub fn rows(&self, limit: usize) -> Vec<Row> {
-        self.open_tasks()
-            .take(limit)
-            .map(|(a, t)| row(a, t))
-            .collect()
+        self.open_tasks().take(limit).map(|(a, t)| row(a, t)).collect()
     }
 
     /// A sign of life of a peer.
@@ -234,15 +226,8 @@
                 answer(&mut out, peer, id, Answer::OtherLife { life: self.life });
             }
             ask @ Ask::Attach { .. } => self.attach(now, peer, id, ask, &mut out),
-            Ask::Detach {
-                attempt,
-                waiter,
-                cancel,
-            } => {
-                let owner = Owner {
-                    peer: peer.clone(),
-                    waiter,
-                };
+            Ask::Detach { attempt, waiter, cancel } => {
+                let owner = Owner { peer: peer.clone(), waiter };
                 self.detach(now, &owner, attempt, cancel, &mut out);
             }
             Ask::Cancel { attempt } => {
@@ -289,11 +274,7 @@
         let offset = task.text.len() as u64;
         task.text.push_str(bytes);
         for Watcher { owner, id } in &task.watchers {
-            let chunk = Answer::Chunk {
-                attempt,
-                offset,
-                bytes: bytes.to_owned(),
-            };
+            let chunk = Answer::Chunk { attempt, offset, bytes: bytes.to_owned() };
             answer(&mut out, &owner.peer, *id, chunk);
         }
         out
@@ -308,21 +289,10 @@
         mime: &str,
     ) -> Vec<Effect> {
         let mut out = Vec::new();
-        let running = self
-            .tasks
-            .get(&attempt)
-            .is_some_and(|t| t.state == State::Running);
+        let running = self.tasks.get(&attempt).is_some_and(|t| t.state == State::Running);
         if running {
             self.stats.ended += 1;
-            self.close(
-                now,
-                attempt,
-                State::Ended {
-                    status,
-                    mime: mime.to_owned(),
-                },
-                &mut out,
-            );
+            self.close(now, attempt, State::Ended { status, mime: mime.to_owned() }, &mut out);
         }
         self.settle_slots(now, &mut out);
         out
@@ -332,15 +302,7 @@
     pub fn on_failed(&mut self, now: Moment, attempt: Attempt, ran: bool) -> Vec<Effect> {
         let mut out = Vec::new();
         if self.tasks.get(&attempt).is_some_and(Task::open) {
-            self.close(
-                now,
-                attempt,
-                State::Failed {
-                    reason: Reason::Upstream,
-                    ran,
-                },
-                &mut out,
-            );
+            self.close(now, attempt, State::Failed { reason: Reason::Upstream, ran }, &mut out);
         }
         self.settle_slots(now, &mut out);
         out
@@ -379,13 +341,8 @@
         }
         if self.tasks.contains_key(&attempt) {
             let prefix = prefix_digest(b"");
-            let ask = Ask::Attach {
-                attempt,
-                waiter: adm.waiter,
-                life: self.life,
-                offset: 0,
-                prefix,
-            };
+            let ask =
+                Ask::Attach { attempt, waiter: adm.waiter, life: self.life, offset: 0, prefix };
             return self.attach(now, peer, id, ask, out);
         }
         let need = self.need(&adm);
@@ -397,39 +354,21 @@
             Grant::Now => now,
             Grant::At(at) => at,
             Grant::Full(at) => {
-                let reason = if self.leaving {
-                    Reason::Leaving
-                } else {
-                    Reason::Overload
-                };
+                let reason = if self.leaving { Reason::Leaving } else { Reason::Overload };
                 self.seal(now, attempt);
                 self.stats.refused += 1;
-                return answer(
-                    out,
-                    peer,
-                    id,
-                    Answer::Refused {
-                        reason,
-                        retry_at: Some(at),
-                    },
-                );
+                return answer(out, peer, id, Answer::Refused { reason, retry_at: Some(at) });
             }
         };
         self.stats.admitted += 1;
         let text = adm.prefix.clone();
-        let owner = Owner {
-            peer: peer.clone(),
-            waiter: adm.waiter,
-        };
+        let owner = Owner { peer: peer.clone(), waiter: adm.waiter };
         let task = Task {
             admission: adm,
             state: State::Waiting,
             text,
             kv: None,
-            watchers: vec![Watcher {
-                owner: owner.clone(),
-                id,
-            }],
+            watchers: vec![Watcher { owner: owner.clone(), id }],
             owners: BTreeSet::from([owner]),
             orphan_at: Moment::NEVER,
             forget_at: Moment::NEVER,
@@ -460,9 +399,7 @@
         if ready {
             self.run(now, attempt, out);
         } else {
-            task.state = State::AwaitingKv {
-                until: now.after(KV_WAIT),
-            };
+            task.state = State::AwaitingKv { until: now.after(KV_WAIT) };
         }
     }
 
@@ -477,10 +414,7 @@
         let Some(task) = self.tasks.get_mut(&attempt) else {
             return;
         };
-        let told = task
-            .reader
-            .as_ref()
-            .is_some_and(|r| task.owners.contains(r));
+        let told = task.reader.as_ref().is_some_and(|r| task.owners.contains(r));
         if told || !task.wants_kv() || slot_at > now.after(NOTICE) {
             return;
         }
@@ -528,10 +462,7 @@
         self.slots.begin(now, &attempt, hold);
         self.stats.started += 1;
         // An evicted export is useless: the engine computes the prompt itself.
-        let kv = task
-            .kv
-            .take()
-            .filter(|kv| !kv.source.is_empty() && kv.evicted_at > now);
+        let kv = task.kv.take().filter(|kv| !kv.source.is_empty() && kv.evicted_at > now);
         out.push(Effect::Run { attempt, kv });
     }
 
@@ -554,60 +485,31 @@
     }
 
     fn attach(&mut self, now: Moment, peer: &Peer, id: u64, ask: Ask, out: &mut Vec<Effect>) {
-        let Ask::Attach {
-            attempt,
-            waiter,
-            offset,
-            prefix,
-            ..
-        } = ask
-        else {
+        let Ask::Attach { attempt, waiter, offset, prefix, .. } = ask else {
             return;
         };
         if self.sealed.contains_key(&attempt) {
             return answer(out, peer, id, Answer::Sealed { ran: false });
         }
         let Some(task) = self.tasks.get_mut(&attempt) else {
-            self.parked.push(Parked {
-                peer: peer.clone(),
-                id,
-                ask,
-                until: now.after(PARK),
-            });
+            self.parked.push(Parked { peer: peer.clone(), id, ask, until: now.after(PARK) });
             return;
         };
-        let same = task
-            .text
-            .get(..offset as usize)
-            .is_some_and(|t| prefix_digest(t.as_bytes()) == prefix);
+        let same =
+            task.text.get(..offset as usize).is_some_and(|t| prefix_digest(t.as_bytes()) == prefix);
         if !same {
             return answer(out, peer, id, Answer::PrefixDiffers);
         }
         let rest = &task.text[offset as usize..];
         if !rest.is_empty() {
-            answer(
-                out,
-                peer,
-                id,
-                Answer::Chunk {
-                    attempt,
-                    offset,
-                    bytes: rest.to_owned(),
-                },
-            );
+            answer(out, peer, id, Answer::Chunk { attempt, offset, bytes: rest.to_owned() });
         }
         match final_answer(attempt, task) {
             Some(last) => answer(out, peer, id, last),
             None => {
-                let owner = Owner {
-                    peer: peer.clone(),
-                    waiter,
-                };
+                let owner = Owner { peer: peer.clone(), waiter };
                 task.watchers.retain(|w| w.owner != owner);
-                task.watchers.push(Watcher {
-                    owner: owner.clone(),
-                    id,
-                });
+                task.watchers.push(Watcher { owner: owner.clone(), id });
                 task.owners.insert(owner);
                 task.orphan_at = Moment::NEVER;
             }
@@ -752,18 +654,13 @@
     }
 
     fn check(&mut self) {
-        let held = self
-            .slots
-            .holders()
-            .filter(|a| !self.open.contains(a))
-            .count();
+        let held = self.slots.holders().filter(|a| !self.open.contains(a)).count();
         self.stats.held_slots += held as u64;
     }
 
     fn answer_parked(&mut self, now: Moment, out: &mut Vec<Effect>) {
-        let (late, rest) = std::mem::take(&mut self.parked)
-            .into_iter()
-            .partition(|p| p.until <= now);
+        let (late, rest) =
+            std::mem::take(&mut self.parked).into_iter().partition(|p| p.until <= now);
         self.parked = rest;
         for Parked { peer, id, ask, .. } in late {
             if let Ask::Attach { attempt, .. } = ask
@@ -777,9 +674,7 @@
 
     fn answer_parked_for(&mut self, now: Moment, wanted: Attempt, out: &mut Vec<Effect>) {
         let is_it = |p: &Parked| matches!(p.ask, Ask::Attach { attempt, .. } if attempt == wanted);
-        let (due, rest) = std::mem::take(&mut self.parked)
-            .into_iter()
-            .partition(is_it);
+        let (due, rest) = std::mem::take(&mut self.parked).into_iter().partition(is_it);
         self.parked = rest;
         for Parked { peer, id, ask, .. } in due {
             self.attach(now, &peer, id, ask, out);
@@ -858,19 +753,13 @@
             status: *status,
             mime: mime.clone(),
         }),
-        State::Failed { reason, ran } => Some(Answer::Failed {
-            attempt,
-            reason: *reason,
-            ran: *ran,
-        }),
+        State::Failed { reason, ran } => {
+            Some(Answer::Failed { attempt, reason: *reason, ran: *ran })
+        }
         _ => None,
     }
 }
 
 fn answer(out: &mut Vec<Effect>, to: &Peer, id: u64, answer: Answer) {
-    out.push(Effect::Answer {
-        to: to.clone(),
-        id,
-        answer,
-    });
+    out.push(Effect::Answer { to: to.clone(), id, answer });
 }
--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -28,12 +28,8 @@
 
     /// Removes and returns the peers whose lease lapsed.
     pub fn lapsed(&mut self, now: Moment) -> Vec<Peer> {
-        let mut gone: Vec<Peer> = self
-            .ends
-            .iter()
-            .filter(|(_, end)| **end <= now)
-            .map(|(p, _)| p.clone())
-            .collect();
+        let mut gone: Vec<Peer> =
+            self.ends.iter().filter(|(_, end)| **end <= now).map(|(p, _)| p.clone()).collect();
         gone.sort();
         for peer in &gone {
             self.ends.remove(peer);
--- a/crates/core/src/prefill.rs
+++ b/crates/core/src/prefill.rs
@@ -69,13 +69,7 @@
     /// An idle runner.
     pub fn new(speed: Speed, link: LinkLedger) -> Self {
         let hints = Hints::default();
-        Prefills {
-            speed,
-            link,
-            jobs: HashMap::new(),
-            hints,
-            leaving: false,
-        }
+        Prefills { speed, link, jobs: HashMap::new(), hints, leaving: false }
     }
 
     /// Cached heads, for load reports.
@@ -90,10 +84,7 @@
 
     /// Prompt tokens queued or computing.
     pub fn backlog(&self) -> u64 {
-        self.jobs
-            .values()
-            .map(|j| u64::from(j.work.prompt_tokens))
-            .sum()
+        self.jobs.values().map(|j| u64::from(j.work.prompt_tokens)).sum()
     }
 
     /// Jobs queued or computing.
@@ -128,30 +119,11 @@
         let late = ready.before(self.compute_time(&work)) > start_at.max(now).after(LATE);
         let full = self.backlog() >= BACKLOG_LIMIT || late || ready > deadline;
         if self.leaving || full {
-            let reason = if self.leaving {
-                Reason::Leaving
-            } else {
-                Reason::Overload
-            };
-            let answer = Answer::Refused {
-                reason,
-                retry_at: Some(ready),
-            };
-            return vec![Effect::Answer {
-                to: peer.clone(),
-                id,
-                answer,
-            }];
+            let reason = if self.leaving { Reason::Leaving } else { Reason::Overload };
+            let answer = Answer::Refused { reason, retry_at: Some(ready) };
+            return vec![Effect::Answer { to: peer.clone(), id, answer }];
         }
-        let job = Job {
-            peer: peer.clone(),
-            id,
-            class,
-            start_at,
-            deadline,
-            work,
-            running: false,
-        };
+        let job = Job { peer: peer.clone(), id, class, start_at, deadline, work, running: false };
         self.jobs.insert(attempt, job);
         self.on_tick(now)
     }
@@ -168,12 +140,8 @@
 
     /// All jobs of a peer whose lease lapsed.
     pub fn on_lapsed(&mut self, now: Moment, peer: &Peer) -> Vec<Effect> {
-        let mut gone: Vec<Attempt> = self
-            .jobs
-            .iter()
-            .filter(|(_, j)| j.peer == *peer)
-            .map(|(a, _)| *a)
-            .collect();
+        let mut gone: Vec<Attempt> =
+            self.jobs.iter().filter(|(_, j)| j.peer == *peer).map(|(a, _)| *a).collect();
         gone.sort_unstable();
         gone.iter().flat_map(|a| self.on_forget(now, a)).collect()
     }
@@ -192,16 +160,9 @@
                     self.link.reserve(now, kv.bytes, Moment::NEVER);
                     Answer::Prefilled { kv }
                 }
-                None => Answer::Refused {
-                    reason: Reason::Upstream,
-                    retry_at: None,
-                },
+                None => Answer::Refused { reason: Reason::Upstream, retry_at: None },
             };
-            out.push(Effect::Answer {
-                to: job.peer,
-                id: job.id,
-                answer,
-            });
+            out.push(Effect::Answer { to: job.peer, id: job.id, answer });
         }
         out.extend(self.on_tick(now));
         out
@@ -219,21 +180,14 @@
                 break;
             };
             job.running = true;
-            out.push(Effect::Compute {
-                attempt,
-                work: job.work.clone(),
-            });
+            out.push(Effect::Compute { attempt, work: job.work.clone() });
         }
         out
     }
 
     /// When the next job is due to start, for the daemon's timer.
     pub fn next_at(&self) -> Option<Moment> {
-        self.jobs
-            .values()
-            .filter(|j| !j.running)
-            .map(|j| j.start_at)
-            .min()
+        self.jobs.values().filter(|j| !j.running).map(|j| j.start_at).min()
     }
 
     /// How long the engine computes this prompt.
@@ -254,11 +208,8 @@
     }
 
     fn predict(&self, now: Moment, work: &Completion) -> Moment {
-        let queued: f64 = self
-            .jobs
-            .values()
-            .map(|j| self.compute_time(&j.work).as_secs_f64())
-            .sum();
+        let queued: f64 =
+            self.jobs.values().map(|j| self.compute_time(&j.work).as_secs_f64()).sum();
         let wait = Duration::from_secs_f64(queued / self.speed.lanes.max(1) as f64);
         now.after(wait).after(self.compute_time(work))
     }
@@ -289,15 +240,8 @@
         late.sort_unstable();
         for attempt in late {
             if let Some(job) = self.jobs.remove(&attempt) {
-                let answer = Answer::Refused {
-                    reason: Reason::Deadline,
-                    retry_at: None,
-                };
-                out.push(Effect::Answer {
-                    to: job.peer,
-                    id: job.id,
-                    answer,
-                });
+                let answer = Answer::Refused { reason: Reason::Deadline, retry_at: None };
+                out.push(Effect::Answer { to: job.peer, id: job.id, answer });
             }
         }
     }
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -162,10 +162,7 @@
 
     /// What it is doing, for operators and traces.
     pub fn state(&self) -> String {
-        format!(
-            "{:?} at {:?}, waits until {:?}",
-            self.phase, self.executor, self.wait_until
-        )
+        format!("{:?} at {:?}, waits until {:?}", self.phase, self.executor, self.wait_until)
     }
 
     /// The attempt in force.
@@ -193,9 +190,7 @@
         if self.spec.intent != Intent::Run {
             self.home = Some(home);
             self.phase = Phase::Claiming;
-            let ask = Ask::Find {
-                key: self.spec.key.clone(),
-            };
+            let ask = Ask::Find { key: self.spec.key.clone() };
             self.ask_home(ask, now.after(HOME_WAIT), &mut out);
             return out;
         }
@@ -205,22 +200,12 @@
                 self.executor = Some(executor.clone());
                 let key = self.spec.key.clone();
                 let digest = self.spec.work.digest();
-                let ask = Ask::Claim {
-                    key,
-                    digest,
-                    repeat: self.spec.repeat,
-                    executor,
-                    epoch,
-                };
+                let ask = Ask::Claim { key, digest, repeat: self.spec.repeat, executor, epoch };
                 self.phase = Phase::Claiming;
                 self.ask_home(ask, now.after(HOME_WAIT), &mut out);
             }
             Err(at) => {
-                let reason = if at.is_some() {
-                    Reason::Overload
-                } else {
-                    Reason::NoServer
-                };
+                let reason = if at.is_some() { Reason::Overload } else { Reason::NoServer };
                 self.refuse_unsent(now, reason, at, &mut out);
             }
         }
@@ -298,20 +283,10 @@
         self.forget_prefill(&mut out);
         let waiter = self.spec.waiter;
         if let (Some(attempt), Some(to)) = (self.attempt, self.executor.clone()) {
-            out.push(Step::Tell {
-                to,
-                ask: Ask::Detach {
-                    attempt,
-                    waiter,
-                    cancel,
-                },
-            });
+            out.push(Step::Tell { to, ask: Ask::Detach { attempt, waiter, cancel } });
         }
         if cancel {
-            let refusal = Refusal {
-                retry_at: None,
-                ..Refusal::unknown(Reason::Cancelled)
-            };
+            let refusal = Refusal { retry_at: None, ..Refusal::unknown(Reason::Cancelled) };
             out.push(Step::Refuse(refusal));
         }
         self.phase = Phase::Closed;
@@ -321,11 +296,7 @@
     fn on_main(&mut self, now: Moment, fleet: &mut dyn Fleet, answer: Answer, out: &mut Vec<Step>) {
         match answer {
             Answer::Granted { attempt } => self.granted(now, attempt, out),
-            Answer::Existing {
-                attempt,
-                executor,
-                state,
-            } => {
+            Answer::Existing { attempt, executor, state } => {
                 self.existing(now, attempt, executor, state, out);
             }
             Answer::NotOwner { .. } => self.not_owner(now, out),
@@ -343,19 +314,10 @@
             Answer::Sealed { ran: true } => self.revoke_ran(now, fleet, out),
             Answer::OtherLife { .. } => self.executor_lost(now, fleet, out),
             Answer::PrefixDiffers => self.finish(Refusal::unknown(Reason::AnswerChanged), out),
-            Answer::Chunk {
-                attempt,
-                offset,
-                bytes,
-            } => {
+            Answer::Chunk { attempt, offset, bytes } => {
                 self.chunk(now, attempt, offset, &bytes, out);
             }
-            Answer::End {
-                attempt,
-                length,
-                status,
-                mime,
-            } => {
+            Answer::End { attempt, length, status, mime } => {
                 self.end(now, attempt, length, status, mime, out);
             }
             Answer::Failed { reason, ran, .. } => self.failed(now, fleet, reason, ran, out),
@@ -371,11 +333,7 @@
         self.tries += 1;
         self.prefill_tries = 0;
         self.phase = Phase::Admitting;
-        let begin = if self.spec.split {
-            Begin::AwaitKv
-        } else {
-            Begin::AtOnce
-        };
+        let begin = if self.spec.split { Begin::AwaitKv } else { Begin::AtOnce };
         let admission = Admission {
             waiter: self.spec.waiter,
             attempt,
@@ -407,12 +365,7 @@
         self.executor = Some(executor.clone());
         if self.spec.intent == Intent::Cancel {
             self.phase = Phase::Revoking(Reason::Cancelled);
-            return self.ask(
-                executor,
-                Ask::Cancel { attempt },
-                now.after(EXECUTOR_WAIT),
-                out,
-            );
+            return self.ask(executor, Ask::Cancel { attempt }, now.after(EXECUTOR_WAIT), out);
         }
         self.attach(now, out);
     }
@@ -485,18 +438,8 @@
         self.prefill_seq = self.seq;
         self.prefill_peer = Some(runner.clone());
         let (class, deadline) = (self.spec.class, self.spec.deadline);
-        let ask = Ask::Prefill {
-            attempt,
-            class,
-            start_at,
-            deadline,
-            work,
-        };
-        out.push(Step::Ask {
-            to: runner,
-            seq: self.seq,
-            ask,
-        });
+        let ask = Ask::Prefill { attempt, class, start_at, deadline, work };
+        out.push(Step::Ask { to: runner, seq: self.seq, ask });
     }
 
     fn on_prefill(
@@ -526,19 +469,13 @@
         let (Some(attempt), Some(to)) = (self.attempt, self.executor.clone()) else {
             return;
         };
-        out.push(Step::Tell {
-            to,
-            ask: Ask::Start { attempt, kv },
-        });
+        out.push(Step::Tell { to, ask: Ask::Start { attempt, kv } });
     }
 
     fn forget_prefill(&mut self, out: &mut Vec<Step>) {
         self.prefill_seq = 0;
         if let (Some(to), Some(attempt)) = (self.prefill_peer.take(), self.attempt) {
-            out.push(Step::Tell {
-                to,
-                ask: Ask::Forget { attempt },
-            });
+            out.push(Step::Tell { to, ask: Ask::Forget { attempt } });
         }
     }
 
@@ -564,9 +501,7 @@
         };
         if !fresh.is_empty() {
             self.held.push_str(fresh);
-            out.push(Step::Deliver {
-                bytes: fresh.to_owned(),
-            });
+            out.push(Step::Deliver { bytes: fresh.to_owned() });
         }
     }
 
@@ -648,12 +583,7 @@
             return;
         };
         self.phase = Phase::Revoking(Reason::Deadline);
-        self.ask(
-            executor,
-            Ask::Revoke { attempt },
-            now.after(REVOKE_WAIT),
-            out,
-        );
+        self.ask(executor, Ask::Revoke { attempt }, now.after(REVOKE_WAIT), out);
     }
 
     fn revoke_ran(&mut self, now: Moment, fleet: &mut dyn Fleet, out: &mut Vec<Step>) {
@@ -668,10 +598,7 @@
 
     fn main_lost(&mut self, now: Moment, fleet: &mut dyn Fleet, gone: bool, out: &mut Vec<Step>) {
         if !gone
-            && matches!(
-                self.phase,
-                Phase::Claiming | Phase::Moving(_) | Phase::Settling(_)
-            )
+            && matches!(self.phase, Phase::Claiming | Phase::Moving(_) | Phase::Settling(_))
             && let Some(ask) = self.home_ask.clone()
         {
             let wait = self.wait_until;
@@ -718,12 +645,7 @@
         self.phase = Phase::Moving(ended);
         self.executor = Some(next.clone());
         let key = self.spec.key.clone();
-        let ask = Ask::Reassign {
-            key,
-            attempt,
-            ended,
-            executor: next,
-        };
+        let ask = Ask::Reassign { key, attempt, ended, executor: next };
         self.ask_home(ask, now.after(HOME_WAIT), out);
     }
 
@@ -733,11 +655,7 @@
         self.phase = Phase::Settling(reason);
         self.slot_at = at.unwrap_or(now.after(COME_BACK));
         let key = self.spec.key.clone();
-        let ask = Ask::Settle {
-            key,
-            attempt,
-            ended: Ended::Sealed,
-        };
+        let ask = Ask::Settle { key, attempt, ended: Ended::Sealed };
         self.ask_home(ask, now.after(HOME_WAIT), out);
     }
 
@@ -745,26 +663,10 @@
         let Phase::Settling(reason) = self.phase else {
             return;
         };
-        let verdict = if clean {
-            Verdict::NotRun
-        } else {
-            Verdict::MayHaveRun
-        };
-        let submission = if self.held.is_empty() {
-            Verdict::NotRun
-        } else {
-            verdict
-        };
+        let verdict = if clean { Verdict::NotRun } else { Verdict::MayHaveRun };
+        let submission = if self.held.is_empty() { Verdict::NotRun } else { verdict };
         let retry_at = Some(self.slot_at);
-        self.finish(
-            Refusal {
-                verdict,
-                submission,
-                reason,
-                retry_at,
-            },
-            out,
-        );
+        self.finish(Refusal { verdict, submission, reason, retry_at }, out);
     }
 
     /// The home did not answer the claim: nothing was sent to any executor.
@@ -780,15 +682,7 @@
         };
         let retry_at = Some(now.after(COME_BACK));
         let verdict = Verdict::MayHaveRun;
-        self.finish(
-            Refusal {
-                verdict,
-                submission,
-                reason: Reason::NoHome,
-                retry_at,
-            },
-            out,
-        );
+        self.finish(Refusal { verdict, submission, reason: Reason::NoHome, retry_at }, out);
     }
 
     fn finish_unknown(&mut self, now: Moment, out: &mut Vec<Step>) {
@@ -797,13 +691,7 @@
             Repeat::Idempotent => Some(now.after(COME_BACK)),
             Repeat::Once => None,
         };
-        self.finish(
-            Refusal {
-                retry_at,
-                ..Refusal::unknown(Reason::Unknown)
-            },
-            out,
-        );
+        self.finish(Refusal { retry_at, ..Refusal::unknown(Reason::Unknown) }, out);
     }
 
     fn revoke_failed(&mut self, now: Moment, out: &mut Vec<Step>) {
@@ -815,13 +703,7 @@
 
     fn finish_unknown_unsettled(&mut self, now: Moment, out: &mut Vec<Step>) {
         let retry_at = Some(now.after(COME_BACK));
-        self.finish(
-            Refusal {
-                retry_at,
-                ..Refusal::unknown(Reason::Unknown)
-            },
-            out,
-        );
+        self.finish(Refusal { retry_at, ..Refusal::unknown(Reason::Unknown) }, out);
     }
 
     fn refuse_unsent(
@@ -838,14 +720,7 @@
     fn tell_home(&mut self, ended: Ended, out: &mut Vec<Step>) {
         if let (Some(attempt), Some(to)) = (self.attempt, self.home.clone()) {
             let key = self.spec.key.clone();
-            out.push(Step::Tell {
-                to,
-                ask: Ask::Settle {
-                    key,
-                    attempt,
-                    ended,
-                },
-            });
+            out.push(Step::Tell { to, ask: Ask::Settle { key, attempt, ended } });
         }
     }
 
@@ -873,10 +748,6 @@
         self.seq += 1;
         self.main = self.seq;
         self.wait_until = wait;
-        out.push(Step::Ask {
-            to,
-            seq: self.seq,
-            ask,
-        });
+        out.push(Step::Ask { to, seq: self.seq, ask });
     }
 }
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -52,14 +52,7 @@
 impl Server {
     fn new(peer: Peer, zone: Zone) -> Self {
         let load = LoadReport::default();
-        Server {
-            peer,
-            zone,
-            load,
-            sent: 0,
-            tokens: 0,
-            avoid_until: Moment(0),
-        }
+        Server { peer, zone, load, sent: 0, tokens: 0, avoid_until: Moment(0) }
     }
 
     /// When a request sent now would get a slot.
@@ -76,10 +69,7 @@
             return now.after(Duration::from_micros((share * 1_000.0) as u64));
         }
         let behind = need.hold.mul_f64(f64::from(self.sent) / f64::from(slots));
-        reported
-            .max(now)
-            .after(behind)
-            .after(Duration::from_millis(1))
+        reported.max(now).after(behind).after(Duration::from_millis(1))
     }
 }
 
@@ -124,11 +114,7 @@
     ) -> Option<usize> {
         let cost = |i: &usize| {
             let s = servers[*i];
-            let far = if s.zone == self.zone {
-                Duration::ZERO
-            } else {
-                ZONE_COST
-            };
+            let far = if s.zone == self.zone { Duration::ZERO } else { ZONE_COST };
             s.free_at(now, need).after(far)
         };
         let few = (0..servers.len()).choose_multiple(rng, CHOICES);
@@ -137,9 +123,7 @@
             return Some(best);
         }
         let more = (0..servers.len()).choose_multiple(rng, MORE_CHOICES);
-        more.into_iter()
-            .chain(std::iter::once(best))
-            .min_by_key(cost)
+        more.into_iter().chain(std::iter::once(best)).min_by_key(cost)
     }
 
     fn predicts(&self) -> bool {
@@ -211,9 +195,7 @@
     pub fn set(&mut self, servers: impl Iterator<Item = (Peer, Zone)>) {
         let mut old = std::mem::take(&mut self.servers);
         for (peer, zone) in servers {
-            let server = old
-                .remove(&peer)
-                .unwrap_or_else(|| Server::new(peer.clone(), zone));
+            let server = old.remove(&peer).unwrap_or_else(|| Server::new(peer.clone(), zone));
             self.servers.insert(peer, server);
         }
     }
@@ -249,19 +231,12 @@
         rng: &mut dyn rand::RngCore,
     ) -> Result<Peer, Option<Moment>> {
         let able = |s: &&Server| !s.load.leaving && !spec.avoid.contains(&s.peer);
-        let mut list: Vec<&Server> = self
-            .servers
-            .values()
-            .filter(able)
-            .filter(|s| s.avoid_until <= now)
-            .collect();
+        let mut list: Vec<&Server> =
+            self.servers.values().filter(able).filter(|s| s.avoid_until <= now).collect();
         if list.is_empty() {
             list = self.servers.values().filter(able).collect();
         }
-        let need = Need {
-            class: spec.class,
-            hold,
-        };
+        let need = Need { class: spec.class, hold };
         let index = policy.pick(now, &list, &need, rng).ok_or(None)?;
         let chosen = list[index];
         let at = chosen.free_at(now, &need);
@@ -303,11 +278,7 @@
         let best = few.into_iter().min_by_key(cost)?;
         let peer = list[best].peer.clone();
         let lead = reading.compute(list[best], work) + reading.transfer(work) + reading.lead();
-        let start_at = if reading.timed {
-            slot_at.before(lead).max(now)
-        } else {
-            now
-        };
+        let start_at = if reading.timed { slot_at.before(lead).max(now) } else { now };
         if let Some(s) = self.servers.get_mut(&peer) {
             s.tokens += u64::from(reading.uncached(s, work));
         }
@@ -396,16 +367,10 @@
     count: usize,
 ) -> BTreeSet<MemberId> {
     let seed = xxh3_64_with_seed(pool.0.as_bytes(), xxh3_64_with_seed(entry.0.as_bytes(), 0));
-    let mut ranked: Vec<(u64, &MemberId)> = members
-        .iter()
-        .map(|m| (xxh3_64_with_seed(m.0.as_bytes(), seed), m))
-        .collect();
+    let mut ranked: Vec<(u64, &MemberId)> =
+        members.iter().map(|m| (xxh3_64_with_seed(m.0.as_bytes(), seed), m)).collect();
     ranked.sort_unstable();
-    ranked
-        .into_iter()
-        .take(count)
-        .map(|(_, m)| m.clone())
-        .collect()
+    ranked.into_iter().take(count).map(|(_, m)| m.clone()).collect()
 }
 
 /// Shuffles in place; kept here so that callers need no other random source.
--- a/crates/daemon/src/entry/admin.rs
+++ b/crates/daemon/src/entry/admin.rs
@@ -37,10 +37,7 @@
 /// Rows listed a member.
 const ROW_LIMIT: u32 = 200;
 /// Requests of one operator a second.
-const RATE: Rate = Rate {
-    rate: 50.0,
-    burst: 100.0,
-};
+const RATE: Rate = Rate { rate: 50.0, burst: 100.0 };
 
 /// The ways an administration handler has.
 pub struct Ways {
@@ -101,15 +98,8 @@
 impl Admin {
     /// A handler.
     pub fn new(settings: &EntrySettings, ways: Ways) -> Self {
-        let first_token = settings
-            .first_token
-            .as_ref()
-            .map(|t| Digest::of(t.as_bytes()));
-        Admin {
-            ways: Rc::new(ways),
-            first_token,
-            buckets: Rc::default(),
-        }
+        let first_token = settings.first_token.as_ref().map(|t| Digest::of(t.as_bytes()));
+        Admin { ways: Rc::new(ways), first_token, buckets: Rc::default() }
     }
 
     /// Answers one request.
@@ -166,11 +156,7 @@
                 let name = (*name).to_owned();
                 self.order(req, &name, who).await
             }
-            _ => Err(Problem::new(
-                StatusCode::NOT_FOUND,
-                "path",
-                format!("nothing is at {path}"),
-            )),
+            _ => Err(Problem::new(StatusCode::NOT_FOUND, "path", format!("nothing is at {path}"))),
         }
     }
 
@@ -183,13 +169,8 @@
                 "authorization: a valid operator token is needed",
             )
         };
-        let text = req
-            .headers()
-            .get("authorization")
-            .and_then(|v| v.to_str().ok());
-        let token = text
-            .and_then(|t| t.strip_prefix("Bearer "))
-            .ok_or_else(denied)?;
+        let text = req.headers().get("authorization").and_then(|v| v.to_str().ok());
+        let token = text.and_then(|t| t.strip_prefix("Bearer ")).ok_or_else(denied)?;
         let digest = Digest::of(token.as_bytes());
         let f = self.ways.in_force.borrow();
         let same = |d: &Digest| bool::from(d.0.ct_eq(&digest.0));
@@ -205,9 +186,7 @@
         }
         let now = self.ways.clock.now();
         let mut buckets = self.buckets.borrow_mut();
-        let bucket = buckets
-            .entry(name.clone())
-            .or_insert_with(|| Bucket::full(now, &RATE));
+        let bucket = buckets.entry(name.clone()).or_insert_with(|| Bucket::full(now, &RATE));
         bucket.take(now, &RATE).map_err(|_| {
             let mut p = Problem::new(StatusCode::TOO_MANY_REQUESTS, "rate", "too many requests");
             p.retry_after = Some(1);
@@ -218,13 +197,8 @@
 
     async fn status(&self) -> Result<Status, Problem> {
         let (reply, answer) = oneshot::channel();
-        let _ = self
-            .ways
-            .control
-            .unbounded_send(ControlMessage::Status(reply));
-        answer
-            .await
-            .map_err(|_| unavailable("the process is stopping"))
+        let _ = self.ways.control.unbounded_send(ControlMessage::Status(reply));
+        answer.await.map_err(|_| unavailable("the process is stopping"))
     }
 
     async fn show(&self) -> Answered {
@@ -270,9 +244,7 @@
         let changes = diff::diff(&self.ways.in_force.borrow().doc, &doc);
         let split = parts::split(&doc);
         if split.iter().any(|p| p.body.len() > VALUE_LIMIT) {
-            return Err(bad(
-                "a part of the document is over 1 MB: fewer routes, pools or labels",
-            ));
+            return Err(bad("a part of the document is over 1 MB: fewer routes, pools or labels"));
         }
         for part in split.iter().filter(|p| !current.parts.contains(&p.digest)) {
             self.store_part(part).await?;
@@ -297,11 +269,7 @@
     /// Parts are addressed by digest: one that is stored already is the same.
     async fn store_part(&self, part: &parts::Part) -> Result<(), Problem> {
         let key = format!("{PART_PREFIX}{}", part.digest);
-        let wrote = self
-            .ways
-            .store
-            .swap(&key, Bytes::from(part.body.clone()), 0)
-            .await;
+        let wrote = self.ways.store.swap(&key, Bytes::from(part.body.clone()), 0).await;
         match wrote {
             Ok(_) => Ok(()),
             Err(e) => match self.ways.store.read(&key).await {
@@ -345,9 +313,7 @@
                     return Ok(record.to);
                 }
                 if stored.index != index {
-                    return Err(unavailable(
-                        "another change came first; nothing was changed",
-                    ));
+                    return Err(unavailable("another change came first; nothing was changed"));
                 }
             }
             compio::time::sleep(RESOLVE_PAUSE).await;
@@ -360,12 +326,7 @@
     }
 
     async fn stored_manifest(&self) -> Result<(Stored, Manifest), Problem> {
-        let stored = self
-            .ways
-            .store
-            .read(MANIFEST_KEY)
-            .await
-            .map_err(|e| not_accepted(&e))?;
+        let stored = self.ways.store.read(MANIFEST_KEY).await.map_err(|e| not_accepted(&e))?;
         let manifest = match &stored.value {
             None => Manifest::default(),
             Some(value) => serde_json::from_slice(value)
@@ -394,12 +355,7 @@
     async fn stored_document(&self, manifest: &Manifest) -> Option<Document> {
         let mut bodies = Vec::new();
         for digest in &manifest.parts {
-            let stored = self
-                .ways
-                .store
-                .read(&format!("{PART_PREFIX}{digest}"))
-                .await
-                .ok()?;
+            let stored = self.ways.store.read(&format!("{PART_PREFIX}{digest}")).await.ok()?;
             bodies.push(String::from_utf8(stored.value?.to_vec()).ok()?);
         }
         let texts: Vec<&str> = bodies.iter().map(String::as_str).collect();
@@ -419,10 +375,7 @@
         let answer = match card.peer == self.ways.identity.peer {
             true => {
                 let (reply, answer) = oneshot::channel();
-                let _ = self
-                    .ways
-                    .control
-                    .unbounded_send(ControlMessage::Ask { body: ask, reply });
+                let _ = self.ways.control.unbounded_send(ControlMessage::Ask { body: ask, reply });
                 answer.await.ok()
             }
             false => link::call(card.addr, &self.ways.identity, ask).await.ok(),
@@ -431,10 +384,7 @@
             Some(Control::RevisionIs { revision, .. }) => Some(revision),
             _ => None,
         };
-        Lag {
-            member: card.peer.id.clone(),
-            revision,
-        }
+        Lag { member: card.peer.id.clone(), revision }
     }
 
     async fn explain(&self, query: &str) -> Answered {
@@ -444,32 +394,22 @@
             .map(|(k, v)| (k.to_owned(), v.to_owned()))
             .collect();
         let (reply, answer) = oneshot::channel();
-        let _ = self
-            .ways
-            .events
-            .unbounded_send(Event::Explain(labels, reply));
-        let value = answer
-            .await
-            .map_err(|_| unavailable("the process is stopping"))?;
+        let _ = self.ways.events.unbounded_send(Event::Explain(labels, reply));
+        let value = answer.await.map_err(|_| unavailable("the process is stopping"))?;
         Ok(http::json(StatusCode::OK, &value))
     }
 
     async fn pools(&self) -> Answered {
         let (reply, answer) = oneshot::channel();
         let _ = self.ways.events.unbounded_send(Event::Pools(reply));
-        let value = answer
-            .await
-            .map_err(|_| unavailable("the process is stopping"))?;
+        let value = answer.await.map_err(|_| unavailable("the process is stopping"))?;
         Ok(http::json(StatusCode::OK, &value))
     }
 
     async fn requests(&self) -> Answered {
         let cards = self.status().await?.members;
         let mut rows = BTreeMap::new();
-        for card in cards
-            .iter()
-            .filter(|c| c.role == ebonyloft_core::members::Role::Sidecar)
-        {
+        for card in cards.iter().filter(|c| c.role == ebonyloft_core::members::Role::Sidecar) {
             let ask = Control::List { limit: ROW_LIMIT };
             if let Ok(Control::Listed { rows: listed }) =
                 link::call(card.addr, &self.ways.identity, ask).await
@@ -486,9 +426,7 @@
             let _ = self.ways.events.unbounded_send(Event::Leave);
             return Ok(http::json(StatusCode::ACCEPTED, &"draining"));
         }
-        let ask = Control::Drain {
-            by: MemberId(who.to_owned()),
-        };
+        let ask = Control::Drain { by: MemberId(who.to_owned()) };
         match link::call(card.addr, &self.ways.identity, ask).await {
             Ok(Control::Ok) => Ok(http::json(StatusCode::ACCEPTED, &"draining")),
             _ => Err(unavailable("the member did not answer; ask again")),
@@ -513,13 +451,8 @@
     async fn send_order(&self, card: &Card, action: Action, who: String) -> Answered {
         let name = card.peer.id.as_str();
         let (fence, lease_end) = self.take_fence(name, &who).await?;
-        let order = Order {
-            target: card.peer.id.clone(),
-            fence,
-            holder: who.clone(),
-            lease_end,
-            action,
-        };
+        let order =
+            Order { target: card.peer.id.clone(), fence, holder: who.clone(), lease_end, action };
         tracing::info!(%who, member = name, fence, action = ?order.action, "order given");
         let answer = link::call(card.addr, &self.ways.identity, Control::Order(order)).await;
         match answer {
@@ -531,9 +464,7 @@
                 };
                 Ok(http::json(status, &result))
             }
-            _ => Err(unavailable(
-                "the sidecar did not answer; the order may have taken effect",
-            )),
+            _ => Err(unavailable("the sidecar did not answer; the order may have taken effect")),
         }
     }
 
@@ -546,15 +477,8 @@
     ) -> Result<(u64, ebonyloft_core::time::Moment), Problem> {
         let key = format!("{FENCE_PREFIX}{name}");
         let now = self.ways.clock.now();
-        let stored = self
-            .ways
-            .store
-            .read(&key)
-            .await
-            .map_err(|e| not_accepted(&e))?;
-        let row = stored
-            .value
-            .and_then(|v| serde_json::from_slice::<FenceRow>(&v).ok());
+        let stored = self.ways.store.read(&key).await.map_err(|e| not_accepted(&e))?;
+        let row = stored.value.and_then(|v| serde_json::from_slice::<FenceRow>(&v).ok());
         let row = row.unwrap_or_default();
         if row.lease_end > now && row.holder != who {
             let detail = format!("operator `{}` holds the engine's order lease", row.holder);
@@ -564,19 +488,13 @@
         // Who holds the number already goes on with it: a new one would make the gate wait anew.
         let holds = row.lease_end > now && row.holder == who;
         let fence = if holds { row.fence } else { row.fence + 1 };
-        let next = FenceRow {
-            fence,
-            holder: who.to_owned(),
-            lease_end,
-        };
+        let next = FenceRow { fence, holder: who.to_owned(), lease_end };
         let body = serde_json::to_vec(&next).map_err(|e| bad(&e.to_string()))?;
         match self.ways.store.swap(&key, body.into(), stored.index).await {
             Ok(true) => Ok((next.fence, lease_end)),
-            Ok(false) => Err(Problem::new(
-                StatusCode::CONFLICT,
-                "raced",
-                "another order came first",
-            )),
+            Ok(false) => {
+                Err(Problem::new(StatusCode::CONFLICT, "raced", "another order came first"))
+            }
             // The number may be taken; it is simply not used.
             Err(e) => Err(not_accepted(&e)),
         }
@@ -593,18 +511,11 @@
             p
         })?;
         let body = serde_json::to_vec(&next).map_err(|e| bad(&e.to_string()))?;
-        match self
-            .ways
-            .store
-            .swap(PERMIT_KEY, body.into(), stored.index)
-            .await
-        {
+        match self.ways.store.swap(PERMIT_KEY, body.into(), stored.index).await {
             Ok(true) => Ok(()),
-            Ok(false) => Err(Problem::new(
-                StatusCode::CONFLICT,
-                "raced",
-                "another load came first",
-            )),
+            Ok(false) => {
+                Err(Problem::new(StatusCode::CONFLICT, "raced", "another load came first"))
+            }
             Err(e) => Err(not_accepted(&e)),
         }
     }
@@ -614,40 +525,21 @@
         if let Ok((stored, permits)) = self.permits().await
             && let Ok(body) = serde_json::to_vec(&permits.give(member))
         {
-            let _ = self
-                .ways
-                .store
-                .swap(PERMIT_KEY, body.into(), stored.index)
-                .await;
+            let _ = self.ways.store.swap(PERMIT_KEY, body.into(), stored.index).await;
         }
     }
 
     async fn permits(&self) -> Result<(Stored, Permits), Problem> {
-        let stored = self
-            .ways
-            .store
-            .read(PERMIT_KEY)
-            .await
-            .map_err(|e| not_accepted(&e))?;
-        let permits = stored
-            .value
-            .as_ref()
-            .and_then(|v| serde_json::from_slice(v).ok());
+        let stored = self.ways.store.read(PERMIT_KEY).await.map_err(|e| not_accepted(&e))?;
+        let permits = stored.value.as_ref().and_then(|v| serde_json::from_slice(v).ok());
         Ok((stored, permits.unwrap_or_default()))
     }
 
     async fn member(&self, name: &str) -> Result<Card, Problem> {
         let cards = self.status().await?.members;
-        cards
-            .into_iter()
-            .find(|c| c.peer.id.0 == name)
-            .ok_or_else(|| {
-                Problem::new(
-                    StatusCode::NOT_FOUND,
-                    "member",
-                    format!("no member is named `{name}`"),
-                )
-            })
+        cards.into_iter().find(|c| c.peer.id.0 == name).ok_or_else(|| {
+            Problem::new(StatusCode::NOT_FOUND, "member", format!("no member is named `{name}`"))
+        })
     }
 }
 
@@ -666,15 +558,9 @@
 }
 
 async fn read(req: Request<Incoming>) -> Result<Bytes, Problem> {
-    http::read_body(req.into_body(), BODY_LIMIT)
-        .await
-        .ok_or_else(|| {
-            Problem::new(
-                StatusCode::PAYLOAD_TOO_LARGE,
-                "body",
-                format!("at most {BODY_LIMIT} bytes"),
-            )
-        })
+    http::read_body(req.into_body(), BODY_LIMIT).await.ok_or_else(|| {
+        Problem::new(StatusCode::PAYLOAD_TOO_LARGE, "body", format!("at most {BODY_LIMIT} bytes"))
+    })
 }
 
 fn accepted(revision: u64, changes: usize) -> Response<Body> {
@@ -696,11 +582,7 @@
 /// What changed, in at most a few words a path.
 fn summary(changes: &[Change], why: &str) -> String {
     const PATHS: usize = 5;
-    let mut text: Vec<&str> = changes
-        .iter()
-        .take(PATHS)
-        .map(|c| c.path.as_str())
-        .collect();
+    let mut text: Vec<&str> = changes.iter().take(PATHS).map(|c| c.path.as_str()).collect();
     if changes.len() > PATHS {
         text.push("...");
     }
--- a/crates/daemon/src/sidecar/server.rs
+++ b/crates/daemon/src/sidecar/server.rs
@@ -28,24 +28,13 @@
 /// What the backend server said.
 pub enum ServerEvent {
     /// Answer bytes.
-    Output {
-        attempt: Attempt,
-        text: String,
-        tokens: u32,
-    },
+    Output { attempt: Attempt, text: String, tokens: u32 },
     /// The answer is whole.
-    End {
-        attempt: Attempt,
-        status: u16,
-        mime: String,
-    },
+    End { attempt: Attempt, status: u16, mime: String },
     /// The run failed; `ran` says that it may have taken effect.
     Failed { attempt: Attempt, ran: bool },
     /// A prefill was exported, or failed.
-    Computed {
-        attempt: Attempt,
-        kv: Option<KvHandle>,
-    },
+    Computed { attempt: Attempt, kv: Option<KvHandle> },
     /// A cache event.
     Cache { seq: u64, head: u64, stored: bool },
 }
@@ -149,24 +138,14 @@
     /// A handle on the backend server of these settings.
     pub fn new(settings: &SidecarSettings, _me: MemberId, sink: Sink) -> Self {
         // The builder sets no TLS, so building can't fail.
-        let client = cyper::Client::builder()
-            .no_proxy()
-            .build()
-            .expect("plain client");
+        let client = cyper::Client::builder().no_proxy().build().expect("plain client");
         let base = settings.server.trim_end_matches('/').to_owned();
         let kind = settings.server_kind;
         if kind == ServerKind::Prefill {
             let (client, base, sink) = (client.clone(), base.clone(), sink.clone());
             compio::runtime::spawn(async move { follow_cache(client, base, sink).await }).detach();
         }
-        ServerHandle {
-            base,
-            client,
-            sink,
-            runs: HashMap::new(),
-            prefills: HashMap::new(),
-            kind,
-        }
+        ServerHandle { base, client, sink, runs: HashMap::new(), prefills: HashMap::new(), kind }
     }
 
     /// Aborts whatever an earlier life of this process left running at an engine.
@@ -175,18 +154,8 @@
             return;
         }
         let url = format!("{}/abort_all", self.base);
-        let swept = async {
-            self.client
-                .post(&url)
-                .ok()?
-                .body("{}")
-                .send()
-                .await
-                .ok()?
-                .text()
-                .await
-                .ok()
-        };
+        let swept =
+            async { self.client.post(&url).ok()?.body("{}").send().await.ok()?.text().await.ok() };
         match compio::time::timeout(CALL_WAIT, swept).await {
             Ok(Some(text)) => tracing::info!(swept = %text, "engine swept"),
             _ => tracing::warn!("engine could not be swept"),
@@ -363,11 +332,7 @@
             text.extend(chunk.choices.into_iter().map(|c| c.text));
         }
         if !text.is_empty() {
-            sink(ServerEvent::Output {
-                attempt,
-                text,
-                tokens,
-            });
+            sink(ServerEvent::Output { attempt, text, tokens });
         }
         if ended {
             return Some(());
@@ -411,10 +376,7 @@
         let req = req.header("idempotency-key", attempt.to_string()).ok()?;
         let res = req.body(Bytes::from(call.body)).send().await.ok()?;
         let status = res.status().as_u16();
-        let mime = res
-            .headers()
-            .get("content-type")
-            .and_then(|v| v.to_str().ok());
+        let mime = res.headers().get("content-type").and_then(|v| v.to_str().ok());
         let mime = mime.unwrap_or("application/octet-stream").to_owned();
         let body = res.bytes().await.ok()?;
         Some((status, mime, String::from_utf8(body.to_vec()).ok()?))
@@ -422,17 +384,9 @@
     match sent.await {
         Some((status, mime, text)) => {
             if !text.is_empty() {
-                sink(ServerEvent::Output {
-                    attempt,
-                    text,
-                    tokens: 1,
-                });
+                sink(ServerEvent::Output { attempt, text, tokens: 1 });
             }
-            sink(ServerEvent::End {
-                attempt,
-                status,
-                mime,
-            });
+            sink(ServerEvent::End { attempt, status, mime });
         }
         // The call may have reached the service.
         None => sink(ServerEvent::Failed { attempt, ran: true }),
@@ -454,10 +408,7 @@
         priority: 0,
         request_id: attempt.to_string(),
         resume: String::new(),
-        kv_transfer_params: Some(TransferParams {
-            do_remote_decode: true,
-            ..Default::default()
-        }),
+        kv_transfer_params: Some(TransferParams { do_remote_decode: true, ..Default::default() }),
     };
     let res = client.post(url).ok()?.json(&body).ok()?.send().await.ok()?;
     let chunk: CompletionChunk = res.json().await.ok()?;
--- a/crates/standins/src/client.rs
+++ b/crates/standins/src/client.rs
@@ -78,10 +78,8 @@
         let body = serde_json::json!({
             "model": "trinacria-8b", "prompt": prompt, "max_tokens": tokens, "stream": true,
         });
-        let headers = vec![
-            ("idempotency-key", key.to_owned()),
-            ("ebonyloft-kind", kind.to_owned()),
-        ];
+        let headers =
+            vec![("idempotency-key", key.to_owned()), ("ebonyloft-kind", kind.to_owned())];
         Call {
             token: token.to_owned(),
             headers,
@@ -121,12 +119,7 @@
 
 impl Default for Client {
     fn default() -> Self {
-        Client(
-            cyper::Client::builder()
-                .no_proxy()
-                .build()
-                .expect("plain client"),
-        )
+        Client(cyper::Client::builder().no_proxy().build().expect("plain client"))
     }
 }
 
@@ -138,10 +131,7 @@
         call: &Call,
         mut on_piece: impl FnMut(&str),
     ) -> Outcome {
-        let broken = || Outcome::Broken {
-            text: String::new(),
-            last: None,
-        };
+        let broken = || Outcome::Broken { text: String::new(), last: None };
         let method = call.method.parse().unwrap_or(hyper::Method::POST);
         let url = format!("http://{entry}{}", call.path);
         let built = (|| {
@@ -156,10 +146,7 @@
         let Ok(res) = req.send().await else {
             return broken();
         };
-        let mime = res
-            .headers()
-            .get("content-type")
-            .and_then(|v| v.to_str().ok());
+        let mime = res.headers().get("content-type").and_then(|v| v.to_str().ok());
         let mime = mime.unwrap_or_default().to_owned();
         if mime.starts_with("application/problem+json") {
             return match res.text().await {
@@ -171,10 +158,7 @@
             return read_events(res, &mut on_piece).await;
         }
         let status = res.status().as_u16();
-        let attempt = res
-            .headers()
-            .get("ebonyloft-attempt")
-            .and_then(|v| v.to_str().ok());
+        let attempt = res.headers().get("ebonyloft-attempt").and_then(|v| v.to_str().ok());
         let attempt = attempt.unwrap_or_default().to_owned();
         match res.text().await {
             Ok(text) => {
@@ -243,28 +227,19 @@
                         position = last;
                     }
                     if Instant::now() >= until {
-                        return Outcome::Broken {
-                            text: held,
-                            last: position,
-                        };
+                        return Outcome::Broken { text: held, last: position };
                     }
                     compio::time::sleep(RECONNECT).await;
                 }
                 Err(_) if refused.is_some() => break,
                 Err(_) => {
-                    return Outcome::Broken {
-                        text: held,
-                        last: position,
-                    };
+                    return Outcome::Broken { text: held, last: position };
                 }
             }
         }
         match refused {
             Some(p) => Outcome::Refused(p),
-            None => Outcome::Broken {
-                text: held,
-                last: position,
-            },
+            None => Outcome::Broken { text: held, last: position },
         }
     }
 }
--- a/crates/standins/src/load.rs
+++ b/crates/standins/src/load.rs
@@ -54,10 +54,7 @@
     /// Reads `SECONDS:ACT:NODE`.
     pub fn parse(text: &str) -> Result<Fault, String> {
         let mut parts = text.splitn(3, ':');
-        let at: f64 = parts
-            .next()
-            .and_then(|t| t.parse().ok())
-            .ok_or("no time in seconds")?;
+        let at: f64 = parts.next().and_then(|t| t.parse().ok()).ok_or("no time in seconds")?;
         let act = match parts.next().unwrap_or_default() {
             "kill" => Act::Kill,
             "restart" => Act::Restart,
@@ -69,11 +66,7 @@
             other => return Err(format!("`{other}` is no act")),
         };
         let node = parts.next().unwrap_or("platform").to_owned();
-        Ok(Fault {
-            at: Duration::from_secs_f64(at),
-            act,
-            node,
-        })
+        Ok(Fault { at: Duration::from_secs_f64(at), act, node })
     }
 }
 
@@ -204,24 +197,14 @@
                 let call = Call::plain(CALLER_TOKEN, &key, kind.name, "gate", &subject);
                 (call, String::new())
             }
-            Shape::Completion {
-                shared,
-                own,
-                tokens,
-            } => {
+            Shape::Completion { shared, own, tokens } => {
                 let prompt = mix::prompt(*shared, *own, number);
                 let call = Call::completion(CALLER_TOKEN, &key, kind.name, &prompt, *tokens);
                 (call, prompt)
             }
         };
         let hangup = hangup.then(|| Duration::from_millis(rng.random_range(50..1_500)));
-        Prepared {
-            kind: kind.clone(),
-            call,
-            subject,
-            prompt,
-            hangup,
-        }
+        Prepared { kind: kind.clone(), call, subject, prompt, hangup }
     }
 
     async fn send(
@@ -241,21 +224,8 @@
             }
         };
         let ended = Instant::now();
-        let Prepared {
-            kind,
-            subject,
-            prompt,
-            ..
-        } = self;
-        Sample {
-            kind,
-            subject,
-            prompt,
-            due,
-            ended,
-            outcome,
-            counted,
-        }
+        let Prepared { kind, subject, prompt, .. } = self;
+        Sample { kind, subject, prompt, due, ended, outcome, counted }
     }
 }
 
--- a/crates/standins/src/site.rs
+++ b/crates/standins/src/site.rs
@@ -123,33 +123,15 @@
         site.start_platform();
         for i in 0..site.spec.decode {
             site.start_engine(&format!("decode-{i}"), 20 + i as u8);
-            site.start_sidecar(
-                &format!("write-{i}"),
-                "decode",
-                100 + i as u8,
-                20 + i as u8,
-                i,
-            );
+            site.start_sidecar(&format!("write-{i}"), "decode", 100 + i as u8, 20 + i as u8, i);
         }
         for i in 0..site.spec.prefill {
             site.start_engine(&format!("prefill-{i}"), 50 + i as u8);
-            site.start_sidecar(
-                &format!("read-{i}"),
-                "prefill",
-                130 + i as u8,
-                50 + i as u8,
-                i,
-            );
+            site.start_sidecar(&format!("read-{i}"), "prefill", 130 + i as u8, 50 + i as u8, i);
         }
         for i in 0..site.spec.plain {
             site.start_service(&format!("service-{i}"), 80 + i as u8);
-            site.start_sidecar(
-                &format!("gate-{i}"),
-                "plain",
-                160 + i as u8,
-                80 + i as u8,
-                i,
-            );
+            site.start_sidecar(&format!("gate-{i}"), "plain", 160 + i as u8, 80 + i as u8, i);
         }
         for i in 0..site.spec.entries {
             site.start_entry(&format!("entry-{i}"), 200 + i as u8, i);
@@ -158,10 +140,7 @@
     }
 
     fn addr(&self, host: u8, port: u16) -> SocketAddr {
-        SocketAddr::new(
-            IpAddr::V4(Ipv4Addr::new(127, self.net.0, self.net.1, host)),
-            port,
-        )
+        SocketAddr::new(IpAddr::V4(Ipv4Addr::new(127, self.net.0, self.net.1, host)), port)
     }
 
     /// Address for callers of an entry.
@@ -214,10 +193,7 @@
 
     fn start_engine(&mut self, name: &str, host: u8) {
         let addr = self.addr(host, 9_000);
-        let spec = EngineSpec {
-            seed: u64::from(host),
-            ..self.spec.engine
-        };
+        let spec = EngineSpec { seed: u64::from(host), ..self.spec.engine };
         let stats = SharedStats::default();
         self.engines.insert(name.to_owned(), stats.clone());
         let node = name.to_owned();
@@ -235,12 +211,7 @@
 
     fn start_service(&mut self, name: &str, host: u8) {
         let addr = self.addr(host, 9_000);
-        let (spec, runs) = (
-            ServiceSpec {
-                call: self.spec.call,
-            },
-            self.runs.clone(),
-        );
+        let (spec, runs) = (ServiceSpec { call: self.spec.call }, self.runs.clone());
         let node = name.to_owned();
         self.put(
             name,
@@ -317,9 +288,7 @@
                     };
                     assert!(settings.faults().is_empty(), "{:?}", settings.faults());
                     let listener = listen(listen_at).await;
-                    sidecar::run(settings, listener, stop)
-                        .await
-                        .expect("sidecar");
+                    sidecar::run(settings, listener, stop).await.expect("sidecar");
                 })
             }),
         );
@@ -379,12 +348,7 @@
         let mut s = self.switches.lock().expect("switches lock");
         if let (Some(lag), Some(vm)) = (lag, s.vms.iter().rfind(|v| v.name == name).cloned()) {
             let shown_at = Some(Instant::now() + lag);
-            s.vms.push(Vm {
-                state: "gone",
-                since: wall(),
-                shown_at,
-                ..vm
-            });
+            s.vms.push(Vm { state: "gone", since: wall(), shown_at, ..vm });
         }
     }
 
@@ -395,12 +359,7 @@
         place.node = (place.make)();
         let mut s = self.switches.lock().expect("switches lock");
         if let Some(vm) = s.vms.iter().rfind(|v| v.name == name).cloned() {
-            s.vms.push(Vm {
-                state: "live",
-                since: wall(),
-                shown_at: None,
-                ..vm
-            });
+            s.vms.push(Vm { state: "live", since: wall(), shown_at: None, ..vm });
         }
     }
 
@@ -421,12 +380,7 @@
 
     /// How often a subject ran at the plain services.
     pub fn runs_of(&self, subject: &str) -> u64 {
-        self.runs
-            .lock()
-            .expect("runs lock")
-            .get(subject)
-            .copied()
-            .unwrap_or(0)
+        self.runs.lock().expect("runs lock").get(subject).copied().unwrap_or(0)
     }
 
     /// The sidecar whose engine writes now; the first of several.
@@ -439,10 +393,7 @@
 
     /// Engine memory held now, over all engines.
     pub fn held(&self) -> u64 {
-        self.engines
-            .values()
-            .map(|s| s.lock().expect("stats lock").running)
-            .sum()
+        self.engines.values().map(|s| s.lock().expect("stats lock").running).sum()
     }
 
     /// The site's document.
@@ -452,10 +403,7 @@
 
     /// Applies the document and waits until all entries are ready.
     pub async fn open(&self) {
-        let client = cyper::Client::builder()
-            .no_proxy()
-            .build()
-            .expect("plain client");
+        let client = cyper::Client::builder().no_proxy().build().expect("plain client");
         let form = json!({ "from": 0, "change": "first", "document": self.document() });
         let until = Instant::now() + Duration::from_secs(30);
         let mut applied = false;
@@ -488,9 +436,7 @@
             if sent.await != Some(200) {
                 return false;
             }
-            let status = admin_get(client, self.admin(i), "status")
-                .await
-                .unwrap_or_default();
+            let status = admin_get(client, self.admin(i), "status").await.unwrap_or_default();
             let known = status["members"].as_array().map_or(0, Vec::len);
             if known < servers + self.spec.entries {
                 return false;
@@ -528,14 +474,7 @@
 /// Asks an entry's administration interface.
 pub async fn admin_get(client: &cyper::Client, admin: SocketAddr, path: &str) -> Option<Value> {
     let url = format!("http://{admin}/admin/{path}");
-    let res = client
-        .get(&url)
-        .ok()?
-        .bearer_auth(OPERATOR_TOKEN)
-        .ok()?
-        .send()
-        .await
-        .ok()?;
+    let res = client.get(&url).ok()?.bearer_auth(OPERATOR_TOKEN).ok()?.send().await.ok()?;
     res.json().await.ok()
 }
 
@@ -567,9 +506,7 @@
 }
 
 fn wall() -> Moment {
-    let since = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     Moment(since.as_micros() as u64)
 }
 
