--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -5,6 +5,8 @@
 //! goes on behind the bytes held. `not-run` is said only after the attempt was sealed at its
 //! executor and the home confirmed that no attempt of the key ran.
 
+mod ending;
+
 use std::time::Duration;
 
 use crate::config::Class;
@@ -649,93 +651,12 @@
         self.ask_home(ask, now.after(HOME_WAIT), out);
     }
 
-    /// Tells the home that the attempt was sealed and waits for its word on the key.
-    fn settle(&mut self, now: Moment, reason: Reason, at: Option<Moment>, out: &mut Vec<Step>) {
-        let Some(attempt) = self.attempt else { return };
-        self.phase = Phase::Settling(reason);
-        self.slot_at = at.unwrap_or(now.after(COME_BACK));
-        let key = self.spec.key.clone();
-        let ask = Ask::Settle { key, attempt, ended: Ended::Sealed };
-        self.ask_home(ask, now.after(HOME_WAIT), out);
-    }
-
-    fn settled(&mut self, clean: bool, out: &mut Vec<Step>) {
-        let Phase::Settling(reason) = self.phase else {
-            return;
-        };
-        let verdict = if clean { Verdict::NotRun } else { Verdict::MayHaveRun };
-        let submission = if self.held.is_empty() { Verdict::NotRun } else { verdict };
-        let retry_at = Some(self.slot_at);
-        self.finish(Refusal { verdict, submission, reason, retry_at }, out);
-    }
-
-    /// The home did not answer the claim: nothing was sent to any executor.
-    fn finish_claimless(&mut self, now: Moment, out: &mut Vec<Step>) {
-        self.refuse_unsent(now, Reason::NoHome, Some(now.after(COME_BACK)), out);
-    }
-
-    /// The home did not confirm; `sealed` says that this submission's attempt is sealed.
-    fn finish_unsettled(&mut self, now: Moment, sealed: bool, out: &mut Vec<Step>) {
-        let submission = match sealed && self.held.is_empty() {
-            true => Verdict::NotRun,
-            false => Verdict::MayHaveRun,
-        };
-        let retry_at = Some(now.after(COME_BACK));
-        let verdict = Verdict::MayHaveRun;
-        self.finish(Refusal { verdict, submission, reason: Reason::NoHome, retry_at }, out);
-    }
-
-    fn finish_unknown(&mut self, now: Moment, out: &mut Vec<Step>) {
-        self.tell_home(Ended::Lost, out);
-        let retry_at = match self.spec.repeat {
-            Repeat::Idempotent => Some(now.after(COME_BACK)),
-            Repeat::Once => None,
-        };
-        self.finish(Refusal { retry_at, ..Refusal::unknown(Reason::Unknown) }, out);
-    }
-
-    fn revoke_failed(&mut self, now: Moment, out: &mut Vec<Step>) {
-        match self.spec.intent {
-            Intent::Run => self.finish_unknown(now, out),
-            _ => self.finish_unknown_unsettled(now, out),
-        }
-    }
-
-    fn finish_unknown_unsettled(&mut self, now: Moment, out: &mut Vec<Step>) {
-        let retry_at = Some(now.after(COME_BACK));
-        self.finish(Refusal { retry_at, ..Refusal::unknown(Reason::Unknown) }, out);
-    }
-
-    fn refuse_unsent(
-        &mut self,
-        now: Moment,
-        reason: Reason,
-        at: Option<Moment>,
-        out: &mut Vec<Step>,
-    ) {
-        let at = at.unwrap_or(now.after(COME_BACK));
-        self.finish(Refusal::unsent(reason, self.spec.first, Some(at)), out);
-    }
-
-    fn tell_home(&mut self, ended: Ended, out: &mut Vec<Step>) {
-        if let (Some(attempt), Some(to)) = (self.attempt, self.home.clone()) {
-            let key = self.spec.key.clone();
-            out.push(Step::Tell { to, ask: Ask::Settle { key, attempt, ended } });
-        }
-    }
-
     fn avoid_executor(&mut self) {
         if let Some(peer) = self.executor.take() {
             self.spec.avoid.push(peer);
         }
     }
 
-    fn finish(&mut self, refusal: Refusal, out: &mut Vec<Step>) {
-        self.forget_prefill(out);
-        self.phase = Phase::Closed;
-        out.push(Step::Refuse(refusal));
-    }
-
     fn ask_home(&mut self, ask: Ask, wait: Moment, out: &mut Vec<Step>) {
         let Some(home) = self.home.clone() else {
             return;
