A begun answer goes on when its home dies with its executor

Ruled out: the ledger and the driver.

The target no longer counts once an answer was lost; the entry claims the key at the home that follows, with the bytes held as prefix.

--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -22,6 +22,8 @@
 pub const EXECUTOR_WAIT: Duration = Duration::from_millis(2_500);
 /// How long the seal of an attempt past its deadline may take.
 pub const REVOKE_WAIT: Duration = Duration::from_millis(500);
+/// Pause between looks for the home that follows a lost one.
+const RECLAIM_PAUSE: Duration = Duration::from_millis(300);
 /// Executors tried in one request, at most.
 pub const TRY_LIMIT: u32 = 6;
 /// Prefill runners tried in one attempt, at most.
@@ -104,6 +106,7 @@
     Revoking(Reason),
     Moving(Ended),
     Settling(Reason),
+    Reclaiming,
     Closed,
 }
 
@@ -262,14 +265,14 @@
             return out;
         }
         match self.phase {
+            Phase::Claiming if self.resumes() => self.reclaim(now, fleet, &mut out),
             Phase::Claiming => self.finish_claimless(now, &mut out),
             Phase::Attaching => self.executor_lost(now, fleet, &mut out),
             Phase::Admitting if now >= self.spec.deadline => self.revoke(now, &mut out),
             Phase::Admitting => self.attach(now, &mut out),
             Phase::Revoking(_) => self.revoke_failed(now, &mut out),
-            Phase::Moving(ended) => {
-                self.finish_unsettled(now, ended == Ended::Sealed, &mut out);
-            }
+            Phase::Moving(Ended::Lost) | Phase::Reclaiming => self.reclaim(now, fleet, &mut out),
+            Phase::Moving(_) => self.finish_unsettled(now, true, &mut out),
             Phase::Settling(_) => self.finish_unsettled(now, true, &mut out),
             _ => self.wait_until = Moment::NEVER,
         }
@@ -301,7 +304,7 @@
             Answer::Existing { attempt, executor, state } => {
                 self.existing(now, attempt, executor, state, out);
             }
-            Answer::NotOwner { .. } => self.not_owner(now, out),
+            Answer::NotOwner { .. } => self.not_owner(now, fleet, out),
             Answer::Void => self.finish(Refusal::unknown(Reason::RecordLost), out),
             Answer::Absent => {
                 self.finish(Refusal::unsent(Reason::NoRecord, false, None), out);
@@ -392,8 +395,11 @@
         self.ask(executor, ask, wait, out);
     }
 
-    fn not_owner(&mut self, now: Moment, out: &mut Vec<Step>) {
+    fn not_owner(&mut self, now: Moment, fleet: &mut dyn Fleet, out: &mut Vec<Step>) {
         match self.phase {
+            Phase::Claiming | Phase::Moving(Ended::Lost) if self.resumes() => {
+                self.reclaim(now, fleet, out);
+            }
             Phase::Claiming => {
                 let back = Some(now.after(COME_BACK));
                 self.refuse_unsent(now, Reason::NoHome, back, out);
@@ -607,8 +613,10 @@
             return self.ask_home(ask, wait, out);
         }
         match self.phase {
+            Phase::Claiming if self.resumes() => self.reclaim(now, fleet, out),
             Phase::Claiming => self.finish_claimless(now, out),
-            Phase::Moving(ended) => self.finish_unsettled(now, ended == Ended::Sealed, out),
+            Phase::Moving(Ended::Lost) => self.reclaim(now, fleet, out),
+            Phase::Moving(_) => self.finish_unsettled(now, true, out),
             Phase::Settling(_) => self.finish_unsettled(now, true, out),
             Phase::Revoking(_) => self.revoke_failed(now, out),
             _ if gone => self.executor_lost(now, fleet, out),
@@ -633,6 +641,8 @@
         if self.spec.repeat == Repeat::Once {
             return self.finish_unknown(now, out);
         }
+        // The target for the first byte is for work that has not begun; this must be completed.
+        self.spec.first_by = self.spec.deadline;
         let next = fleet.executor(now, &self.spec);
         match next {
             Ok(next) if self.tries < TRY_LIMIT && fleet.may_retry(now) => {
@@ -642,6 +652,33 @@
         }
     }
 
+    /// Work that runs again goes on behind the bytes held, whatever home records it then.
+    fn resumes(&self) -> bool {
+        let again = self.spec.intent == Intent::Run && self.spec.repeat == Repeat::Idempotent;
+        again && !self.held.is_empty()
+    }
+
+    /// The home is lost as well: claim the key at the home that follows it, once there is one.
+    fn reclaim(&mut self, now: Moment, fleet: &mut dyn Fleet, out: &mut Vec<Step>) {
+        if !self.resumes() || now >= self.spec.deadline {
+            return self.finish_unsettled(now, false, out);
+        }
+        let next = fleet.home(&self.spec.key).filter(|(home, _)| Some(home) != self.home.as_ref());
+        let executor = fleet.executor(now, &self.spec);
+        let (Some((home, epoch)), Ok(executor)) = (next, executor) else {
+            self.phase = Phase::Reclaiming;
+            self.main = 0;
+            self.wait_until = now.after(RECLAIM_PAUSE);
+            return;
+        };
+        self.home = Some(home);
+        self.executor = Some(executor.clone());
+        self.phase = Phase::Claiming;
+        let (key, digest) = (self.spec.key.clone(), self.spec.work.digest());
+        let ask = Ask::Claim { key, digest, repeat: self.spec.repeat, executor, epoch };
+        self.ask_home(ask, now.after(HOME_WAIT), out);
+    }
+
     fn reassign(&mut self, now: Moment, ended: Ended, next: Peer, out: &mut Vec<Step>) {
         let Some(attempt) = self.attempt else { return };
         self.phase = Phase::Moving(ended);
