--- /dev/null
+++ b/crates/daemon/src/gateway.rs
@@ -0,0 +1,186 @@
+//! The gateway: everything between callers and backend servers, on an entry VM.
+//!
+//! It holds nothing that must last. What it believes comes from the platform's store and from its
+//! peers; what it decides is in `ebonyloft-router`; what the wire calls things is in
+//! `ebonyloft-platform`.
+
+pub mod answer;
+pub mod call;
+pub mod ingress;
+pub mod intake;
+pub mod orders;
+pub mod peers;
+pub mod pool;
+pub mod send;
+pub mod shared;
+pub mod store;
+pub mod stream;
+pub mod watch;
+
+use std::cell::Cell;
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+
+use compio::net::{TcpListener, UdpSocket};
+use ebonyloft_platform::{servers, settings};
+use ebonyloft_router::node::Node;
+use futures_channel::oneshot;
+use futures_util::FutureExt;
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use self::shared::Shared;
+use self::watch::{ConfigSink, RosterSink};
+use crate::clock::Clock;
+use crate::http;
+use crate::metrics::{Metrics, Registry};
+
+/// How long new callers are still taken after a stop was asked for: the platform notices after two
+/// readiness checks, one a second, and a margin.
+const LINGER: Duration = Duration::from_millis(3_000);
+/// Left of the grace period when the last streams are broken off.
+const LAST_MARGIN: Duration = Duration::from_millis(300);
+/// Pause between two looks at what is still open while stopping.
+const STOP_LOOK: Duration = Duration::from_millis(50);
+/// Pause between two rounds of upkeep: beliefs that settle, connections that idle.
+const UPKEEP: Duration = Duration::from_millis(250);
+/// Upkeep rounds between two looks at the settings file.
+const RELOAD_ROUNDS: u64 = 8;
+
+/// A gateway's own settings.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The platform's settings file.
+    pub file: PathBuf,
+    /// Port of the metrics page.
+    pub metrics_port: u16,
+}
+
+/// Runs until `stop` resolves and everything under way has ended; `hup` gives a message for each
+/// signal that the settings file changed.
+pub async fn run(
+    node: Node,
+    options: Options,
+    stop: impl Future<Output = ()>,
+    hup: impl Future<Output = ()> + 'static,
+) -> io::Result<()> {
+    let clock = Clock::default();
+    let (metrics, registry) = Metrics::kept(&node.name);
+    let rng = ChaCha8Rng::from_os_rng();
+    let shared = Shared::new(node, clock, rng, metrics);
+    let node = shared.node();
+    let (close, closing) = oneshot::channel();
+    start(&shared, &node, &options, registry, closing.shared(), hup).await?;
+    tracing::info!(name = %node.name, zone = %node.zone, version = env!("CARGO_PKG_VERSION"), "started");
+    stop.await;
+    shared.stopping.set(true);
+    tracing::info!(open = shared.open.get(), "stopping");
+    let asked = shared.now();
+    compio::time::sleep(LINGER).await;
+    // Connections without a request are closed now, the others behind their answers.
+    let _ = close.send(());
+    let end = asked.after(node.bounds.grace).before(LAST_MARGIN);
+    while shared.open.get() > 0 && shared.now() < end {
+        compio::time::sleep(STOP_LOOK).await;
+    }
+    compio::time::sleep(STOP_LOOK).await;
+    tracing::info!(open = shared.open.get(), "stopped");
+    Ok(())
+}
+
+async fn start(
+    shared: &Rc<Shared>,
+    node: &Node,
+    options: &Options,
+    registry: Registry,
+    closing: ingress::Closing,
+    hup: impl Future<Output = ()> + 'static,
+) -> io::Result<()> {
+    let missing = || io::Error::other("the settings name no address for callers");
+    let callers = TcpListener::bind(node.callers.ok_or_else(missing)?).await?;
+    let peer_addr = SocketAddr::from((node.ip, node.peer_port));
+    let peers = TcpListener::bind(peer_addr).await?;
+    let socket = Rc::new(UdpSocket::bind(peer_addr).await?);
+    if let Some(addr) = node.ready {
+        let ready = TcpListener::bind(addr).await?;
+        let me = shared.clone();
+        spawn(http::serve(ready, move |req| readiness(me.clone(), req), never()));
+    }
+    let page = TcpListener::bind((node.ip, options.metrics_port)).await?;
+    spawn(http::serve(page, move |_| metrics_page(registry.clone()), never()));
+    spawn(ingress::serve(shared.clone(), callers, closing));
+    spawn(watch::follow(shared.clone(), "op/", Box::new(ConfigSink(shared.clone()))));
+    let roster = Box::new(RosterSink(shared.clone()));
+    spawn(watch::follow(shared.clone(), servers::PREFIX, roster));
+    let peer_sink = Box::new(peers::PeerSink(shared.clone()));
+    spawn(watch::follow(shared.clone(), peers::PREFIX, peer_sink));
+    spawn(peers::register(shared.clone()));
+    spawn(peers::serve(shared.clone(), peers));
+    spawn(peers::tell(shared.clone(), socket.clone()));
+    spawn(peers::hear(shared.clone(), socket));
+    spawn(orders::run(shared.clone()));
+    spawn(upkeep(shared.clone(), options.file.clone()));
+    spawn(hup);
+    Ok(())
+}
+
+fn spawn(task: impl Future<Output = ()> + 'static) {
+    compio::runtime::spawn(task).detach();
+}
+
+fn never() -> Rc<Cell<bool>> {
+    Rc::new(Cell::new(false))
+}
+
+async fn readiness(shared: Rc<Shared>, _req: Request<Incoming>) -> Response<http::Body> {
+    let status = if shared.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+    http::response(status, "text/plain", http::full(""))
+}
+
+async fn metrics_page(registry: Registry) -> Response<http::Body> {
+    http::response(StatusCode::OK, "text/plain", http::full(registry.page()))
+}
+
+/// What must happen from time to time: beliefs settle, records of the gone are dropped, idle
+/// connections closed, settings read again.
+async fn upkeep(shared: Rc<Shared>, file: PathBuf) {
+    let mut round = 0_u64;
+    loop {
+        compio::time::sleep(UPKEEP).await;
+        round += 1;
+        let now = shared.now();
+        if shared.fresh.borrow().settled(now) {
+            for id in shared.roster.borrow_mut().settle() {
+                tracing::info!(server = %id.0, "backend server is gone: not registered anew");
+            }
+        }
+        shared.pool.expire(now);
+        shared.shares.borrow_mut().expire(now);
+        let roster = shared.roster.borrow();
+        shared.plain.borrow_mut().retain(|id| roster.get(id).is_some());
+        shared.engines.borrow_mut().retain(|id| roster.get(id).is_some());
+        drop(roster);
+        shared.metrics.gauge("gateway.open", shared.open.get() as u64);
+        shared.metrics.gauge("gateway.waiting", shared.engines.borrow().waiting() as u64);
+        if round.is_multiple_of(RELOAD_ROUNDS) {
+            reload(&shared, &file);
+        }
+    }
+}
+
+/// Reads the settings again; bad ones leave those in force.
+fn reload(shared: &Shared, file: &std::path::Path) {
+    match settings::read(file) {
+        Ok(node) if node == *shared.node() => {}
+        Ok(node) => {
+            tracing::info!(name = %node.name, zone = %node.zone, "settings reloaded");
+            *shared.node.borrow_mut() = Rc::new(node);
+        }
+        Err(e) => tracing::error!(error = %e, "settings not reloaded; the old ones stay in force"),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/ingress.rs
@@ -0,0 +1,214 @@
+//! Callers' connections: reading requests, finding their route, handing them on.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use compio::net::{TcpListener, TcpStream};
+use cyper_core::{CompioTimer, HyperStream};
+use ebonyloft_core::time::Moment;
+use ebonyloft_core::verdict::Verdict;
+use ebonyloft_platform::headers;
+use ebonyloft_router::catalog::{Config, Kind, Limits, Route};
+use ebonyloft_router::routes;
+use futures_channel::oneshot;
+use futures_util::future::{Either, Shared as SharedFuture, select};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+
+use super::answer::{self, Body, Cause};
+use super::intake::Intake;
+use super::shared::Shared;
+use super::{call, stream};
+
+/// When callers are asked to come back to a process that knows no configuration yet: one round of
+/// the platform's readiness check, by which others are chosen.
+const NOT_READY_RETRY: std::time::Duration = std::time::Duration::from_millis(500);
+/// Callers' request heads have no more headers than this; a guard for memory.
+const HEADERS_MAX: usize = 100;
+/// Smallest read buffer that the HTTP library allows.
+const BUFFER_MIN: usize = 8 << 10;
+
+/// Resolves when connections are to be closed.
+pub type Closing = SharedFuture<oneshot::Receiver<()>>;
+
+/// Accepts callers until `closing` resolves.
+pub async fn serve(shared: Rc<Shared>, listener: TcpListener, closing: Closing) {
+    let mut closing_here = closing.clone();
+    loop {
+        let accepted = {
+            let accept = std::pin::pin!(listener.accept());
+            match select(accept, &mut closing_here).await {
+                Either::Left((accepted, _)) => accepted,
+                Either::Right(_) => return,
+            }
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                let task = connection(shared.clone(), stream, closing.clone());
+                compio::runtime::spawn(task).detach();
+            }
+            Err(e) => tracing::warn!(error = %e, "cannot accept a connection"),
+        }
+    }
+}
+
+async fn connection(shared: Rc<Shared>, stream: TcpStream, closing: Closing) {
+    // Small answers would otherwise wait for acknowledgements; nothing breaks without it.
+    let _ = stream.set_nodelay(true);
+    let limits = shared.config().map_or_else(Limits::default, |c| c.limits.clone());
+    let service = service_fn(move |req| {
+        let shared = shared.clone();
+        async move { Ok::<_, Infallible>(handle(shared, req).await) }
+    });
+    // The library has one limit for idle connections and for slow heads: the longer one holds.
+    let served = http1::Builder::new()
+        .timer(CompioTimer)
+        .header_read_timeout(limits.idle.max(limits.head_time))
+        .max_headers(HEADERS_MAX)
+        .max_buf_size(limits.head.max(BUFFER_MIN))
+        .serve_connection(HyperStream::new_plain(stream), service);
+    let mut served = std::pin::pin!(served);
+    let ended = match select(served.as_mut(), closing).await {
+        Either::Left((ended, _)) => ended,
+        Either::Right(_) => {
+            served.as_mut().graceful_shutdown();
+            served.await
+        }
+    };
+    if let Err(e) = ended {
+        tracing::debug!(error = %e, "caller's connection ended");
+    }
+}
+
+/// Answers one request. Dropping the future says that the caller is gone.
+async fn handle(shared: Rc<Shared>, req: Request<Incoming>) -> Response<Body> {
+    let came_at = shared.now();
+    // With chunks, a length that contradicts them may hide a second request in the body: nothing
+    // that follows on this connection is believed.
+    let chunked = req.headers().contains_key(TRANSFER_ENCODING);
+    let mut response = match read(&shared, req, came_at).await {
+        Ok(intake) => work(&shared, intake).await,
+        Err(refused) => refused,
+    };
+    if chunked || shared.stopping.get() {
+        answer::close_after(&mut response);
+    }
+    response
+}
+
+/// Reads a request whole and finds its route.
+async fn read(
+    shared: &Rc<Shared>,
+    req: Request<Incoming>,
+    came_at: Moment,
+) -> Result<Intake, Response<Body>> {
+    let caller = headers::caller(req.headers());
+    let refuse = |cause: Cause| {
+        let id = caller.attempt.as_deref().unwrap_or("-");
+        tracing::info!(id, ?cause, "request refused unread");
+        shared.metrics.count("gateway.refused.unread", 1);
+        let mut response = answer::refusal(cause, Verdict::NotRun, Some(NOT_READY_RETRY));
+        if matches!(cause, Cause::Malformed | Cause::TooLarge) {
+            answer::close_after(&mut response);
+        }
+        response
+    };
+    let Some(config) = shared.config().filter(|_| shared.roster.borrow().is_complete()) else {
+        return Err(refuse(Cause::NotReady));
+    };
+    if req.headers().contains_key(CONTENT_LENGTH) && req.headers().contains_key(TRANSFER_ENCODING) {
+        return Err(refuse(Cause::Malformed));
+    }
+    let mut hosts = req.headers().get_all(HOST).iter();
+    let host = hosts.next().and_then(|h| h.to_str().ok());
+    let (Some(host), None) = (host, hosts.next()) else {
+        return Err(refuse(Cause::Malformed));
+    };
+    let Some(route) = routes::find(&config, host, req.uri().path()).map(|r| position(&config, r))
+    else {
+        return Err(refuse(Cause::NoRoute));
+    };
+    let Some(service) = choose_service(shared, &config, route) else {
+        return Err(refuse(Cause::NoServer));
+    };
+    let (parts, body) = req.into_parts();
+    let body = match Limited::new(body, config.limits.body).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(e) if e.is::<LengthLimitError>() => return Err(refuse(Cause::TooLarge)),
+        Err(_) => return Err(refuse(Cause::Malformed)),
+    };
+    Ok(intake(came_at, config, route, service, parts, body, caller))
+}
+
+fn intake(
+    came_at: Moment,
+    config: Rc<Config>,
+    route: usize,
+    service: String,
+    parts: http::request::Parts,
+    body: Bytes,
+    caller: headers::Caller,
+) -> Intake {
+    let r = &config.routes[route];
+    let patience = caller.patience.unwrap_or(r.timeout);
+    // What is missing of the route's time was spent in the caller's earlier attempts.
+    let spent = r.timeout.saturating_sub(patience);
+    let (ends_at, goal_at) =
+        (came_at.after(patience.min(r.timeout)), came_at.before(spent).after(r.goal));
+    Intake {
+        method: parts.method,
+        uri: parts.uri,
+        headers: headers::forwarded(&parts.headers),
+        caller,
+        body,
+        config,
+        route,
+        service,
+        came_at,
+        ends_at,
+        goal_at,
+    }
+}
+
+fn position(config: &Config, route: &Route) -> usize {
+    config.routes.iter().position(|r| std::ptr::eq(r, route)).unwrap_or(0)
+}
+
+/// A service by weight; another of the route when that one has no backend server.
+fn choose_service(shared: &Shared, config: &Config, route: usize) -> Option<String> {
+    let route = &config.routes[route];
+    let roster = shared.roster.borrow();
+    let chosen = routes::service(route, shared.draw())?;
+    let alive = |name: &str| roster.ready(name).next().is_some();
+    if alive(chosen) {
+        return Some(chosen.to_owned());
+    }
+    let other = route.split.iter().find(|s| s.weight > 0 && alive(&s.service));
+    Some(other.map_or(chosen, |s| s.service.as_str()).to_owned())
+}
+
+/// Hands a request to a task of its own, which outlives the caller for as long as it must clean up.
+async fn work(shared: &Rc<Shared>, intake: Intake) -> Response<Body> {
+    let (token, gone) = oneshot::channel();
+    let (reply, answer) = oneshot::channel();
+    let task = shared.clone();
+    shared.open.set(shared.open.get() + 1);
+    compio::runtime::spawn(async move {
+        match intake.route().kind {
+            Kind::Stream => stream::run(&task, intake, gone, reply).await,
+            Kind::Idempotent | Kind::Once => call::run(&task, intake, gone, reply).await,
+        }
+        task.open.set(task.open.get() - 1);
+    })
+    .detach();
+    match answer.await {
+        Ok(response) => answer::tie(response, token),
+        // The task ends without an answer only when the caller is gone.
+        Err(_) => answer::refusal(Cause::Lost, Verdict::MayHaveRun, None),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/intake.rs
@@ -0,0 +1,74 @@
+//! A caller's request as it was read, with what was resolved for it once.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use ebonyloft_core::time::Moment;
+use ebonyloft_platform::headers::{self, Caller};
+use ebonyloft_router::catalog::{Config, Kind, Route, ServerId};
+use http::HeaderMap;
+use hyper::{Method, Request, Uri};
+
+/// Deadlines sent to backend servers end this much before the caller's, for the way back.
+const WAY_BACK: Duration = Duration::from_millis(8);
+
+/// A request with its route.
+pub struct Intake {
+    /// How the request was sent.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// The caller's headers that are passed on.
+    pub headers: HeaderMap,
+    /// What the caller says of it.
+    pub caller: Caller,
+    /// The whole body.
+    pub body: Bytes,
+    /// The configuration by which it is treated, to its end.
+    pub config: Rc<Config>,
+    /// Index of its route in that configuration.
+    pub route: usize,
+    /// Name of the service that takes it.
+    pub service: String,
+    /// When its head was read.
+    pub came_at: Moment,
+    /// When the caller, or the operator, stops waiting.
+    pub ends_at: Moment,
+    /// When its answer or first event is in time, counted from the caller's first attempt.
+    pub goal_at: Moment,
+}
+
+impl Intake {
+    /// Its route.
+    pub fn route(&self) -> &Route {
+        &self.config.routes[self.route]
+    }
+
+    /// Id of the attempt, for logs.
+    pub fn id(&self) -> &str {
+        self.caller.attempt.as_deref().unwrap_or("-")
+    }
+
+    /// May it run more than once?
+    pub fn is_repeatable(&self) -> bool {
+        let route = self.route();
+        match route.kind {
+            Kind::Idempotent => true,
+            Kind::Once => false,
+            Kind::Stream => route.resumable,
+        }
+    }
+
+    /// The request for one backend server; its deadline is what is left now.
+    pub fn request(&self, now: Moment, to: &ServerId) -> Request<Bytes> {
+        let mut req = Request::new(self.body.clone());
+        *req.method_mut() = self.method.clone();
+        *req.uri_mut() = self.uri.clone();
+        *req.headers_mut() = self.headers.clone();
+        let headers = req.headers_mut();
+        headers::set_expected(headers, to);
+        headers::set_patience(headers, self.ends_at.before(WAY_BACK).since(now));
+        req
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/pool.rs
@@ -0,0 +1,175 @@
+//! Connections to backend servers, to the store and to peers.
+//!
+//! A connection carries one exchange at a time and is kept for the next one. Dropping it closes the
+//! socket at once, which is how the other end learns that an answer is not wanted any more.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use compio::net::TcpStream;
+use compio::runtime::JoinHandle;
+use cyper_core::HyperStream;
+use ebonyloft_core::time::Moment;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Request, Response, StatusCode};
+use snafu::Snafu;
+
+use crate::clock::Clock;
+
+/// Longest wait for a new connection: some hundred times the way between availability zones, and
+/// short enough to try another backend server within a check's goal.
+pub const CONNECT_WAIT: Duration = Duration::from_millis(80);
+/// A kept connection that was idle for longer is closed: idle ends are dropped after whole seconds,
+/// the shortest being one.
+pub const IDLE_MAX: Duration = Duration::from_millis(900);
+/// Idle time up to which a request that may run only once rides on a kept connection; an end that
+/// closes it early has not been seen to do so sooner.
+pub const IDLE_MAX_ONCE: Duration = Duration::from_millis(500);
+/// Idle connections kept to one address.
+const IDLE_COUNT: usize = 16;
+
+/// Why an exchange gave no answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Snafu)]
+pub enum ExchangeError {
+    /// No byte of the request reached the other end.
+    #[snafu(display("not sent"))]
+    Unsent,
+    /// It was sent; whether it was taken is not known.
+    #[snafu(display("sent, but not answered"))]
+    Lost,
+}
+
+/// An open connection with no exchange on it.
+pub struct Conn {
+    addr: SocketAddr,
+    sender: SendRequest<Full<Bytes>>,
+    /// Drives the connection; dropping it closes the socket.
+    task: JoinHandle<()>,
+    idle_since: Moment,
+}
+
+impl Conn {
+    /// Sends a request and waits for the head of its answer.
+    pub async fn exchange(
+        &mut self,
+        req: Request<Bytes>,
+    ) -> Result<Response<Incoming>, ExchangeError> {
+        let req = req.map(Full::new);
+        match self.sender.try_send_request(req).await {
+            Ok(response) => Ok(response),
+            Err(mut e) => Err(match e.take_message() {
+                Some(_) => ExchangeError::Unsent,
+                None => ExchangeError::Lost,
+            }),
+        }
+    }
+
+    /// Closes the socket.
+    pub fn close(self) {
+        drop(self.task);
+    }
+}
+
+/// Kept connections, by address.
+pub struct Pool {
+    clock: Clock,
+    idle: RefCell<HashMap<SocketAddr, Vec<Conn>>>,
+}
+
+impl Pool {
+    /// No connections yet.
+    pub fn new(clock: Clock) -> Self {
+        Pool { clock, idle: RefCell::new(HashMap::new()) }
+    }
+
+    /// A connection that was idle for `idle_max` at most, or a new one.
+    pub async fn take(&self, addr: SocketAddr, idle_max: Duration) -> Result<Conn, ExchangeError> {
+        if let Some(conn) = self.kept(addr, idle_max) {
+            return Ok(conn);
+        }
+        let opened = compio::time::timeout(CONNECT_WAIT, self.open(addr)).await;
+        opened.unwrap_or(Err(ExchangeError::Unsent))
+    }
+
+    /// Keeps a connection for the next exchange, if it is still good.
+    pub fn give(&self, mut conn: Conn) {
+        if conn.sender.is_closed() {
+            return;
+        }
+        conn.idle_since = self.clock.now();
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.entry(conn.addr).or_default();
+        kept.push(conn);
+        if kept.len() > IDLE_COUNT {
+            kept.remove(0);
+        }
+    }
+
+    /// One exchange whose answer is read whole, with a time limit on all of it.
+    pub async fn call(
+        &self,
+        addr: SocketAddr,
+        req: Request<Bytes>,
+        limit: Duration,
+    ) -> Result<(StatusCode, Bytes), ExchangeError> {
+        let done = compio::time::timeout(limit, self.exchange_whole(addr, req)).await;
+        done.unwrap_or(Err(ExchangeError::Lost))
+    }
+
+    /// Closes connections that were idle for too long.
+    pub fn expire(&self, now: Moment) {
+        let mut idle = self.idle.borrow_mut();
+        for kept in idle.values_mut() {
+            kept.retain(|c| now.since(c.idle_since) < IDLE_MAX && !c.sender.is_closed());
+        }
+        idle.retain(|_, kept| !kept.is_empty());
+    }
+
+    fn kept(&self, addr: SocketAddr, idle_max: Duration) -> Option<Conn> {
+        let now = self.clock.now();
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.get_mut(&addr)?;
+        kept.retain(|c| now.since(c.idle_since) < IDLE_MAX && !c.sender.is_closed());
+        // The one used last is the least likely to have been closed meanwhile.
+        let conn = kept.pop()?;
+        if now.since(conn.idle_since) <= idle_max && conn.sender.is_ready() {
+            return Some(conn);
+        }
+        None
+    }
+
+    async fn open(&self, addr: SocketAddr) -> Result<Conn, ExchangeError> {
+        let stream = TcpStream::connect(addr).await.map_err(|_| ExchangeError::Unsent)?;
+        // Small writes would otherwise wait for acknowledgements; nothing breaks without it.
+        let _ = stream.set_nodelay(true);
+        let io = HyperStream::new_plain(stream);
+        let (sender, conn) = http1::handshake(io).await.map_err(|_| ExchangeError::Unsent)?;
+        let task = compio::runtime::spawn(async move {
+            if let Err(e) = conn.await {
+                tracing::debug!(%addr, error = %e, "connection ended");
+            }
+        });
+        Ok(Conn { addr, sender, task, idle_since: self.clock.now() })
+    }
+
+    async fn exchange_whole(
+        &self,
+        addr: SocketAddr,
+        mut req: Request<Bytes>,
+    ) -> Result<(StatusCode, Bytes), ExchangeError> {
+        if let Ok(host) = addr.to_string().parse() {
+            req.headers_mut().insert(hyper::header::HOST, host);
+        }
+        let mut conn = self.take(addr, IDLE_MAX).await?;
+        let response = conn.exchange(req).await?;
+        let status = response.status();
+        let body = response.into_body().collect().await.map_err(|_| ExchangeError::Lost)?;
+        self.give(conn);
+        Ok((status, body.to_bytes()))
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/send.rs
@@ -0,0 +1,102 @@
+//! One send of a request to one backend server, and what came of it.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use ebonyloft_platform::headers;
+use ebonyloft_router::catalog::{Kind, Server};
+use ebonyloft_router::outcome::{Fate, Reply};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::{HeaderMap, Request, Response, StatusCode};
+
+use super::intake::Intake;
+use super::pool::{Conn, ExchangeError, IDLE_MAX, IDLE_MAX_ONCE};
+use super::shared::Shared;
+
+/// The head of an answer, and the connection that its body comes on.
+pub struct Head {
+    /// What the head says.
+    pub reply: Reply,
+    /// The answer, its body unread.
+    pub response: Response<Incoming>,
+    /// Carries the body; dropped, it ends the work at the backend server.
+    pub conn: Conn,
+}
+
+/// An answer read whole.
+pub struct Whole {
+    /// HTTP status.
+    pub status: StatusCode,
+    /// Headers that the caller gets.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+    /// What the head says.
+    pub reply: Reply,
+}
+
+/// Sends a request and waits for the head of its answer.
+pub async fn head(
+    shared: &Shared,
+    intake: &Intake,
+    to: &Server,
+    req: Request<Bytes>,
+) -> Result<Head, Fate> {
+    // What may run once must not meet a connection that the other end is just closing.
+    let idle_max = match intake.route().kind {
+        Kind::Once => IDLE_MAX_ONCE,
+        _ if intake.is_repeatable() => IDLE_MAX,
+        _ => IDLE_MAX_ONCE,
+    };
+    let mut conn = shared.pool.take(to.addr, idle_max).await.map_err(fate)?;
+    let response = match conn.exchange(req).await {
+        Ok(response) => response,
+        Err(e) => {
+            conn.close();
+            return Err(fate(e));
+        }
+    };
+    let reply = headers::reply(response.status(), response.headers());
+    Ok(Head { reply, response, conn })
+}
+
+/// Sends a request and reads its answer whole, within `limit`.
+pub async fn whole(
+    shared: &Shared,
+    intake: &Intake,
+    to: &Server,
+    req: Request<Bytes>,
+    limit: Duration,
+) -> (Fate, Option<Whole>) {
+    let sent = async {
+        let head = head(shared, intake, to, req).await?;
+        let Head { reply, response, conn } = head;
+        let fate = Fate::of(&reply, intake.caller.attempt.as_deref());
+        let (status, headers) = (response.status(), headers::returned(response.headers()));
+        let body = match response.into_body().collect().await {
+            Ok(body) => body.to_bytes(),
+            // A rejection is known from its head.
+            Err(_) if fate == Fate::Rejected || fate == Fate::Moved => Bytes::new(),
+            Err(_) => return Err(Fate::Lost),
+        };
+        if fate == Fate::Lost {
+            conn.close();
+        } else {
+            shared.pool.give(conn);
+        }
+        Ok((fate, Whole { status, headers, body, reply }))
+    };
+    match compio::time::timeout(limit, sent).await {
+        Ok(Ok((fate, whole))) => (fate, Some(whole)),
+        Ok(Err(fate)) => (fate, None),
+        Err(_) => (Fate::Lost, None),
+    }
+}
+
+fn fate(e: ExchangeError) -> Fate {
+    match e {
+        ExchangeError::Unsent => Fate::Unsent,
+        ExchangeError::Lost => Fate::Lost,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/shared.rs
@@ -0,0 +1,177 @@
+//! What the tasks of one gateway process share: beliefs, records of backend servers, counters.
+//!
+//! All tasks run on one thread; a cell is borrowed for a step and never across a wait.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use ebonyloft_core::time::Moment;
+use ebonyloft_router::budget::Budget;
+use ebonyloft_router::catalog::{Config, ServerId};
+use ebonyloft_router::engines::Engines;
+use ebonyloft_router::freshness::Freshness;
+use ebonyloft_router::node::Node;
+use ebonyloft_router::plain::Plain;
+use ebonyloft_router::roster::Roster;
+use ebonyloft_router::share::{Shares, Work};
+use ebonyloft_router::stages::Shape;
+use futures_channel::oneshot;
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+
+use super::pool::Pool;
+use super::store::StoreClient;
+use crate::clock::Clock;
+use crate::metrics::Metrics;
+
+/// State of one gateway process.
+pub struct Shared {
+    /// The process's clock.
+    pub clock: Clock,
+    /// Settings; replaced when the file changes.
+    pub node: RefCell<Rc<Node>>,
+    /// Connections.
+    pub pool: Rc<Pool>,
+    /// The store.
+    pub store: StoreClient,
+    /// The newest configuration heard of.
+    pub config: RefCell<Option<Rc<Config>>>,
+    /// Backend servers.
+    pub roster: RefCell<Roster>,
+    /// How far the list of backend servers can be believed.
+    pub fresh: RefCell<Freshness>,
+    /// Records of plain backend servers.
+    pub plain: RefCell<Plain>,
+    /// Work at model engines.
+    pub engines: RefCell<Engines>,
+    /// What peers told.
+    pub shares: RefCell<Shares>,
+    /// Extra arrivals, by service.
+    pub budgets: RefCell<HashMap<String, Budget>>,
+    /// Mean shape of requests, by service.
+    pub shapes: RefCell<HashMap<String, Shape>>,
+    /// Other gateways that are registered.
+    pub peers: RefCell<HashMap<String, std::net::SocketAddr>>,
+    /// Nobody is known to hold the right to order engines.
+    pub lock_free: Cell<bool>,
+    /// The process was told to stop.
+    pub stopping: Cell<bool>,
+    /// Requests being worked on.
+    pub open: Cell<usize>,
+    /// Counters and histograms.
+    pub metrics: Metrics,
+    rng: RefCell<ChaCha8Rng>,
+    waiters: RefCell<Vec<oneshot::Sender<()>>>,
+}
+
+impl Shared {
+    /// State of a process that knows nothing yet.
+    pub fn new(node: Node, clock: Clock, rng: ChaCha8Rng, metrics: Metrics) -> Rc<Self> {
+        let pool = Rc::new(Pool::new(clock));
+        let store = StoreClient::new(pool.clone(), node.store);
+        Rc::new(Shared {
+            clock,
+            node: RefCell::new(Rc::new(node)),
+            pool,
+            store,
+            config: RefCell::default(),
+            roster: RefCell::default(),
+            fresh: RefCell::default(),
+            plain: RefCell::default(),
+            engines: RefCell::default(),
+            shares: RefCell::default(),
+            budgets: RefCell::default(),
+            shapes: RefCell::default(),
+            peers: RefCell::default(),
+            lock_free: Cell::new(true),
+            stopping: Cell::new(false),
+            open: Cell::new(0),
+            metrics,
+            rng: RefCell::new(rng),
+            waiters: RefCell::default(),
+        })
+    }
+
+    /// The present moment.
+    pub fn now(&self) -> Moment {
+        self.clock.now()
+    }
+
+    /// Uniform in 0..1.
+    pub fn draw(&self) -> f64 {
+        self.rng.borrow_mut().random()
+    }
+
+    /// The settings in force.
+    pub fn node(&self) -> Rc<Node> {
+        self.node.borrow().clone()
+    }
+
+    /// The configuration in force.
+    pub fn config(&self) -> Option<Rc<Config>> {
+        self.config.borrow().clone()
+    }
+
+    /// Puts a configuration in force unless an equal or newer one is; true when it did.
+    pub fn offer(&self, config: Config) -> bool {
+        let mut held = self.config.borrow_mut();
+        if held.as_ref().is_some_and(|c| c.version >= config.version) {
+            return false;
+        }
+        *held = Some(Rc::new(config));
+        true
+    }
+
+    /// May callers be taken?
+    pub fn is_ready(&self) -> bool {
+        !self.stopping.get() && self.config.borrow().is_some() && self.roster.borrow().is_complete()
+    }
+
+    /// Live gateways, this one included.
+    pub fn entries(&self) -> usize {
+        let heard = self.shares.borrow().live(self.now());
+        1 + heard.max(self.peers.borrow().len())
+    }
+
+    /// A caller's request for a service came in.
+    pub fn earn(&self, service: &str) {
+        let (now, node) = (self.now(), self.node());
+        let mut budgets = self.budgets.borrow_mut();
+        budgets.entry(service.to_owned()).or_default().earn(now, &node.bounds);
+    }
+
+    /// Takes one extra arrival at a service, if there is one.
+    pub fn spend(&self, service: &str) -> bool {
+        let (now, node, entries) = (self.now(), self.node(), self.entries());
+        let mut budgets = self.budgets.borrow_mut();
+        budgets.entry(service.to_owned()).or_default().spend(now, &node.bounds, entries)
+    }
+
+    /// Notes an extra arrival that could not be foreseen.
+    pub fn note_extra(&self, service: &str) {
+        let now = self.now();
+        self.budgets.borrow_mut().entry(service.to_owned()).or_default().note(now);
+    }
+
+    /// Work of this and all other gateways at an engine.
+    pub fn work(&self, id: &ServerId) -> Work {
+        let peers = self.shares.borrow().work(self.now(), id);
+        self.engines.borrow().own(id).plus(peers)
+    }
+
+    /// Resolves when a place may have come free.
+    pub fn wake(&self) -> oneshot::Receiver<()> {
+        let (sender, receiver) = oneshot::channel();
+        self.waiters.borrow_mut().push(sender);
+        receiver
+    }
+
+    /// A place may have come free.
+    pub fn wake_all(&self) {
+        for sender in self.waiters.take() {
+            // A receiver that is gone stopped waiting.
+            let _ = sender.send(());
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/store.rs
@@ -0,0 +1,111 @@
+//! The one client for the platform's metadata store.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use ebonyloft_platform::store::{self, Item, Lease, Page, StoreError, Write};
+use hyper::{Request, StatusCode};
+
+use super::pool::{ExchangeError, Pool};
+
+/// Longest wait for an answer; the store answers in 4 ms, and some sixty times slower when it is
+/// slow.
+pub const CALL_WAIT: Duration = Duration::from_millis(800);
+/// How long a watch is kept waiting. A connection that went silent is noticed after this and
+/// `WATCH_SLACK`, together less than the three seconds after which a VM counts as in touch again.
+pub const WATCH_WAIT: Duration = Duration::from_millis(2_000);
+/// How much later than asked the answer to a watch may come.
+pub const WATCH_SLACK: Duration = Duration::from_millis(500);
+/// Pages read of one prefix at most; a guard against a list that never ends.
+const PAGES_MAX: usize = 200;
+
+/// Calls the store.
+#[derive(Clone)]
+pub struct StoreClient {
+    pool: Rc<Pool>,
+    addr: SocketAddr,
+}
+
+impl StoreClient {
+    /// A client of the store at `addr`.
+    pub fn new(pool: Rc<Pool>, addr: SocketAddr) -> Self {
+        StoreClient { pool, addr }
+    }
+
+    /// One key; none when it does not exist.
+    pub async fn get(&self, key: &str) -> Result<Option<Item>, StoreError> {
+        match self.call(store::get(key), CALL_WAIT, store::read_item).await {
+            Ok(item) => Ok(Some(item)),
+            Err(StoreError::Missing) => Ok(None),
+            Err(e) => Err(e),
+        }
+    }
+
+    /// All items of a prefix; the revision is that of the first page, so that a watch from there
+    /// also tells what changed between the pages.
+    pub async fn list(&self, prefix: &str) -> Result<Page, StoreError> {
+        let mut all = Page { items: Vec::new(), more: true, revision: u64::MAX };
+        for _ in 0..PAGES_MAX {
+            let after = all.items.last().map(|i| i.key.clone()).unwrap_or_default();
+            let page = self.call(store::range(prefix, &after), CALL_WAIT, store::read_range).await?;
+            all.revision = all.revision.min(page.revision);
+            all.more = page.more && !page.items.is_empty();
+            all.items.extend(page.items);
+            if !all.more {
+                break;
+            }
+        }
+        Ok(all)
+    }
+
+    /// Changes of a prefix behind a revision, as soon as there are any.
+    pub async fn watch(&self, prefix: &str, after: u64) -> Result<Page, StoreError> {
+        let req = store::watch(prefix, after, WATCH_WAIT.as_millis() as u64);
+        self.call(req, WATCH_WAIT + WATCH_SLACK, store::read_watch).await
+    }
+
+    /// A new lease.
+    pub async fn lease(&self, ttl: Duration) -> Result<Lease, StoreError> {
+        self.call(store::lease(ttl.as_millis() as u64), CALL_WAIT, store::read_lease).await
+    }
+
+    /// Renews a lease.
+    pub async fn keep(&self, id: u64) -> Result<u64, StoreError> {
+        self.call(store::keep(id), CALL_WAIT, store::read_kept).await
+    }
+
+    /// Ends a lease, and with it its keys.
+    pub async fn end(&self, id: u64) -> Result<(), StoreError> {
+        self.call(store::end(id), CALL_WAIT, |status, _| match status.is_success() {
+            true => Ok(()),
+            false => Err(StoreError::Unknown { detail: format!("status {status}") }),
+        })
+        .await
+    }
+
+    /// Writes if the keys are at the expected revisions.
+    pub async fn txn(
+        &self,
+        expected: &[(&str, u64)],
+        writes: &[Write<'_>],
+    ) -> Result<u64, StoreError> {
+        self.call(store::txn(expected, writes), CALL_WAIT, store::read_txn).await
+    }
+
+    async fn call<T>(
+        &self,
+        req: Request<Bytes>,
+        limit: Duration,
+        read: impl Fn(StatusCode, &[u8]) -> Result<T, StoreError>,
+    ) -> Result<T, StoreError> {
+        match self.pool.call(self.addr, req, limit).await {
+            Ok((status, body)) => read(status, &body),
+            Err(ExchangeError::Unsent) => Err(StoreError::Busy { status: 0 }),
+            Err(ExchangeError::Lost) => {
+                Err(StoreError::Unknown { detail: "no answer in time".to_owned() })
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/stream.rs
@@ -0,0 +1,277 @@
+//! A request whose answer is an event stream, written by a model engine.
+//!
+//! A place in an engine's memory is reserved first, then the prompt is read by another engine and
+//! fetched from there, then events are passed on as they come. A stream that may be resumed goes on
+//! at another engine behind its last event, within the same answer.
+
+mod flight;
+mod outlet;
+mod place;
+mod read;
+
+use std::time::Duration;
+
+use ebonyloft_core::time::Moment;
+use ebonyloft_core::verdict::Verdict;
+use ebonyloft_platform::headers;
+use ebonyloft_router::catalog::{Engine, Server, ServerId};
+use ebonyloft_router::events::Splitter;
+use ebonyloft_router::outcome::{Fate, Progress};
+use futures_channel::oneshot;
+use futures_util::future::{Either, select};
+use http_body_util::BodyExt;
+use hyper::Response;
+
+use self::flight::Flight;
+use self::outlet::Outlet;
+use super::answer::{Body, Cause};
+use super::call;
+use super::intake::Intake;
+use super::send::{self, Head};
+use super::shared::Shared;
+
+/// Silence after which a stream that may be resumed goes on elsewhere: five times the longest pause
+/// that is still in time, and well before callers leave.
+pub const SILENCE: Duration = Duration::from_millis(1_500);
+/// Rank of a request that is too late for its goal; the usual rank is 5.
+const LATE_RANK: u8 = 7;
+/// Rank of a stream that goes on elsewhere: its caller has part of the answer.
+const RESUME_RANK: u8 = 3;
+
+/// Why no more can be done for a request.
+enum Stop {
+    /// Tell the caller why; come back after the moment, if there is one.
+    Refused(Cause, Option<Moment>),
+    /// Pass on a failure that a backend server answered with.
+    Failed(Box<send::Whole>),
+}
+
+/// Serves a stream; stops when the caller is gone or the time is over.
+pub async fn run(
+    shared: &Shared,
+    intake: Intake,
+    gone: oneshot::Receiver<()>,
+    reply: oneshot::Sender<Response<Body>>,
+) {
+    shared.earn(&intake.service);
+    let progress = Progress::new(intake.is_repeatable(), intake.route().attempts);
+    let mut flight = Flight::new(progress);
+    let mut out = Outlet::new(reply);
+    let left = intake.ends_at.since(shared.now());
+    let ended = {
+        let work = deliver(shared, &intake, &mut flight, &mut out);
+        let work = std::pin::pin!(compio::time::timeout(left, work));
+        match select(gone, work).await {
+            Either::Left(_) => None,
+            Either::Right((ended, _)) => Some(ended),
+        }
+    };
+    let verdict = flight.progress.verdict();
+    let events = out.events();
+    let word = match ended {
+        None => "caller gone",
+        Some(Ok(Ok(()))) => "whole",
+        Some(Ok(Err(Stop::Failed(answer)))) => {
+            out.fail(*answer);
+            "failed"
+        }
+        Some(Ok(Err(Stop::Refused(cause, retry_at)))) => {
+            let retry = retry_at.map(|at| at.since(shared.now()));
+            tracing::info!(id = intake.id(), ?cause, ?verdict, "request refused");
+            shared.metrics.count("gateway.refused", 1);
+            out.refuse(cause, verdict, retry);
+            "refused"
+        }
+        Some(Err(_)) => {
+            out.refuse(Cause::Timeout, verdict, None);
+            "timeout"
+        }
+    };
+    flight.close(shared, word == "whole");
+    let ms = shared.now().since(intake.came_at).as_millis() as u64;
+    tracing::info!(id = intake.id(), route = %intake.route().name, word, events, ms, "stream ended");
+    shared.metrics.time("gateway.stream_ms", ms);
+}
+
+async fn deliver(
+    shared: &Shared,
+    intake: &Intake,
+    flight: &mut Flight,
+    out: &mut Outlet,
+) -> Result<(), Stop> {
+    let engine = intake.config.service(&intake.service).and_then(|s| s.engine.clone());
+    let mut splitter = Splitter::behind(intake.caller.after);
+    let mut tried: Vec<ServerId> = Vec::new();
+    let mut failure = None;
+    let mut cause = Cause::NoServer;
+    while flight.progress.may_send() {
+        if !tried.is_empty() && !shared.spend(&intake.service) {
+            cause = Cause::Budget;
+            break;
+        }
+        let server = match &engine {
+            Some(engine) => prepare(shared, intake, engine, flight, &tried, out.begun()).await?,
+            None => plain(shared, intake, &tried).ok_or(Stop::Refused(cause, None))?,
+        };
+        let (fate, answer) = attempt(shared, intake, &server, flight, out, &mut splitter).await;
+        let now = shared.now();
+        flight.progress.note(fate);
+        tracing::info!(
+            id = intake.id(), server = %server.id.0, ?fate, events = splitter.count(),
+            last = splitter.last(), "stream sent"
+        );
+        if matches!(fate, Fate::Answered(200)) {
+            return Ok(());
+        }
+        flight.release(shared, now, false);
+        tried.push(server.id.clone());
+        match fate {
+            Fate::Answered(_) => failure = answer,
+            Fate::Moved => call::gone(shared, &server.id),
+            Fate::Rejected => {
+                cause = Cause::Overload;
+                shared.engines.borrow_mut().full(now, &server.id);
+            }
+            Fate::Unsent | Fate::Lost => {
+                cause = Cause::Lost;
+                shared.engines.borrow_mut().fault(now, &server.id);
+            }
+        }
+        splitter.restart();
+    }
+    match failure {
+        Some(answer) => Err(Stop::Failed(Box::new(answer))),
+        None => Err(Stop::Refused(cause, retry_at(shared, flight))),
+    }
+}
+
+/// When a request that did not run is worth sending again.
+fn retry_at(shared: &Shared, flight: &Flight) -> Option<Moment> {
+    let at = shared.engines.borrow().come_back(shared.now(), shared.draw());
+    (flight.progress.verdict() == Verdict::NotRun).then_some(at)
+}
+
+/// A place, and the prompt read elsewhere if that is sooner.
+async fn prepare(
+    shared: &Shared,
+    intake: &Intake,
+    engine: &Engine,
+    flight: &mut Flight,
+    tried: &[ServerId],
+    begun: bool,
+) -> Result<Server, Stop> {
+    let server = place::take(shared, intake, engine, flight, tried, begun).await?;
+    read::elsewhere(shared, intake, flight).await;
+    Ok(server)
+}
+
+fn plain(shared: &Shared, intake: &Intake, tried: &[ServerId]) -> Option<Server> {
+    let (node, roster) = (shared.node(), shared.roster.borrow());
+    let servers = roster.ready(&intake.service);
+    let plain = shared.plain.borrow();
+    plain.pick(shared.now(), &node.zone, servers, tried, || shared.draw()).cloned()
+}
+
+/// One send, its events passed on as they come.
+async fn attempt(
+    shared: &Shared,
+    intake: &Intake,
+    server: &Server,
+    flight: &mut Flight,
+    out: &mut Outlet,
+    splitter: &mut Splitter,
+) -> (Fate, Option<send::Whole>) {
+    let now = shared.now();
+    let mut req = intake.request(now, &server.id);
+    let headers = req.headers_mut();
+    flight.decorate(headers);
+    if out.begun() {
+        headers::set_priority(headers, RESUME_RANK);
+        if let Some(last) = splitter.last() {
+            headers::set_after(headers, last);
+        }
+    } else if now > intake.goal_at {
+        headers::set_priority(headers, LATE_RANK);
+    }
+    let sent = send::head(shared, intake, server, req);
+    let head = match silence(intake, sent).await {
+        Some(Ok(head)) => head,
+        Some(Err(fate)) => return (fate, None),
+        None => return (Fate::Lost, None),
+    };
+    let fate = Fate::of(&head.reply, intake.caller.attempt.as_deref());
+    if fate != Fate::Answered(200) {
+        return (fate, failure(shared, head, fate).await);
+    }
+    flight.used();
+    pass_on(shared, intake, head, out, splitter).await
+}
+
+/// Bounds a wait for a stream that may go on elsewhere.
+async fn silence<F: Future>(intake: &Intake, wait: F) -> Option<F::Output> {
+    if intake.is_repeatable() {
+        return compio::time::timeout(SILENCE, wait).await.ok();
+    }
+    Some(wait.await)
+}
+
+/// Reads a failure whole, so that it can be passed on.
+async fn failure(shared: &Shared, head: Head, fate: Fate) -> Option<send::Whole> {
+    let Head { reply, response, conn } = head;
+    let (status, headers) = (response.status(), headers::returned(response.headers()));
+    let read = compio::time::timeout(SILENCE, response.into_body().collect()).await;
+    let Ok(Ok(body)) = read else {
+        conn.close();
+        return None;
+    };
+    if fate != Fate::Lost {
+        shared.pool.give(conn);
+    }
+    matches!(fate, Fate::Answered(_)).then(|| send::Whole {
+        status,
+        headers,
+        body: body.to_bytes(),
+        reply,
+    })
+}
+
+/// Passes events on until the stream ends.
+async fn pass_on(
+    shared: &Shared,
+    intake: &Intake,
+    head: Head,
+    out: &mut Outlet,
+    splitter: &mut Splitter,
+) -> (Fate, Option<send::Whole>) {
+    let Head { response, conn, .. } = head;
+    if !out.begun() {
+        out.begin(response.status(), headers::returned(response.headers()));
+    }
+    let mut body = response.into_body();
+    loop {
+        let frame = match silence(intake, body.frame()).await {
+            Some(None) if splitter.is_partial() => return (Fate::Lost, None),
+            Some(None) => break,
+            Some(Some(Ok(frame))) => frame,
+            Some(Some(Err(_))) | None => {
+                conn.close();
+                return (Fate::Lost, None);
+            }
+        };
+        let Ok(bytes) = frame.into_data() else {
+            continue;
+        };
+        let events = splitter.push(&bytes);
+        if !events.is_empty() {
+            if splitter.count() == 1 {
+                let ms = shared.now().since(intake.came_at).as_millis() as u64;
+                shared.metrics.time("gateway.first_event_ms", ms);
+                tracing::info!(id = intake.id(), ms, "first event");
+            }
+            out.pass(events).await;
+        }
+    }
+    shared.pool.give(conn);
+    out.finish();
+    (Fate::Answered(200), None)
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/stream/flight.rs
@@ -0,0 +1,115 @@
+//! What a stream holds at backend servers at any moment, so that all of it is given back.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use ebonyloft_core::time::Moment;
+use ebonyloft_platform::{engine, headers};
+use ebonyloft_router::catalog::{Server, ServerId};
+use ebonyloft_router::engines::Ticket;
+use ebonyloft_router::outcome::Progress;
+use hyper::{HeaderMap, Request};
+
+use crate::gateway::shared::Shared;
+
+/// Longest wait for a reservation or a handle to be given back; both also lapse by themselves.
+const GIVE_BACK_WAIT: Duration = Duration::from_millis(300);
+
+/// A reserved place.
+pub struct Place {
+    /// The engine.
+    pub server: Server,
+    /// Names the reservation; none when the engine was not asked for one.
+    pub hold: Option<String>,
+    /// Tokens reserved.
+    pub tokens: u64,
+    /// When it was reserved.
+    pub since: Moment,
+}
+
+/// A prompt that was read.
+pub struct Source {
+    /// The engine that read it.
+    pub id: ServerId,
+    /// Its address.
+    pub addr: SocketAddr,
+    /// Names the memory there.
+    pub handle: String,
+}
+
+/// What one request holds.
+pub struct Flight {
+    /// Sends so far.
+    pub progress: Progress,
+    /// Its turn in the line for places.
+    pub ticket: Option<Ticket>,
+    /// Its place.
+    pub place: Option<Place>,
+    /// Its prompt being read.
+    pub reading: Option<(ServerId, u64)>,
+    /// Its prompt, read.
+    pub source: Option<Source>,
+}
+
+impl Flight {
+    /// Holds nothing.
+    pub fn new(progress: Progress) -> Self {
+        Flight { progress, ticket: None, place: None, reading: None, source: None }
+    }
+
+    /// Names the place and the prompt in the request for the engine.
+    pub fn decorate(&self, headers: &mut HeaderMap) {
+        if let Some(hold) = self.place.as_ref().and_then(|p| p.hold.as_deref()) {
+            headers::set_hold(headers, hold);
+        }
+        if let Some(source) = &self.source {
+            headers::set_source(headers, source.addr, &source.handle);
+        }
+    }
+
+    /// The engine took the request: reservation and handle are used up.
+    pub fn used(&mut self) {
+        if let Some(place) = &mut self.place {
+            place.hold = None;
+        }
+        self.source = None;
+    }
+
+    /// Gives everything back; `whole` when an answer ended.
+    pub fn release(&mut self, shared: &Shared, now: Moment, whole: bool) {
+        if let Some(ticket) = self.ticket.take() {
+            shared.engines.borrow_mut().leave(ticket);
+        }
+        if let Some((id, tokens)) = self.reading.take() {
+            shared.engines.borrow_mut().read(&id, tokens);
+        }
+        if let Some(source) = self.source.take() {
+            give_back(shared, source.addr, engine::drop_handle(&source.id, &source.handle));
+        }
+        if let Some(place) = self.place.take() {
+            let Place { server, hold, tokens, .. } = place;
+            if let Some(hold) = hold {
+                give_back(shared, server.addr, engine::drop_hold(&server.id, &hold));
+            }
+            shared.engines.borrow_mut().freed(now, &server.id, tokens, whole);
+        }
+        shared.wake_all();
+    }
+
+    /// The request is over.
+    pub fn close(mut self, shared: &Shared, whole: bool) {
+        self.release(shared, shared.now(), whole);
+    }
+}
+
+fn give_back(shared: &Shared, addr: SocketAddr, req: Request<Bytes>) {
+    let pool = shared.pool.clone();
+    compio::runtime::spawn(async move {
+        if let Err(e) = pool.call(addr, req, GIVE_BACK_WAIT).await {
+            // It lapses by itself within two seconds.
+            tracing::debug!(%addr, error = %e, "could not give memory back");
+        }
+    })
+    .detach();
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/stream/place.rs
@@ -0,0 +1,136 @@
+//! A place in an engine's memory, reserved at the engine before anything is read.
+
+use std::time::Duration;
+
+use ebonyloft_core::time::Moment;
+use ebonyloft_platform::engine;
+use ebonyloft_router::catalog::{Engine, Server, ServerId, Stage};
+use ebonyloft_router::engines::{Advice, Need};
+use futures_util::future::select;
+
+use super::Stop;
+use super::flight::{Flight, Place};
+use crate::gateway::answer::Cause;
+use crate::gateway::intake::Intake;
+use crate::gateway::shared::Shared;
+
+/// Longest wait for an engine to reserve a place; it answers within a few milliseconds.
+const HOLD_WAIT: Duration = Duration::from_millis(150);
+/// How soon a stream that was broken off must go on: callers leave after a few seconds' silence.
+const RESUME_WAIT: Duration = Duration::from_millis(1_000);
+
+/// Reserves a place, waiting in line if that is worth it.
+pub async fn take(
+    shared: &Shared,
+    intake: &Intake,
+    spec: &Engine,
+    flight: &mut Flight,
+    tried: &[ServerId],
+    begun: bool,
+) -> Result<Server, Stop> {
+    let joined = shared.now();
+    let need = need(intake, joined, begun);
+    let ticket = shared.engines.borrow_mut().join(joined, need);
+    flight.ticket = Some(ticket);
+    loop {
+        let now = shared.now();
+        match advise(shared, intake, spec, flight, tried, now) {
+            Advice::Ask(id) => {
+                if let Some(server) = ask(shared, spec, flight, &id, need.tokens).await {
+                    leave(shared, flight);
+                    log_placed(shared, intake, &server, joined);
+                    return Ok(server);
+                }
+            }
+            Advice::Wait(until) => {
+                let timer = std::pin::pin!(compio::time::sleep(until.since(now)));
+                select(shared.wake(), timer).await;
+            }
+            Advice::Refuse(retry_at) => {
+                leave(shared, flight);
+                let ms = shared.now().since(joined).as_millis() as u64;
+                let waiting = shared.engines.borrow().waiting();
+                tracing::info!(id = intake.id(), ms, waiting, "no place in time");
+                return Err(Stop::Refused(Cause::Overload, Some(retry_at)));
+            }
+        }
+    }
+}
+
+fn need(intake: &Intake, now: Moment, begun: bool) -> Need {
+    let first_by = if begun { now.after(RESUME_WAIT) } else { intake.goal_at };
+    Need { tokens: intake.caller.prompt + intake.caller.output, first_by }
+}
+
+fn advise(
+    shared: &Shared,
+    intake: &Intake,
+    spec: &Engine,
+    flight: &Flight,
+    tried: &[ServerId],
+    now: Moment,
+) -> Advice {
+    let roster = shared.roster.borrow();
+    let servers = roster
+        .ready(&intake.service)
+        .filter(|s| s.stage != Some(Stage::Prefill) && !tried.contains(&s.id));
+    let shares = shared.shares.borrow();
+    let ticket = flight.ticket.expect("a request in line has a ticket");
+    let work = |id: &ServerId| shares.work(now, id);
+    shared.engines.borrow().advise(now, ticket, servers, spec, work, || shared.draw())
+}
+
+fn leave(shared: &Shared, flight: &mut Flight) {
+    if let Some(ticket) = flight.ticket.take() {
+        shared.engines.borrow_mut().leave(ticket);
+    }
+    shared.wake_all();
+}
+
+/// Asks one engine for a place.
+async fn ask(
+    shared: &Shared,
+    spec: &Engine,
+    flight: &mut Flight,
+    id: &ServerId,
+    tokens: u64,
+) -> Option<Server> {
+    let server = shared.roster.borrow().get(id).cloned()?;
+    let since = shared.now();
+    shared.engines.borrow_mut().placed(id, tokens);
+    flight.place = Some(Place { server: server.clone(), hold: None, tokens, since });
+    let req = engine::hold(id, tokens, spec.hold.as_millis() as u64);
+    let answer = shared.pool.call(server.addr, req, HOLD_WAIT).await;
+    let now = shared.now();
+    let hold = answer.as_ref().ok().and_then(|(status, body)| engine::read_hold(*status, body));
+    if let (Some(place), Some(hold)) = (&mut flight.place, hold) {
+        place.hold = Some(hold);
+        return Some(server);
+    }
+    flight.place = None;
+    let mut engines = shared.engines.borrow_mut();
+    engines.freed(now, id, tokens, false);
+    match answer {
+        Ok((status, _)) => {
+            tracing::debug!(server = %id.0, %status, "no place at this engine");
+            shared.metrics.count("gateway.hold.full", 1);
+            engines.full(now, id);
+        }
+        Err(e) => {
+            tracing::info!(server = %id.0, error = %e, "engine cannot be reached");
+            engines.fault(now, id);
+        }
+    }
+    None
+}
+
+fn log_placed(shared: &Shared, intake: &Intake, server: &Server, joined: Moment) {
+    let work = shared.work(&server.id);
+    let ms = shared.now().since(joined).as_millis() as u64;
+    tracing::info!(
+        id = intake.id(), server = %server.id.0, prompt = intake.caller.prompt,
+        output = intake.caller.output, hint = intake.caller.hint, tokens = work.tokens,
+        count = work.count, ms, "placed"
+    );
+    shared.metrics.time("gateway.place_ms", ms);
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/stream/read.rs
@@ -0,0 +1,89 @@
+//! The prompt, read by an engine that does nothing else.
+
+use std::time::Duration;
+
+use ebonyloft_core::time::Moment;
+use ebonyloft_platform::{engine, headers};
+use ebonyloft_router::catalog::{Server, Stage};
+use ebonyloft_router::outcome::Fate;
+use ebonyloft_router::prefill;
+
+use super::flight::{Flight, Source};
+use crate::gateway::call;
+use crate::gateway::intake::Intake;
+use crate::gateway::send;
+use crate::gateway::shared::Shared;
+
+/// How much longer than foretold a read may take before the prompt is read where the answer is
+/// written.
+const READ_SLACK: Duration = Duration::from_millis(600);
+/// Readers tried for one prompt; each further one counts against the budget of extra arrivals.
+const READERS_MAX: usize = 2;
+
+/// Has the prompt read by a prefill engine; without one, the engine that writes the answer reads it.
+pub async fn elsewhere(shared: &Shared, intake: &Intake, flight: &mut Flight) {
+    for n in 0..READERS_MAX {
+        let now = shared.now();
+        let Some((reader, ready_at)) = pick(shared, intake, now) else {
+            return;
+        };
+        if n > 0 && !shared.spend(&intake.service) {
+            return;
+        }
+        if read_by(shared, intake, flight, &reader, ready_at).await {
+            return;
+        }
+    }
+}
+
+fn pick(shared: &Shared, intake: &Intake, now: Moment) -> Option<(Server, Moment)> {
+    let (roster, engines) = (shared.roster.borrow(), shared.engines.borrow());
+    let readers = roster
+        .ready(&intake.service)
+        .filter(|s| s.stage == Some(Stage::Prefill) && !engines.faulty(now, &s.id));
+    let shares = shared.shares.borrow();
+    let work = |id: &_| engines.own(id).plus(shares.work(now, id));
+    let prompt = intake.caller.prompt;
+    let zone = shared.node().zone.clone();
+    let picked = prefill::pick(now, readers, work, prompt, &zone, || shared.draw());
+    picked.map(|(s, at)| (s.clone(), at))
+}
+
+async fn read_by(
+    shared: &Shared,
+    intake: &Intake,
+    flight: &mut Flight,
+    reader: &Server,
+    ready_at: Moment,
+) -> bool {
+    let now = shared.now();
+    let prompt = intake.caller.prompt;
+    shared.engines.borrow_mut().reading(&reader.id, prompt);
+    flight.reading = Some((reader.id.clone(), prompt));
+    let mut req = intake.request(now, &reader.id);
+    headers::set_prefill(req.headers_mut());
+    let limit = ready_at.since(now) + READ_SLACK;
+    let (fate, answer) = send::whole(shared, intake, reader, req, limit).await;
+    let done = shared.now();
+    flight.reading = None;
+    let mut engines = shared.engines.borrow_mut();
+    engines.read(&reader.id, prompt);
+    let ms = done.since(now).as_millis() as u64;
+    let foretold = ready_at.since(now).as_millis() as u64;
+    tracing::info!(id = intake.id(), server = %reader.id.0, ?fate, prompt, ms, foretold, "prompt read");
+    shared.metrics.time("gateway.read_ms", ms);
+    let handle = answer.as_ref().and_then(|a| engine::read_prefilled(&a.body));
+    if let Some(handle) = handle {
+        let (id, addr) = (reader.id.clone(), reader.addr);
+        flight.source = Some(Source { id, addr, handle });
+        return true;
+    }
+    engines.fault(done, &reader.id);
+    drop(engines);
+    match fate {
+        Fate::Moved => call::gone(shared, &reader.id),
+        Fate::Rejected => shared.note_extra(&intake.service),
+        _ => {}
+    }
+    false
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/watch.rs
@@ -0,0 +1,172 @@
+//! Following the store: one task a prefix, each with its own watch.
+//!
+//! A prefix is listed once and then watched from that revision. When the history is gone it is
+//! listed again; what is missing from the new list was removed. While the store is away the belief
+//! stays as it is.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use ebonyloft_platform::store::{CONFIG_KEY, Item, StoreError};
+use ebonyloft_platform::{config, servers};
+use ebonyloft_router::catalog::ServerId;
+use ebonyloft_router::roster::{Change, Effect};
+
+use super::shared::Shared;
+
+/// First pause after a failed call; doubled with each further failure.
+const PAUSE_MIN: Duration = Duration::from_millis(60);
+/// Longest such pause: the store's return is noticed within a quarter of the time in which a change
+/// must be in force.
+const PAUSE_MAX: Duration = Duration::from_millis(400);
+/// Prefix of the operator's keys.
+const CONFIG_PREFIX: &str = "op/";
+
+/// Where the items of one prefix go.
+pub trait Sink {
+    /// All items of the prefix, as of a revision.
+    fn replace(&self, items: Vec<Item>, revision: u64);
+    /// One change.
+    fn apply(&self, item: Item);
+}
+
+/// Follows a prefix for as long as the process runs.
+pub async fn follow(shared: Rc<Shared>, prefix: &'static str, sink: Box<dyn Sink>) {
+    let mut from: Option<u64> = None;
+    let mut pause = PAUSE_MIN;
+    loop {
+        let step = match from {
+            None => list(&shared, prefix, sink.as_ref()).await,
+            Some(after) => watch(&shared, prefix, after, sink.as_ref()).await,
+        };
+        match step {
+            Ok(revision) => {
+                heard(&shared, prefix);
+                from = Some(revision);
+                pause = PAUSE_MIN;
+            }
+            Err(StoreError::Compacted) => {
+                tracing::info!(prefix, after = from, "history is gone, listing again");
+                from = None;
+            }
+            Err(e) => {
+                unheard(&shared, prefix, &e);
+                compio::time::sleep(pause.mul_f64(0.5 + shared.draw())).await;
+                pause = (pause * 2).min(PAUSE_MAX);
+            }
+        }
+    }
+}
+
+async fn list(shared: &Shared, prefix: &str, sink: &dyn Sink) -> Result<u64, StoreError> {
+    let page = shared.store.list(prefix).await?;
+    sink.replace(page.items, page.revision);
+    Ok(page.revision)
+}
+
+async fn watch(
+    shared: &Shared,
+    prefix: &str,
+    after: u64,
+    sink: &dyn Sink,
+) -> Result<u64, StoreError> {
+    let page = shared.store.watch(prefix, after).await?;
+    for item in page.items {
+        sink.apply(item);
+    }
+    Ok(page.revision.max(after))
+}
+
+fn heard(shared: &Shared, prefix: &str) {
+    if shared.fresh.borrow_mut().on_answer(shared.now()) {
+        tracing::info!(prefix, "store is back");
+        shared.metrics.count("gateway.store.back", 1);
+    }
+}
+
+fn unheard(shared: &Shared, prefix: &str, error: &StoreError) {
+    if shared.fresh.borrow_mut().on_failure(shared.now()) {
+        tracing::warn!(prefix, error = %error, "store is away");
+        shared.metrics.count("gateway.store.away", 1);
+    }
+}
+
+/// Takes the operator's configuration.
+pub struct ConfigSink(pub Rc<Shared>);
+
+impl Sink for ConfigSink {
+    fn replace(&self, items: Vec<Item>, _revision: u64) {
+        for item in items {
+            self.apply(item);
+        }
+    }
+
+    fn apply(&self, item: Item) {
+        let Some(value) = item.value.filter(|_| item.key == CONFIG_KEY) else {
+            return;
+        };
+        match config::decode(&value) {
+            Ok(config) => {
+                let version = config.version;
+                if self.0.offer(config) {
+                    tracing::info!(version, revision = item.revision, "configuration in force");
+                }
+            }
+            Err(e) => tracing::error!(revision = item.revision, error = %e, "configuration unread"),
+        }
+    }
+}
+
+/// Takes the list of backend servers.
+pub struct RosterSink(pub Rc<Shared>);
+
+impl RosterSink {
+    fn settled(&self) -> bool {
+        self.0.fresh.borrow().settled(self.0.now())
+    }
+}
+
+impl Sink for RosterSink {
+    fn replace(&self, items: Vec<Item>, revision: u64) {
+        let list: Vec<Change> = items.iter().filter_map(change).collect();
+        let settled = self.settled();
+        let effects = self.0.roster.borrow_mut().replace(list, revision, settled);
+        for (id, effect) in effects {
+            log_effect(&id, effect, revision);
+        }
+        self.0.wake_all();
+    }
+
+    fn apply(&self, item: Item) {
+        let Some(change) = change(&item) else {
+            return;
+        };
+        let (id, revision) = (change.id.clone(), change.revision);
+        let settled = self.settled();
+        let effect = self.0.roster.borrow_mut().apply(change, settled);
+        log_effect(&id, effect, revision);
+        self.0.wake_all();
+    }
+}
+
+fn change(item: &Item) -> Option<Change> {
+    let id = servers::id(&item.key);
+    let server = match &item.value {
+        None => None,
+        Some(value) => match servers::decode(&item.key, value) {
+            Ok(server) => Some(server),
+            Err(e) => {
+                tracing::error!(server = %id.0, error = %e, "registration unread");
+                return None;
+            }
+        },
+    };
+    Some(Change { id, server, revision: item.revision })
+}
+
+/// Logs what the list of backend servers made this process believe.
+pub fn log_effect(id: &ServerId, effect: Effect, revision: u64) {
+    if effect != Effect::Stale {
+        tracing::info!(server = %id.0, ?effect, revision, "backend server");
+    }
+}
--- /dev/null
+++ b/crates/router/src/engines.rs
@@ -0,0 +1,261 @@
+//! Which engine's memory takes an answer, who waits for it, and who is told to come back.
+//!
+//! Answers the load of bursts in which the memory of all engines is taken: an answer stays some four
+//! seconds, so a place must be known before a prompt is read, or the reading is in vain. A place is
+//! reserved at the engine itself; what is known here only says where to ask, and whether waiting is
+//! worth it.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::time::Duration;
+
+use ebonyloft_core::time::Moment;
+
+use crate::catalog::{Engine, Server, ServerId};
+use crate::share::Work;
+
+/// Time from a reserved place to the first event: a prompt of mean length read by an engine that
+/// has as much queued again, the transfer, and the first steps.
+pub const FIRST_EVENT: Duration = Duration::from_millis(280);
+/// How long an engine that refused a reservation is not asked again, unless one of this entry's
+/// answers ends there.
+pub const FULL_REST: Duration = Duration::from_millis(60);
+/// How long an engine that could not be reached is passed over.
+pub const FAULT_REST: Duration = Duration::from_millis(1_500);
+/// Over which time ends of answers are counted to foretell a wait.
+pub const ENDS_SPAN: Duration = Duration::from_secs(2);
+/// Ends kept at most; bounds the memory at any rate.
+const ENDS_MAX: usize = 1_024;
+/// Wait for a place of a request that is too late for its goal: an eighth of the usual goal, up to
+/// which waiting costs the caller nothing.
+pub const LATE_WAIT: Duration = Duration::from_millis(110);
+/// Shortest time after which a refused caller is asked to come back: the mean stay of an answer.
+pub const RETRY_MIN: Duration = Duration::from_millis(2_500);
+/// Spread of that time, so that those sent away together don't return together.
+pub const RETRY_SPREAD: Duration = Duration::from_millis(2_000);
+
+/// What a request needs of an engine.
+#[derive(Clone, Copy, Debug)]
+pub struct Need {
+    /// Tokens of memory to reserve.
+    pub tokens: u64,
+    /// When its first event is in time.
+    pub first_by: Moment,
+}
+
+impl Need {
+    /// Could the first event still be in time with a place at `at`?
+    fn in_time(&self, at: Moment) -> bool {
+        at.after(FIRST_EVENT) <= self.first_by
+    }
+}
+
+/// Names a waiting request.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Ticket(u64);
+
+#[derive(Clone, Copy, Debug)]
+struct Waiter {
+    need: Need,
+    /// When it is refused.
+    until: Moment,
+}
+
+/// What to do with a request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Advice {
+    /// Ask this engine for a reservation.
+    Ask(ServerId),
+    /// Wait; ask again when an answer ended, or at this moment.
+    Wait(Moment),
+    /// Tell the caller to come back after this moment.
+    Refuse(Moment),
+}
+
+#[derive(Clone, Debug, Default)]
+struct Record {
+    own: Work,
+    full_until: Moment,
+    fault_until: Moment,
+}
+
+/// This entry's work at all engines, and who waits for a place.
+#[derive(Clone, Debug, Default)]
+pub struct Engines {
+    records: HashMap<ServerId, Record>,
+    waiting: BTreeMap<Ticket, Waiter>,
+    ends: VecDeque<Moment>,
+    next: u64,
+}
+
+/// Pause after which a waiting request asks again although nothing was heard: other entries'
+/// answers end too.
+pub const ASK_AGAIN: Duration = Duration::from_millis(25);
+
+impl Engines {
+    /// A request arrives and waits for a place; what to do comes from `advise`.
+    pub fn join(&mut self, now: Moment, need: Need) -> Ticket {
+        self.next += 1;
+        let ticket = Ticket(self.next);
+        let until = self.patience(now, &need);
+        self.waiting.insert(ticket, Waiter { need, until });
+        ticket
+    }
+
+    /// A request has its place, was refused, or its caller is gone.
+    pub fn leave(&mut self, ticket: Ticket) {
+        self.waiting.remove(&ticket);
+    }
+
+    /// What a waiting request should do now; `work` is the peers' work at an engine, `draw` is
+    /// uniform in 0..1.
+    pub fn advise<'a>(
+        &self,
+        now: Moment,
+        ticket: Ticket,
+        servers: impl Iterator<Item = &'a Server>,
+        engine: &Engine,
+        work: impl Fn(&ServerId) -> Work,
+        mut draw: impl FnMut() -> f64,
+    ) -> Advice {
+        let Some(waiter) = self.waiting.get(&ticket) else {
+            return Advice::Refuse(self.come_back(now, draw()));
+        };
+        let ahead = self.ahead(now, ticket, waiter);
+        if ahead == 0
+            && let Some(id) = self.roomiest(now, servers, engine, &work, waiter.need.tokens, &mut draw)
+        {
+            return Advice::Ask(id);
+        }
+        if now >= waiter.until || self.foretold(now, ahead) > waiter.until {
+            return Advice::Refuse(self.come_back(now, draw()));
+        }
+        Advice::Wait(now.after(ASK_AGAIN).min(waiter.until))
+    }
+
+    /// An engine reserved a place.
+    pub fn placed(&mut self, id: &ServerId, tokens: u64) {
+        let record = self.records.entry(id.clone()).or_default();
+        record.own.tokens += tokens;
+        record.own.count += 1;
+    }
+
+    /// A place came free; `whole` when an answer ended there.
+    pub fn freed(&mut self, now: Moment, id: &ServerId, tokens: u64, whole: bool) {
+        if let Some(record) = self.records.get_mut(id) {
+            record.own.tokens = record.own.tokens.saturating_sub(tokens);
+            record.own.count = record.own.count.saturating_sub(1);
+            record.full_until = now;
+        }
+        if whole {
+            self.ends.push_back(now);
+            while self.ends.len() > ENDS_MAX {
+                self.ends.pop_front();
+            }
+        }
+    }
+
+    /// A prompt was sent to be read.
+    pub fn reading(&mut self, id: &ServerId, tokens: u64) {
+        self.records.entry(id.clone()).or_default().own.unread += tokens;
+    }
+
+    /// A prompt was read, or will not be.
+    pub fn read(&mut self, id: &ServerId, tokens: u64) {
+        if let Some(record) = self.records.get_mut(id) {
+            record.own.unread = record.own.unread.saturating_sub(tokens);
+        }
+    }
+
+    /// An engine refused a reservation.
+    pub fn full(&mut self, now: Moment, id: &ServerId) {
+        self.records.entry(id.clone()).or_default().full_until = now.after(FULL_REST);
+    }
+
+    /// An engine could not be reached or failed.
+    pub fn fault(&mut self, now: Moment, id: &ServerId) {
+        self.records.entry(id.clone()).or_default().fault_until = now.after(FAULT_REST);
+    }
+
+    /// Is an engine passed over because it failed lately?
+    pub fn faulty(&self, now: Moment, id: &ServerId) -> bool {
+        self.records.get(id).is_some_and(|r| r.fault_until > now)
+    }
+
+    /// This entry's work at an engine.
+    pub fn own(&self, id: &ServerId) -> Work {
+        self.records.get(id).map_or_else(Work::default, |r| r.own)
+    }
+
+    /// This entry's work at all engines where it has any.
+    pub fn work(&self) -> BTreeMap<ServerId, Work> {
+        self.records
+            .iter()
+            .filter(|(_, r)| r.own != Work::default())
+            .map(|(id, r)| (id.clone(), r.own))
+            .collect()
+    }
+
+    /// Requests that wait for a place.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Forgets engines that are gone.
+    pub fn retain(&mut self, alive: impl Fn(&ServerId) -> bool) {
+        self.records.retain(|id, r| alive(id) || r.own != Work::default());
+    }
+
+    /// Until when a request waits for a place.
+    fn patience(&self, now: Moment, need: &Need) -> Moment {
+        if need.in_time(now) {
+            return need.first_by.before(FIRST_EVENT);
+        }
+        now.after(LATE_WAIT)
+    }
+
+    /// Requests that go before this one: those that can be in time, earliest goal first.
+    fn ahead(&self, now: Moment, ticket: Ticket, waiter: &Waiter) -> usize {
+        let rank = |t: Ticket, w: &Waiter| (!w.need.in_time(now), w.need.first_by, t);
+        let mine = rank(ticket, waiter);
+        self.waiting.iter().filter(|(t, w)| rank(**t, w) < mine).count()
+    }
+
+    /// When a request with so many ahead of it gets a place, by the pace of the last ends.
+    fn foretold(&self, now: Moment, ahead: usize) -> Moment {
+        let since = now.before(ENDS_SPAN);
+        let ends = self.ends.iter().rev().take_while(|at| **at >= since).count();
+        let gap = ENDS_SPAN.as_secs_f64() / (ends as f64).max(1.0);
+        now.after(Duration::from_secs_f64(gap * ahead as f64))
+    }
+
+    /// When a refused caller is worth coming back; `draw` is uniform in 0..1.
+    pub fn come_back(&self, now: Moment, draw: f64) -> Moment {
+        now.after(RETRY_MIN).after(RETRY_SPREAD.mul_f64(draw))
+    }
+
+    /// The engine with the largest part of its memory free, where the request fits.
+    fn roomiest<'a>(
+        &self,
+        now: Moment,
+        servers: impl Iterator<Item = &'a Server>,
+        engine: &Engine,
+        work: &impl Fn(&ServerId) -> Work,
+        tokens: u64,
+        draw: &mut impl FnMut() -> f64,
+    ) -> Option<ServerId> {
+        let room = |s: &&Server| {
+            let all = self.own(&s.id).plus(work(&s.id));
+            let free = engine.tokens.checked_sub(all.tokens + tokens)?;
+            (all.count < engine.slots).then_some(free)
+        };
+        let rests = |s: &&Server| {
+            let record = self.records.get(&s.id);
+            record.is_some_and(|r| r.full_until > now || r.fault_until > now)
+        };
+        servers
+            .filter(|s| !rests(s))
+            .filter_map(|s| Some((room(&s)? as f64 * (1.0 + 0.1 * draw()), s)))
+            .max_by(|a, b| a.0.total_cmp(&b.0))
+            .map(|(_, s)| s.id.clone())
+    }
+}
--- /dev/null
+++ b/crates/router/src/events.rs
@@ -0,0 +1,83 @@
+//! Whole events of a stream, split from its bytes.
+//!
+//! A backend server may stop in the middle of an event; what is passed on always ends with a whole
+//! one, so that another may go on behind it.
+
+/// Splits a stream into whole events.
+#[derive(Clone, Debug, Default)]
+pub struct Splitter {
+    buffer: Vec<u8>,
+    last: Option<u64>,
+    count: u64,
+}
+
+impl Splitter {
+    /// A splitter for a stream that goes on behind the event `last`.
+    pub fn behind(last: Option<u64>) -> Self {
+        Splitter { buffer: Vec::new(), last, count: 0 }
+    }
+
+    /// Takes bytes and gives the events that they complete, as one run of bytes. Events that were
+    /// passed on before are left out.
+    pub fn push(&mut self, bytes: &[u8]) -> Vec<u8> {
+        self.buffer.extend_from_slice(bytes);
+        let mut out = Vec::new();
+        let mut start = 0;
+        while let Some(len) = event_len(&self.buffer[start..]) {
+            let event = &self.buffer[start..start + len];
+            let id = event_id(event);
+            if id.is_none() || id > self.last {
+                out.extend_from_slice(event);
+                self.count += 1;
+            }
+            self.last = self.last.max(id);
+            start += len;
+        }
+        self.buffer.drain(..start);
+        out
+    }
+
+    /// Id of the last whole event.
+    pub fn last(&self) -> Option<u64> {
+        self.last
+    }
+
+    /// Events passed on.
+    pub fn count(&self) -> u64 {
+        self.count
+    }
+
+    /// Is an event begun and not whole?
+    pub fn is_partial(&self) -> bool {
+        !self.buffer.is_empty()
+    }
+
+    /// The bytes of an event that is not whole.
+    pub fn rest(&self) -> &[u8] {
+        &self.buffer
+    }
+
+    /// Drops a part of an event; another stream goes on with it whole.
+    pub fn restart(&mut self) {
+        self.buffer.clear();
+    }
+}
+
+/// Length of the first event with its blank line.
+fn event_len(bytes: &[u8]) -> Option<usize> {
+    let mut i = 0;
+    while let Some(at) = bytes[i..].iter().position(|b| *b == b'\n') {
+        let next = i + at + 1;
+        match &bytes[next..] {
+            [b'\n', ..] => return Some(next + 1),
+            [b'\r', b'\n', ..] => return Some(next + 2),
+            _ => i = next,
+        }
+    }
+    None
+}
+
+fn event_id(event: &[u8]) -> Option<u64> {
+    let line = event.split(|b| *b == b'\n').find_map(|l| l.strip_prefix(b"id:"))?;
+    std::str::from_utf8(line).ok()?.trim().parse().ok()
+}
--- /dev/null
+++ b/crates/router/src/lib.rs
@@ -0,0 +1,20 @@
+//! Decisions of the gateway: which backend server takes a request, when one is refused, what may be
+//! sent again.
+//!
+//! Nothing here opens a socket, reads a clock or draws from global randomness. Each module answers
+//! one question; the daemon asks it with the present moment and acts on the answer.
+
+pub mod budget;
+pub mod catalog;
+pub mod engines;
+pub mod events;
+pub mod freshness;
+pub mod holder;
+pub mod node;
+pub mod outcome;
+pub mod plain;
+pub mod prefill;
+pub mod roster;
+pub mod routes;
+pub mod share;
+pub mod stages;
--- /dev/null
+++ b/crates/router/src/node.rs
@@ -0,0 +1,44 @@
+//! What a process is told of itself and of the bounds it must keep.
+
+use std::net::{IpAddr, SocketAddr};
+use std::time::Duration;
+
+/// Settings that the platform gives to one process.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Node {
+    /// Name of the VM, unique in the system.
+    pub name: String,
+    /// Availability zone.
+    pub zone: String,
+    /// Address of the VM.
+    pub ip: IpAddr,
+    /// Where callers connect; none on a VM that serves none.
+    pub callers: Option<SocketAddr>,
+    /// Where the platform asks for readiness.
+    pub ready: Option<SocketAddr>,
+    /// First port for messages between processes of the system; the same on every VM.
+    pub peer_port: u16,
+    /// The platform's metadata store.
+    pub store: SocketAddr,
+    /// Bounds of the deployment.
+    pub bounds: Bounds,
+}
+
+/// Bounds that the deployment asks to be kept.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Bounds {
+    /// Extra arrivals allowed per request within a window.
+    pub budget_ratio: f64,
+    /// Extra arrivals allowed in any window, over the whole system.
+    pub budget_extra: f64,
+    /// Length of that window.
+    pub budget_window: Duration,
+    /// From SIGTERM to SIGKILL.
+    pub grace: Duration,
+    /// Shortest time between orders of two holders to one backend server.
+    pub order_gap: Duration,
+    /// How long a leaving backend server may still be sent work.
+    pub drain: Duration,
+}
+
+impl Eq for Bounds {}
--- /dev/null
+++ b/crates/router/src/share.rs
@@ -0,0 +1,109 @@
+//! What entries tell each other several times a second: the work that each has at model engines.
+//!
+//! Engines report their load with almost a second's delay, in which a burst fills their memory. The
+//! sum of what the entries themselves placed is known within one round of datagrams.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use ebonyloft_core::time::Moment;
+use serde::{Deserialize, Serialize};
+
+use crate::catalog::ServerId;
+
+/// How long a peer's share counts without a newer one; ten rounds at the usual pace.
+pub const SHARE_LIFE: Duration = Duration::from_millis(1_500);
+/// How long a peer counts as live without a message.
+pub const PEER_LIFE: Duration = Duration::from_millis(3_000);
+
+/// Work at one engine.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Work {
+    /// Tokens of memory reserved or in use.
+    pub tokens: u64,
+    /// Requests.
+    pub count: u32,
+    /// Prompt tokens sent to be read, not read yet.
+    pub unread: u64,
+}
+
+impl Work {
+    /// The sum of both.
+    pub fn plus(self, other: Work) -> Work {
+        Work {
+            tokens: self.tokens + other.tokens,
+            count: self.count + other.count,
+            unread: self.unread + other.unread,
+        }
+    }
+}
+
+/// One message between entries.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Share {
+    /// Name of the sender's VM.
+    #[serde(rename = "n")]
+    pub name: String,
+    /// Start time of the sender's process, in microseconds; a later life has a larger one.
+    #[serde(rename = "l")]
+    pub life: u64,
+    /// Grows with every message of this life.
+    #[serde(rename = "s")]
+    pub seq: u64,
+    /// Version of the sender's configuration.
+    #[serde(rename = "c")]
+    pub config: u64,
+    /// Revision up to which the sender knows the list of backend servers.
+    #[serde(rename = "r")]
+    pub roster: u64,
+    /// Requests waiting for a place at the sender.
+    #[serde(rename = "q")]
+    pub waiting: u32,
+    /// The sender's work, by backend server.
+    #[serde(rename = "w")]
+    pub work: BTreeMap<ServerId, Work>,
+}
+
+#[derive(Clone, Debug)]
+struct Peer {
+    heard_at: Moment,
+    share: Share,
+}
+
+/// The latest share of each peer.
+#[derive(Clone, Debug, Default)]
+pub struct Shares {
+    peers: HashMap<String, Peer>,
+}
+
+impl Shares {
+    /// A share arrived; false when it is older than what is known.
+    pub fn hear(&mut self, now: Moment, share: Share) -> bool {
+        if let Some(peer) = self.peers.get(&share.name)
+            && (peer.share.life, peer.share.seq) >= (share.life, share.seq)
+        {
+            return false;
+        }
+        self.peers.insert(share.name.clone(), Peer { heard_at: now, share });
+        true
+    }
+
+    /// Work of all peers at one engine.
+    pub fn work(&self, now: Moment, id: &ServerId) -> Work {
+        self.peers
+            .values()
+            .filter(|p| now.since(p.heard_at) < SHARE_LIFE)
+            .filter_map(|p| p.share.work.get(id))
+            .fold(Work::default(), |sum, w| sum.plus(*w))
+    }
+
+    /// Peers heard lately.
+    pub fn live(&self, now: Moment) -> usize {
+        self.peers.values().filter(|p| now.since(p.heard_at) < PEER_LIFE).count()
+    }
+
+    /// Forgets peers that fell silent long ago.
+    pub fn expire(&mut self, now: Moment) {
+        self.peers.retain(|_, p| now.since(p.heard_at) < PEER_LIFE * 10);
+    }
+}
