Place by the foretold read; reserve the mean growth of an answer; read replies kept

Cause: reservations of the longest output held 7 of 11 possible answers an engine; prompts queued past their goal.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -114,7 +114,7 @@
     let page = TcpListener::bind((node.ip, options.metrics_port)).await?;
     spawn(http::serve(page, move |_| metrics_page(registry.clone()), never()));
     spawn(ingress::serve(shared.clone(), callers, closing));
-    spawn(watch::follow(shared.clone(), "op/", Box::new(ConfigSink(shared.clone()))));
+    spawn(watch::follow(shared.clone(), watch::CONFIG_PREFIX, Box::new(ConfigSink(shared.clone()))));
     let roster = Box::new(RosterSink(shared.clone()));
     spawn(watch::follow(shared.clone(), servers::PREFIX, roster));
     let peer_sink = Box::new(peers::PeerSink(shared.clone()));
@@ -164,6 +164,7 @@
         let roster = shared.roster.borrow();
         shared.plain.borrow_mut().retain(|id| roster.get(id).is_some());
         shared.engines.borrow_mut().retain(|id| roster.get(id).is_some());
+        shared.paces.borrow_mut().retain(|id| roster.get(id).is_some());
         drop(roster);
         shared.metrics.gauge("gateway.open", shared.open.get() as u64);
         shared.metrics.gauge("gateway.waiting", shared.engines.borrow().waiting() as u64);
--- a/crates/daemon/src/gateway/call.rs
+++ b/crates/daemon/src/gateway/call.rs
@@ -12,7 +12,7 @@
 
 use super::answer::{self, Body, Cause};
 use super::intake::Intake;
-use super::send::{self, Whole};
+use super::send::{self, Expect, Whole};
 use super::shared::Shared;
 
 /// Part of a route's goal after which a call that may be repeated is sent elsewhere: what is left
@@ -142,7 +142,7 @@
     shared.plain.borrow_mut().sent(sent, &to.id);
     flight.open = Some((to.id.clone(), sent));
     let req = intake.request(sent, &to.id);
-    let (fate, answer) = send::whole(shared, intake, to, req, limit).await;
+    let (fate, answer) = send::whole(shared, intake, to, req, limit, Expect::Signature).await;
     let now = shared.now();
     let load = answer.as_ref().and_then(|a| a.reply.load);
     shared.plain.borrow_mut().ended(now, &to.id, sent, fate, load);
--- a/crates/daemon/src/gateway/send.rs
+++ b/crates/daemon/src/gateway/send.rs
@@ -61,6 +61,15 @@
     Ok(Head { reply, response, conn })
 }
 
+/// What a whole answer must carry.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Expect {
+    /// The backend server's signature: it is meant for the caller.
+    Signature,
+    /// The handle of a prompt that was read; it is meant for this process and not signed.
+    Handle,
+}
+
 /// Sends a request and reads its answer whole, within `limit`.
 pub async fn whole(
     shared: &Shared,
@@ -68,10 +77,12 @@
     to: &Server,
     req: Request<Bytes>,
     limit: Duration,
+    expect: Expect,
 ) -> (Fate, Option<Whole>) {
     let sent = async {
         let head = head(shared, intake, to, req).await?;
-        let Head { reply, response, conn } = head;
+        let Head { mut reply, response, conn } = head;
+        reply.stamped |= expect == Expect::Handle;
         let fate = Fate::of(&reply, intake.caller.attempt.as_deref());
         let (status, headers) = (response.status(), headers::returned(response.headers()));
         let body = match response.into_body().collect().await {
--- a/crates/daemon/src/gateway/shared.rs
+++ b/crates/daemon/src/gateway/shared.rs
@@ -13,6 +13,7 @@
 use ebonyloft_router::freshness::Freshness;
 use ebonyloft_router::node::Node;
 use ebonyloft_router::plain::Plain;
+use ebonyloft_router::prefill::Paces;
 use ebonyloft_router::roster::Roster;
 use ebonyloft_router::share::{Shares, Work};
 use ebonyloft_router::stages::Shape;
@@ -45,6 +46,8 @@
     pub plain: RefCell<Plain>,
     /// Work at model engines.
     pub engines: RefCell<Engines>,
+    /// Pace of engines that read prompts.
+    pub paces: RefCell<Paces>,
     /// What peers told.
     pub shares: RefCell<Shares>,
     /// Extra arrivals, by service.
@@ -61,6 +64,7 @@
     pub open: Cell<usize>,
     /// Counters and histograms.
     pub metrics: Metrics,
+    born_at: Moment,
     rng: RefCell<ChaCha8Rng>,
     waiters: RefCell<Vec<oneshot::Sender<()>>>,
 }
@@ -80,6 +84,7 @@
             fresh: RefCell::default(),
             plain: RefCell::default(),
             engines: RefCell::default(),
+            paces: RefCell::default(),
             shares: RefCell::default(),
             budgets: RefCell::default(),
             shapes: RefCell::default(),
@@ -88,6 +93,7 @@
             stopping: Cell::new(false),
             open: Cell::new(0),
             metrics,
+            born_at: clock.now(),
             rng: RefCell::new(rng),
             waiters: RefCell::default(),
         })
@@ -138,20 +144,24 @@
     pub fn earn(&self, service: &str) {
         let (now, node) = (self.now(), self.node());
         let mut budgets = self.budgets.borrow_mut();
-        budgets.entry(service.to_owned()).or_default().earn(now, &node.bounds);
+        self.budget(&mut budgets, service).earn(now, &node.bounds);
     }
 
     /// Takes one extra arrival at a service, if there is one.
     pub fn spend(&self, service: &str) -> bool {
         let (now, node, entries) = (self.now(), self.node(), self.entries());
         let mut budgets = self.budgets.borrow_mut();
-        budgets.entry(service.to_owned()).or_default().spend(now, &node.bounds, entries)
+        self.budget(&mut budgets, service).spend(now, &node.bounds, entries)
     }
 
     /// Notes an extra arrival that could not be foreseen.
     pub fn note_extra(&self, service: &str) {
         let now = self.now();
-        self.budgets.borrow_mut().entry(service.to_owned()).or_default().note(now);
+        self.budget(&mut self.budgets.borrow_mut(), service).note(now);
+    }
+
+    fn budget<'a>(&self, all: &'a mut HashMap<String, Budget>, service: &str) -> &'a mut Budget {
+        all.entry(service.to_owned()).or_insert_with(|| Budget::new(self.born_at))
     }
 
     /// Work of this and all other gateways at an engine.
--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -87,6 +87,9 @@
             "timeout"
         }
     };
+    if word == "whole" {
+        observe(shared, &intake, &flight, events);
+    }
     flight.close(shared, word == "whole");
     let ms = shared.now().since(intake.came_at).as_millis() as u64;
     tracing::info!(id = intake.id(), route = %intake.route().name, word, events, ms, "stream ended");
@@ -145,6 +148,19 @@
     }
 }
 
+/// Learns the shape of requests from an answer that ended.
+fn observe(shared: &Shared, intake: &Intake, flight: &Flight, events: u64) {
+    let stride = intake.config.service(&intake.service).and_then(|s| s.engine.as_ref());
+    let (Some(engine), Some(place)) = (stride, &flight.place) else {
+        return;
+    };
+    let growth = (events * u64::from(engine.stride)) as f64;
+    let stay = shared.now().since(place.since).as_secs_f64();
+    let mut shapes = shared.shapes.borrow_mut();
+    let shape = shapes.entry(intake.service.clone()).or_default();
+    shape.observe(intake.caller.prompt as f64, growth, stay);
+}
+
 /// When a request that did not run is worth sending again.
 fn retry_at(shared: &Shared, flight: &Flight) -> Option<Moment> {
     let at = shared.engines.borrow().come_back(shared.now(), shared.draw());
@@ -160,9 +176,19 @@
     tried: &[ServerId],
     begun: bool,
 ) -> Result<Server, Stop> {
-    let server = place::take(shared, intake, engine, flight, tried, begun).await?;
-    read::elsewhere(shared, intake, flight).await;
-    Ok(server)
+    loop {
+        let server = place::take(shared, intake, engine, flight, tried, begun).await?;
+        if flight.source.is_none() {
+            read::elsewhere(shared, intake, flight).await;
+        }
+        // It may have begun to leave while the prompt was read.
+        let stays = shared.roster.borrow().ready(&intake.service).any(|s| s.id == server.id);
+        if stays {
+            return Ok(server);
+        }
+        tracing::info!(id = intake.id(), server = %server.id.0, "place given up: the engine leaves");
+        flight.give_up_place(shared, shared.now());
+    }
 }
 
 fn plain(shared: &Shared, intake: &Intake, tried: &[ServerId]) -> Option<Server> {
--- a/crates/daemon/src/gateway/stream/flight.rs
+++ b/crates/daemon/src/gateway/stream/flight.rs
@@ -87,16 +87,27 @@
         if let Some(source) = self.source.take() {
             give_back(shared, source.addr, engine::drop_handle(&source.id, &source.handle));
         }
-        if let Some(place) = self.place.take() {
-            let Place { server, hold, tokens, .. } = place;
-            if let Some(hold) = hold {
-                give_back(shared, server.addr, engine::drop_hold(&server.id, &hold));
-            }
-            shared.engines.borrow_mut().freed(now, &server.id, tokens, whole);
-        }
+        self.free_place(shared, now, whole);
+        shared.wake_all();
+    }
+
+    /// Gives the place back and keeps the prompt that was read.
+    pub fn give_up_place(&mut self, shared: &Shared, now: Moment) {
+        self.free_place(shared, now, false);
         shared.wake_all();
     }
 
+    fn free_place(&mut self, shared: &Shared, now: Moment, whole: bool) {
+        let Some(place) = self.place.take() else {
+            return;
+        };
+        let Place { server, hold, tokens, .. } = place;
+        if let Some(hold) = hold {
+            give_back(shared, server.addr, engine::drop_hold(&server.id, &hold));
+        }
+        shared.engines.borrow_mut().freed(now, &server.id, tokens, whole);
+    }
+
     /// The request is over.
     pub fn close(mut self, shared: &Shared, whole: bool) {
         self.release(shared, shared.now(), whole);
--- a/crates/daemon/src/gateway/stream/place.rs
+++ b/crates/daemon/src/gateway/stream/place.rs
@@ -5,11 +5,11 @@
 use ebonyloft_core::time::Moment;
 use ebonyloft_platform::engine;
 use ebonyloft_router::catalog::{Engine, Server, ServerId, Stage};
-use ebonyloft_router::engines::{Advice, Need};
+use ebonyloft_router::engines::{self, Advice, Need};
 use futures_util::future::select;
 
-use super::Stop;
 use super::flight::{Flight, Place};
+use super::{Stop, read};
 use crate::gateway::answer::Cause;
 use crate::gateway::intake::Intake;
 use crate::gateway::shared::Shared;
@@ -30,7 +30,8 @@
 ) -> Result<Server, Stop> {
     let joined = shared.now();
     let need = need(intake, joined, begun);
-    let ticket = shared.engines.borrow_mut().join(joined, need);
+    let read_at = read::foretold(shared, intake, flight, joined);
+    let ticket = shared.engines.borrow_mut().join(joined, need, read_at);
     flight.ticket = Some(ticket);
     loop {
         let now = shared.now();
@@ -59,7 +60,7 @@
 
 fn need(intake: &Intake, now: Moment, begun: bool) -> Need {
     let first_by = if begun { now.after(RESUME_WAIT) } else { intake.goal_at };
-    Need { tokens: intake.caller.prompt + intake.caller.output, first_by }
+    Need { tokens: engines::reserve(intake.caller.prompt, intake.caller.output), first_by }
 }
 
 fn advise(
@@ -70,6 +71,7 @@
     tried: &[ServerId],
     now: Moment,
 ) -> Advice {
+    let read_at = read::foretold(shared, intake, flight, now);
     let roster = shared.roster.borrow();
     let servers = roster
         .ready(&intake.service)
@@ -77,7 +79,7 @@
     let shares = shared.shares.borrow();
     let ticket = flight.ticket.expect("a request in line has a ticket");
     let work = |id: &ServerId| shares.work(now, id);
-    shared.engines.borrow().advise(now, ticket, servers, spec, work, || shared.draw())
+    shared.engines.borrow().advise(now, ticket, read_at, servers, spec, work, || shared.draw())
 }
 
 fn leave(shared: &Shared, flight: &mut Flight) {
--- a/crates/daemon/src/gateway/stream/read.rs
+++ b/crates/daemon/src/gateway/stream/read.rs
@@ -7,11 +7,12 @@
 use ebonyloft_router::catalog::{Server, Stage};
 use ebonyloft_router::outcome::Fate;
 use ebonyloft_router::prefill;
+use ebonyloft_router::share::Work;
 
 use super::flight::{Flight, Source};
 use crate::gateway::call;
 use crate::gateway::intake::Intake;
-use crate::gateway::send;
+use crate::gateway::send::{self, Expect};
 use crate::gateway::shared::Shared;
 
 /// How much longer than foretold a read may take before the prompt is read where the answer is
@@ -19,6 +20,19 @@
 const READ_SLACK: Duration = Duration::from_millis(600);
 /// Readers tried for one prompt; each further one counts against the budget of extra arrivals.
 const READERS_MAX: usize = 2;
+/// How much longer an engine that writes answers takes to read a prompt: it reads at half the speed.
+const LOCAL_PACE: u32 = 2;
+
+/// When the prompt would be read if it were sent to its reader now.
+pub fn foretold(shared: &Shared, intake: &Intake, flight: &Flight, now: Moment) -> Moment {
+    if flight.source.is_some() {
+        return now;
+    }
+    match pick(shared, intake, now) {
+        Some((_, at)) => at,
+        None => now.after(prefill::plain_time(Work::default(), intake.caller.prompt) * LOCAL_PACE),
+    }
+}
 
 /// Has the prompt read by a prefill engine; without one, the engine that writes the answer reads it.
 pub async fn elsewhere(shared: &Shared, intake: &Intake, flight: &mut Flight) {
@@ -41,11 +55,10 @@
     let readers = roster
         .ready(&intake.service)
         .filter(|s| s.stage == Some(Stage::Prefill) && !engines.faulty(now, &s.id));
-    let shares = shared.shares.borrow();
+    let (shares, paces) = (shared.shares.borrow(), shared.paces.borrow());
     let work = |id: &_| engines.own(id).plus(shares.work(now, id));
-    let prompt = intake.caller.prompt;
-    let zone = shared.node().zone.clone();
-    let picked = prefill::pick(now, readers, work, prompt, &zone, || shared.draw());
+    let (prompt, zone) = (intake.caller.prompt, shared.node().zone.clone());
+    let picked = prefill::pick(now, readers, work, &paces, prompt, &zone, || shared.draw());
     picked.map(|(s, at)| (s.clone(), at))
 }
 
@@ -58,12 +71,13 @@
 ) -> bool {
     let now = shared.now();
     let prompt = intake.caller.prompt;
+    let plain = prefill::plain_time(shared.work(&reader.id), prompt);
     shared.engines.borrow_mut().reading(&reader.id, prompt);
     flight.reading = Some((reader.id.clone(), prompt));
     let mut req = intake.request(now, &reader.id);
     headers::set_prefill(req.headers_mut());
     let limit = ready_at.since(now) + READ_SLACK;
-    let (fate, answer) = send::whole(shared, intake, reader, req, limit).await;
+    let (fate, answer) = send::whole(shared, intake, reader, req, limit, Expect::Handle).await;
     let done = shared.now();
     flight.reading = None;
     let mut engines = shared.engines.borrow_mut();
@@ -74,6 +88,7 @@
     shared.metrics.time("gateway.read_ms", ms);
     let handle = answer.as_ref().and_then(|a| engine::read_prefilled(&a.body));
     if let Some(handle) = handle {
+        shared.paces.borrow_mut().observe(&reader.id, done.since(now), plain);
         let (id, addr) = (reader.id.clone(), reader.addr);
         flight.source = Some(Source { id, addr, handle });
         return true;
--- a/crates/daemon/src/gateway/watch.rs
+++ b/crates/daemon/src/gateway/watch.rs
@@ -20,7 +20,7 @@
 /// must be in force.
 const PAUSE_MAX: Duration = Duration::from_millis(400);
 /// Prefix of the operator's keys.
-const CONFIG_PREFIX: &str = "op/";
+pub const CONFIG_PREFIX: &str = "op/";
 
 /// Where the items of one prefix go.
 pub trait Sink {
--- a/crates/router/src/budget.rs
+++ b/crates/router/src/budget.rs
@@ -16,13 +16,21 @@
 pub const USED_PART: f64 = 0.8;
 
 /// Window of one service at one entry.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Budget {
+    /// When the process started: what its predecessor spent is not known, so that the fixed part
+    /// only grows to its full size over one window.
+    born_at: Moment,
     requests: VecDeque<Moment>,
     extras: VecDeque<Moment>,
 }
 
 impl Budget {
+    /// A window of a process that started at `born_at`.
+    pub fn new(born_at: Moment) -> Self {
+        Budget { born_at, requests: VecDeque::new(), extras: VecDeque::new() }
+    }
+
     /// A caller's request for the service came in.
     pub fn earn(&mut self, now: Moment, bounds: &Bounds) {
         self.expire(now, bounds.budget_window);
@@ -46,7 +54,9 @@
     /// Extra arrivals left in the present window.
     pub fn left(&mut self, now: Moment, bounds: &Bounds, entries: usize) -> f64 {
         self.expire(now, bounds.budget_window);
-        let fixed = bounds.budget_extra / entries.max(1) as f64;
+        let window = bounds.budget_window.as_secs_f64().max(1e-3);
+        let grown = (now.since(self.born_at).as_secs_f64() / window).min(1.0);
+        let fixed = grown * bounds.budget_extra / entries.max(1) as f64;
         let share = bounds.budget_ratio * self.requests.len() as f64;
         (fixed + share) * USED_PART - self.extras.len() as f64
     }
--- a/crates/router/src/catalog.rs
+++ b/crates/router/src/catalog.rs
@@ -87,6 +87,8 @@
     pub slots: u32,
     /// Tokens that memory holds.
     pub tokens: u64,
+    /// Output tokens in one event.
+    pub stride: u32,
     /// How long a prompt that was read stays to be fetched.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub handle_life: Duration,
--- a/crates/router/src/engines.rs
+++ b/crates/router/src/engines.rs
@@ -13,9 +13,13 @@
 use crate::catalog::{Engine, Server, ServerId};
 use crate::share::Work;
 
-/// Time from a reserved place to the first event: a prompt of mean length read by an engine that
-/// has as much queued again, the transfer, and the first steps.
-pub const FIRST_EVENT: Duration = Duration::from_millis(280);
+/// Time from a prompt that was read to the first event: the transfer, the first step and the tokens
+/// of one event, with a margin for the ways between; half of it is measured at the median.
+pub const FIRST_EVENT: Duration = Duration::from_millis(130);
+/// Part of an answer's longest output that is reserved when its true length is not known. Answers
+/// are log-normal with a mean of 0.42 of the longest; weighed by how long each stays, an engine's
+/// answers hold 0.35 of it on average.
+pub const GROWTH_PART: f64 = 0.35;
 /// How long an engine that refused a reservation is not asked again, unless one of this entry's
 /// answers ends there.
 pub const FULL_REST: Duration = Duration::from_millis(60);
@@ -25,13 +29,17 @@
 pub const ENDS_SPAN: Duration = Duration::from_secs(2);
 /// Ends kept at most; bounds the memory at any rate.
 const ENDS_MAX: usize = 1_024;
-/// Wait for a place of a request that is too late for its goal: an eighth of the usual goal, up to
-/// which waiting costs the caller nothing.
-pub const LATE_WAIT: Duration = Duration::from_millis(110);
-/// Shortest time after which a refused caller is asked to come back: the mean stay of an answer.
-pub const RETRY_MIN: Duration = Duration::from_millis(2_500);
+/// Wait for a place of a request that is too late for its goal. It takes what those in time leave
+/// free; sent away once more it would be lost.
+pub const LATE_WAIT: Duration = Duration::from_millis(1_500);
+/// Queue of prompts up to which a late request has its prompt read: a third of the usual goal, so
+/// that those in time are not pushed behind theirs.
+pub const LATE_READ: Duration = Duration::from_millis(300);
+/// Shortest time after which a refused caller is asked to come back: most answers that take the
+/// memory now have ended by then, and callers follow it up to a third of their time.
+pub const RETRY_MIN: Duration = Duration::from_millis(3_200);
 /// Spread of that time, so that those sent away together don't return together.
-pub const RETRY_SPREAD: Duration = Duration::from_millis(2_000);
+pub const RETRY_SPREAD: Duration = Duration::from_millis(1_400);
 
 /// What a request needs of an engine.
 #[derive(Clone, Copy, Debug)]
@@ -43,12 +51,17 @@
 }
 
 impl Need {
-    /// Could the first event still be in time with a place at `at`?
-    fn in_time(&self, at: Moment) -> bool {
-        at.after(FIRST_EVENT) <= self.first_by
+    /// Could the first event be in time with the prompt read at `read_at`?
+    fn in_time(&self, read_at: Moment) -> bool {
+        read_at.after(FIRST_EVENT) <= self.first_by
     }
 }
 
+/// Tokens to reserve for an answer.
+pub fn reserve(prompt: u64, output: u64) -> u64 {
+    prompt + (output as f64 * GROWTH_PART) as u64
+}
+
 /// Names a waiting request.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Ticket(u64);
@@ -56,6 +69,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Waiter {
     need: Need,
+    /// It came after its goal had passed, or too close to it.
+    late: bool,
     /// When it is refused.
     until: Moment,
 }
@@ -92,12 +107,17 @@
 pub const ASK_AGAIN: Duration = Duration::from_millis(25);
 
 impl Engines {
-    /// A request arrives and waits for a place; what to do comes from `advise`.
-    pub fn join(&mut self, now: Moment, need: Need) -> Ticket {
+    /// A request arrives and waits for a place, its prompt read at `read_at` if one is free now;
+    /// what to do comes from `advise`.
+    pub fn join(&mut self, now: Moment, need: Need, read_at: Moment) -> Ticket {
         self.next += 1;
         let ticket = Ticket(self.next);
-        let until = self.patience(now, &need);
-        self.waiting.insert(ticket, Waiter { need, until });
+        let late = need.first_by < now.after(FIRST_EVENT);
+        let until = match late {
+            true => now.after(LATE_WAIT),
+            false => need.first_by.before(FIRST_EVENT).before(read_at.since(now)).max(now),
+        };
+        self.waiting.insert(ticket, Waiter { need, late, until });
         ticket
     }
 
@@ -106,12 +126,14 @@
         self.waiting.remove(&ticket);
     }
 
-    /// What a waiting request should do now; `work` is the peers' work at an engine, `draw` is
-    /// uniform in 0..1.
+    /// What a waiting request should do now; its prompt would be read at `read_at`, `work` is the
+    /// peers' work at an engine, `draw` is uniform in 0..1.
+    #[allow(clippy::too_many_arguments)]
     pub fn advise<'a>(
         &self,
         now: Moment,
         ticket: Ticket,
+        read_at: Moment,
         servers: impl Iterator<Item = &'a Server>,
         engine: &Engine,
         work: impl Fn(&ServerId) -> Work,
@@ -120,13 +142,19 @@
         let Some(waiter) = self.waiting.get(&ticket) else {
             return Advice::Refuse(self.come_back(now, draw()));
         };
-        let ahead = self.ahead(now, ticket, waiter);
-        if ahead == 0
+        let worth = match waiter.late {
+            true => read_at.since(now) <= LATE_READ,
+            false => waiter.need.in_time(read_at),
+        };
+        let ahead = self.ahead(ticket, waiter);
+        if worth
+            && ahead == 0
             && let Some(id) = self.roomiest(now, servers, engine, &work, waiter.need.tokens, &mut draw)
         {
             return Advice::Ask(id);
         }
-        if now >= waiter.until || self.foretold(now, ahead) > waiter.until {
+        let hopeless = !waiter.late && (!worth || self.foretold(now, ahead) > waiter.until);
+        if now >= waiter.until || hopeless {
             return Advice::Refuse(self.come_back(now, draw()));
         }
         Advice::Wait(now.after(ASK_AGAIN).min(waiter.until))
@@ -156,13 +184,16 @@
 
     /// A prompt was sent to be read.
     pub fn reading(&mut self, id: &ServerId, tokens: u64) {
-        self.records.entry(id.clone()).or_default().own.unread += tokens;
+        let own = &mut self.records.entry(id.clone()).or_default().own;
+        own.unread += tokens;
+        own.reads += 1;
     }
 
     /// A prompt was read, or will not be.
     pub fn read(&mut self, id: &ServerId, tokens: u64) {
         if let Some(record) = self.records.get_mut(id) {
             record.own.unread = record.own.unread.saturating_sub(tokens);
+            record.own.reads = record.own.reads.saturating_sub(1);
         }
     }
 
@@ -205,17 +236,9 @@
         self.records.retain(|id, r| alive(id) || r.own != Work::default());
     }
 
-    /// Until when a request waits for a place.
-    fn patience(&self, now: Moment, need: &Need) -> Moment {
-        if need.in_time(now) {
-            return need.first_by.before(FIRST_EVENT);
-        }
-        now.after(LATE_WAIT)
-    }
-
     /// Requests that go before this one: those that can be in time, earliest goal first.
-    fn ahead(&self, now: Moment, ticket: Ticket, waiter: &Waiter) -> usize {
-        let rank = |t: Ticket, w: &Waiter| (!w.need.in_time(now), w.need.first_by, t);
+    fn ahead(&self, ticket: Ticket, waiter: &Waiter) -> usize {
+        let rank = |t: Ticket, w: &Waiter| (w.late, w.need.first_by, t);
         let mine = rank(ticket, waiter);
         self.waiting.iter().filter(|(t, w)| rank(**t, w) < mine).count()
     }
--- a/crates/router/src/prefill.rs
+++ b/crates/router/src/prefill.rs
@@ -1,8 +1,9 @@
-//! Which engine reads a prompt.
+//! Which engine reads a prompt, and when it would be read.
 //!
 //! Answers the load of prompts that clump: the engine whose queue, as all entries together know it,
-//! has the prompt read first.
+//! has the prompt read first. The foretold moment decides whether a request can be in time at all.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use ebonyloft_core::time::Moment;
@@ -13,32 +14,65 @@
 
 /// Time of a read beyond its tokens: the first step, and the way there and back.
 pub const READ_SETUP: Duration = Duration::from_millis(30);
-/// A decode engine reads at half the speed and slows its answers; it is chosen only when that is
-/// this much sooner.
-pub const LOCAL_MARGIN: Duration = Duration::from_millis(250);
-
-/// When a prompt would be read by an engine with this work queued.
-pub fn ready_at(now: Moment, work: Work, prompt: u64) -> Moment {
-    let secs = (work.unread + prompt) as f64 / READ_RATE;
-    now.after(Duration::from_secs_f64(secs)).after(READ_SETUP)
+/// Weight of a new observation of an engine's pace: about the last five reads count, so that an
+/// engine that turned slow is known within half a second of reading.
+pub const NEW_WEIGHT: f64 = 0.2;
+/// Bounds of a pace: no engine is faster than its sheet by more, and one that is slower by more is
+/// passed over for its queue alone.
+pub const PACES: (f64, f64) = (0.8, 10.0);
+
+/// How the pace of each engine compares with its sheet; 2.0 is twice as slow.
+#[derive(Clone, Debug, Default)]
+pub struct Paces {
+    paces: HashMap<ServerId, f64>,
+}
+
+impl Paces {
+    /// The pace of an engine.
+    pub fn of(&self, id: &ServerId) -> f64 {
+        self.paces.get(id).copied().unwrap_or(1.0)
+    }
+
+    /// A read took `took` where a pace of 1.0 makes `plain`.
+    pub fn observe(&mut self, id: &ServerId, took: Duration, plain: Duration) {
+        let seen = took.as_secs_f64() / plain.as_secs_f64().max(1e-3);
+        let pace = self.paces.entry(id.clone()).or_insert(1.0);
+        *pace += NEW_WEIGHT * (seen.clamp(PACES.0, PACES.1) - *pace);
+    }
+
+    /// Forgets engines that are gone.
+    pub fn retain(&mut self, alive: impl Fn(&ServerId) -> bool) {
+        self.paces.retain(|id, _| alive(id));
+    }
+}
+
+/// How long an engine of the sheet's pace takes for a prompt behind this work.
+pub fn plain_time(work: Work, prompt: u64) -> Duration {
+    Duration::from_secs_f64((work.unread + prompt) as f64 / READ_RATE) + READ_SETUP
 }
 
-/// The reader with the earliest end, and that moment.
+/// The reader with the earliest end, and that moment; `work` is the work of all entries at an
+/// engine, `draw` is uniform in 0..1 and breaks ties.
 pub fn pick<'a>(
     now: Moment,
     readers: impl Iterator<Item = &'a Server>,
     work: impl Fn(&ServerId) -> Work,
+    paces: &Paces,
     prompt: u64,
     zone: &str,
     mut draw: impl FnMut() -> f64,
 ) -> Option<(&'a Server, Moment)> {
     readers
-        .map(|s| {
-            // A transfer within the zone is half as long; ties are broken at random.
-            let apart = if s.zone == zone { 0 } else { 4 };
-            let jitter = Duration::from_micros(apart * 1_000 + (draw() * 6_000.0) as u64);
-            (ready_at(now, work(&s.id), prompt), jitter, s)
+        .map(|s| (s, work(&s.id)))
+        // An engine queues hardly more reads than it has slots, and turns the rest away.
+        .filter(|(s, w)| w.reads < s.slots.max(1))
+        .map(|(s, w)| {
+            let at = now.after(plain_time(w, prompt).mul_f64(paces.of(&s.id)));
+            // A transfer within the zone is half as long.
+            let apart = if s.zone == zone { 0 } else { 4_000 };
+            let jitter = Duration::from_micros(apart + (draw() * 6_000.0) as u64);
+            (at, at.after(jitter), s)
         })
-        .min_by_key(|(at, jitter, _)| at.after(*jitter))
+        .min_by_key(|(_, rank, _)| *rank)
         .map(|(at, _, s)| (s, at))
 }
--- a/crates/router/src/share.rs
+++ b/crates/router/src/share.rs
@@ -25,6 +25,8 @@
     pub count: u32,
     /// Prompt tokens sent to be read, not read yet.
     pub unread: u64,
+    /// Prompts sent to be read, not read yet.
+    pub reads: u32,
 }
 
 impl Work {
@@ -34,6 +36,7 @@
             tokens: self.tokens + other.tokens,
             count: self.count + other.count,
             unread: self.unread + other.unread,
+            reads: self.reads + other.reads,
         }
     }
 }
