Engines that change their stage are passed over by all gateways; rejected sends keep the prompt

The holder now names the engines it changes in its datagrams; a rejection in spite of a reservation rests the engine; the handle is offered to another engine while it lives; further reads are paid from the budget; the planner waits for a list that stands still and acts on a whole engine.

--- a/crates/daemon/src/gateway/orders.rs
+++ b/crates/daemon/src/gateway/orders.rs
@@ -10,7 +10,7 @@
 use ebonyloft_platform::store::{StoreError, Write};
 use ebonyloft_router::catalog::{Server, ServerId, Stage};
 use ebonyloft_router::holder::{self, Held, Order, Record};
-use ebonyloft_router::stages::{Planner, Shape};
+use ebonyloft_router::stages::{Planner, SLACK_FIRST, SLACK_LATER};
 
 use super::shared::Shared;
 
@@ -20,6 +20,9 @@
 const RECORD_KEY: &str = "ebonyloft/orders/record";
 /// Pause between two looks at the engines.
 const LOOK: Duration = Duration::from_millis(400);
+/// How long the list of backend servers must have stood still: at the start they register within a
+/// second, and the shares of a list that is half there mean nothing.
+const QUIET: Duration = Duration::from_millis(1_000);
 /// Longest wait for an engine's answer to an order; less than what is left of the lease.
 const ORDER_WAIT: Duration = Duration::from_millis(600);
 /// Pause after which a gateway that failed to get the right tries again, when it looks free.
@@ -88,7 +91,12 @@
 }
 
 /// Keeps the right and orders until it is lost.
-async fn hold(shared: &Shared, planner: &mut Planner, mut held: Held) {
+async fn hold(shared: &Shared, planner: &mut Planner, held: Held) {
+    keep_and_order(shared, planner, held).await;
+    shared.changing.borrow_mut().clear();
+}
+
+async fn keep_and_order(shared: &Shared, planner: &mut Planner, mut held: Held) {
     let mut renew_at = shared.now().after(holder::RENEW);
     loop {
         compio::time::sleep(LOOK).await;
@@ -108,6 +116,7 @@
         if held.lapsed(now) {
             return tracing::info!(fence = held.fence, "right may have lapsed");
         }
+        shared.rest(&shared.changing.borrow());
         if held.may_order(now)
             && let Some((order, server)) = next(shared, planner, &held)
         {
@@ -125,20 +134,26 @@
 fn next(shared: &Shared, planner: &mut Planner, held: &Held) -> Option<(Order, Server)> {
     let config = shared.config()?;
     let roster = shared.roster.borrow();
+    if shared.now() < roster.changed_at().after(QUIET) {
+        return None;
+    }
     let shapes = shared.shapes.borrow();
     for service in &config.services {
         let Some(spec) = &service.engine else {
             continue;
         };
         let servers: Vec<&Server> = roster.ready(&service.name).collect();
-        let shape = shapes.get(&service.name).copied().unwrap_or_else(Shape::default);
-        if let Some((to, stage)) = planner.next(shared.now(), &servers, spec, &shape) {
+        let slack = if shapes.contains_key(&service.name) { SLACK_LATER } else { SLACK_FIRST };
+        let shape = shapes.get(&service.name).copied().unwrap_or_default();
+        if let Some((to, stage)) = planner.next(shared.now(), &servers, spec, &shape, slack) {
             planner.given(shared.now(), &to, stage, spec);
+            shared.changing.replace(planner.changing());
             let server = roster.get(&to)?.clone();
             let holder = shared.node().name.clone();
             return Some((Order { to, stage, holder, fence: held.fence }, server));
         }
     }
+    shared.changing.replace(planner.changing());
     None
 }
 
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -21,7 +21,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::shared::Shared;
-use super::watch::{Sink, log_effect};
+use super::watch::{Sink, note_effect};
 use crate::http;
 
 /// Prefix of the system's own keys.
@@ -136,7 +136,8 @@
         compio::time::sleep(TELL_BUSY).await;
         seq += 1;
         let share = share(&shared, life, seq);
-        if share.work.is_empty() && share.waiting == 0 && !seq.is_multiple_of(IDLE_ROUNDS) {
+        let idle = share.work.is_empty() && share.waiting == 0 && share.changing.is_empty();
+        if idle && !seq.is_multiple_of(IDLE_ROUNDS) {
             continue;
         }
         let mut bytes = Vec::new();
@@ -164,6 +165,7 @@
         config: shared.config().map_or(0, |c| c.version),
         roster: shared.roster.borrow().revision(),
         waiting: engines.waiting() as u32,
+        changing: shared.changing.borrow().clone(),
         work: engines.work(),
     }
 }
@@ -192,6 +194,7 @@
         let newer = share.config > shared.config().map_or(0, |c| c.version)
             || (shared.fresh.borrow().is_away()
                 && share.roster > shared.roster.borrow().revision());
+        shared.rest(&share.changing);
         shared.shares.borrow_mut().hear(now, share);
         let due = pulled_at.get(&from).is_none_or(|at| now.since(*at) > PULL_GAP);
         if newer && due {
@@ -222,12 +225,13 @@
             tracing::info!(version, peer = %from, "configuration in force");
         }
     }
-    let mut roster = shared.roster.borrow_mut();
     let away = shared.fresh.borrow().is_away();
-    if belief.revision > roster.revision() && belief.settled && away {
-        for (id, effect) in roster.replace(belief.roster, belief.revision, true) {
-            log_effect(&id, effect, belief.revision);
-        }
+    if belief.revision <= shared.roster.borrow().revision() || !belief.settled || !away {
+        return;
+    }
+    let effects = shared.roster.borrow_mut().replace(belief.roster, belief.revision, true);
+    for (id, effect) in effects {
+        note_effect(shared, &id, effect, belief.revision);
     }
 }
 
--- a/crates/daemon/src/gateway/shared.rs
+++ b/crates/daemon/src/gateway/shared.rs
@@ -5,6 +5,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::time::Duration;
 
 use ebonyloft_core::time::Moment;
 use ebonyloft_router::budget::Budget;
@@ -26,6 +27,10 @@
 use crate::clock::Clock;
 use crate::metrics::Metrics;
 
+/// How long an engine said to be changing its stage is passed over; several rounds of the datagrams
+/// that say so.
+const CHANGE_REST: Duration = Duration::from_millis(700);
+
 /// State of one gateway process.
 pub struct Shared {
     /// The process's clock.
@@ -58,6 +63,8 @@
     pub peers: RefCell<HashMap<String, std::net::SocketAddr>>,
     /// Nobody is known to hold the right to order engines.
     pub lock_free: Cell<bool>,
+    /// Engines that this process ordered to change their stage and that have not yet.
+    pub changing: RefCell<Vec<ServerId>>,
     /// The process was told to stop.
     pub stopping: Cell<bool>,
     /// Requests being worked on.
@@ -90,6 +97,7 @@
             shapes: RefCell::default(),
             peers: RefCell::default(),
             lock_free: Cell::new(true),
+            changing: RefCell::default(),
             stopping: Cell::new(false),
             open: Cell::new(0),
             metrics,
@@ -170,6 +178,15 @@
         self.engines.borrow().own(id).plus(peers)
     }
 
+    /// These engines are changing their stage: nothing is sent there for a few rounds of news.
+    pub fn rest(&self, changing: &[ServerId]) {
+        let until = self.now().after(CHANGE_REST);
+        let mut engines = self.engines.borrow_mut();
+        for id in changing {
+            engines.rest(id, until);
+        }
+    }
+
     /// Resolves when a place may have come free.
     pub fn wake(&self) -> oneshot::Receiver<()> {
         let (sender, receiver) = oneshot::channel();
--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -107,8 +107,9 @@
     let mut tried: Vec<ServerId> = Vec::new();
     let mut failure = None;
     let mut cause = Cause::NoServer;
+    let mut arrived = false;
     while flight.progress.may_send() {
-        if !tried.is_empty() && !shared.spend(&intake.service) {
+        if arrived && !shared.spend(&intake.service) {
             cause = Cause::Budget;
             break;
         }
@@ -119,6 +120,7 @@
         let (fate, answer) = attempt(shared, intake, &server, flight, out, &mut splitter).await;
         let now = shared.now();
         flight.progress.note(fate);
+        arrived |= fate != Fate::Unsent;
         tracing::info!(
             id = intake.id(), server = %server.id.0, ?fate, events = splitter.count(),
             last = splitter.last(), "stream sent"
@@ -126,14 +128,19 @@
         if matches!(fate, Fate::Answered(200)) {
             return Ok(());
         }
-        flight.release(shared, now, false);
+        if fate == Fate::Rejected {
+            // The prompt that was read may still be fetched by another engine.
+            flight.give_up_place(shared, now);
+        } else {
+            flight.release(shared, now, false);
+        }
         tried.push(server.id.clone());
         match fate {
             Fate::Answered(_) => failure = answer,
             Fate::Moved => call::gone(shared, &server.id),
             Fate::Rejected => {
                 cause = Cause::Overload;
-                shared.engines.borrow_mut().full(now, &server.id);
+                shared.engines.borrow_mut().rejected(now, &server.id);
             }
             Fate::Unsent | Fate::Lost => {
                 cause = Cause::Lost;
@@ -178,6 +185,9 @@
 ) -> Result<Server, Stop> {
     loop {
         let server = place::take(shared, intake, engine, flight, tried, begun).await?;
+        if flight.source.as_ref().is_some_and(|s| s.until <= shared.now()) {
+            flight.drop_source(shared);
+        }
         if flight.source.is_none() {
             read::elsewhere(shared, intake, flight).await;
         }
@@ -230,6 +240,7 @@
         return (fate, failure(shared, head, fate).await);
     }
     flight.used();
+    shared.engines.borrow_mut().took(&server.id);
     pass_on(shared, intake, head, out, splitter).await
 }
 
--- a/crates/daemon/src/gateway/stream/flight.rs
+++ b/crates/daemon/src/gateway/stream/flight.rs
@@ -36,6 +36,8 @@
     pub addr: SocketAddr,
     /// Names the memory there.
     pub handle: String,
+    /// Until when it is surely there.
+    pub until: Moment,
 }
 
 /// What one request holds.
@@ -50,12 +52,14 @@
     pub reading: Option<(ServerId, u64)>,
     /// Its prompt, read.
     pub source: Option<Source>,
+    /// Times that an engine read it.
+    pub reads: u32,
 }
 
 impl Flight {
     /// Holds nothing.
     pub fn new(progress: Progress) -> Self {
-        Flight { progress, ticket: None, place: None, reading: None, source: None }
+        Flight { progress, ticket: None, place: None, reading: None, source: None, reads: 0 }
     }
 
     /// Names the place and the prompt in the request for the engine.
@@ -84,11 +88,16 @@
         if let Some((id, tokens)) = self.reading.take() {
             shared.engines.borrow_mut().read(&id, tokens);
         }
+        self.drop_source(shared);
+        self.free_place(shared, now, whole);
+        shared.wake_all();
+    }
+
+    /// Frees the prompt that was read.
+    pub fn drop_source(&mut self, shared: &Shared) {
         if let Some(source) = self.source.take() {
             give_back(shared, source.addr, engine::drop_handle(&source.id, &source.handle));
         }
-        self.free_place(shared, now, whole);
-        shared.wake_all();
     }
 
     /// Gives the place back and keeps the prompt that was read.
--- a/crates/daemon/src/gateway/stream/read.rs
+++ b/crates/daemon/src/gateway/stream/read.rs
@@ -18,6 +18,8 @@
 /// How much longer than foretold a read may take before the prompt is read where the answer is
 /// written.
 const READ_SLACK: Duration = Duration::from_millis(600);
+/// How long before its end a handle is not used any more: the ways, and the wait for a place.
+const HANDLE_MARGIN: Duration = Duration::from_millis(60);
 /// Readers tried for one prompt; each further one counts against the budget of extra arrivals.
 const READERS_MAX: usize = 2;
 /// How much longer an engine that writes answers takes to read a prompt: it reads at half the speed.
@@ -41,7 +43,7 @@
         let Some((reader, ready_at)) = pick(shared, intake, now) else {
             return;
         };
-        if n > 0 && !shared.spend(&intake.service) {
+        if (n > 0 || flight.reads > 0) && !shared.spend(&intake.service) {
             return;
         }
         if read_by(shared, intake, flight, &reader, ready_at).await {
@@ -62,6 +64,12 @@
     picked.map(|(s, at)| (s.clone(), at))
 }
 
+/// How long a prompt that was read is kept.
+fn life(intake: &Intake) -> Duration {
+    let service = intake.config.service(&intake.service);
+    service.and_then(|s| s.engine.as_ref()).map_or(Duration::ZERO, |e| e.handle_life)
+}
+
 async fn read_by(
     shared: &Shared,
     intake: &Intake,
@@ -90,7 +98,9 @@
     if let Some(handle) = handle {
         shared.paces.borrow_mut().observe(&reader.id, done.since(now), plain);
         let (id, addr) = (reader.id.clone(), reader.addr);
-        flight.source = Some(Source { id, addr, handle });
+        let until = done.after(life(intake)).before(HANDLE_MARGIN);
+        flight.source = Some(Source { id, addr, handle, until });
+        flight.reads += 1;
         return true;
     }
     engines.fault(done, &reader.id);
--- a/crates/daemon/src/gateway/watch.rs
+++ b/crates/daemon/src/gateway/watch.rs
@@ -132,7 +132,7 @@
         let settled = self.settled();
         let effects = self.0.roster.borrow_mut().replace(list, revision, settled);
         for (id, effect) in effects {
-            log_effect(&id, effect, revision);
+            note_effect(&self.0, &id, effect, revision);
         }
         self.0.wake_all();
     }
@@ -144,7 +144,7 @@
         let (id, revision) = (change.id.clone(), change.revision);
         let settled = self.settled();
         let effect = self.0.roster.borrow_mut().apply(change, settled);
-        log_effect(&id, effect, revision);
+        note_effect(&self.0, &id, effect, revision);
         self.0.wake_all();
     }
 }
@@ -164,9 +164,13 @@
     Some(Change { id, server, revision: item.revision })
 }
 
-/// Logs what the list of backend servers made this process believe.
-pub fn log_effect(id: &ServerId, effect: Effect, revision: u64) {
-    if effect != Effect::Stale {
-        tracing::info!(server = %id.0, ?effect, revision, "backend server");
+/// Notes what the list of backend servers made this process believe.
+pub fn note_effect(shared: &Shared, id: &ServerId, effect: Effect, revision: u64) {
+    if effect == Effect::Stale {
+        return;
     }
+    if effect != Effect::Changed {
+        shared.roster.borrow_mut().note_change(shared.now());
+    }
+    tracing::info!(server = %id.0, ?effect, revision, "backend server");
 }
--- a/crates/router/src/engines.rs
+++ b/crates/router/src/engines.rs
@@ -25,6 +25,11 @@
 pub const FULL_REST: Duration = Duration::from_millis(60);
 /// How long an engine that could not be reached is passed over.
 pub const FAULT_REST: Duration = Duration::from_millis(1_500);
+/// How long an engine that turned away a request in spite of its reservation is not asked again;
+/// doubled with each further one. Such an engine is about to change its stage, for six seconds.
+pub const REJECT_REST: Duration = Duration::from_millis(400);
+/// Doublings of that time at most.
+const REJECT_DOUBLINGS: u32 = 4;
 /// Over which time ends of answers are counted to foretell a wait.
 pub const ENDS_SPAN: Duration = Duration::from_secs(2);
 /// Ends kept at most; bounds the memory at any rate.
@@ -91,6 +96,7 @@
     own: Work,
     full_until: Moment,
     fault_until: Moment,
+    rejects: u32,
 }
 
 /// This entry's work at all engines, and who waits for a place.
@@ -172,7 +178,7 @@
         if let Some(record) = self.records.get_mut(id) {
             record.own.tokens = record.own.tokens.saturating_sub(tokens);
             record.own.count = record.own.count.saturating_sub(1);
-            record.full_until = now;
+            record.full_until = record.full_until.min(now);
         }
         if whole {
             self.ends.push_back(now);
@@ -202,6 +208,27 @@
         self.records.entry(id.clone()).or_default().full_until = now.after(FULL_REST);
     }
 
+    /// An engine turned away a request that had a reservation.
+    pub fn rejected(&mut self, now: Moment, id: &ServerId) {
+        let record = self.records.entry(id.clone()).or_default();
+        let rest = REJECT_REST * 2_u32.pow(record.rejects.min(REJECT_DOUBLINGS));
+        record.rejects += 1;
+        record.fault_until = record.fault_until.max(now.after(rest));
+    }
+
+    /// An engine took a request.
+    pub fn took(&mut self, id: &ServerId) {
+        if let Some(record) = self.records.get_mut(id) {
+            record.rejects = 0;
+        }
+    }
+
+    /// An engine takes nothing until then.
+    pub fn rest(&mut self, id: &ServerId, until: Moment) {
+        let record = self.records.entry(id.clone()).or_default();
+        record.fault_until = record.fault_until.max(until);
+    }
+
     /// An engine could not be reached or failed.
     pub fn fault(&mut self, now: Moment, id: &ServerId) {
         self.records.entry(id.clone()).or_default().fault_until = now.after(FAULT_REST);
--- a/crates/router/src/roster.rs
+++ b/crates/router/src/roster.rs
@@ -5,6 +5,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 
+use ebonyloft_core::time::Moment;
 use serde::{Deserialize, Serialize};
 
 use crate::catalog::{Server, ServerId};
@@ -53,6 +54,7 @@
     removed: HashMap<ServerId, u64>,
     revision: u64,
     complete: bool,
+    changed_at: Moment,
 }
 
 /// Removals remembered; ids are never used again, and a late registration is seconds late.
@@ -119,6 +121,16 @@
         self.complete
     }
 
+    /// A backend server joined or left at this moment.
+    pub fn note_change(&mut self, now: Moment) {
+        self.changed_at = now;
+    }
+
+    /// When a backend server joined or left last.
+    pub fn changed_at(&self) -> Moment {
+        self.changed_at
+    }
+
     /// Highest revision seen.
     pub fn revision(&self) -> u64 {
         self.revision
--- a/crates/router/src/share.rs
+++ b/crates/router/src/share.rs
@@ -62,6 +62,9 @@
     /// Requests waiting for a place at the sender.
     #[serde(rename = "q")]
     pub waiting: u32,
+    /// Engines that the sender ordered to change their stage and that have not yet.
+    #[serde(rename = "o")]
+    pub changing: Vec<ServerId>,
     /// The sender's work, by backend server.
     #[serde(rename = "w")]
     pub work: BTreeMap<ServerId, Work>,
--- a/crates/router/src/stages.rs
+++ b/crates/router/src/stages.rs
@@ -59,17 +59,19 @@
     }
 }
 
-/// How many of `total` engines should read prompts.
-pub fn readers(total: usize, engine: &Engine, shape: &Shape) -> usize {
-    if total < 2 {
-        return 0;
-    }
+/// How many of `total` engines should read prompts, as a fraction.
+pub fn readers(total: usize, engine: &Engine, shape: &Shape) -> f64 {
     let (read, write) = (shape.prefill_rate(), shape.decode_rate(engine));
-    let share = write / (read + write);
-    let wanted = (share * total as f64).round() as usize;
-    wanted.clamp(1, total - 1)
+    let most = total.saturating_sub(1) as f64;
+    (write / (read + write) * total as f64).clamp(most.min(1.0), most)
 }
 
+/// How far the readers may be from what is wanted before any answer was seen: to the nearest number.
+pub const SLACK_FIRST: f64 = 0.5;
+/// The same later: an engine that changes is absent for six seconds, so only a whole engine too
+/// many or too few is worth it.
+pub const SLACK_LATER: f64 = 0.95;
+
 /// Orders that were given and may not show yet.
 #[derive(Clone, Debug, Default)]
 pub struct Planner {
@@ -77,43 +79,53 @@
 }
 
 impl Planner {
-    /// The next engine to change and its new stage; one at a time.
+    /// The next engine to change and its new stage; one at a time. `slack` is one of the two above.
     pub fn next(
         &mut self,
         now: Moment,
         servers: &[&Server],
         engine: &Engine,
         shape: &Shape,
+        slack: f64,
     ) -> Option<(ServerId, Stage)> {
-        self.given.retain(|_, (_, until)| *until > now);
+        self.forget_done(now, servers);
         let stage = |s: &Server| self.given.get(&s.id).map_or(s.stage, |(g, _)| Some(*g));
-        let mut readers_now: Vec<&&Server> =
-            servers.iter().filter(|s| stage(s) == Some(Stage::Prefill)).collect();
+        let readers_now = servers.iter().filter(|s| stage(s) == Some(Stage::Prefill)).count();
         let wanted = readers(servers.len(), engine, shape);
         let free = |s: &&&Server| !self.given.contains_key(&s.id);
-        if readers_now.len() > wanted {
+        if readers_now as f64 - wanted > slack {
             // The availability zone with the most readers gives one up.
-            let crowd = |s: &&&Server| {
+            let crowd = |s: &Server| {
                 servers
                     .iter()
                     .filter(|o| o.zone == s.zone && stage(o) == Some(Stage::Prefill))
                     .count()
             };
-            readers_now.retain(|s| free(s));
-            let pick = readers_now.into_iter().max_by_key(|s| (crowd(s), s.id.clone()))?;
+            let reads = servers.iter().filter(free).filter(|s| s.stage == Some(Stage::Prefill));
+            let pick = reads.max_by_key(|s| (crowd(s), s.id.clone()))?;
             return Some((pick.id.clone(), Stage::Decode));
         }
-        if readers_now.len() < wanted {
-            let pick = servers
-                .iter()
-                .filter(free)
-                .filter(|s| stage(s) == Some(Stage::Decode))
-                .min_by_key(|s| s.id.clone())?;
+        if wanted - readers_now as f64 > slack {
+            let writes = servers.iter().filter(free).filter(|s| s.stage == Some(Stage::Decode));
+            let pick = writes.min_by_key(|s| s.id.clone())?;
             return Some((pick.id.clone(), Stage::Prefill));
         }
         None
     }
 
+    /// Engines whose orders do not show yet.
+    pub fn changing(&self) -> Vec<ServerId> {
+        self.given.keys().cloned().collect()
+    }
+
+    /// Forgets orders that show, and those that did not in time.
+    fn forget_done(&mut self, now: Moment, servers: &[&Server]) {
+        let shows = |id: &ServerId, stage: Stage| {
+            servers.iter().any(|s| s.id == *id && s.stage == Some(stage))
+        };
+        self.given.retain(|id, (stage, until)| *until > now && !shows(id, *stage));
+    }
+
     /// An order was sent; it may show late.
     pub fn given(&mut self, now: Moment, id: &ServerId, stage: Stage, engine: &Engine) {
         self.given.insert(id.clone(), (stage, now.after(engine.switch).after(SETTLE)));
