--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -114,7 +114,11 @@
     let page = TcpListener::bind((node.ip, options.metrics_port)).await?;
     spawn(http::serve(page, move |_| metrics_page(registry.clone()), never()));
     spawn(ingress::serve(shared.clone(), callers, closing));
-    spawn(watch::follow(shared.clone(), watch::CONFIG_PREFIX, Box::new(ConfigSink(shared.clone()))));
+    spawn(watch::follow(
+        shared.clone(),
+        watch::CONFIG_PREFIX,
+        Box::new(ConfigSink(shared.clone())),
+    ));
     let roster = Box::new(RosterSink(shared.clone()));
     spawn(watch::follow(shared.clone(), servers::PREFIX, roster));
     let peer_sink = Box::new(peers::PeerSink(shared.clone()));
--- a/crates/daemon/src/gateway/orders.rs
+++ b/crates/daemon/src/gateway/orders.rs
@@ -108,7 +108,9 @@
             renew_at = now.after(holder::RENEW);
             match shared.store.keep(held.lease).await {
                 Ok(_) => held.renewed(now),
-                Err(StoreError::Missing) => return tracing::info!(fence = held.fence, "right lapsed"),
+                Err(StoreError::Missing) => {
+                    return tracing::info!(fence = held.fence, "right lapsed");
+                }
                 Err(e) => tracing::info!(fence = held.fence, error = %e, "right not renewed"),
             }
         }
--- a/crates/daemon/src/gateway/store.rs
+++ b/crates/daemon/src/gateway/store.rs
@@ -49,7 +49,8 @@
         let mut all = Page { items: Vec::new(), more: true, revision: u64::MAX };
         for _ in 0..PAGES_MAX {
             let after = all.items.last().map(|i| i.key.clone()).unwrap_or_default();
-            let page = self.call(store::range(prefix, &after), CALL_WAIT, store::read_range).await?;
+            let page =
+                self.call(store::range(prefix, &after), CALL_WAIT, store::read_range).await?;
             all.revision = all.revision.min(page.revision);
             all.more = page.more && !page.items.is_empty();
             all.items.extend(page.items);
--- a/crates/router/src/catalog.rs
+++ b/crates/router/src/catalog.rs
@@ -136,9 +136,7 @@
 }
 
 /// Id of one life of a backend server.
-#[derive(
-    Clone, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
-)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(transparent)]
 pub struct ServerId(pub String);
 
--- a/crates/router/src/engines.rs
+++ b/crates/router/src/engines.rs
@@ -155,7 +155,8 @@
         let ahead = self.ahead(ticket, waiter);
         if worth
             && ahead == 0
-            && let Some(id) = self.roomiest(now, servers, engine, &work, waiter.need.tokens, &mut draw)
+            && let Some(id) =
+                self.roomiest(now, servers, engine, &work, waiter.need.tokens, &mut draw)
         {
             return Advice::Ask(id);
         }
--- a/crates/router/src/holder.rs
+++ b/crates/router/src/holder.rs
@@ -56,7 +56,14 @@
 impl Held {
     /// The right was taken by a call sent at `sent`, answered at `now`; `first` when nobody ever
     /// held it before.
-    pub fn taken(sent: Moment, now: Moment, fence: u64, lease: u64, gap: Duration, first: bool) -> Self {
+    pub fn taken(
+        sent: Moment,
+        now: Moment,
+        fence: u64,
+        lease: u64,
+        gap: Duration,
+        first: bool,
+    ) -> Self {
         let orders_at = if first { now } else { now.after(gap) };
         Held { fence, lease, ends_at: sent.after(LEASE), orders_at }
     }
--- a/crates/router/src/plain.rs
+++ b/crates/router/src/plain.rs
@@ -81,9 +81,7 @@
         };
         let slots = f64::from(server.slots.max(1));
         let told = match record.load {
-            Some((at, load)) if now.since(at) < LOAD_LIFE => {
-                f64::from(load.running + load.waiting)
-            }
+            Some((at, load)) if now.since(at) < LOAD_LIFE => f64::from(load.running + load.waiting),
             _ => 0.0,
         };
         let busy = told.max(record.open.len() as f64);
@@ -94,7 +92,11 @@
         let fails = record.fails * 0.5_f64.powf(age);
         // Up to its slots a server works side by side; beyond, each further call waits its turn.
         let queue = (busy + 1.0 - slots).max(0.0) / slots;
-        ms * (1.0 + busy / slots * 0.5 + queue) + apart + fails * FAILURE_MS + stuck * FAILURE_MS + rests
+        ms * (1.0 + busy / slots * 0.5 + queue)
+            + apart
+            + fails * FAILURE_MS
+            + stuck * FAILURE_MS
+            + rests
     }
 
     /// A call was sent.
@@ -103,7 +105,14 @@
     }
 
     /// A call ended that was sent at `sent`.
-    pub fn ended(&mut self, now: Moment, id: &ServerId, sent: Moment, fate: Fate, load: Option<Load>) {
+    pub fn ended(
+        &mut self,
+        now: Moment,
+        id: &ServerId,
+        sent: Moment,
+        fate: Fate,
+        load: Option<Load>,
+    ) {
         let record = self.records.entry(id.clone()).or_default();
         record.close(sent);
         if let Some(load) = load {
--- a/crates/router/src/roster.rs
+++ b/crates/router/src/roster.rs
@@ -74,7 +74,12 @@
     }
 
     /// Takes a whole list as of `revision`; what is not in it was removed.
-    pub fn replace(&mut self, list: Vec<Change>, revision: u64, settled: bool) -> Vec<(ServerId, Effect)> {
+    pub fn replace(
+        &mut self,
+        list: Vec<Change>,
+        revision: u64,
+        settled: bool,
+    ) -> Vec<(ServerId, Effect)> {
         let mut effects = Vec::new();
         let missing: Vec<ServerId> = self
             .known
@@ -138,10 +143,7 @@
 
     /// The backend servers of a service that may be sent work.
     pub fn ready<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Server> {
-        self.known
-            .values()
-            .map(|k| &k.server)
-            .filter(move |s| s.service == service && !s.draining)
+        self.known.values().map(|k| &k.server).filter(move |s| s.service == service && !s.draining)
     }
 
     /// One backend server.
