--- /dev/null
+++ b/crates/router/tests/load/world.rs
@@ -0,0 +1,322 @@
+//! Engines, callers and entries in made-up time, for playing a load against the decisions.
+//!
+//! Engines read prompts one after the other, or hold answers in limited memory for as long as their
+//! tokens take. Entries hear of each other's work with a delay of one datagram round.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use ebonyloft_core::time::Moment;
+use ebonyloft_router::catalog::{Engine, Server, ServerId, Stage};
+use ebonyloft_router::engines::{self, Advice, Engines, FIRST_EVENT, Need, Ticket};
+use ebonyloft_router::prefill::{self, Paces};
+use ebonyloft_router::share::{Share, Shares};
+use ebonyloft_router::stages::READ_RATE;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// One step of the world.
+const STEP: Duration = Duration::from_millis(5);
+/// Delay with which entries hear of each other.
+const ROUND: u64 = 20;
+/// Time of one output token.
+const TOKEN: f64 = 0.0043;
+/// Goal of the first event.
+const GOAL: Duration = Duration::from_millis(900);
+/// Silence after which callers leave.
+const PATIENCE: Duration = Duration::from_millis(3_600);
+/// Longest output that callers allow, in tokens.
+const OUTPUT_MAX: u64 = 2_040;
+
+/// What is played.
+#[derive(Clone, Copy, Debug)]
+pub struct Plan {
+    pub readers: usize,
+    pub writers: usize,
+    /// Requests a second, and how many times more from second 4 to 10.
+    pub rate: f64,
+    pub burst: f64,
+    /// A reader that is lost from second 5 on.
+    pub lost: bool,
+    /// Decide by what is foretold; else everyone waits in line and is read at once.
+    pub foretell: bool,
+    pub seed: u64,
+}
+
+/// What callers got.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Got {
+    pub asked: u32,
+    pub in_time: u32,
+    pub late: u32,
+    pub refused: u32,
+    pub left: u32,
+    /// Prompts that were read for nobody.
+    pub vain: u32,
+    /// Longest wait before a refusal.
+    pub held: Duration,
+}
+
+impl Got {
+    /// What the callers' answers are worth, as a share: a late one counts a fifth.
+    pub fn worth(&self) -> f64 {
+        (f64::from(self.in_time) + 0.2 * f64::from(self.late)) / f64::from(self.asked)
+    }
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum State {
+    Waiting(Ticket),
+    Reading { engine: usize, until: Moment },
+    Writing { until: Moment },
+    Over,
+}
+
+struct Request {
+    entry: usize,
+    came: Moment,
+    prompt: u64,
+    output: u64,
+    writer: usize,
+    state: State,
+}
+
+struct Entry {
+    engines: Engines,
+    shares: Shares,
+}
+
+/// The world.
+pub struct World {
+    plan: Plan,
+    rng: ChaCha8Rng,
+    servers: Vec<Server>,
+    spec: Engine,
+    entries: Vec<Entry>,
+    requests: Vec<Request>,
+    free_at: HashMap<usize, Moment>,
+    now: Moment,
+    steps: u64,
+    got: Got,
+}
+
+/// Plays 20 s.
+pub fn play(plan: Plan) -> Got {
+    let mut world = World::new(plan);
+    for _ in 0..4_000 {
+        world.step();
+    }
+    world.got
+}
+
+impl World {
+    fn new(plan: Plan) -> Self {
+        let spec = Engine {
+            slots: 24,
+            tokens: 42_606,
+            stride: 12,
+            handle_life: Duration::from_millis(500),
+            switch: Duration::from_secs(6),
+            hold: Duration::from_secs(2),
+        };
+        let server = |i: usize| Server {
+            id: ServerId(format!("i-{i}")),
+            service: "llm".into(),
+            addr: ([127, 0, 0, 1], 9_000 + i as u16).into(),
+            zone: "z".into(),
+            slots: 24,
+            draining: false,
+            stage: Some(if i < plan.readers { Stage::Prefill } else { Stage::Decode }),
+        };
+        let entry = |_| Entry { engines: Engines::default(), shares: Shares::default() };
+        World {
+            plan,
+            rng: ChaCha8Rng::seed_from_u64(plan.seed),
+            servers: (0..plan.readers + plan.writers).map(server).collect(),
+            spec,
+            entries: (0..4).map(entry).collect(),
+            requests: Vec::new(),
+            free_at: HashMap::new(),
+            now: Moment::from_millis(10_000),
+            steps: 0,
+            got: Got::default(),
+        }
+    }
+
+    fn step(&mut self) {
+        self.steps += 1;
+        self.now = self.now.after(STEP);
+        if self.steps.is_multiple_of(ROUND) {
+            self.tell();
+        }
+        self.arrive();
+        for i in 0..self.requests.len() {
+            self.advance(i);
+        }
+        self.requests.retain(|r| r.state != State::Over);
+    }
+
+    fn seconds(&self) -> f64 {
+        self.steps as f64 * STEP.as_secs_f64()
+    }
+
+    fn arrive(&mut self) {
+        let burst = (4.0..10.0).contains(&self.seconds());
+        let rate = self.plan.rate * if burst { self.plan.burst } else { 1.0 };
+        if self.rng.random::<f64>() >= rate * STEP.as_secs_f64() {
+            return;
+        }
+        let normal: f64 = (0..12).map(|_| self.rng.random::<f64>()).sum::<f64>() - 6.0;
+        let prompt = (3_200.0 * (0.5 * normal - 0.125).exp()).clamp(200.0, 6_600.0) as u64;
+        let normal: f64 = (0..12).map(|_| self.rng.random::<f64>()).sum::<f64>() - 6.0;
+        let output = (864.0 * (0.7 * normal - 0.245).exp()).clamp(12.0, 2_040.0) as u64;
+        let entry = self.rng.random_range(0..4);
+        let (_, read_at) = self.reader(entry, prompt);
+        let need =
+            Need { tokens: engines::reserve(prompt, OUTPUT_MAX), first_by: self.now.after(GOAL) };
+        let ticket = self.entries[entry].engines.join(self.now, need, read_at);
+        let state = State::Waiting(ticket);
+        self.got.asked += 1;
+        self.requests.push(Request { entry, came: self.now, prompt, output, writer: 0, state });
+    }
+
+    /// The reader that would be done first, and when, as this entry believes.
+    fn reader(&mut self, entry: usize, prompt: u64) -> (usize, Moment) {
+        let lost = self.plan.lost && self.seconds() > 5.0;
+        let readers = &self.servers[usize::from(lost)..self.plan.readers];
+        let e = &self.entries[entry];
+        let work = |id: &ServerId| e.engines.own(id).plus(e.shares.work(self.now, id));
+        let rng = &mut self.rng;
+        let picked =
+            prefill::pick(self.now, readers.iter(), work, &Paces::default(), prompt, "z", || {
+                rng.random()
+            });
+        let (server, at) = picked.unwrap_or((&readers[0], self.now.after(PATIENCE)));
+        (self.index(&server.id.clone()), at)
+    }
+
+    fn index(&self, id: &ServerId) -> usize {
+        self.servers.iter().position(|s| s.id == *id).expect("it is of the list")
+    }
+
+    fn advance(&mut self, i: usize) {
+        match self.requests[i].state {
+            State::Waiting(ticket) => self.wait(i, ticket),
+            State::Reading { engine, until } if until <= self.now => self.read(i, engine),
+            State::Writing { until } if until <= self.now => self.end(i, true),
+            _ => {}
+        }
+    }
+
+    fn wait(&mut self, i: usize, ticket: Ticket) {
+        let (entry, prompt, came) = {
+            let r = &self.requests[i];
+            (r.entry, r.prompt, r.came)
+        };
+        let (reader, mut read_at) = self.reader(entry, prompt);
+        if !self.plan.foretell {
+            read_at = self.now;
+        }
+        let draw = self.rng.random();
+        let e = &self.entries[entry];
+        let work = |id: &ServerId| e.shares.work(self.now, id);
+        let writers = self.servers[self.plan.readers..].iter();
+        let advice =
+            e.engines.advise(self.now, ticket, read_at, writers, &self.spec, work, || draw);
+        match advice {
+            Advice::Ask(id) => {
+                let writer = self.index(&id);
+                self.take(i, ticket, writer, reader);
+            }
+            Advice::Wait(_) => {}
+            Advice::Refuse(_) if self.plan.foretell => {
+                self.entries[entry].engines.leave(ticket);
+                self.got.refused += 1;
+                self.got.held = self.got.held.max(self.now.since(came));
+                self.requests[i].state = State::Over;
+            }
+            Advice::Refuse(_) if self.now.since(came) > PATIENCE => {
+                self.entries[entry].engines.leave(ticket);
+                self.got.left += 1;
+                self.requests[i].state = State::Over;
+            }
+            Advice::Refuse(_) => {}
+        }
+    }
+
+    /// Asks an engine for a place; it knows what is really used.
+    fn take(&mut self, i: usize, ticket: Ticket, writer: usize, reader: usize) {
+        let need = engines::reserve(self.requests[i].prompt, OUTPUT_MAX);
+        let used: u64 = self
+            .requests
+            .iter()
+            .filter(|r| r.writer == writer && !matches!(r.state, State::Waiting(_) | State::Over))
+            .map(|r| engines::reserve(r.prompt, OUTPUT_MAX))
+            .sum();
+        let id = self.servers[writer].id.clone();
+        let (entry, prompt) = (self.requests[i].entry, self.requests[i].prompt);
+        let now = self.now;
+        if used + need > self.spec.tokens {
+            self.entries[entry].engines.full(now, &id);
+            return;
+        }
+        let begin = self.free_at.get(&reader).copied().unwrap_or(now).max(now);
+        let until = begin.after(Duration::from_secs_f64(prompt as f64 / READ_RATE));
+        self.free_at.insert(reader, until);
+        let reader_id = self.servers[reader].id.clone();
+        let e = &mut self.entries[entry].engines;
+        e.leave(ticket);
+        e.placed(&id, need);
+        e.reading(&reader_id, prompt);
+        self.requests[i].writer = writer;
+        self.requests[i].state = State::Reading { engine: reader, until };
+    }
+
+    fn read(&mut self, i: usize, engine: usize) {
+        let id = self.servers[engine].id.clone();
+        let (entry, prompt, came, output) = {
+            let r = &self.requests[i];
+            (r.entry, r.prompt, r.came, r.output)
+        };
+        self.entries[entry].engines.read(&id, prompt);
+        let first = self.now.after(FIRST_EVENT / 2).since(came);
+        if first > PATIENCE {
+            self.got.vain += 1;
+            self.got.left += 1;
+            return self.end(i, false);
+        }
+        match first <= GOAL {
+            true => self.got.in_time += 1,
+            false => self.got.late += 1,
+        }
+        let until = self.now.after(Duration::from_secs_f64(output as f64 * TOKEN));
+        self.requests[i].state = State::Writing { until };
+    }
+
+    fn end(&mut self, i: usize, whole: bool) {
+        let r = &mut self.requests[i];
+        r.state = State::Over;
+        let id = self.servers[r.writer].id.clone();
+        let tokens = engines::reserve(r.prompt, OUTPUT_MAX);
+        self.entries[r.entry].engines.freed(self.now, &id, tokens, whole);
+    }
+
+    fn tell(&mut self) {
+        let shares: Vec<Share> = self
+            .entries
+            .iter()
+            .enumerate()
+            .map(|(i, e)| Share {
+                name: format!("e{i}"),
+                seq: self.steps,
+                work: e.engines.work(),
+                ..Share::default()
+            })
+            .collect();
+        for (i, e) in self.entries.iter_mut().enumerate() {
+            for share in shares.iter().filter(|s| s.name != format!("e{i}")) {
+                e.shares.hear(self.now, share.clone());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/tests/roster.rs
@@ -0,0 +1,151 @@
+//! The list of backend servers: revisions never go back, and what a store outage hides is kept.
+
+use ebonyloft_core::time::Moment;
+use ebonyloft_router::catalog::{Server, ServerId, Stage};
+use ebonyloft_router::freshness::{Freshness, RETURN_TIME};
+use ebonyloft_router::roster::{Change, Effect, Roster};
+use proptest::prelude::*;
+
+fn id(n: u32) -> ServerId {
+    ServerId(format!("i-{n}"))
+}
+
+fn server(n: u32, draining: bool) -> Server {
+    Server {
+        id: id(n),
+        service: "llm".into(),
+        addr: ([127, 0, 0, 1], 9_000 + n as u16).into(),
+        zone: "z".into(),
+        slots: 4,
+        draining,
+        stage: Some(Stage::Decode),
+    }
+}
+
+fn there(n: u32, revision: u64) -> Change {
+    Change { id: id(n), server: Some(server(n, false)), revision }
+}
+
+fn leaving(n: u32, revision: u64) -> Change {
+    Change { id: id(n), server: Some(server(n, true)), revision }
+}
+
+fn gone(n: u32, revision: u64) -> Change {
+    Change { id: id(n), server: None, revision }
+}
+
+fn ready(roster: &Roster) -> usize {
+    roster.ready("llm").count()
+}
+
+#[test]
+fn a_leaving_server_gets_no_work_from_the_moment_it_is_heard() {
+    let mut roster = Roster::default();
+    assert_eq!(roster.apply(there(1, 5), true), Effect::Joined);
+    assert_eq!(roster.apply(leaving(1, 6), false), Effect::Leaving);
+    assert_eq!(ready(&roster), 0);
+}
+
+#[test]
+fn an_older_revision_changes_nothing() {
+    let mut roster = Roster::default();
+    roster.apply(leaving(1, 6), true);
+    assert_eq!(roster.apply(there(1, 5), true), Effect::Stale);
+    assert_eq!(ready(&roster), 0);
+    roster.apply(gone(1, 7), true);
+    assert_eq!(roster.apply(there(1, 6), true), Effect::Stale);
+    assert!(roster.is_empty());
+}
+
+#[test]
+fn what_vanishes_while_the_store_is_away_is_kept_until_it_settles() {
+    let mut roster = Roster::default();
+    roster.replace(vec![there(1, 1), there(2, 2)], 2, true);
+    assert_eq!(roster.apply(gone(1, 3), false), Effect::Unheard);
+    assert_eq!(ready(&roster), 2);
+    // One registers anew, the other does not.
+    roster.apply(gone(2, 4), false);
+    assert_eq!(roster.apply(there(2, 5), false), Effect::Changed);
+    assert_eq!(roster.settle(), vec![id(1)]);
+    assert_eq!(ready(&roster), 1);
+}
+
+#[test]
+fn a_server_that_was_leaving_is_gone_even_while_the_store_is_away() {
+    let mut roster = Roster::default();
+    roster.apply(leaving(1, 1), true);
+    assert_eq!(roster.apply(gone(1, 2), false), Effect::Gone);
+}
+
+#[test]
+fn a_new_list_removes_what_it_does_not_name() {
+    let mut roster = Roster::default();
+    roster.replace(vec![there(1, 1), there(2, 2)], 2, true);
+    let effects = roster.replace(vec![there(2, 2), there(3, 9)], 10, true);
+    assert!(effects.contains(&(id(1), Effect::Gone)));
+    assert!(effects.contains(&(id(3), Effect::Joined)));
+    assert_eq!(ready(&roster), 2);
+}
+
+#[test]
+fn a_list_does_not_remove_what_registered_after_it() {
+    let mut roster = Roster::default();
+    roster.apply(there(7, 20), true);
+    roster.replace(vec![there(1, 1)], 10, true);
+    assert_eq!(ready(&roster), 2);
+}
+
+#[test]
+fn another_life_at_the_address_ends_the_one_before() {
+    let mut roster = Roster::default();
+    roster.apply(there(1, 1), true);
+    assert!(roster.replaced(&id(1)));
+    assert_eq!(roster.apply(there(1, 1), true), Effect::Stale);
+    assert!(roster.is_empty());
+}
+
+#[test]
+fn the_store_is_believed_some_time_after_its_return() {
+    let mut fresh = Freshness::default();
+    let start = Moment::from_millis(1_000);
+    fresh.on_answer(start);
+    assert!(fresh.settled(start));
+    assert!(fresh.on_failure(Moment::from_millis(2_000)));
+    assert!(!fresh.on_failure(Moment::from_millis(2_100)));
+    assert!(!fresh.settled(Moment::from_millis(60_000)));
+    let back = Moment::from_millis(60_000);
+    assert!(fresh.on_answer(back));
+    assert!(!fresh.settled(back));
+    assert!(fresh.settled(back.after(RETURN_TIME)));
+}
+
+proptest! {
+    /// Changes may arrive in any order and more than once: the last revision of each server decides.
+    #[test]
+    fn the_order_of_arrival_does_not_matter(
+        order in Just((1_u64..40).collect::<Vec<_>>()).prop_shuffle(),
+        kinds in proptest::collection::vec(0_u8..3, 40),
+        repeats in proptest::collection::vec(any::<bool>(), 40),
+    ) {
+        let change = |r: u64| {
+            let n = (r % 4) as u32;
+            match kinds[r as usize] {
+                0 => there(n, r),
+                1 => leaving(n, r),
+                _ => gone(n, r),
+            }
+        };
+        let mut roster = Roster::default();
+        for r in order {
+            roster.apply(change(r), true);
+            if repeats[r as usize] {
+                roster.apply(change(r), true);
+            }
+        }
+        for n in 0..4_u32 {
+            let last = (1..40).rev().find(|r| (r % 4) as u32 == n).expect("each has one");
+            let want = change(last).server;
+            prop_assert_eq!(roster.get(&id(n)).cloned(), want);
+        }
+    }
+}
