--- a/crates/daemon/src/gateway/ingress.rs
+++ b/crates/daemon/src/gateway/ingress.rs
@@ -24,6 +24,7 @@
 use super::intake::Intake;
 use super::shared::Shared;
 use super::{call, stream};
+use crate::http;
 
 /// When callers are asked to come back to a process that knows no configuration yet: one round of
 /// the platform's readiness check, by which others are chosen.
@@ -52,7 +53,10 @@
                 let task = connection(shared.clone(), stream, closing.clone());
                 compio::runtime::spawn(task).detach();
             }
-            Err(e) => tracing::warn!(error = %e, "cannot accept a connection"),
+            Err(e) => {
+                tracing::warn!(error = %e, "cannot accept a connection");
+                compio::time::sleep(http::ACCEPT_PAUSE).await;
+            }
         }
     }
 }
@@ -150,7 +154,7 @@
     config: Rc<Config>,
     route: usize,
     service: String,
-    parts: http::request::Parts,
+    parts: hyper::http::request::Parts,
     body: Bytes,
     caller: headers::Caller,
 ) -> Intake {
--- a/crates/router/src/budget.rs
+++ b/crates/router/src/budget.rs
@@ -15,11 +15,14 @@
 /// counted, and callers that spread unevenly over the entries.
 pub const USED_PART: f64 = 0.8;
 
+/// Part of the fixed number that a process has at its start. With its predecessor's full use, which
+/// it can't know, the sum is still the bound: 0.8 and a quarter of 0.8.
+pub const START_PART: f64 = 0.25;
+
 /// Window of one service at one entry.
 #[derive(Clone, Debug)]
 pub struct Budget {
-    /// When the process started: what its predecessor spent is not known, so that the fixed part
-    /// only grows to its full size over one window.
+    /// When the process started; the fixed part grows to its full size within one window.
     born_at: Moment,
     requests: VecDeque<Moment>,
     extras: VecDeque<Moment>,
@@ -55,7 +58,8 @@
     pub fn left(&mut self, now: Moment, bounds: &Bounds, entries: usize) -> f64 {
         self.expire(now, bounds.budget_window);
         let window = bounds.budget_window.as_secs_f64().max(1e-3);
-        let grown = (now.since(self.born_at).as_secs_f64() / window).min(1.0);
+        let age = now.since(self.born_at).as_secs_f64();
+        let grown = (START_PART + age / window).min(1.0);
         let fixed = grown * bounds.budget_extra / entries.max(1) as f64;
         let share = bounds.budget_ratio * self.requests.len() as f64;
         (fixed + share) * USED_PART - self.extras.len() as f64
--- /dev/null
+++ b/crates/standins/src/fleet/caller.rs
@@ -0,0 +1,132 @@
+//! A caller of a gateway: sends, reads, and leaves.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use ebonyloft_platform::serve::{self, Sent};
+use ebonyloftd::clock::Clock;
+use ebonyloftd::gateway::pool::{Conn, ExchangeError, IDLE_MAX, Pool};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::{HeaderMap, Request, Response};
+
+use super::HOST;
+
+/// An answer as a caller sees it.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// What came of the body.
+    pub body: Vec<u8>,
+    /// The body came to its end.
+    pub whole: bool,
+    /// From the sending to the first byte of the body.
+    pub first: Duration,
+    /// From the sending to the end.
+    pub took: Duration,
+}
+
+impl Answer {
+    /// A header as text.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name).and_then(|v| v.to_str().ok())
+    }
+
+    /// Ids of the events in the body.
+    pub fn events(&self) -> Vec<u64> {
+        let text = String::from_utf8_lossy(&self.body);
+        text.lines().filter_map(|l| l.strip_prefix("id: ")?.trim().parse().ok()).collect()
+    }
+}
+
+/// A caller.
+pub struct Caller {
+    addr: SocketAddr,
+    pool: Pool,
+    patience: Duration,
+}
+
+impl Caller {
+    /// A caller of the gateway at `addr`.
+    pub fn new(addr: SocketAddr) -> Self {
+        let patience = Duration::from_secs(14);
+        Caller { addr, pool: Pool::new(Clock::default()), patience }
+    }
+
+    /// A plain request.
+    pub async fn get(&self, path: &str) -> Result<Answer, ExchangeError> {
+        let mut req = Request::new(Bytes::new());
+        *req.uri_mut() = path.parse().expect("a path");
+        let host = self.addr.to_string().parse().expect("an address");
+        req.headers_mut().insert(hyper::header::HOST, host);
+        self.send(req).await
+    }
+
+    /// A short call.
+    pub async fn call(&self, path: &str, attempt: &str) -> Result<Answer, ExchangeError> {
+        let body = Bytes::from_static(b"{\"badge\":114}");
+        let patience = Duration::from_secs(1);
+        let tokens = None;
+        self.send(serve::request(&Sent { host: HOST, path, attempt, patience, tokens, body })).await
+    }
+
+    /// A summary.
+    pub async fn summary(&self, path: &str, attempt: &str) -> Result<Answer, ExchangeError> {
+        self.send(self.summary_request(path, attempt)).await
+    }
+
+    /// The request of a summary.
+    pub fn summary_request(&self, path: &str, attempt: &str) -> Request<Bytes> {
+        let body = Bytes::from(vec![b'x'; 3_000]);
+        let (patience, tokens) = (self.patience, Some((3_000, 2_040)));
+        serve::request(&Sent { host: HOST, path, attempt, patience, tokens, body })
+    }
+
+    /// Sends a request and reads what comes of the answer.
+    pub async fn send(&self, req: Request<Bytes>) -> Result<Answer, ExchangeError> {
+        let sent = Instant::now();
+        let (response, conn) = self.begin(req).await?;
+        let (status, headers) = (response.status().as_u16(), response.headers().clone());
+        let mut answer = Answer {
+            status,
+            headers,
+            body: Vec::new(),
+            whole: false,
+            first: Duration::ZERO,
+            took: Duration::ZERO,
+        };
+        let mut body = response.into_body();
+        loop {
+            match body.frame().await {
+                None => {
+                    answer.whole = true;
+                    self.pool.give(conn);
+                    break;
+                }
+                Some(Err(_)) => break,
+                Some(Ok(frame)) => {
+                    if answer.body.is_empty() {
+                        answer.first = sent.elapsed();
+                    }
+                    answer.body.extend(frame.into_data().unwrap_or_default());
+                }
+            }
+        }
+        answer.took = sent.elapsed();
+        Ok(answer)
+    }
+
+    /// Sends a request and gives the answer unread, with its connection; dropping both leaves.
+    pub async fn begin(
+        &self,
+        req: Request<Bytes>,
+    ) -> Result<(Response<Incoming>, Conn), ExchangeError> {
+        let mut conn = self.pool.take(self.addr, IDLE_MAX).await?;
+        let response = conn.exchange(req).await?;
+        Ok((response, conn))
+    }
+}
--- /dev/null
+++ b/crates/standins/src/fleet/runner.rs
@@ -0,0 +1,348 @@
+//! A backend server: a plain one, or a model engine with stages, reservations and handles.
+//!
+//! It keeps time, not tensors, and writes down what ran, what was cancelled and what is still held.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use compio::net::TcpListener;
+use ebonyloft_platform::serve::{self, Answered, RunnerCall, Work};
+use ebonyloft_router::catalog::{Server, Stage};
+use ebonyloft_router::outcome::Load;
+use ebonyloftd::gateway::answer::{Body, Broken, full};
+use ebonyloftd::http;
+use futures_channel::mpsc;
+use futures_util::SinkExt;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming};
+use hyper::{HeaderMap, Request, Response, StatusCode};
+
+/// Largest request body.
+const BODY_LIMIT: usize = 4 << 20;
+
+/// How a backend server behaves.
+#[derive(Clone, Debug)]
+pub struct RunnerSpec {
+    /// Requests processed at once.
+    pub slots: u32,
+    /// Tokens that memory holds.
+    pub tokens: u64,
+    /// Time of a short call.
+    pub call: Duration,
+    /// Time of a prompt.
+    pub read: Duration,
+    /// Pause between two events.
+    pub pace: Duration,
+    /// Events of a summary.
+    pub events: u64,
+    /// How long a prompt that was read is kept.
+    pub handle_life: Duration,
+}
+
+impl Default for RunnerSpec {
+    fn default() -> Self {
+        RunnerSpec {
+            slots: 12,
+            tokens: 42_000,
+            call: Duration::from_millis(15),
+            read: Duration::from_millis(40),
+            pace: Duration::from_millis(10),
+            events: 20,
+            handle_life: Duration::from_millis(500),
+        }
+    }
+}
+
+/// How a backend server fails.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Fault {
+    /// It does not.
+    #[default]
+    None,
+    /// It answers 500.
+    Errors,
+    /// It takes requests and never answers.
+    Hangs,
+    /// It runs requests and closes the connection without an answer.
+    Loses,
+    /// It turns all requests away, saying that it did not run them.
+    Sheds,
+    /// It grants reservations and turns away the requests that use them.
+    Changes,
+    /// It breaks streams off after half of their events.
+    Breaks,
+}
+
+/// What a backend server has seen.
+#[derive(Clone, Debug, Default)]
+pub struct Seen {
+    /// Runs, by attempt.
+    pub runs: HashMap<String, usize>,
+    /// Arrivals, by attempt: runs and rejections; prompts read only are not counted.
+    pub arrivals: HashMap<String, usize>,
+    /// Prompts read.
+    pub reads: u64,
+    /// Runs whose caller left.
+    pub cancelled: u64,
+    /// Orders, with their fencing tokens.
+    pub orders: Vec<(Stage, u64)>,
+}
+
+/// A backend server.
+pub struct Runner {
+    /// Its registration.
+    pub server: RefCell<Server>,
+    /// What it has seen.
+    pub seen: RefCell<Seen>,
+    spec: RunnerSpec,
+    fault: Cell<Fault>,
+    running: Cell<u32>,
+    holds: RefCell<HashMap<String, (u64, Instant)>>,
+    handles: RefCell<HashMap<String, Instant>>,
+    used: Cell<u64>,
+    names: Cell<u64>,
+}
+
+impl Runner {
+    /// Starts one.
+    pub async fn start(server: Server, spec: RunnerSpec) -> Rc<Runner> {
+        let listener = TcpListener::bind(server.addr).await.expect("a free address");
+        let runner = Rc::new(Runner {
+            server: RefCell::new(server),
+            seen: RefCell::default(),
+            spec,
+            fault: Cell::default(),
+            running: Cell::default(),
+            holds: RefCell::default(),
+            handles: RefCell::default(),
+            used: Cell::default(),
+            names: Cell::default(),
+        });
+        let me = runner.clone();
+        let handler = move |req| me.clone().handle(req);
+        let never = Rc::new(Cell::new(false));
+        compio::runtime::spawn(http::serve(listener, handler, never)).detach();
+        runner
+    }
+
+    /// Makes it fail from now on.
+    pub fn set_fault(&self, fault: Fault) {
+        self.fault.set(fault);
+    }
+
+    /// How often an attempt ran here.
+    pub fn runs(&self, attempt: &str) -> usize {
+        self.seen.borrow().runs.get(attempt).copied().unwrap_or(0)
+    }
+
+    /// Requests being processed.
+    pub fn running(&self) -> u32 {
+        self.running.get()
+    }
+
+    /// Reservations and prompts that are held for somebody.
+    pub fn held(&self) -> usize {
+        let now = Instant::now();
+        let holds = self.holds.borrow().values().filter(|(_, until)| *until > now).count();
+        let handles = self.handles.borrow().values().filter(|until| **until > now).count();
+        holds + handles
+    }
+
+    async fn handle(self: Rc<Self>, req: Request<Incoming>) -> Response<Body> {
+        let (parts, body) = req.into_parts();
+        let body = http::read_body(body, BODY_LIMIT).await.unwrap_or_default();
+        match serve::runner_call(&Request::from_parts(parts, body)) {
+            None => response(400, HeaderMap::new(), Vec::new()),
+            Some(RunnerCall::Hold { tokens, ttl }) => self.hold(tokens, ttl),
+            Some(RunnerCall::DropHold { hold }) => {
+                self.holds.borrow_mut().remove(&hold);
+                response(200, HeaderMap::new(), Vec::new())
+            }
+            Some(RunnerCall::DropHandle { handle }) => {
+                self.handles.borrow_mut().remove(&handle);
+                response(200, HeaderMap::new(), Vec::new())
+            }
+            Some(RunnerCall::Order { stage, fence, .. }) => {
+                self.seen.borrow_mut().orders.push((stage, fence));
+                response(202, HeaderMap::new(), Vec::new())
+            }
+            Some(RunnerCall::Work(work)) => self.work(work).await,
+        }
+    }
+
+    async fn work(self: Rc<Self>, work: Work) -> Response<Body> {
+        if work.expected.as_ref().is_some_and(|id| *id != self.server.borrow().id) {
+            return response(serve::MOVED.as_u16(), serve::rejection(&work.attempt), Vec::new());
+        }
+        if !work.prefill {
+            let mut seen = self.seen.borrow_mut();
+            *seen.arrivals.entry(work.attempt.clone()).or_default() += 1;
+        }
+        let full = self.running.get() >= self.spec.slots;
+        let turned = self.fault.get() == Fault::Changes && !work.prefill;
+        if full || turned || self.fault.get() == Fault::Sheds {
+            return response(503, serve::rejection(&work.attempt), Vec::new());
+        }
+        let stage = self.server.borrow().stage;
+        match (stage, work.prefill) {
+            (Some(Stage::Prefill), true) => self.read(work).await,
+            (Some(Stage::Decode), false) => self.write(work).await,
+            (None, false) => self.call(work).await,
+            _ => response(serve::MOVED.as_u16(), serve::rejection(&work.attempt), Vec::new()),
+        }
+    }
+
+    fn hold(&self, tokens: u64, ttl: Duration) -> Response<Body> {
+        let now = Instant::now();
+        let mut holds = self.holds.borrow_mut();
+        holds.retain(|_, (_, until)| *until > now);
+        let held: u64 = holds.values().map(|(t, _)| t).sum();
+        let slots = holds.len() as u32 + self.running.get();
+        if held + self.used.get() + tokens > self.spec.tokens || slots >= self.spec.slots {
+            return response(503, HeaderMap::new(), Vec::new());
+        }
+        let name = self.name("hold");
+        holds.insert(name.clone(), (tokens, now + ttl));
+        response(200, HeaderMap::new(), serve::held(&name))
+    }
+
+    async fn read(&self, work: Work) -> Response<Body> {
+        let run = Run::begin(self, 0);
+        compio::time::sleep(self.spec.read).await;
+        run.close();
+        self.seen.borrow_mut().reads += 1;
+        let handle = self.name("handle");
+        self.handles.borrow_mut().insert(handle.clone(), Instant::now() + self.spec.handle_life);
+        let head = serve::answer_head(&Answered { attempt: work.attempt, ..Answered::default() });
+        response(200, head, serve::read_prompt(&handle, work.prompt))
+    }
+
+    async fn call(&self, work: Work) -> Response<Body> {
+        self.note_run(&work.attempt);
+        let run = Run::begin(self, 0);
+        match self.fault.get() {
+            Fault::Hangs => std::future::pending::<()>().await,
+            _ => compio::time::sleep(self.spec.call).await,
+        }
+        run.close();
+        match self.fault.get() {
+            Fault::Errors => response(500, self.head(&work.attempt), b"failed".to_vec()),
+            Fault::Loses => broken(self.head(&work.attempt)),
+            _ => {
+                let body = format!("{{\"valid\":true,\"attempt\":\"{}\"}}", work.attempt);
+                response(200, self.head(&work.attempt), body.into_bytes())
+            }
+        }
+    }
+
+    async fn write(self: Rc<Self>, work: Work) -> Response<Body> {
+        if let Some(hold) = &work.hold {
+            self.holds.borrow_mut().remove(hold);
+        }
+        self.note_run(&work.attempt);
+        if self.fault.get() == Fault::Errors {
+            return response(500, self.head(&work.attempt), b"failed".to_vec());
+        }
+        if self.fault.get() == Fault::Hangs {
+            std::future::pending::<()>().await;
+        }
+        let head = self.head(&work.attempt);
+        let (sender, receiver) = mpsc::channel(1);
+        let me = self.clone();
+        compio::runtime::spawn(async move { me.stream(work, sender).await }).detach();
+        let mut response = Response::new(StreamBody::new(receiver).boxed_unsync());
+        *response.headers_mut() = head;
+        response
+    }
+
+    async fn stream(&self, work: Work, mut out: mpsc::Sender<Result<Frame<Bytes>, Broken>>) {
+        let run = Run::begin(self, work.prompt);
+        let first = work.after.map_or(1, |a| a + 1);
+        if work.source.is_none() {
+            compio::time::sleep(self.spec.read * 2).await;
+        }
+        for id in first..=self.spec.events {
+            compio::time::sleep(self.spec.pace).await;
+            let event = format!("id: {id}\ndata: {} tokens {id}\n\n", work.attempt);
+            let half = id * 2 > self.spec.events + 1;
+            let (data, last) = match self.fault.get() == Fault::Breaks && half {
+                // The part of an event that left before the end.
+                true => (event.as_bytes()[..event.len() / 2].to_vec(), true),
+                false => (event.into_bytes(), false),
+            };
+            if out.send(Ok(Frame::data(Bytes::from(data)))).await.is_err() {
+                self.seen.borrow_mut().cancelled += 1;
+                return run.close();
+            }
+            if last {
+                compio::time::sleep(self.spec.pace).await;
+                // A caller who is gone needs no sign of the break.
+                let _ = out.send(Err(Broken)).await;
+                return run.close();
+            }
+        }
+        run.close();
+    }
+
+    fn head(&self, attempt: &str) -> HeaderMap {
+        let id = self.server.borrow().id.0.clone();
+        let load = Load { running: self.running.get(), waiting: 0, slots: self.spec.slots };
+        let attempt = attempt.to_owned();
+        serve::answer_head(&Answered { attempt, stamp: Some(id), load: Some(load) })
+    }
+
+    fn note_run(&self, attempt: &str) {
+        *self.seen.borrow_mut().runs.entry(attempt.to_owned()).or_default() += 1;
+    }
+
+    fn name(&self, kind: &str) -> String {
+        self.names.set(self.names.get() + 1);
+        format!("{kind}{}", self.names.get())
+    }
+}
+
+/// A request that takes a slot and memory.
+struct Run<'a> {
+    runner: &'a Runner,
+    tokens: u64,
+}
+
+impl<'a> Run<'a> {
+    fn begin(runner: &'a Runner, tokens: u64) -> Self {
+        runner.running.set(runner.running.get() + 1);
+        runner.used.set(runner.used.get() + tokens);
+        Run { runner, tokens }
+    }
+
+    fn close(self) {
+        drop(self);
+    }
+}
+
+impl Drop for Run<'_> {
+    /// Also when the task is dropped because its caller left.
+    fn drop(&mut self) {
+        self.runner.running.set(self.runner.running.get() - 1);
+        self.runner.used.set(self.runner.used.get() - self.tokens);
+    }
+}
+
+fn response(status: u16, headers: HeaderMap, body: Vec<u8>) -> Response<Body> {
+    let mut response = Response::new(full(Bytes::from(body)));
+    *response.status_mut() = StatusCode::from_u16(status).expect("a valid status");
+    *response.headers_mut() = headers;
+    response
+}
+
+/// An answer that ends before its body.
+fn broken(headers: HeaderMap) -> Response<Body> {
+    let (mut sender, receiver) = mpsc::channel(1);
+    // The channel is new and empty.
+    let _ = sender.try_send(Err(Broken));
+    let mut response = Response::new(StreamBody::new(receiver).boxed_unsync());
+    *response.headers_mut() = headers;
+    response
+}
--- /dev/null
+++ b/crates/standins/src/fleet/store.rs
@@ -0,0 +1,276 @@
+//! The platform's metadata store: revisions, conditions, leases, watches, and its failures.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use compio::net::TcpListener;
+use ebonyloft_platform::serve::{self, StoreCall, Written};
+use ebonyloft_platform::servers;
+use ebonyloft_platform::store::Item;
+use ebonyloft_router::catalog::Server;
+use ebonyloftd::http::{self, Body};
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+
+/// Largest request body.
+const BODY_LIMIT: usize = 4 << 20;
+/// Items on a page.
+const PAGE: usize = 50;
+/// How often a waiting watch looks for changes.
+const LOOK: Duration = Duration::from_millis(5);
+
+/// How the store fails.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Fault {
+    /// It does not.
+    #[default]
+    None,
+    /// It answers 503 and does nothing.
+    Busy,
+    /// It does not answer and does nothing.
+    Silent,
+    /// It does what it is told and does not answer.
+    Lost,
+}
+
+struct Lease {
+    ends: Instant,
+    ttl: Duration,
+}
+
+#[derive(Default)]
+struct State {
+    items: BTreeMap<String, (Item, u64)>,
+    history: Vec<Item>,
+    /// Changes up to this revision are no longer told.
+    compacted: u64,
+    revision: u64,
+    leases: HashMap<u64, Lease>,
+    next_lease: u64,
+}
+
+/// A store.
+#[derive(Default)]
+pub struct Store {
+    state: RefCell<State>,
+    fault: Cell<Fault>,
+    calls: Cell<u64>,
+}
+
+impl Store {
+    /// Starts an empty store.
+    pub async fn start(addr: SocketAddr) -> Rc<Store> {
+        let store = Rc::new(Store::default());
+        let listener = TcpListener::bind(addr).await.expect("a free address");
+        let me = store.clone();
+        let handler = move |req| me.clone().handle(req);
+        let never = Rc::new(Cell::new(false));
+        compio::runtime::spawn(http::serve(listener, handler, never)).detach();
+        store
+    }
+
+    /// Makes it fail from now on.
+    pub fn set_fault(&self, fault: Fault) {
+        self.fault.set(fault);
+    }
+
+    /// Calls so far.
+    pub fn calls(&self) -> u64 {
+        self.calls.get()
+    }
+
+    /// The value of a key.
+    pub fn value(&self, key: &str) -> Option<Bytes> {
+        self.state.borrow().items.get(key).and_then(|(i, _)| i.value.clone())
+    }
+
+    /// Writes a key.
+    pub fn put(&self, key: &str, value: &[u8], lease: u64) {
+        self.state.borrow_mut().write(key, Some(Bytes::copy_from_slice(value)), lease);
+    }
+
+    /// Removes a key.
+    pub fn remove(&self, key: &str) {
+        self.state.borrow_mut().write(key, None, 0);
+    }
+
+    /// Writes a backend server's registration.
+    pub fn register(&self, server: &Server) {
+        let key = format!("{}{}", servers::PREFIX, server.id.0);
+        self.put(&key, &serve::registration(server), 0);
+    }
+
+    /// Removes a backend server's registration.
+    pub fn unregister(&self, server: &Server) {
+        self.remove(&format!("{}{}", servers::PREFIX, server.id.0));
+    }
+
+    /// Forgets all history.
+    pub fn compact(&self) {
+        let mut state = self.state.borrow_mut();
+        state.compacted = state.revision;
+        state.history.clear();
+    }
+
+    async fn handle(self: Rc<Self>, req: Request<Incoming>) -> Response<Body> {
+        self.calls.set(self.calls.get() + 1);
+        let (parts, body) = req.into_parts();
+        let body = http::read_body(body, BODY_LIMIT).await.unwrap_or_default();
+        let Some(call) = serve::store_call(&Request::from_parts(parts, body)) else {
+            return answer(400, Vec::new());
+        };
+        match self.fault.get() {
+            Fault::None => {}
+            Fault::Busy => return answer(503, Vec::new()),
+            Fault::Silent => return std::future::pending().await,
+            Fault::Lost => {
+                self.perform(call).await;
+                return std::future::pending().await;
+            }
+        }
+        let (status, body) = self.perform(call).await;
+        answer(status, body)
+    }
+
+    async fn perform(&self, call: StoreCall) -> (u16, Vec<u8>) {
+        self.state.borrow_mut().expire();
+        match call {
+            StoreCall::Get { key } => self.state.borrow().get(&key),
+            StoreCall::Range { prefix, after } => self.state.borrow().range(&prefix, &after),
+            StoreCall::Watch { prefix, after, wait } => self.watch(&prefix, after, wait).await,
+            StoreCall::Lease { ttl } => {
+                let id = self.state.borrow_mut().grant(ttl);
+                (200, serve::granted(id, ttl))
+            }
+            StoreCall::Keep { id } => match self.state.borrow_mut().renew(id) {
+                Some(ttl) => (200, serve::kept(ttl)),
+                None => (404, Vec::new()),
+            },
+            StoreCall::End { id } => {
+                self.state.borrow_mut().end(id);
+                (200, Vec::new())
+            }
+            StoreCall::Txn { expected, writes, remove } => {
+                self.state.borrow_mut().txn(&expected, &writes, &remove)
+            }
+        }
+    }
+
+    async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> (u16, Vec<u8>) {
+        let end = Instant::now() + wait;
+        loop {
+            if self.fault.get() != Fault::None {
+                return (503, Vec::new());
+            }
+            {
+                let mut state = self.state.borrow_mut();
+                state.expire();
+                if after < state.compacted {
+                    return (410, Vec::new());
+                }
+                let news = state.since(prefix, after);
+                if !news.is_empty() || Instant::now() >= end {
+                    return (200, serve::changes(&news, state.revision));
+                }
+            }
+            compio::time::sleep(LOOK).await;
+        }
+    }
+}
+
+impl State {
+    fn write(&mut self, key: &str, value: Option<Bytes>, lease: u64) {
+        self.revision += 1;
+        let item = Item { key: key.to_owned(), value, revision: self.revision };
+        self.history.push(item.clone());
+        match item.value {
+            Some(_) => drop(self.items.insert(key.to_owned(), (item, lease))),
+            None => drop(self.items.remove(key)),
+        }
+    }
+
+    fn get(&self, key: &str) -> (u16, Vec<u8>) {
+        match self.items.get(key) {
+            Some((item, _)) => (200, serve::one(item, self.revision)),
+            None => (404, Vec::new()),
+        }
+    }
+
+    fn range(&self, prefix: &str, after: &str) -> (u16, Vec<u8>) {
+        let mut found = self
+            .items
+            .values()
+            .map(|(i, _)| i)
+            .filter(|i| i.key.starts_with(prefix) && i.key.as_str() > after);
+        let page: Vec<Item> = found.by_ref().take(PAGE).cloned().collect();
+        (200, serve::range(&page, found.next().is_some(), self.revision))
+    }
+
+    fn since(&self, prefix: &str, after: u64) -> Vec<Item> {
+        let news = |i: &&Item| i.revision > after && i.key.starts_with(prefix);
+        self.history.iter().filter(news).cloned().collect()
+    }
+
+    fn grant(&mut self, ttl: Duration) -> u64 {
+        self.next_lease += 1;
+        self.leases.insert(self.next_lease, Lease { ends: Instant::now() + ttl, ttl });
+        self.next_lease
+    }
+
+    fn renew(&mut self, id: u64) -> Option<Duration> {
+        let lease = self.leases.get_mut(&id)?;
+        lease.ends = Instant::now() + lease.ttl;
+        Some(lease.ttl)
+    }
+
+    fn end(&mut self, id: u64) {
+        self.leases.remove(&id);
+        let keys: Vec<String> =
+            self.items.iter().filter(|(_, (_, l))| *l == id).map(|(k, _)| k.clone()).collect();
+        for key in keys {
+            self.write(&key, None, 0);
+        }
+    }
+
+    fn expire(&mut self) {
+        let now = Instant::now();
+        let ended: Vec<u64> =
+            self.leases.iter().filter(|(_, l)| l.ends <= now).map(|(id, _)| *id).collect();
+        for id in ended {
+            self.end(id);
+        }
+    }
+
+    fn txn(
+        &mut self,
+        expected: &[(String, u64)],
+        writes: &[Written],
+        remove: &[String],
+    ) -> (u16, Vec<u8>) {
+        let holds = |(key, revision): &(String, u64)| {
+            self.items.get(key).map_or(0, |(i, _)| i.revision) == *revision
+        };
+        if !expected.iter().all(holds) {
+            return (412, b"{\"items\":[]}".to_vec());
+        }
+        if writes.iter().any(|w| w.lease != 0 && !self.leases.contains_key(&w.lease)) {
+            return (404, Vec::new());
+        }
+        for w in writes {
+            self.write(&w.key, Some(w.value.clone()), w.lease);
+        }
+        for key in remove {
+            self.write(key, None, 0);
+        }
+        (200, serve::committed(self.revision))
+    }
+}
+
+fn answer(status: u16, body: Vec<u8>) -> Response<Body> {
+    let status = StatusCode::from_u16(status).expect("a valid status");
+    http::response(status, "application/json", http::full(body))
+}
