--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -35,6 +35,9 @@
 /// Pause between two datagrams to each peer while there is work: a tenth of the delay with which
 /// engines report.
 const TELL_BUSY: Duration = Duration::from_millis(100);
+/// Peers up to which that pause holds; it grows with their number, so that the bytes of all grow no
+/// faster than the number of gateways.
+const TELL_PEERS: usize = 10;
 /// Datagrams left out while there is no work.
 const IDLE_ROUNDS: u64 = 5;
 /// Largest datagram.
@@ -133,7 +136,9 @@
     let life = shared.now().0;
     let mut seq = 0;
     loop {
-        compio::time::sleep(TELL_BUSY).await;
+        let peers = shared.peers.borrow().len();
+        let pause = TELL_BUSY.mul_f64((peers as f64 / TELL_PEERS as f64).max(1.0));
+        compio::time::sleep(pause).await;
         seq += 1;
         let share = share(&shared, life, seq);
         let idle = share.work.is_empty() && share.waiting == 0 && share.changing.is_empty();
--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -88,7 +88,7 @@
         }
     };
     if word == "whole" {
-        observe(shared, &intake, &flight, events);
+        observe(shared, &intake, &flight);
     }
     flight.close(shared, word == "whole");
     let ms = shared.now().since(intake.came_at).as_millis() as u64;
@@ -155,17 +155,21 @@
     }
 }
 
+/// Tokens in one event of the service's engines.
+fn stride(intake: &Intake) -> u64 {
+    let service = intake.config.service(&intake.service);
+    service.and_then(|s| s.engine.as_ref()).map_or(1, |e| u64::from(e.stride))
+}
+
 /// Learns the shape of requests from an answer that ended.
-fn observe(shared: &Shared, intake: &Intake, flight: &Flight, events: u64) {
-    let stride = intake.config.service(&intake.service).and_then(|s| s.engine.as_ref());
-    let (Some(engine), Some(place)) = (stride, &flight.place) else {
+fn observe(shared: &Shared, intake: &Intake, flight: &Flight) {
+    let Some(place) = &flight.place else {
         return;
     };
-    let growth = (events * u64::from(engine.stride)) as f64;
     let stay = shared.now().since(place.since).as_secs_f64();
     let mut shapes = shared.shapes.borrow_mut();
     let shape = shapes.entry(intake.service.clone()).or_default();
-    shape.observe(intake.caller.prompt as f64, growth, stay);
+    shape.observe(intake.caller.prompt as f64, flight.made as f64, stay);
 }
 
 /// When a request that did not run is worth sending again.
@@ -241,7 +245,7 @@
     }
     flight.used();
     shared.engines.borrow_mut().took(&server.id);
-    pass_on(shared, intake, head, out, splitter).await
+    pass_on(shared, intake, head, flight, out, splitter).await
 }
 
 /// Bounds a wait for a stream that may go on elsewhere.
@@ -277,10 +281,12 @@
     shared: &Shared,
     intake: &Intake,
     head: Head,
+    flight: &mut Flight,
     out: &mut Outlet,
     splitter: &mut Splitter,
 ) -> (Fate, Option<send::Whole>) {
     let Head { response, conn, .. } = head;
+    let stride = stride(intake);
     if !out.begun() {
         out.begin(response.status(), headers::returned(response.headers()));
     }
@@ -300,6 +306,7 @@
         };
         let events = splitter.push(&bytes);
         if !events.is_empty() {
+            flight.note_made(shared, intake.caller.prompt, splitter.count() * stride);
             if splitter.count() == 1 {
                 let ms = shared.now().since(intake.came_at).as_millis() as u64;
                 shared.metrics.time("gateway.first_event_ms", ms);
--- a/crates/daemon/src/gateway/stream/flight.rs
+++ b/crates/daemon/src/gateway/stream/flight.rs
@@ -8,6 +8,7 @@
 use ebonyloft_platform::{engine, headers};
 use ebonyloft_router::catalog::{Server, ServerId};
 use ebonyloft_router::engines::Ticket;
+use ebonyloft_router::growth::Growth;
 use ebonyloft_router::outcome::Progress;
 use hyper::{HeaderMap, Request};
 
@@ -22,8 +23,10 @@
     pub server: Server,
     /// Names the reservation; none when the engine was not asked for one.
     pub hold: Option<String>,
-    /// Tokens reserved.
+    /// Tokens counted for it.
     pub tokens: u64,
+    /// What is expected of the answer.
+    pub growth: Growth,
     /// When it was reserved.
     pub since: Moment,
 }
@@ -54,12 +57,22 @@
     pub source: Option<Source>,
     /// Times that an engine read it.
     pub reads: u32,
+    /// Tokens of the answer made so far.
+    pub made: u64,
 }
 
 impl Flight {
     /// Holds nothing.
     pub fn new(progress: Progress) -> Self {
-        Flight { progress, ticket: None, place: None, reading: None, source: None, reads: 0 }
+        Flight {
+            progress,
+            ticket: None,
+            place: None,
+            reading: None,
+            source: None,
+            reads: 0,
+            made: 0,
+        }
     }
 
     /// Names the place and the prompt in the request for the engine.
@@ -80,6 +93,16 @@
         self.source = None;
     }
 
+    /// The answer has so many tokens now.
+    pub fn note_made(&mut self, shared: &Shared, prompt: u64, made: u64) {
+        self.made = made;
+        if let Some(place) = &mut self.place {
+            let after = prompt + place.growth.tokens(made);
+            shared.engines.borrow_mut().grown(&place.server.id, place.tokens, after);
+            place.tokens = after;
+        }
+    }
+
     /// Gives everything back; `whole` when an answer ended.
     pub fn release(&mut self, shared: &Shared, now: Moment, whole: bool) {
         if let Some(ticket) = self.ticket.take() {
--- a/crates/daemon/src/gateway/stream/place.rs
+++ b/crates/daemon/src/gateway/stream/place.rs
@@ -5,7 +5,8 @@
 use ebonyloft_core::time::Moment;
 use ebonyloft_platform::engine;
 use ebonyloft_router::catalog::{Engine, Server, ServerId, Stage};
-use ebonyloft_router::engines::{self, Advice, Need};
+use ebonyloft_router::engines::{Advice, Need};
+use ebonyloft_router::growth::Growth;
 use futures_util::future::select;
 
 use super::flight::{Flight, Place};
@@ -29,7 +30,8 @@
     begun: bool,
 ) -> Result<Server, Stop> {
     let joined = shared.now();
-    let need = need(intake, joined, begun);
+    let growth = Growth::expect(intake.caller.output, intake.caller.hint);
+    let need = need(intake, flight, growth, joined, begun);
     let read_at = read::foretold(shared, intake, flight, joined);
     let ticket = shared.engines.borrow_mut().join(joined, need, read_at);
     flight.ticket = Some(ticket);
@@ -37,7 +39,7 @@
         let now = shared.now();
         match advise(shared, intake, spec, flight, tried, now) {
             Advice::Ask(id) => {
-                if let Some(server) = ask(shared, spec, flight, &id, need.tokens).await {
+                if let Some(server) = ask(shared, spec, flight, &id, need.tokens, growth).await {
                     leave(shared, flight);
                     log_placed(shared, intake, &server, joined);
                     return Ok(server);
@@ -58,9 +60,9 @@
     }
 }
 
-fn need(intake: &Intake, now: Moment, begun: bool) -> Need {
+fn need(intake: &Intake, flight: &Flight, growth: Growth, now: Moment, begun: bool) -> Need {
     let first_by = if begun { now.after(RESUME_WAIT) } else { intake.goal_at };
-    Need { tokens: engines::reserve(intake.caller.prompt, intake.caller.output), first_by }
+    Need { tokens: intake.caller.prompt + growth.tokens(flight.made), first_by }
 }
 
 fn advise(
@@ -96,11 +98,12 @@
     flight: &mut Flight,
     id: &ServerId,
     tokens: u64,
+    growth: Growth,
 ) -> Option<Server> {
     let server = shared.roster.borrow().get(id).cloned()?;
     let since = shared.now();
     shared.engines.borrow_mut().placed(id, tokens);
-    flight.place = Some(Place { server: server.clone(), hold: None, tokens, since });
+    flight.place = Some(Place { server: server.clone(), hold: None, tokens, growth, since });
     let req = engine::hold(id, tokens, spec.hold.as_millis() as u64);
     let answer = shared.pool.call(server.addr, req, HOLD_WAIT).await;
     let now = shared.now();
--- a/crates/router/src/engines.rs
+++ b/crates/router/src/engines.rs
@@ -16,10 +16,6 @@
 /// Time from a prompt that was read to the first event: the transfer, the first step and the tokens
 /// of one event, with a margin for the ways between; half of it is measured at the median.
 pub const FIRST_EVENT: Duration = Duration::from_millis(130);
-/// Part of an answer's longest output that is reserved when its true length is not known. Answers
-/// are log-normal with a mean of 0.42 of the longest; weighed by how long each stays, an engine's
-/// answers hold 0.35 of it on average.
-pub const GROWTH_PART: f64 = 0.35;
 /// How long an engine that refused a reservation is not asked again, unless one of this entry's
 /// answers ends there.
 pub const FULL_REST: Duration = Duration::from_millis(60);
@@ -62,11 +58,6 @@
     }
 }
 
-/// Tokens to reserve for an answer.
-pub fn reserve(prompt: u64, output: u64) -> u64 {
-    prompt + (output as f64 * GROWTH_PART) as u64
-}
-
 /// Names a waiting request.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Ticket(u64);
@@ -174,6 +165,13 @@
         record.own.count += 1;
     }
 
+    /// What an answer needs at an engine changed from `before` to `after` tokens.
+    pub fn grown(&mut self, id: &ServerId, before: u64, after: u64) {
+        if let Some(record) = self.records.get_mut(id) {
+            record.own.tokens = record.own.tokens.saturating_sub(before) + after;
+        }
+    }
+
     /// A place came free; `whole` when an answer ended there.
     pub fn freed(&mut self, now: Moment, id: &ServerId, tokens: u64, whole: bool) {
         if let Some(record) = self.records.get_mut(id) {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod engines;
 pub mod events;
 pub mod freshness;
+pub mod growth;
 pub mod holder;
 pub mod node;
 pub mod outcome;
--- a/crates/router/src/share.rs
+++ b/crates/router/src/share.rs
@@ -16,8 +16,10 @@
 /// How long a peer counts as live without a message.
 pub const PEER_LIFE: Duration = Duration::from_millis(3_000);
 
-/// Work at one engine.
+/// Work at one engine; four numbers without names on the way, since bytes between availability zones
+/// are dear.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(from = "(u64, u32, u64, u32)", into = "(u64, u32, u64, u32)")]
 pub struct Work {
     /// Tokens of memory reserved or in use.
     pub tokens: u64,
@@ -29,6 +31,18 @@
     pub reads: u32,
 }
 
+impl From<(u64, u32, u64, u32)> for Work {
+    fn from((tokens, count, unread, reads): (u64, u32, u64, u32)) -> Self {
+        Work { tokens, count, unread, reads }
+    }
+}
+
+impl From<Work> for (u64, u32, u64, u32) {
+    fn from(w: Work) -> Self {
+        (w.tokens, w.count, w.unread, w.reads)
+    }
+}
+
 impl Work {
     /// The sum of both.
     pub fn plus(self, other: Work) -> Work {
--- a/crates/router/tests/load/world.rs
+++ b/crates/router/tests/load/world.rs
@@ -8,7 +8,8 @@
 
 use ebonyloft_core::time::Moment;
 use ebonyloft_router::catalog::{Engine, Server, ServerId, Stage};
-use ebonyloft_router::engines::{self, Advice, Engines, FIRST_EVENT, Need, Ticket};
+use ebonyloft_router::engines::{Advice, Engines, FIRST_EVENT, Need, Ticket};
+use ebonyloft_router::growth::Growth;
 use ebonyloft_router::prefill::{self, Paces};
 use ebonyloft_router::share::{Share, Shares};
 use ebonyloft_router::stages::READ_RATE;
@@ -28,6 +29,11 @@
 /// Longest output that callers allow, in tokens.
 const OUTPUT_MAX: u64 = 2_040;
 
+/// Tokens counted for an answer of which nothing is known.
+fn reserve(prompt: u64) -> u64 {
+    prompt + Growth::expect(OUTPUT_MAX, None).tokens(0)
+}
+
 /// What is played.
 #[derive(Clone, Copy, Debug)]
 pub struct Plan {
@@ -172,8 +178,7 @@
         let output = (864.0 * (0.7 * normal - 0.245).exp()).clamp(12.0, 2_040.0) as u64;
         let entry = self.rng.random_range(0..4);
         let (_, read_at) = self.reader(entry, prompt);
-        let need =
-            Need { tokens: engines::reserve(prompt, OUTPUT_MAX), first_by: self.now.after(GOAL) };
+        let need = Need { tokens: reserve(prompt), first_by: self.now.after(GOAL) };
         let ticket = self.entries[entry].engines.join(self.now, need, read_at);
         let state = State::Waiting(ticket);
         self.got.asked += 1;
@@ -246,12 +251,12 @@
 
     /// Asks an engine for a place; it knows what is really used.
     fn take(&mut self, i: usize, ticket: Ticket, writer: usize, reader: usize) {
-        let need = engines::reserve(self.requests[i].prompt, OUTPUT_MAX);
+        let need = reserve(self.requests[i].prompt);
         let used: u64 = self
             .requests
             .iter()
             .filter(|r| r.writer == writer && !matches!(r.state, State::Waiting(_) | State::Over))
-            .map(|r| engines::reserve(r.prompt, OUTPUT_MAX))
+            .map(|r| reserve(r.prompt))
             .sum();
         let id = self.servers[writer].id.clone();
         let (entry, prompt) = (self.requests[i].entry, self.requests[i].prompt);
@@ -297,7 +302,7 @@
         let r = &mut self.requests[i];
         r.state = State::Over;
         let id = self.servers[r.writer].id.clone();
-        let tokens = engines::reserve(r.prompt, OUTPUT_MAX);
+        let tokens = reserve(r.prompt);
         self.entries[r.entry].engines.freed(self.now, &id, tokens, whole);
     }
 
