With room, those ahead in line are no reason to refuse; longest pause in the log

Whether a prompt can be in time is now judged over all readers. The test two_that_come_at_once fails before.

--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -90,9 +90,13 @@
     if word == "whole" {
         observe(shared, &intake, &flight);
     }
+    let pause = flight.pause.as_millis() as u64;
     flight.close(shared, word == "whole");
     let ms = shared.now().since(intake.came_at).as_millis() as u64;
-    tracing::info!(id = intake.id(), route = %intake.route().name, word, events, ms, "stream ended");
+    tracing::info!(
+        id = intake.id(), route = %intake.route().name, word, events, pause, ms, "stream ended"
+    );
+    shared.metrics.time("gateway.pause_ms", pause);
     shared.metrics.time("gateway.stream_ms", ms);
 }
 
@@ -291,6 +295,7 @@
         out.begin(response.status(), headers::returned(response.headers()));
     }
     let mut body = response.into_body();
+    let mut last = shared.now();
     loop {
         let frame = match silence(intake, body.frame()).await {
             Some(None) if splitter.is_partial() => return (Fate::Lost, None),
@@ -306,6 +311,9 @@
         };
         let events = splitter.push(&bytes);
         if !events.is_empty() {
+            let now = shared.now();
+            flight.pause = flight.pause.max(now.since(last));
+            last = now;
             flight.note_made(shared, intake.caller.prompt, splitter.count() * stride);
             if splitter.count() == 1 {
                 let ms = shared.now().since(intake.came_at).as_millis() as u64;
--- a/crates/daemon/src/gateway/stream/flight.rs
+++ b/crates/daemon/src/gateway/stream/flight.rs
@@ -59,6 +59,8 @@
     pub reads: u32,
     /// Tokens of the answer made so far.
     pub made: u64,
+    /// Longest pause before an event, the first one after the head of the answer included.
+    pub pause: Duration,
 }
 
 impl Flight {
@@ -72,6 +74,7 @@
             source: None,
             reads: 0,
             made: 0,
+            pause: Duration::ZERO,
         }
     }
 
--- a/crates/daemon/src/gateway/stream/read.rs
+++ b/crates/daemon/src/gateway/stream/read.rs
@@ -30,7 +30,8 @@
     if flight.source.is_some() {
         return now;
     }
-    match pick(shared, intake, now) {
+    // All readers are looked at: whether any can be in time does not depend on the one chosen.
+    match pick(shared, intake, now, 1) {
         Some((_, at)) => at,
         None => now.after(prefill::plain_time(Work::default(), intake.caller.prompt) * LOCAL_PACE),
     }
@@ -40,7 +41,7 @@
 pub async fn elsewhere(shared: &Shared, intake: &Intake, flight: &mut Flight) {
     for n in 0..READERS_MAX {
         let now = shared.now();
-        let Some((reader, ready_at)) = pick(shared, intake, now) else {
+        let Some((reader, ready_at)) = pick(shared, intake, now, shared.entries()) else {
             return;
         };
         if (n > 0 || flight.reads > 0) && !shared.spend(&intake.service) {
@@ -52,14 +53,15 @@
     }
 }
 
-fn pick(shared: &Shared, intake: &Intake, now: Moment) -> Option<(Server, Moment)> {
+/// A reader, chosen as one of so many entries, and when the prompt would be read there.
+fn pick(shared: &Shared, intake: &Intake, now: Moment, entries: usize) -> Option<(Server, Moment)> {
     let (roster, engines) = (shared.roster.borrow(), shared.engines.borrow());
     let readers = roster
         .ready(&intake.service)
         .filter(|s| s.stage == Some(Stage::Prefill) && !engines.faulty(now, &s.id));
     let (shares, paces) = (shared.shares.borrow(), shared.paces.borrow());
     let work = |id: &_| engines.own(id).plus(shares.work(now, id));
-    let (node, entries) = (shared.node(), shared.entries());
+    let node = shared.node();
     let prompt = intake.caller.prompt;
     let choice = Choice { paces: &paces, prompt, zone: &node.zone, entries };
     let picked = prefill::pick(now, readers, work, &choice, || shared.draw());
--- a/crates/router/src/engines.rs
+++ b/crates/router/src/engines.rs
@@ -144,15 +144,13 @@
             false => waiter.need.in_time(read_at),
         };
         let ahead = self.ahead(ticket, waiter);
-        if worth
-            && ahead == 0
-            && let Some(id) =
-                self.roomiest(now, servers, engine, &work, waiter.need.tokens, &mut draw)
-        {
-            return Advice::Ask(id);
+        let room = self.roomiest(now, servers, engine, &work, waiter.need.tokens, &mut draw);
+        if let (true, 0, Some(id)) = (worth, ahead, &room) {
+            return Advice::Ask(id.clone());
         }
-        let hopeless = !waiter.late && (!worth || self.foretold(now, ahead) > waiter.until);
-        if now >= waiter.until || hopeless {
+        // With room, those ahead only have to ask for it, which takes milliseconds.
+        let late = room.is_none() && self.foretold(now, ahead) > waiter.until;
+        if now >= waiter.until || !waiter.late && (!worth || late) {
             return Advice::Refuse(self.come_back(now, draw()));
         }
         Advice::Wait(now.after(ASK_AGAIN).min(waiter.until))
--- a/crates/router/src/growth.rs
+++ b/crates/router/src/growth.rs
@@ -11,13 +11,13 @@
 /// Weight of a caller's estimate against that median, both as logarithms: the lengths have a
 /// standard deviation of 0.6, the estimates' errors one of 0.5 (measured over the same answers).
 pub const HINT_WEIGHT: f64 = 0.59;
-/// How far above the expected median an answer is counted: four in five end below it.
-pub const UPPER: f64 = 1.4;
-/// Tokens that are counted ahead of those made: what an answer adds in about two seconds, half of
+/// How far above the expected median an answer is counted: nine in ten end below it.
+pub const UPPER: f64 = 1.6;
+/// Tokens that are counted ahead of those made: what an answer adds in three seconds, most of
 /// the time that the others on the engine stay on average.
-pub const HORIZON: f64 = 400.0;
+pub const HORIZON: f64 = 700.0;
 /// Tokens counted ahead of an answer that is longer than was expected.
-pub const OVERRUN: f64 = 150.0;
+pub const OVERRUN: f64 = 400.0;
 
 /// What is expected of one answer.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- /dev/null
+++ b/crates/router/tests/engines.rs
@@ -0,0 +1,199 @@
+//! Places at model engines: who is asked, who waits, who is refused.
+
+use std::time::Duration;
+
+use ebonyloft_core::time::Moment;
+use ebonyloft_router::catalog::{Engine, Server, ServerId, Stage};
+use ebonyloft_router::engines::{Advice, Engines, FULL_REST, Need, REJECT_REST, Ticket};
+use ebonyloft_router::share::Work;
+
+const NOW: Moment = Moment::from_millis(100_000);
+
+fn spec() -> Engine {
+    Engine {
+        slots: 12,
+        tokens: 20_000,
+        stride: 12,
+        handle_life: Duration::from_millis(500),
+        switch: Duration::from_secs(6),
+        hold: Duration::from_secs(2),
+    }
+}
+
+fn servers(n: usize) -> Vec<Server> {
+    (0..n)
+        .map(|i| Server {
+            id: id(i),
+            service: "llm".into(),
+            addr: ([127, 0, 0, 1], 9_000 + i as u16).into(),
+            zone: "z".into(),
+            slots: 12,
+            draining: false,
+            stage: Some(Stage::Decode),
+        })
+        .collect()
+}
+
+fn id(i: usize) -> ServerId {
+    ServerId(format!("i-{i}"))
+}
+
+fn after(ms: u64) -> Moment {
+    NOW.after(Duration::from_millis(ms))
+}
+
+/// A request that needs 4,000 tokens and is in time with its first event within 900 ms.
+fn need() -> Need {
+    Need { tokens: 4_000, first_by: after(900) }
+}
+
+fn advise(engines: &Engines, at: Moment, ticket: Ticket, servers: &[Server]) -> Advice {
+    let read_at = at.after(Duration::from_millis(100));
+    engines.advise(at, ticket, read_at, servers.iter(), &spec(), |_| Work::default(), || 0.5)
+}
+
+#[test]
+fn two_that_come_at_once_are_both_served_when_there_is_room() {
+    let servers = servers(2);
+    let mut engines = Engines::default();
+    let first = engines.join(NOW, need(), after(100));
+    let second = engines.join(NOW, need(), after(100));
+    assert!(matches!(advise(&engines, NOW, first, &servers), Advice::Ask(_)));
+    assert!(matches!(advise(&engines, NOW, second, &servers), Advice::Wait(_)));
+    engines.leave(first);
+    assert!(matches!(advise(&engines, NOW, second, &servers), Advice::Ask(_)));
+}
+
+#[test]
+fn the_engine_with_the_most_room_is_asked() {
+    let servers = servers(3);
+    let mut engines = Engines::default();
+    engines.placed(&id(0), 12_000);
+    engines.placed(&id(2), 8_000);
+    let ticket = engines.join(NOW, need(), after(100));
+    assert_eq!(advise(&engines, NOW, ticket, &servers), Advice::Ask(id(1)));
+}
+
+#[test]
+fn peers_work_counts_too() {
+    let servers = servers(1);
+    let mut engines = Engines::default();
+    let ticket = engines.join(NOW, need(), after(100));
+    let full = |_: &ServerId| Work { tokens: 17_000, count: 4, ..Work::default() };
+    let advice = engines.advise(NOW, ticket, after(100), servers.iter(), &spec(), full, || 0.5);
+    assert!(matches!(advice, Advice::Wait(_)));
+}
+
+#[test]
+fn the_one_whose_goal_is_nearest_goes_first() {
+    let servers = servers(1);
+    let mut engines = Engines::default();
+    let relaxed = engines.join(NOW, need(), after(100));
+    let pressed = Need { first_by: after(600), ..need() };
+    let pressed = engines.join(NOW, pressed, after(100));
+    assert!(matches!(advise(&engines, NOW, pressed, &servers), Advice::Ask(_)));
+    assert!(matches!(advise(&engines, NOW, relaxed, &servers), Advice::Wait(_)));
+}
+
+#[test]
+fn a_late_one_goes_behind_all_that_can_be_in_time() {
+    let servers = servers(1);
+    let mut engines = Engines::default();
+    let late = Need { first_by: NOW, ..need() };
+    let late = engines.join(NOW, late, after(100));
+    let fresh = engines.join(NOW, need(), after(100));
+    assert!(matches!(advise(&engines, NOW, fresh, &servers), Advice::Ask(_)));
+    assert!(matches!(advise(&engines, NOW, late, &servers), Advice::Wait(_)));
+}
+
+#[test]
+fn a_prompt_that_is_read_too_late_is_refused_at_once() {
+    let servers = servers(1);
+    let mut engines = Engines::default();
+    let ticket = engines.join(NOW, need(), after(2_000));
+    let advice = engines.advise(
+        NOW,
+        ticket,
+        after(2_000),
+        servers.iter(),
+        &spec(),
+        |_| Work::default(),
+        || 0.5,
+    );
+    let Advice::Refuse(at) = advice else { panic!("{advice:?}") };
+    assert!(at > after(2_000));
+}
+
+#[test]
+fn who_waits_in_vain_is_refused_while_there_is_time_to_say_so() {
+    let servers = servers(1);
+    let mut engines = Engines::default();
+    engines.placed(&id(0), 18_000);
+    let ticket = engines.join(NOW, need(), after(100));
+    assert!(matches!(advise(&engines, NOW, ticket, &servers), Advice::Wait(_)));
+    assert!(matches!(advise(&engines, after(700), ticket, &servers), Advice::Refuse(_)));
+}
+
+#[test]
+fn with_many_ahead_and_few_ends_nobody_waits() {
+    let servers = servers(1);
+    let mut engines = Engines::default();
+    engines.placed(&id(0), 18_000);
+    let mut last = engines.join(NOW, need(), after(100));
+    for _ in 0..5 {
+        last = engines.join(NOW, need(), after(100));
+    }
+    assert!(matches!(advise(&engines, NOW, last, &servers), Advice::Refuse(_)));
+}
+
+#[test]
+fn an_engine_that_is_full_is_left_alone_until_an_answer_ends_there() {
+    let servers = servers(1);
+    let mut engines = Engines::default();
+    engines.placed(&id(0), 100);
+    engines.full(NOW, &id(0));
+    let ticket = engines.join(NOW, need(), after(100));
+    assert!(matches!(advise(&engines, NOW, ticket, &servers), Advice::Wait(_)));
+    engines.freed(NOW, &id(0), 100, true);
+    assert!(matches!(advise(&engines, NOW, ticket, &servers), Advice::Ask(_)));
+}
+
+#[test]
+fn an_engine_that_is_full_is_asked_again_after_a_while() {
+    let servers = servers(1);
+    let mut engines = Engines::default();
+    engines.full(NOW, &id(0));
+    let ticket = engines.join(NOW, need(), after(100));
+    let later = NOW.after(FULL_REST);
+    assert!(matches!(advise(&engines, later, ticket, &servers), Advice::Ask(_)));
+}
+
+#[test]
+fn an_engine_that_turns_reserved_requests_away_rests_longer_each_time() {
+    let servers = servers(1);
+    let mut engines = Engines::default();
+    let long = Need { first_by: after(60_000), ..need() };
+    let ticket = engines.join(NOW, long, after(100));
+    engines.rejected(NOW, &id(0));
+    let once = NOW.after(REJECT_REST);
+    assert!(matches!(advise(&engines, once, ticket, &servers), Advice::Ask(_)));
+    engines.rejected(once, &id(0));
+    let again = once.after(REJECT_REST);
+    assert!(matches!(advise(&engines, again, ticket, &servers), Advice::Wait(_)));
+    engines.took(&id(0));
+    engines.rejected(after(10_000), &id(0));
+    let later = after(10_000).after(REJECT_REST);
+    assert!(matches!(advise(&engines, later, ticket, &servers), Advice::Ask(_)));
+}
+
+#[test]
+fn what_is_given_back_is_free() {
+    let mut engines = Engines::default();
+    engines.placed(&id(0), 4_000);
+    engines.grown(&id(0), 4_000, 4_700);
+    engines.reading(&id(1), 3_000);
+    assert_eq!(engines.own(&id(0)).tokens, 4_700);
+    engines.read(&id(1), 3_000);
+    engines.freed(NOW, &id(0), 4_700, true);
+    assert!(engines.work().is_empty());
+}
