--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -25,7 +25,7 @@
 use std::time::Duration;
 
 use compio::net::{TcpListener, UdpSocket};
-use ebonyloft_platform::{servers, settings};
+use ebonyloft_platform::settings;
 use ebonyloft_router::node::Node;
 use futures_channel::oneshot;
 use futures_util::FutureExt;
@@ -35,7 +35,6 @@
 use rand_chacha::ChaCha8Rng;
 
 use self::shared::Shared;
-use self::watch::{ConfigSink, RosterSink};
 use crate::clock::Clock;
 use crate::http;
 use crate::metrics::{Metrics, Registry};
@@ -114,15 +113,8 @@
     let page = TcpListener::bind((node.ip, options.metrics_port)).await?;
     spawn(http::serve(page, move |_| metrics_page(registry.clone()), never()));
     spawn(ingress::serve(shared.clone(), callers, closing));
-    spawn(watch::follow(
-        shared.clone(),
-        watch::CONFIG_PREFIX,
-        Box::new(ConfigSink(shared.clone())),
-    ));
-    let roster = Box::new(RosterSink(shared.clone()));
-    spawn(watch::follow(shared.clone(), servers::PREFIX, roster));
-    let peer_sink = Box::new(peers::PeerSink(shared.clone()));
-    spawn(watch::follow(shared.clone(), peers::PREFIX, peer_sink));
+    let sink = Box::new(watch::Prefixes::new(shared));
+    spawn(watch::follow(shared.clone(), watch::EVERYTHING, sink));
     spawn(peers::register(shared.clone()));
     spawn(peers::serve(shared.clone(), peers));
     spawn(peers::tell(shared.clone(), socket.clone()));
--- a/crates/daemon/src/gateway/store.rs
+++ b/crates/daemon/src/gateway/store.rs
@@ -13,9 +13,11 @@
 /// Longest wait for an answer; the store answers in 4 ms, and some sixty times slower when it is
 /// slow.
 pub const CALL_WAIT: Duration = Duration::from_millis(800);
-/// How long a watch is kept waiting. A connection that went silent is noticed after this and
-/// `WATCH_SLACK`, together less than the three seconds after which a VM counts as in touch again.
-pub const WATCH_WAIT: Duration = Duration::from_millis(2_000);
+/// How long before the bound of contact a watch ends that is kept waiting: a connection that went
+/// silent is then noticed, and the store listed anew over another one, within the bound.
+const WATCH_MARGIN: Duration = Duration::from_millis(700);
+/// Shortest wait of a watch, whatever the bound says.
+const WATCH_MIN: Duration = Duration::from_millis(500);
 /// How much later than asked the answer to a watch may come.
 pub const WATCH_SLACK: Duration = Duration::from_millis(500);
 /// Pages read of one prefix at most; a guard against a list that never ends.
@@ -61,10 +63,17 @@
         Ok(all)
     }
 
-    /// Changes of a prefix behind a revision, as soon as there are any.
-    pub async fn watch(&self, prefix: &str, after: u64) -> Result<Page, StoreError> {
-        let req = store::watch(prefix, after, WATCH_WAIT.as_millis() as u64);
-        self.call(req, WATCH_WAIT + WATCH_SLACK, store::read_watch).await
+    /// Changes of a prefix behind a revision, as soon as there are any; `contact` is the bound within
+    /// which a fault must be noticed.
+    pub async fn watch(
+        &self,
+        prefix: &str,
+        after: u64,
+        contact: Duration,
+    ) -> Result<Page, StoreError> {
+        let wait = contact.saturating_sub(WATCH_MARGIN).max(WATCH_MIN);
+        let req = store::watch(prefix, after, wait.as_millis() as u64);
+        self.call(req, wait + WATCH_SLACK, store::read_watch).await
     }
 
     /// A new lease.
--- a/crates/daemon/src/gateway/watch.rs
+++ b/crates/daemon/src/gateway/watch.rs
@@ -1,6 +1,6 @@
-//! Following the store: one task a prefix, each with its own watch.
+//! Following the store by one watch, since each call is priced.
 //!
-//! A prefix is listed once and then watched from that revision. When the history is gone it is
+//! Everything is listed once and then watched from that revision. When the history is gone it is
 //! listed again; what is missing from the new list was removed. While the store is away the belief
 //! stays as it is.
 
@@ -12,6 +12,7 @@
 use ebonyloft_router::catalog::ServerId;
 use ebonyloft_router::roster::{Change, Effect};
 
+use super::peers;
 use super::shared::Shared;
 
 /// First pause after a failed call; doubled with each further failure.
@@ -20,7 +21,9 @@
 /// must be in force.
 const PAUSE_MAX: Duration = Duration::from_millis(400);
 /// Prefix of the operator's keys.
-pub const CONFIG_PREFIX: &str = "op/";
+const CONFIG_PREFIX: &str = "op/";
+/// Prefix of all keys.
+pub const EVERYTHING: &str = "";
 
 /// Where the items of one prefix go.
 pub trait Sink {
@@ -70,7 +73,8 @@
     after: u64,
     sink: &dyn Sink,
 ) -> Result<u64, StoreError> {
-    let page = shared.store.watch(prefix, after).await?;
+    let contact = shared.node().bounds.contact;
+    let page = shared.store.watch(prefix, after, contact).await?;
     for item in page.items {
         sink.apply(item);
     }
@@ -91,6 +95,35 @@
     }
 }
 
+/// Hands items to the sinks of their prefixes; others' items are left.
+pub struct Prefixes(pub Vec<(&'static str, Box<dyn Sink>)>);
+
+impl Prefixes {
+    /// The sinks of a gateway.
+    pub fn new(shared: &Rc<Shared>) -> Self {
+        Prefixes(vec![
+            (CONFIG_PREFIX, Box::new(ConfigSink(shared.clone()))),
+            (servers::PREFIX, Box::new(RosterSink(shared.clone()))),
+            (peers::PREFIX, Box::new(peers::PeerSink(shared.clone()))),
+        ])
+    }
+}
+
+impl Sink for Prefixes {
+    fn replace(&self, items: Vec<Item>, revision: u64) {
+        for (prefix, sink) in &self.0 {
+            let own = items.iter().filter(|i| i.key.starts_with(prefix)).cloned().collect();
+            sink.replace(own, revision);
+        }
+    }
+
+    fn apply(&self, item: Item) {
+        if let Some((_, sink)) = self.0.iter().find(|(prefix, _)| item.key.starts_with(prefix)) {
+            sink.apply(item);
+        }
+    }
+}
+
 /// Takes the operator's configuration.
 pub struct ConfigSink(pub Rc<Shared>);
 
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -37,6 +37,8 @@
     pub grace: Duration,
     /// Shortest time between orders of two holders to one backend server.
     pub order_gap: Duration,
+    /// Time after a fault on its way to the store by which a VM is expected to follow it again.
+    pub contact: Duration,
     /// How long a leaving backend server may still be sent work.
     pub drain: Duration,
 }
--- a/crates/router/tests/budget.rs
+++ b/crates/router/tests/budget.rs
@@ -14,6 +14,7 @@
         budget_window: Duration::from_secs(10),
         grace: Duration::from_secs(8),
         order_gap: Duration::from_secs(3),
+        contact: Duration::from_secs(3),
         drain: Duration::from_secs(2),
     }
 }
