An engine is chosen among a few drawn ones, where many entries choose by late news

Cause: 25 entries that hear the same news 150 ms late sent their next answers to the same roomiest engine, whose memory then ran out as they grew. Four entries still compare all engines.

--- a/crates/daemon/src/gateway/stream/place.rs
+++ b/crates/daemon/src/gateway/stream/place.rs
@@ -5,7 +5,7 @@
 use ebonyloft_core::time::Moment;
 use ebonyloft_platform::engine;
 use ebonyloft_router::catalog::{Engine, Server, ServerId, Stage};
-use ebonyloft_router::engines::{Advice, Need};
+use ebonyloft_router::engines::{Advice, Need, View};
 use ebonyloft_router::growth::Growth;
 use futures_util::future::select;
 
@@ -74,6 +74,7 @@
     now: Moment,
 ) -> Advice {
     let read_at = read::foretold(shared, intake, flight, now);
+    let entries = shared.entries();
     let roster = shared.roster.borrow();
     let servers = roster
         .ready(&intake.service)
@@ -81,7 +82,8 @@
     let shares = shared.shares.borrow();
     let ticket = flight.ticket.expect("a request in line has a ticket");
     let work = |id: &ServerId| shares.work(now, id);
-    shared.engines.borrow().advise(now, ticket, read_at, servers, spec, work, || shared.draw())
+    let view = View { engine: spec, read_at, entries };
+    shared.engines.borrow().advise(now, ticket, &view, servers, work, || shared.draw())
 }
 
 fn leave(shared: &Shared, flight: &mut Flight) {
--- a/crates/router/src/engines.rs
+++ b/crates/router/src/engines.rs
@@ -11,7 +11,7 @@
 use ebonyloft_core::time::Moment;
 
 use crate::catalog::{Engine, Server, ServerId};
-use crate::share::Work;
+use crate::share::{Work, compared};
 
 /// Time from a prompt that was read to the first event: the transfer, the first step and the tokens
 /// of one event, with a margin for the ways between; half of it is measured at the median.
@@ -71,6 +71,17 @@
     until: Moment,
 }
 
+/// What a decision about a place is made of, beside this entry's own work.
+#[derive(Clone, Copy, Debug)]
+pub struct View<'a> {
+    /// What is known of the service's engines.
+    pub engine: &'a Engine,
+    /// When the request's prompt would be read if it had a place now.
+    pub read_at: Moment,
+    /// Live entries.
+    pub entries: usize,
+}
+
 /// What to do with a request.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Advice {
@@ -123,16 +134,14 @@
         self.waiting.remove(&ticket);
     }
 
-    /// What a waiting request should do now; its prompt would be read at `read_at`, `work` is the
-    /// peers' work at an engine, `draw` is uniform in 0..1.
-    #[allow(clippy::too_many_arguments)]
+    /// What a waiting request should do now; `work` is the peers' work at an engine, `draw` is uniform
+    /// in 0..1.
     pub fn advise<'a>(
         &self,
         now: Moment,
         ticket: Ticket,
-        read_at: Moment,
+        view: &View<'_>,
         servers: impl Iterator<Item = &'a Server>,
-        engine: &Engine,
         work: impl Fn(&ServerId) -> Work,
         mut draw: impl FnMut() -> f64,
     ) -> Advice {
@@ -140,11 +149,11 @@
             return Advice::Refuse(self.come_back(now, draw()));
         };
         let worth = match waiter.late {
-            true => read_at.since(now) <= LATE_READ,
-            false => waiter.need.in_time(read_at),
+            true => view.read_at.since(now) <= LATE_READ,
+            false => waiter.need.in_time(view.read_at),
         };
         let ahead = self.ahead(ticket, waiter);
-        let room = self.roomiest(now, servers, engine, &work, waiter.need.tokens, &mut draw);
+        let room = self.roomiest(now, servers, view, &work, waiter.need.tokens, &mut draw);
         if let (true, 0, Some(id)) = (worth, ahead, &room) {
             return Advice::Ask(id.clone());
         }
@@ -280,29 +289,29 @@
         now.after(RETRY_MIN).after(RETRY_SPREAD.mul_f64(draw))
     }
 
-    /// The engine with the largest part of its memory free, where the request fits.
+    /// The engine with the most memory free, of a few drawn from those where the request fits.
     fn roomiest<'a>(
         &self,
         now: Moment,
         servers: impl Iterator<Item = &'a Server>,
-        engine: &Engine,
+        view: &View<'_>,
         work: &impl Fn(&ServerId) -> Work,
         tokens: u64,
         draw: &mut impl FnMut() -> f64,
     ) -> Option<ServerId> {
-        let room = |s: &&Server| {
+        let room = |s: &Server| {
             let all = self.own(&s.id).plus(work(&s.id));
-            let free = engine.tokens.checked_sub(all.tokens + tokens)?;
-            (all.count < engine.slots).then_some(free)
+            let free = view.engine.tokens.checked_sub(all.tokens + tokens)?;
+            (all.count < view.engine.slots).then_some(free)
         };
         let rests = |s: &&Server| {
             let record = self.records.get(&s.id);
             record.is_some_and(|r| r.full_until > now || r.fault_until > now)
         };
-        servers
-            .filter(|s| !rests(s))
-            .filter_map(|s| Some((room(&s)? as f64 * (1.0 + 0.1 * draw()), s)))
-            .max_by(|a, b| a.0.total_cmp(&b.0))
-            .map(|(_, s)| s.id.clone())
+        let mut fit: Vec<(f64, u64, &Server)> =
+            servers.filter(|s| !rests(s)).filter_map(|s| Some((draw(), room(s)?, s))).collect();
+        fit.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let few = compared(fit.len(), view.entries).min(fit.len());
+        fit[..few].iter().max_by_key(|(_, free, _)| *free).map(|(_, _, s)| s.id.clone())
     }
 }
--- a/crates/router/src/prefill.rs
+++ b/crates/router/src/prefill.rs
@@ -9,7 +9,7 @@
 use ebonyloft_core::time::Moment;
 
 use crate::catalog::{Server, ServerId};
-use crate::share::Work;
+use crate::share::{Work, compared};
 use crate::stages::READ_RATE;
 
 /// Time of a read beyond its tokens: the first step, and the way there and back.
@@ -21,17 +21,6 @@
 /// passed over for its queue alone.
 pub const PACES: (f64, f64) = (0.8, 10.0);
 
-/// Engines compared by one choice, times the number of entries: with many entries that all hear the
-/// same late news, the one shortest queue would be everybody's choice.
-pub const COMPARED: usize = 4;
-/// Fewest engines compared: the better of two random ones spreads late news well.
-pub const COMPARED_MIN: usize = 2;
-
-/// How many of `engines` one of `entries` compares.
-pub fn compared(engines: usize, entries: usize) -> usize {
-    (engines * COMPARED).div_ceil(entries.max(1)).clamp(COMPARED_MIN, engines.max(COMPARED_MIN))
-}
-
 /// How the pace of each engine compares with its sheet; 2.0 is twice as slow.
 #[derive(Clone, Debug, Default)]
 pub struct Paces {
--- a/crates/router/src/share.rs
+++ b/crates/router/src/share.rs
@@ -127,3 +127,14 @@
         self.peers.retain(|_, p| now.since(p.heard_at) < PEER_LIFE * 10);
     }
 }
+
+/// Engines compared by one choice, times the number of entries: with many entries that all hear the
+/// same late news, the one shortest queue would be everybody's choice.
+pub const COMPARED: usize = 4;
+/// Fewest engines compared: the better of two random ones spreads late news well.
+pub const COMPARED_MIN: usize = 2;
+
+/// How many of `engines` one of `entries` compares.
+pub fn compared(engines: usize, entries: usize) -> usize {
+    (engines * COMPARED).div_ceil(entries.max(1)).clamp(COMPARED_MIN, engines.max(COMPARED_MIN))
+}
--- a/crates/router/tests/engines.rs
+++ b/crates/router/tests/engines.rs
@@ -4,7 +4,7 @@
 
 use ebonyloft_core::time::Moment;
 use ebonyloft_router::catalog::{Engine, Server, ServerId, Stage};
-use ebonyloft_router::engines::{Advice, Engines, FULL_REST, Need, REJECT_REST, Ticket};
+use ebonyloft_router::engines::{Advice, Engines, FULL_REST, Need, REJECT_REST, Ticket, View};
 use ebonyloft_router::share::Work;
 
 const NOW: Moment = Moment::from_millis(100_000);
@@ -48,8 +48,20 @@
 }
 
 fn advise(engines: &Engines, at: Moment, ticket: Ticket, servers: &[Server]) -> Advice {
-    let read_at = at.after(Duration::from_millis(100));
-    engines.advise(at, ticket, read_at, servers.iter(), &spec(), |_| Work::default(), || 0.5)
+    advise_with(engines, at, ticket, at.after(Duration::from_millis(100)), servers, Work::default())
+}
+
+/// The same with a moment at which the prompt is read, and peers' work at each engine.
+fn advise_with(
+    engines: &Engines,
+    at: Moment,
+    ticket: Ticket,
+    read_at: Moment,
+    servers: &[Server],
+    peers: Work,
+) -> Advice {
+    let view = View { engine: &spec(), read_at, entries: 4 };
+    engines.advise(at, ticket, &view, servers.iter(), |_| peers, || 0.5)
 }
 
 #[test]
@@ -79,8 +91,8 @@
     let servers = servers(1);
     let mut engines = Engines::default();
     let ticket = engines.join(NOW, need(), after(100));
-    let full = |_: &ServerId| Work { tokens: 17_000, count: 4, ..Work::default() };
-    let advice = engines.advise(NOW, ticket, after(100), servers.iter(), &spec(), full, || 0.5);
+    let full = Work { tokens: 17_000, count: 4, ..Work::default() };
+    let advice = advise_with(&engines, NOW, ticket, after(100), &servers, full);
     assert!(matches!(advice, Advice::Wait(_)));
 }
 
@@ -111,15 +123,7 @@
     let servers = servers(1);
     let mut engines = Engines::default();
     let ticket = engines.join(NOW, need(), after(2_000));
-    let advice = engines.advise(
-        NOW,
-        ticket,
-        after(2_000),
-        servers.iter(),
-        &spec(),
-        |_| Work::default(),
-        || 0.5,
-    );
+    let advice = advise_with(&engines, NOW, ticket, after(2_000), &servers, Work::default());
     let Advice::Refuse(at) = advice else { panic!("{advice:?}") };
     assert!(at > after(2_000));
 }
--- a/crates/router/tests/load/world.rs
+++ b/crates/router/tests/load/world.rs
@@ -8,7 +8,7 @@
 
 use ebonyloft_core::time::Moment;
 use ebonyloft_router::catalog::{Engine, Server, ServerId, Stage};
-use ebonyloft_router::engines::{Advice, Engines, FIRST_EVENT, Need, Ticket};
+use ebonyloft_router::engines::{Advice, Engines, FIRST_EVENT, Need, Ticket, View};
 use ebonyloft_router::growth::Growth;
 use ebonyloft_router::prefill::{self, Choice, Paces};
 use ebonyloft_router::share::{Share, Shares};
@@ -225,8 +225,8 @@
         let e = &self.entries[entry];
         let work = |id: &ServerId| e.shares.work(self.now, id);
         let writers = self.servers[self.plan.readers..].iter();
-        let advice =
-            e.engines.advise(self.now, ticket, read_at, writers, &self.spec, work, || draw);
+        let view = View { engine: &self.spec, read_at, entries: 4 };
+        let advice = e.engines.advise(self.now, ticket, &view, writers, work, || draw);
         match advice {
             Advice::Ask(id) => {
                 let writer = self.index(&id);
