--- /dev/null
+++ b/crates/cli/tests/trace.rs
@@ -0,0 +1,59 @@
+//! `ebonyloft trace`: from a request's id to what became of it.
+
+use std::io::Write;
+use std::process::{Command, Output, Stdio};
+
+const LOG: &str = r#"
+  9.10 front-a {"timestamp":"2026-07-06T12:57:55.2Z","level":"INFO","message":"request refused","id":"b2","cause":"Overload","verdict":"NotRun"}
+{"timestamp":"2026-07-06T12:57:55.1Z","level":"INFO","message":"no place in time","id":"b2","ms":100,"waiting":2}
+{"timestamp":"2026-07-06T12:57:55.3Z","level":"INFO","message":"sent","id":"c3","server":"i-1","fate":"Lost","ms":40}
+{"timestamp":"2026-07-06T12:57:55.4Z","level":"INFO","message":"request refused","id":"c3","cause":"Lost","verdict":"MayHaveRun"}
+not JSON, but it names b2
+"#;
+
+fn trace(args: &[&str], input: &str) -> Output {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_ebonyloft"))
+        .arg("trace")
+        .args(args)
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the command");
+    child.stdin.take().expect("its input").write_all(input.as_bytes()).expect("input that is read");
+    child.wait_with_output().expect("its end")
+}
+
+#[test]
+fn a_refused_request_is_told_in_order() {
+    let output = trace(&["b2"], LOG);
+    assert!(output.status.success());
+    let text = String::from_utf8(output.stdout).expect("text");
+    let lines: Vec<&str> = text.lines().collect();
+    assert_eq!(lines.len(), 3);
+    assert!(lines[0].contains("no place in time") && lines[0].contains("waiting=2"));
+    assert!(lines[1].contains("request refused") && lines[1].contains("verdict=NotRun"));
+    assert_eq!(lines[2], "Refused: no place would have been free in time. It did not run.");
+}
+
+#[test]
+fn a_lost_request_may_have_run() {
+    let output = trace(&["c3"], LOG);
+    let text = String::from_utf8(output.stdout).expect("text");
+    assert!(text.ends_with("Failed: it was sent and no whole answer came; it may have run.\n"));
+}
+
+#[test]
+fn an_unknown_request_is_an_error() {
+    let output = trace(&["zz"], LOG);
+    assert_eq!(output.status.code(), Some(2));
+    let text = String::from_utf8(output.stderr).expect("text");
+    assert!(text.contains("no line of request zz"), "{text}");
+}
+
+#[test]
+fn a_file_that_is_not_there_is_named() {
+    let output = trace(&["b2", "/nowhere/log"], "");
+    assert_eq!(output.status.code(), Some(2));
+    assert!(String::from_utf8_lossy(&output.stderr).contains("/nowhere/log"));
+}
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -36,8 +36,8 @@
 
 use self::shared::Shared;
 use crate::clock::Clock;
-use crate::http;
 use crate::metrics::{Metrics, Registry};
+use crate::{http, logs};
 
 /// How long new callers are still taken after a stop was asked for: the platform notices after two
 /// readiness checks, one a second, and a margin.
@@ -146,6 +146,7 @@
 /// connections closed, settings read again.
 async fn upkeep(shared: Rc<Shared>, file: PathBuf) {
     let mut round = 0_u64;
+    let mut logged = 0;
     loop {
         compio::time::sleep(UPKEEP).await;
         round += 1;
@@ -162,6 +163,11 @@
         shared.engines.borrow_mut().retain(|id| roster.get(id).is_some());
         shared.paces.borrow_mut().retain(|id| roster.get(id).is_some());
         drop(roster);
+        let dropped = logs::dropped();
+        if dropped > logged {
+            tracing::warn!(lines = dropped - logged, "log lines left out: too many in a second");
+            logged = dropped;
+        }
         shared.metrics.gauge("gateway.open", shared.open.get() as u64);
         shared.metrics.gauge("gateway.waiting", shared.engines.borrow().waiting() as u64);
         if round.is_multiple_of(RELOAD_ROUNDS) {
--- a/crates/daemon/src/gateway/call.rs
+++ b/crates/daemon/src/gateway/call.rs
@@ -13,7 +13,7 @@
 use super::answer::{self, Body, Cause};
 use super::intake::Intake;
 use super::send::{self, Expect, Whole};
-use super::shared::Shared;
+use super::shared::{Basis, Shared};
 
 /// Part of a route's goal after which a call that may be repeated is sent elsewhere: what is left
 /// suffices for a call of mean length.
@@ -148,7 +148,11 @@
     shared.plain.borrow_mut().ended(now, &to.id, sent, fate, load);
     flight.open = None;
     let ms = now.since(sent).as_millis() as u64;
-    tracing::info!(id = intake.id(), server = %to.id.0, ?fate, ?load, ms, "sent");
+    let Basis { config, roster, age } = shared.basis();
+    tracing::info!(
+        id = intake.id(), server = %to.id.0, ?fate, ms, running = load.map(|l| l.running),
+        waiting = load.map(|l| l.waiting), config, roster, age, "sent"
+    );
     (fate, answer)
 }
 
@@ -169,7 +173,11 @@
 
 fn refuse(shared: &Shared, intake: &Intake, cause: Cause, verdict: Verdict) -> Response<Body> {
     let retry = RETRY.mul_f64(1.0 + shared.draw());
-    tracing::info!(id = intake.id(), service = %intake.service, ?cause, ?verdict, "request refused");
+    let Basis { config, roster, age } = shared.basis();
+    tracing::info!(
+        id = intake.id(), service = %intake.service, ?cause, ?verdict, config, roster, age,
+        "request refused"
+    );
     shared.metrics.count("gateway.refused", 1);
     answer::refusal(cause, verdict, Some(retry))
 }
--- a/crates/daemon/src/gateway/shared.rs
+++ b/crates/daemon/src/gateway/shared.rs
@@ -31,6 +31,17 @@
 /// that say so.
 const CHANGE_REST: Duration = Duration::from_millis(700);
 
+/// Versions and age of the beliefs behind a decision.
+#[derive(Clone, Copy, Debug)]
+pub struct Basis {
+    /// Version of the configuration.
+    pub config: u64,
+    /// Revision of the list of backend servers.
+    pub roster: u64,
+    /// Milliseconds since the store was heard.
+    pub age: u64,
+}
+
 /// State of one gateway process.
 pub struct Shared {
     /// The process's clock.
@@ -187,6 +198,16 @@
         }
     }
 
+    /// What decisions are based on now, for the log.
+    pub fn basis(&self) -> Basis {
+        let heard = self.fresh.borrow().heard_at();
+        Basis {
+            config: self.config.borrow().as_ref().map_or(0, |c| c.version),
+            roster: self.roster.borrow().revision(),
+            age: self.now().since(heard).as_millis() as u64,
+        }
+    }
+
     /// Resolves when a place may have come free.
     pub fn wake(&self) -> oneshot::Receiver<()> {
         let (sender, receiver) = oneshot::channel();
--- a/crates/daemon/src/gateway/stream/place.rs
+++ b/crates/daemon/src/gateway/stream/place.rs
@@ -13,7 +13,7 @@
 use super::{Stop, read};
 use crate::gateway::answer::Cause;
 use crate::gateway::intake::Intake;
-use crate::gateway::shared::Shared;
+use crate::gateway::shared::{Basis, Shared};
 
 /// Longest wait for an engine to reserve a place; it answers within a few milliseconds.
 const HOLD_WAIT: Duration = Duration::from_millis(150);
@@ -51,9 +51,7 @@
             }
             Advice::Refuse(retry_at) => {
                 leave(shared, flight);
-                let ms = shared.now().since(joined).as_millis() as u64;
-                let waiting = shared.engines.borrow().waiting();
-                tracing::info!(id = intake.id(), ms, waiting, "no place in time");
+                log_refused(shared, intake, flight, joined);
                 return Err(Stop::Refused(Cause::Overload, Some(retry_at)));
             }
         }
@@ -131,13 +129,34 @@
     None
 }
 
+fn log_refused(shared: &Shared, intake: &Intake, flight: &Flight, joined: Moment) {
+    let now = shared.now();
+    let ms = now.since(joined).as_millis() as u64;
+    let read = read::foretold(shared, intake, flight, now).since(now).as_millis() as u64;
+    let left = intake.goal_at.since(now).as_millis() as u64;
+    let waiting = shared.engines.borrow().waiting();
+    let Basis { config, roster, age } = shared.basis();
+    tracing::info!(
+        id = intake.id(),
+        ms,
+        waiting,
+        read,
+        left,
+        config,
+        roster,
+        age,
+        "no place in time"
+    );
+}
+
 fn log_placed(shared: &Shared, intake: &Intake, server: &Server, joined: Moment) {
     let work = shared.work(&server.id);
     let ms = shared.now().since(joined).as_millis() as u64;
+    let Basis { config, roster, age } = shared.basis();
     tracing::info!(
         id = intake.id(), server = %server.id.0, prompt = intake.caller.prompt,
         output = intake.caller.output, hint = intake.caller.hint, tokens = work.tokens,
-        count = work.count, ms, "placed"
+        count = work.count, ms, config, roster, age, "placed"
     );
     shared.metrics.time("gateway.place_ms", ms);
 }
