--- a/crates/cli/src/cmd/trace.rs
+++ b/crates/cli/src/cmd/trace.rs
@@ -104,6 +104,7 @@
         "Overload" => "Refused: no place would have been free in time. It did not run.",
         "NoServer" => "Refused: no backend server of the service was known. It did not run.",
         "NotReady" => "Refused: the gateway knew no configuration yet. It did not run.",
+        "Stopping" => "Refused: the gateway was stopping. It did not run.",
         "NoRoute" => "Refused: no route of this configuration has its host and path.",
         "Budget" => "Given up: the budget of extra arrivals was spent; see the verdict.",
         "Lost" => "Failed: it was sent and no whole answer came; it may have run.",
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -39,8 +39,8 @@
 use crate::metrics::{Metrics, Registry};
 use crate::{http, logs};
 
-/// How long new callers are still taken after a stop was asked for: the platform notices after two
-/// readiness checks, one a second, and a margin.
+/// Shortest time from a stop to the end: the platform notices after two readiness checks, one a
+/// second, and a margin.
 const LINGER: Duration = Duration::from_millis(3_000);
 /// Left of the grace period when the last streams are broken off.
 const LAST_MARGIN: Duration = Duration::from_millis(300);
@@ -77,16 +77,17 @@
     start(&shared, &node, &options, registry, closing.shared(), hup).await?;
     tracing::info!(name = %node.name, zone = %node.zone, version = env!("CARGO_PKG_VERSION"), "started");
     stop.await;
-    shared.stopping.set(true);
-    tracing::info!(open = shared.open.get(), "stopping");
     let asked = shared.now();
+    shared.stopping.set(Some(asked));
+    tracing::info!(open = shared.open.get(), "stopping");
     compio::time::sleep(LINGER).await;
-    // Connections without a request are closed now, the others behind their answers.
-    let _ = close.send(());
     let end = asked.after(node.bounds.grace).before(LAST_MARGIN);
     while shared.open.get() > 0 && shared.now() < end {
         compio::time::sleep(STOP_LOOK).await;
     }
+    // Until now callers were taken, since others may be stopping too. Connections without a request
+    // are closed first, the others behind their answers.
+    let _ = close.send(());
     compio::time::sleep(STOP_LOOK).await;
     tracing::info!(open = shared.open.get(), "stopped");
     Ok(())
--- a/crates/daemon/src/gateway/answer.rs
+++ b/crates/daemon/src/gateway/answer.rs
@@ -32,6 +32,8 @@
     NoRoute,
     /// No configuration or list of backend servers is known yet.
     NotReady,
+    /// The process is stopping, and the request would not end before it does.
+    Stopping,
     /// No backend server of the service can be reached.
     NoServer,
     /// All backend servers are full for longer than the caller waits.
--- a/crates/daemon/src/gateway/ingress.rs
+++ b/crates/daemon/src/gateway/ingress.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use compio::net::{TcpListener, TcpStream};
@@ -28,12 +29,18 @@
 
 /// When callers are asked to come back to a process that knows no configuration yet: one round of
 /// the platform's readiness check, by which others are chosen.
-const NOT_READY_RETRY: std::time::Duration = std::time::Duration::from_millis(500);
+const NOT_READY_RETRY: Duration = Duration::from_millis(500);
 /// Callers' request heads have no more headers than this; a guard for memory.
 const HEADERS_MAX: usize = 100;
 /// Smallest read buffer that the HTTP library allows.
 const BUFFER_MIN: usize = 8 << 10;
 
+/// How long streams are taken after a stop was asked for. The platform sends callers elsewhere after
+/// two readiness checks, one a second, and what is taken by then has most of the grace period.
+const STREAMS_TAKEN: Duration = Duration::from_millis(2_800);
+/// Left of the grace period when short calls are no longer taken: the longest of their deadlines.
+const CALLS_LEFT: Duration = Duration::from_millis(1_500);
+
 /// Resolves when connections are to be closed.
 pub type Closing = SharedFuture<oneshot::Receiver<()>>;
 
@@ -99,7 +106,7 @@
         Ok(intake) => work(&shared, intake).await,
         Err(refused) => refused,
     };
-    if chunked || shared.stopping.get() {
+    if chunked || shared.is_stopping() {
         answer::close_after(&mut response);
     }
     response
@@ -137,6 +144,11 @@
     else {
         return Err(refuse(Cause::NoRoute));
     };
+    if let Some(asked) = shared.stopping.get()
+        && !may_end(shared, asked, came_at, config.routes[route].kind)
+    {
+        return Err(refuse(Cause::Stopping));
+    }
     let Some(service) = choose_service(shared, &config, route) else {
         return Err(refuse(Cause::NoServer));
     };
@@ -149,6 +161,16 @@
     Ok(intake(came_at, config, route, service, parts, body, caller))
 }
 
+/// Can a request that comes now still end before the process does?
+fn may_end(shared: &Shared, asked: Moment, now: Moment, kind: Kind) -> bool {
+    match kind {
+        Kind::Stream => now < asked.after(STREAMS_TAKEN),
+        Kind::Idempotent | Kind::Once => {
+            now < asked.after(shared.node().bounds.grace).before(CALLS_LEFT)
+        }
+    }
+}
+
 fn intake(
     came_at: Moment,
     config: Rc<Config>,
--- a/crates/daemon/src/gateway/orders.rs
+++ b/crates/daemon/src/gateway/orders.rs
@@ -33,7 +33,7 @@
     let mut planner = Planner::default();
     loop {
         compio::time::sleep(LOOK.mul_f64(0.8 + 0.4 * shared.draw())).await;
-        if shared.stopping.get() || !wanted(&shared) || !shared.lock_free.get() {
+        if shared.is_stopping() || !wanted(&shared) || !shared.lock_free.get() {
             continue;
         }
         match take(&shared).await {
@@ -101,7 +101,7 @@
     loop {
         compio::time::sleep(LOOK).await;
         let now = shared.now();
-        if shared.stopping.get() {
+        if shared.is_stopping() {
             return give_up(shared, held).await;
         }
         if now >= renew_at {
--- a/crates/daemon/src/gateway/shared.rs
+++ b/crates/daemon/src/gateway/shared.rs
@@ -76,8 +76,8 @@
     pub lock_free: Cell<bool>,
     /// Engines that this process ordered to change their stage and that have not yet.
     pub changing: RefCell<Vec<ServerId>>,
-    /// The process was told to stop.
-    pub stopping: Cell<bool>,
+    /// When the process was told to stop.
+    pub stopping: Cell<Option<Moment>>,
     /// Requests being worked on.
     pub open: Cell<usize>,
     /// Counters and histograms.
@@ -109,7 +109,7 @@
             peers: RefCell::default(),
             lock_free: Cell::new(true),
             changing: RefCell::default(),
-            stopping: Cell::new(false),
+            stopping: Cell::default(),
             open: Cell::new(0),
             metrics,
             born_at: clock.now(),
@@ -150,7 +150,12 @@
 
     /// May callers be taken?
     pub fn is_ready(&self) -> bool {
-        !self.stopping.get() && self.config.borrow().is_some() && self.roster.borrow().is_complete()
+        !self.is_stopping() && self.config.borrow().is_some() && self.roster.borrow().is_complete()
+    }
+
+    /// Was the process told to stop?
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.get().is_some()
     }
 
     /// Live gateways, this one included.
--- a/crates/standins/tests/gateway.rs
+++ b/crates/standins/tests/gateway.rs
@@ -373,6 +373,29 @@
     });
 }
 
+/// All gateways may be stopping in turn: one that still has a stream to end takes checks meanwhile,
+/// and refuses summaries that it could not end.
+#[test]
+fn a_stopping_gateway_takes_what_it_can_still_end() {
+    let runner = RunnerSpec { pace: Duration::from_millis(300), ..RunnerSpec::default() };
+    with_fleet(FleetSpec { runner, ..FleetSpec::default() }, async |fleet| {
+        let caller = fleet.caller(0);
+        let request = caller.summary_request(SUMMARY, "s1");
+        let task = compio::runtime::spawn(async move { caller.send(request).await });
+        assert!(eventually(SECOND, || fleet.runs("s1") == 1).await);
+        fleet.stop(0);
+        compio::time::sleep(4 * SECOND).await;
+        let check = fleet.caller(0).call(CHECK, "c1").await.expect("an answer");
+        assert_eq!(check.status, 200);
+        let summary = fleet.caller(0).summary(SUMMARY, "s2").await.expect("an answer");
+        assert_eq!(summary.status, 503);
+        assert!(summary.header("retry-after").is_some());
+        assert_eq!(fleet.runs("s2"), 0);
+        let answer = task.await.expect("the caller's task").expect("an answer");
+        assert_eq!(answer.events().len(), 20);
+    });
+}
+
 #[test]
 fn orders_come_from_one_gateway_under_a_growing_fence() {
     // Six engines, all of which write: one or two should read.
