A fault soak: real gateway processes under signals, relays and failing stand-ins

Three gateways as processes; killed, stopped, paused, restarted and told to reload in overlapping series; the paths to the store and to backend servers late, reset, closed or silent in one direction or both; a store that is busy, silent or loses answers; backend servers that fail six ways; configuration changes with and without history. Callers and backend servers are held against the promises while it runs.

--- /dev/null
+++ b/crates/daemon/tests/soak.rs
@@ -0,0 +1,51 @@
+//! Randomised faults on real gateway processes, and what callers and backend servers see of them.
+//!
+//! A short seeded run and all seeds that ever failed are run with the other tests. By hand:
+//!
+//!     EBONYLOFT_SOAK_SEEDS=50 cargo nextest run -p ebonyloftd --test soak --run-ignored only
+//!
+//! `EBONYLOFT_SOAK_FROM` is the first seed (the time of day without it), `EBONYLOFT_SOAK_SECS` how
+//! long each seed is played, `EBONYLOFT_SOAK_GATEWAYS` how many gateways run.
+
+#[path = "soak/callers.rs"]
+mod callers;
+#[path = "soak/faults.rs"]
+mod faults;
+#[path = "soak/world.rs"]
+mod world;
+
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use self::world::{Plan, play};
+
+/// Seeds that failed once, each with what it showed.
+const KEPT: &[(u64, &str)] = &[];
+
+fn number(name: &str) -> Option<u64> {
+    std::env::var(name).ok()?.parse().ok()
+}
+
+#[test]
+fn a_short_run_keeps_the_promises() {
+    play(Plan { seed: 1, faults: Duration::from_secs(8), gateways: 3 });
+}
+
+#[test]
+fn seeds_that_failed_keep_the_promises() {
+    for (seed, shown) in KEPT {
+        println!("seed {seed}: {shown}");
+        play(Plan { seed: *seed, faults: Duration::from_secs(8), gateways: 3 });
+    }
+}
+
+#[test]
+#[ignore = "takes as long as it is told to"]
+fn by_hand() {
+    let clock = SystemTime::now().duration_since(UNIX_EPOCH).expect("a time after 1970").as_secs();
+    let first = number("EBONYLOFT_SOAK_FROM").unwrap_or(clock);
+    let faults = Duration::from_secs(number("EBONYLOFT_SOAK_SECS").unwrap_or(8));
+    let gateways = number("EBONYLOFT_SOAK_GATEWAYS").unwrap_or(3) as usize;
+    for seed in first..first + number("EBONYLOFT_SOAK_SEEDS").unwrap_or(5) {
+        play(Plan { seed, faults, gateways });
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/soak/faults.rs
@@ -0,0 +1,108 @@
+//! Faults drawn from the seed: several overlap, and each ends by itself.
+
+use std::rc::Rc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use ebonyloft_platform::serve;
+use ebonyloft_platform::store::CONFIG_KEY;
+use ebonyloft_standins::fleet::{FleetSpec, config};
+use ebonyloft_standins::fleet::{runner, store};
+use ebonyloft_standins::relay::RelaySwitch;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rustix::process::Signal;
+
+use crate::world::{RUNNER_FAULTS, STORE_FAULTS, World};
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+/// Injects faults for as long as the plan says, and waits until all of them have ended.
+pub async fn faults(world: &Rc<World>) {
+    let mut rng = ChaCha8Rng::seed_from_u64(world.plan.seed);
+    let end = Instant::now() + world.plan.faults;
+    let mut tasks = Vec::new();
+    while Instant::now() < end {
+        compio::time::sleep(ms(rng.random_range(50..500))).await;
+        let (world, seed) = (world.clone(), rng.random());
+        tasks.push(compio::runtime::spawn(async move { one(&world, seed).await }));
+    }
+    for task in tasks {
+        task.await.expect("a fault's task");
+    }
+    for gateway in &world.gateways {
+        gateway.signal(Signal::CONT);
+        gateway.revive();
+    }
+}
+
+async fn one(world: &World, seed: u64) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let lasts = ms(rng.random_range(100..2_500));
+    let gateway = &world.gateways[rng.random_range(0..world.gateways.len())];
+    let (runner, relay) = &world.runners[rng.random_range(0..world.runners.len())];
+    match rng.random_range(0..11) {
+        0 => {
+            gateway.signal(Signal::KILL);
+            compio::time::sleep(lasts / 3).await;
+            gateway.revive();
+        }
+        1 => {
+            gateway.signal(Signal::TERM);
+            compio::time::sleep(ms(8_500)).await;
+            gateway.revive();
+        }
+        2 => {
+            gateway.signal(Signal::STOP);
+            compio::time::sleep(lasts).await;
+            gateway.signal(Signal::CONT);
+        }
+        3 => gateway.signal(Signal::HUP),
+        4 => {
+            world.store.set_fault(STORE_FAULTS[rng.random_range(0..STORE_FAULTS.len())]);
+            compio::time::sleep(lasts).await;
+            world.store.set_fault(store::Fault::None);
+        }
+        5 => cut(&world.store_relay, &mut rng, lasts).await,
+        6 | 7 => cut(relay, &mut rng, lasts).await,
+        8 | 9 => {
+            runner.set_fault(RUNNER_FAULTS[rng.random_range(0..RUNNER_FAULTS.len())]);
+            compio::time::sleep(lasts).await;
+            runner.set_fault(runner::Fault::None);
+        }
+        _ => {
+            let version = world.version.get() + rng.random_range(1..4);
+            world.version.set(version);
+            let text = serve::config(&config(version, &FleetSpec::default()));
+            world.store.put(CONFIG_KEY, &text, 0);
+            if rng.random() {
+                world.store.compact();
+            }
+        }
+    }
+}
+
+/// A path that is late, reset, closed to new connections, or silent in one direction or both.
+async fn cut(relay: &RelaySwitch, rng: &mut ChaCha8Rng, lasts: Duration) {
+    let switches = match rng.random_range(0..6) {
+        0 => vec![&relay.mute_forward],
+        1 => vec![&relay.mute_back],
+        2 => vec![&relay.mute_forward, &relay.mute_back],
+        3 => vec![&relay.refuse],
+        4 => vec![&relay.reset],
+        _ => {
+            relay.delay_ms.store(rng.random_range(5..150), Ordering::Relaxed);
+            vec![]
+        }
+    };
+    for switch in &switches {
+        switch.store(true, Ordering::Relaxed);
+    }
+    compio::time::sleep(lasts).await;
+    for switch in &switches {
+        switch.store(false, Ordering::Relaxed);
+    }
+    relay.delay_ms.store(0, Ordering::Relaxed);
+}
--- /dev/null
+++ b/crates/daemon/tests/soak/world.rs
@@ -0,0 +1,258 @@
+//! The store and backend servers in this process, gateways as processes of their own, relays between.
+
+use std::cell::{Cell, RefCell};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use compio::net::TcpListener;
+use ebonyloft_platform::serve;
+use ebonyloft_platform::store::CONFIG_KEY;
+use ebonyloft_router::catalog::{Server, ServerId, Stage};
+use ebonyloft_standins::fleet::caller::Caller;
+use ebonyloft_standins::fleet::runner::{self, Runner, RunnerSpec};
+use ebonyloft_standins::fleet::store::{self, Store};
+use ebonyloft_standins::fleet::{CHECK, ENGINES, FleetSpec, PLAIN, SUMMARY, config};
+use ebonyloft_standins::relay::{self, RelaySwitch};
+use rustix::process::{Pid, Signal, kill_process};
+
+use crate::callers::{Ledger, calls};
+use crate::faults::faults;
+
+/// How long everything has to come back after the last fault.
+const RECOVERY: Duration = Duration::from_secs(12);
+
+/// One run.
+#[derive(Clone, Copy, Debug)]
+pub struct Plan {
+    pub seed: u64,
+    /// How long faults are injected.
+    pub faults: Duration,
+    pub gateways: usize,
+}
+
+/// A gateway process; it is started anew whenever it ended.
+pub struct Gateway {
+    ip: Ipv4Addr,
+    child: RefCell<Child>,
+    file: PathBuf,
+}
+
+/// Everything of a run.
+pub struct World {
+    pub plan: Plan,
+    pub store: Rc<Store>,
+    pub store_relay: RelaySwitch,
+    pub runners: Vec<(Rc<Runner>, RelaySwitch)>,
+    pub gateways: Vec<Gateway>,
+    pub ledger: RefCell<Ledger>,
+    pub version: Cell<u64>,
+    /// Callers go on while this holds.
+    pub open: Cell<bool>,
+}
+
+/// Plays one seed; fails with the seed in its message.
+pub fn play(plan: Plan) {
+    let runtime = compio::runtime::Runtime::new().expect("a runtime");
+    runtime.block_on(async {
+        let world = Rc::new(World::start(plan).await);
+        world.wait_ready().await;
+        let callers: Vec<_> = (0..plan.gateways * 2)
+            .map(|n| compio::runtime::spawn(calls(world.clone(), n)))
+            .collect();
+        faults(&world).await;
+        world.check_recovery().await;
+        world.open.set(false);
+        for caller in callers {
+            caller.await.expect("a caller's task");
+        }
+        world.check_rest().await;
+        world.close();
+    });
+}
+
+impl World {
+    async fn start(plan: Plan) -> World {
+        let pid = std::process::id();
+        let net = [128 + (pid >> 8 & 0x7f) as u8, (pid & 0xff) as u8];
+        let ip = |host: u8| Ipv4Addr::new(127, net[0], net[1], host);
+        let store = Store::start((ip(1), 8_142).into()).await;
+        let spec = FleetSpec::default();
+        store.put(CONFIG_KEY, &serve::config(&config(1, &spec)), 0);
+        let store_relay = between((ip(2), 8_142).into(), (ip(1), 8_142).into()).await;
+        let mut runners = Vec::new();
+        let stages = [Some(Stage::Prefill), Some(Stage::Decode), Some(Stage::Decode), None, None];
+        for (i, stage) in stages.into_iter().enumerate() {
+            let host = 10 + i as u8;
+            let server = Server {
+                id: ServerId(format!("i-{host}")),
+                service: if stage.is_some() { ENGINES } else { PLAIN }.to_owned(),
+                addr: (ip(host), 8_147).into(),
+                zone: "a".to_owned(),
+                slots: 12,
+                draining: false,
+                stage,
+            };
+            let runner = Runner::start(server, RunnerSpec::default()).await;
+            let front: SocketAddr = (ip(host + 20), 8_147).into();
+            let switch = between(front, (ip(host), 8_147).into()).await;
+            runner.server.borrow_mut().addr = front;
+            store.register(&runner.server.borrow());
+            runners.push((runner, switch));
+        }
+        let gateways =
+            (0..plan.gateways).map(|n| Gateway::start(ip(100 + n as u8), ip(2))).collect();
+        World {
+            plan,
+            store,
+            store_relay,
+            runners,
+            gateways,
+            ledger: RefCell::default(),
+            version: Cell::new(1),
+            open: Cell::new(true),
+        }
+    }
+
+    /// Address for callers of a gateway.
+    pub fn address(&self, gateway: usize) -> SocketAddr {
+        (self.gateways[gateway].ip, 8_144).into()
+    }
+
+    /// How often an attempt ran.
+    pub fn runs(&self, attempt: &str) -> usize {
+        self.runners.iter().map(|(r, _)| r.runs(attempt)).sum()
+    }
+
+    async fn wait_ready(&self) {
+        for gateway in &self.gateways {
+            let caller = Caller::new((gateway.ip, 8_140).into());
+            let end = Instant::now() + RECOVERY;
+            while caller.get("/readiness").await.map_or(0, |a| a.status) != 200 {
+                assert!(Instant::now() < end, "seed {}: a gateway is not ready", self.plan.seed);
+                compio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+
+    /// Once faults have ended, every gateway serves every kind of request.
+    async fn check_recovery(&self) {
+        let end = Instant::now() + RECOVERY;
+        for gateway in 0..self.gateways.len() {
+            for (n, path) in [CHECK, SUMMARY].into_iter().enumerate() {
+                let mut tries = 0;
+                loop {
+                    tries += 1;
+                    let caller = Caller::new(self.address(gateway));
+                    let attempt = format!("back-{gateway}-{n}-{tries}");
+                    let sent = match n {
+                        0 => caller.call(path, &attempt).await,
+                        _ => caller.summary(path, &attempt).await,
+                    };
+                    if sent.is_ok_and(|a| a.status == 200 && a.whole) {
+                        break;
+                    }
+                    let seed = self.plan.seed;
+                    assert!(
+                        Instant::now() < end,
+                        "seed {seed}: gateway {gateway} does not serve {path}"
+                    );
+                    compio::time::sleep(Duration::from_millis(100)).await;
+                }
+            }
+        }
+    }
+
+    /// Without callers nothing is held, and what was called unrun never ran.
+    async fn check_rest(&self) {
+        let end = Instant::now() + Duration::from_secs(4);
+        let held =
+            || self.runners.iter().map(|(r, _)| r.held() + r.running() as usize).sum::<usize>();
+        while held() > 0 {
+            assert!(Instant::now() < end, "seed {}: {} held for nobody", self.plan.seed, held());
+            compio::time::sleep(Duration::from_millis(20)).await;
+        }
+        self.ledger.borrow().check(self);
+    }
+
+    fn close(&self) {
+        for gateway in &self.gateways {
+            gateway.end();
+        }
+    }
+}
+
+impl Drop for World {
+    /// A failed run leaves no process behind.
+    fn drop(&mut self) {
+        self.close();
+    }
+}
+
+impl Gateway {
+    fn start(ip: Ipv4Addr, store: Ipv4Addr) -> Gateway {
+        let file = std::env::temp_dir().join(format!("ebonyloft-soak-{ip}.toml"));
+        let text = format!(
+            "node_name = \"front-{ip}\"\nzone = \"a\"\nip_address = \"{ip}\"\nport_range = [7660, 7675]\n\
+             [listen]\nfront = \"{ip}:8144\"\nready = \"{ip}:8140\"\n\
+             [platform]\naddress = \"{store}:8142\"\n"
+        );
+        std::fs::write(&file, text).expect("a settings file");
+        Gateway { ip, child: RefCell::new(spawn(&file)), file }
+    }
+
+    /// Sends a signal to the process.
+    pub fn signal(&self, signal: Signal) {
+        let pid = Pid::from_child(&self.child.borrow());
+        // It may have ended by itself in this moment.
+        let _ = kill_process(pid, signal);
+    }
+
+    /// Starts the process again if it has ended.
+    pub fn revive(&self) {
+        let mut child = self.child.borrow_mut();
+        if child.try_wait().is_ok_and(|ended| ended.is_some()) {
+            *child = spawn(&self.file);
+        }
+    }
+
+    fn end(&self) {
+        self.signal(Signal::KILL);
+        let _ = self.child.borrow_mut().wait();
+        let _ = std::fs::remove_file(&self.file);
+    }
+}
+
+fn spawn(file: &PathBuf) -> Child {
+    Command::new(env!("CARGO_BIN_EXE_ebonyloftd"))
+        .arg("gateway")
+        .arg("--file")
+        .arg(file)
+        .args(["--log", "warn"])
+        .stdout(Stdio::null())
+        .spawn()
+        .expect("a gateway process")
+}
+
+/// A relay that listens at `front` and goes on to `target`.
+async fn between(front: SocketAddr, target: SocketAddr) -> RelaySwitch {
+    let listener = TcpListener::bind(front).await.expect("a free address");
+    let switch = RelaySwitch::default();
+    compio::runtime::spawn(relay::serve(listener, target, switch.clone())).detach();
+    switch
+}
+
+/// Faults of the store and of backend servers, by number.
+pub const STORE_FAULTS: [store::Fault; 3] =
+    [store::Fault::Busy, store::Fault::Silent, store::Fault::Lost];
+/// The same for backend servers.
+pub const RUNNER_FAULTS: [runner::Fault; 6] = [
+    runner::Fault::Errors,
+    runner::Fault::Hangs,
+    runner::Fault::Loses,
+    runner::Fault::Sheds,
+    runner::Fault::Changes,
+    runner::Fault::Breaks,
+];
