A request whose time runs out while it is sent is not called unrun

A send now counts from its begin. Test a_summary_whose_time_runs_out_is_not_called_unrun: 503 before, 504 after.

--- a/crates/daemon/src/gateway/call.rs
+++ b/crates/daemon/src/gateway/call.rs
@@ -83,6 +83,7 @@
             break;
         }
         let limit = limit(shared, intake, now, &progress, &tried);
+        progress.begin();
         let (fate, answer) = send_to(shared, intake, &server, limit, flight).await;
         arrived |= fate != Fate::Unsent;
         progress.note(fate);
--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -121,6 +121,7 @@
             Some(engine) => prepare(shared, intake, engine, flight, &tried, out.begun()).await?,
             None => plain(shared, intake, &tried).ok_or(Stop::Refused(cause, None))?,
         };
+        flight.progress.begin();
         let (fate, answer) = attempt(shared, intake, &server, flight, out, &mut splitter).await;
         let now = shared.now();
         flight.progress.note(fate);
--- a/crates/router/src/outcome.rs
+++ b/crates/router/src/outcome.rs
@@ -92,6 +92,8 @@
     pub runs_max: u32,
     /// Sends that were rejected or never left.
     pub misses: u32,
+    /// A send is under way, of which nothing is known yet.
+    pub open: bool,
 }
 
 /// Sends that may be rejected or fail to leave before the request is refused: each rejection counts
@@ -101,11 +103,17 @@
 impl Progress {
     /// A request that was not sent yet.
     pub fn new(repeatable: bool, runs_max: u32) -> Self {
-        Progress { repeatable, runs: 0, runs_max, misses: 0 }
+        Progress { repeatable, runs: 0, runs_max, misses: 0, open: false }
+    }
+
+    /// A send begins; until it is noted, the request may be running.
+    pub fn begin(&mut self) {
+        self.open = true;
     }
 
     /// Notes how a send ended.
     pub fn note(&mut self, fate: Fate) {
+        self.open = false;
         match fate.verdict() {
             Verdict::NotRun => self.misses += 1,
             Verdict::MayHaveRun => self.runs += 1,
@@ -120,8 +128,8 @@
 
     /// Whether it may have run anywhere.
     pub fn verdict(&self) -> Verdict {
-        match self.runs {
-            0 => Verdict::NotRun,
+        match (self.runs, self.open) {
+            (0, false) => Verdict::NotRun,
             _ => Verdict::MayHaveRun,
         }
     }
--- a/crates/router/tests/outcome.rs
+++ b/crates/router/tests/outcome.rs
@@ -64,3 +64,13 @@
     assert!(!once.may_send());
     assert_eq!(once.verdict(), Verdict::NotRun);
 }
+
+/// The time may run out while a send is under way.
+#[test]
+fn a_send_under_way_may_be_running() {
+    let mut once = Progress::new(false, 1);
+    once.begin();
+    assert_eq!(once.verdict(), Verdict::MayHaveRun);
+    once.note(Fate::Rejected);
+    assert_eq!(once.verdict(), Verdict::NotRun);
+}
--- a/crates/standins/src/fleet/caller.rs
+++ b/crates/standins/src/fleet/caller.rs
@@ -57,6 +57,12 @@
         Caller { addr, pool: Pool::new(Clock::default()), patience }
     }
 
+    /// The same caller, who waits this long for summaries.
+    pub fn patience(mut self, patience: Duration) -> Self {
+        self.patience = patience;
+        self
+    }
+
     /// A plain request.
     pub async fn get(&self, path: &str) -> Result<Answer, ExchangeError> {
         let mut req = Request::new(Bytes::new());
--- a/crates/standins/src/fleet/runner.rs
+++ b/crates/standins/src/fleet/runner.rs
@@ -23,6 +23,9 @@
 /// Largest request body.
 const BODY_LIMIT: usize = 4 << 20;
 
+/// How long work may take that came without a time.
+const PATIENCE: Duration = Duration::from_secs(30);
+
 /// How a backend server behaves.
 #[derive(Clone, Debug)]
 pub struct RunnerSpec {
@@ -66,6 +69,8 @@
     Errors,
     /// It takes requests and never answers.
     Hangs,
+    /// The same, and it does not end at the time that came with the work.
+    Stuck,
     /// It runs requests and closes the connection without an answer.
     Loses,
     /// It turns all requests away, saying that it did not run them.
@@ -186,7 +191,19 @@
         if full || turned || self.fault.get() == Fault::Sheds {
             return response(503, serve::rejection(&work.attempt), Vec::new());
         }
-        let stage = self.server.borrow().stage;
+        let (stage, patience) = (self.server.borrow().stage, work.patience);
+        let attempt = work.attempt.clone();
+        if self.fault.get() == Fault::Stuck && !work.prefill {
+            self.note_run(&attempt);
+            return std::future::pending().await;
+        }
+        let done =
+            compio::time::timeout(patience.unwrap_or(PATIENCE), self.clone().run(stage, work));
+        // Work ends at the time that was sent with it.
+        done.await.unwrap_or_else(|_| response(504, self.head(&attempt), Vec::new()))
+    }
+
+    async fn run(self: Rc<Self>, stage: Option<Stage>, work: Work) -> Response<Body> {
         match (stage, work.prefill) {
             (Some(Stage::Prefill), true) => self.read(work).await,
             (Some(Stage::Decode), false) => self.write(work).await,
--- a/crates/standins/tests/gateway.rs
+++ b/crates/standins/tests/gateway.rs
@@ -178,6 +178,21 @@
     });
 }
 
+/// The time runs out while a summary is at an engine that does not answer: it may have run.
+#[test]
+fn a_summary_whose_time_runs_out_is_not_called_unrun() {
+    with_fleet(FleetSpec::default(), async |fleet| {
+        for runner in &fleet.runners[1..3] {
+            runner.set_fault(Fault::Stuck);
+        }
+        let caller = fleet.caller(0).patience(SECOND);
+        let answer = caller.summary(ONCE_SUMMARY, "s1").await.expect("an answer");
+        assert_eq!(answer.status, 504);
+        assert_eq!(answer.header("retry-after"), None);
+        assert_eq!(fleet.runs("s1"), 1);
+    });
+}
+
 #[test]
 fn a_caller_who_leaves_ends_the_work_and_frees_the_memory() {
     let runner = RunnerSpec { events: 1_000, ..RunnerSpec::default() };
