--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -15,7 +15,7 @@
 use ebonyloft_platform::store::{Item, Write};
 use ebonyloft_router::catalog::Config;
 use ebonyloft_router::roster::Change;
-use ebonyloft_router::share::Share;
+use ebonyloft_router::share::{self, Share};
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use serde::{Deserialize, Serialize};
@@ -32,12 +32,6 @@
 const LEASE: Duration = Duration::from_secs(10);
 /// Pause between renewals.
 const RENEW: Duration = Duration::from_secs(3);
-/// Pause between two datagrams to each peer while there is work: a tenth of the delay with which
-/// engines report.
-const TELL_BUSY: Duration = Duration::from_millis(100);
-/// Peers up to which that pause holds; it grows with their number, so that the bytes of all grow no
-/// faster than the number of gateways.
-const TELL_PEERS: usize = 16;
 /// Datagrams left out while there is no work.
 const IDLE_ROUNDS: u64 = 5;
 /// Largest datagram.
@@ -136,11 +130,9 @@
     let life = shared.now().0;
     let mut seq = 0;
     loop {
-        let peers = shared.peers.borrow().len();
-        let pause = TELL_BUSY.mul_f64((peers as f64 / TELL_PEERS as f64).max(1.0));
-        compio::time::sleep(pause).await;
+        compio::time::sleep(share::pause(shared.peers.borrow().len())).await;
         seq += 1;
-        let share = share(&shared, life, seq);
+        let share = own_share(&shared, life, seq);
         let idle = share.work.is_empty() && share.waiting == 0 && share.changing.is_empty();
         if idle && !seq.is_multiple_of(IDLE_ROUNDS) {
             continue;
@@ -161,7 +153,7 @@
     }
 }
 
-fn share(shared: &Shared, life: u64, seq: u64) -> Share {
+fn own_share(shared: &Shared, life: u64, seq: u64) -> Share {
     let engines = shared.engines.borrow();
     Share {
         name: shared.node().name.clone(),
@@ -187,7 +179,7 @@
             Ok(received) => received,
             Err(e) => {
                 tracing::debug!(error = %e, "datagram not received");
-                compio::time::sleep(TELL_BUSY).await;
+                compio::time::sleep(share::TELL).await;
                 continue;
             }
         };
--- a/crates/router/src/share.rs
+++ b/crates/router/src/share.rs
@@ -11,10 +11,23 @@
 
 use crate::catalog::ServerId;
 
+/// Pause between two datagrams to each peer while there is work: a tenth of the delay with which
+/// engines report.
+pub const TELL: Duration = Duration::from_millis(100);
+/// Peers up to which that pause holds; it grows with their number, so that the bytes of all grow no
+/// faster than the number of entries.
+pub const TELL_PEERS: usize = 16;
 /// How long a peer's share counts without a newer one; ten rounds at the usual pace.
 pub const SHARE_LIFE: Duration = Duration::from_millis(1_500);
 /// How long a peer counts as live without a message.
 pub const PEER_LIFE: Duration = Duration::from_millis(3_000);
+/// Rounds that a share outlives at least, when rounds are long: one in a hundred datagrams is lost.
+const ROUNDS: u32 = 4;
+
+/// Pause between two rounds with so many peers.
+pub fn pause(peers: usize) -> Duration {
+    TELL.mul_f64((peers as f64 / TELL_PEERS as f64).max(1.0))
+}
 
 /// Work at one engine; four numbers without names on the way, since bytes between availability zones
 /// are dear.
@@ -110,16 +123,18 @@
 
     /// Work of all peers at one engine.
     pub fn work(&self, now: Moment, id: &ServerId) -> Work {
+        let life = SHARE_LIFE.max(pause(self.peers.len()) * ROUNDS);
         self.peers
             .values()
-            .filter(|p| now.since(p.heard_at) < SHARE_LIFE)
+            .filter(|p| now.since(p.heard_at) < life)
             .filter_map(|p| p.share.work.get(id))
             .fold(Work::default(), |sum, w| sum.plus(*w))
     }
 
     /// Peers heard lately.
     pub fn live(&self, now: Moment) -> usize {
-        self.peers.values().filter(|p| now.since(p.heard_at) < PEER_LIFE).count()
+        let life = PEER_LIFE.max(pause(self.peers.len()) * 2 * ROUNDS);
+        self.peers.values().filter(|p| now.since(p.heard_at) < life).count()
     }
 
     /// Forgets peers that fell silent long ago.
