--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -130,7 +130,8 @@
     let life = shared.now().0;
     let mut seq = 0;
     loop {
-        compio::time::sleep(share::pause(shared.peers.borrow().len())).await;
+        let count = shared.peers.borrow().len();
+        compio::time::sleep(share::pause(count)).await;
         seq += 1;
         let share = own_share(&shared, life, seq);
         let idle = share.work.is_empty() && share.waiting == 0 && share.changing.is_empty();
