--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -66,32 +66,13 @@
             Either::Right((ended, _)) => Some(ended),
         }
     };
-    let verdict = flight.progress.verdict();
     let events = out.events();
-    let word = match ended {
-        None => "caller gone",
-        Some(Ok(Ok(()))) => "whole",
-        Some(Ok(Err(Stop::Failed(answer)))) => {
-            out.fail(*answer);
-            "failed"
-        }
-        Some(Ok(Err(Stop::Refused(cause, retry_at)))) => {
-            let retry = retry_at.map(|at| at.since(shared.now()));
-            tracing::info!(id = intake.id(), ?cause, ?verdict, "request refused");
-            shared.metrics.count("gateway.refused", 1);
-            out.refuse(cause, verdict, retry);
-            "refused"
-        }
-        Some(Err(_)) => {
-            out.refuse(Cause::Timeout, verdict, None);
-            "timeout"
-        }
-    };
-    if word == "whole" {
+    let word = conclude(shared, &intake, &flight, out, ended);
+    if word == WHOLE {
         observe(shared, &intake, &flight);
     }
     let pause = flight.pause.as_millis() as u64;
-    flight.close(shared, word == "whole");
+    flight.close(shared, word == WHOLE);
     let ms = shared.now().since(intake.came_at).as_millis() as u64;
     tracing::info!(
         id = intake.id(), route = %intake.route().name, word, events, pause, ms, "stream ended"
@@ -100,6 +81,41 @@
     shared.metrics.time("gateway.stream_ms", ms);
 }
 
+/// How a stream's work ended: none when its caller is gone, an error when its time is over.
+type Ended = Option<Result<Result<(), Stop>, compio::time::Elapsed>>;
+
+/// Log word of a stream that was passed on to its end.
+const WHOLE: &str = "whole";
+
+/// Gives the caller its final answer and a word for the log.
+fn conclude(
+    shared: &Shared,
+    intake: &Intake,
+    flight: &Flight,
+    mut out: Outlet,
+    ended: Ended,
+) -> &'static str {
+    let verdict = flight.progress.verdict();
+    let (cause, retry_at) = match ended {
+        None => return "caller gone",
+        Some(Ok(Ok(()))) => {
+            out.finish();
+            return WHOLE;
+        }
+        Some(Ok(Err(Stop::Failed(answer)))) => {
+            out.fail(*answer);
+            return "failed";
+        }
+        Some(Ok(Err(Stop::Refused(cause, retry_at)))) => (cause, retry_at),
+        Some(Err(_)) => (Cause::Timeout, retry_at(shared, flight)),
+    };
+    let retry = retry_at.map(|at| at.since(shared.now()));
+    tracing::info!(id = intake.id(), ?cause, ?verdict, "request refused");
+    shared.metrics.count("gateway.refused", 1);
+    out.refuse(cause, verdict, retry);
+    if cause == Cause::Timeout { "timeout" } else { "refused" }
+}
+
 async fn deliver(
     shared: &Shared,
     intake: &Intake,
@@ -325,6 +341,5 @@
         }
     }
     shared.pool.give(conn);
-    out.finish();
     (Fate::Answered(200), None)
 }
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -39,8 +39,6 @@
     pub order_gap: Duration,
     /// Time after a fault on its way to the store by which a VM is expected to follow it again.
     pub contact: Duration,
-    /// How long a leaving backend server may still be sent work.
-    pub drain: Duration,
 }
 
 impl Eq for Bounds {}
--- a/crates/standins/tests/gateway.rs
+++ b/crates/standins/tests/gateway.rs
@@ -3,13 +3,16 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use compio::runtime::JoinHandle;
 use ebonyloft_router::catalog::{Split, Stage};
+use ebonyloft_standins::fleet::caller::Answer;
 use ebonyloft_standins::fleet::runner::{Fault, RunnerSpec};
 use ebonyloft_standins::fleet::store;
 use ebonyloft_standins::fleet::{
     CHECK, ENGINES, Fleet, FleetSpec, LOOKUP, ONCE_SUMMARY, PLAIN, SUMMARY, config, eventually,
     with_fleet,
 };
+use ebonyloftd::gateway::pool::ExchangeError;
 use hyper::Request;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -18,6 +21,13 @@
     fleet.runners.iter().map(|r| r.seen.borrow().arrivals.len()).sum()
 }
 
+/// A summary with the attempt `s1` that is sent meanwhile.
+fn summary_task(fleet: &Fleet, path: &str) -> JoinHandle<Result<Answer, ExchangeError>> {
+    let caller = fleet.caller(0);
+    let request = caller.summary_request(path, "s1");
+    compio::runtime::spawn(async move { caller.send(request).await })
+}
+
 fn held(fleet: &Fleet) -> usize {
     fleet.runners.iter().map(|r| r.held() + r.running() as usize).sum()
 }
@@ -239,9 +249,7 @@
 fn a_place_at_an_engine_that_leaves_is_given_up() {
     let runner = RunnerSpec { read: Duration::from_millis(300), ..RunnerSpec::default() };
     with_fleet(FleetSpec { runner, ..FleetSpec::default() }, async |fleet| {
-        let caller = fleet.caller(0);
-        let request = caller.summary_request(ONCE_SUMMARY, "s1");
-        let task = compio::runtime::spawn(async move { caller.send(request).await });
+        let task = summary_task(fleet, ONCE_SUMMARY);
         let placed = || fleet.runners[1..3].iter().position(|r| r.held() > 0);
         assert!(eventually(SECOND, || placed().is_some()).await);
         let leaving = fleet.runners[1 + placed().expect("a place")].clone();
@@ -372,9 +380,7 @@
 fn a_stop_cuts_off_no_request() {
     let runner = RunnerSpec { pace: Duration::from_millis(100), ..RunnerSpec::default() };
     with_fleet(FleetSpec { runner, ..FleetSpec::default() }, async |fleet| {
-        let caller = fleet.caller(0);
-        let request = caller.summary_request(SUMMARY, "s1");
-        let task = compio::runtime::spawn(async move { caller.send(request).await });
+        let task = summary_task(fleet, SUMMARY);
         assert!(eventually(SECOND, || fleet.runs("s1") == 1).await);
         fleet.stop(0);
         compio::time::sleep(SECOND / 20).await;
@@ -394,9 +400,7 @@
 fn a_stopping_gateway_takes_what_it_can_still_end() {
     let runner = RunnerSpec { pace: Duration::from_millis(300), ..RunnerSpec::default() };
     with_fleet(FleetSpec { runner, ..FleetSpec::default() }, async |fleet| {
-        let caller = fleet.caller(0);
-        let request = caller.summary_request(SUMMARY, "s1");
-        let task = compio::runtime::spawn(async move { caller.send(request).await });
+        let task = summary_task(fleet, SUMMARY);
         assert!(eventually(SECOND, || fleet.runs("s1") == 1).await);
         fleet.stop(0);
         compio::time::sleep(4 * SECOND).await;
