--- a/crates/daemon/src/gateway/store.rs
+++ b/crates/daemon/src/gateway/store.rs
@@ -16,6 +16,8 @@
 /// How long before the bound of contact a watch ends that is kept waiting: a connection that went
 /// silent is then noticed, and the store listed anew over another one, within the bound.
 const WATCH_MARGIN: Duration = Duration::from_millis(700);
+/// Milliseconds that a call for news is kept waiting: next to nothing.
+const NEWS_WAIT: u64 = 1;
 /// Shortest wait of a watch, whatever the bound says.
 const WATCH_MIN: Duration = Duration::from_millis(500);
 /// How much later than asked the answer to a watch may come.
@@ -63,6 +65,13 @@
         Ok(all)
     }
 
+    /// Changes of a prefix behind a revision, those that there are. For a store that was away: its
+    /// return is noticed within the time of a call, where a watch that began in its silence would
+    /// only end after some three seconds.
+    pub async fn news(&self, prefix: &str, after: u64) -> Result<Page, StoreError> {
+        self.call(store::watch(prefix, after, NEWS_WAIT), CALL_WAIT, store::read_watch).await
+    }
+
     /// Changes of a prefix behind a revision, as soon as there are any; `contact` is the bound within
     /// which a fault must be noticed.
     pub async fn watch(
--- a/crates/daemon/src/gateway/watch.rs
+++ b/crates/daemon/src/gateway/watch.rs
@@ -73,8 +73,11 @@
     after: u64,
     sink: &dyn Sink,
 ) -> Result<u64, StoreError> {
-    let contact = shared.node().bounds.contact;
-    let page = shared.store.watch(prefix, after, contact).await?;
+    let (away, contact) = (shared.fresh.borrow().is_away(), shared.node().bounds.contact);
+    let page = match away {
+        true => shared.store.news(prefix, after).await?,
+        false => shared.store.watch(prefix, after, contact).await?,
+    };
     for item in page.items {
         sink.apply(item);
     }
--- a/crates/standins/tests/gateway.rs
+++ b/crates/standins/tests/gateway.rs
@@ -352,6 +352,22 @@
     });
 }
 
+/// Its return is noticed within the time of a call, however long a watch would have waited.
+#[test]
+fn the_return_of_a_silent_store_is_noticed_soon() {
+    with_fleet(FleetSpec::default(), async |fleet| {
+        fleet.store.set_fault(store::Fault::Silent);
+        compio::time::sleep(4 * SECOND).await;
+        let mut next = config(2, &FleetSpec::default());
+        next.routes.retain(|r| r.name != "check");
+        fleet.configure(&next);
+        fleet.store.set_fault(store::Fault::None);
+        compio::time::sleep(3 * SECOND / 2).await;
+        let answer = fleet.caller(0).call(CHECK, "c1").await.expect("an answer");
+        assert_eq!(answer.status, 404);
+    });
+}
+
 /// Registrations that lapsed with the store are back within two seconds; until then all are kept.
 #[test]
 fn servers_that_lapse_with_the_store_are_kept_until_it_settles() {
