Changes of the store that come together are fetched by one watch

A pause of 0.15 s between an answer with changes and the next watch gathers them. Test: changes_that_come_together_are_fetched_together, fails without the pause.

--- a/crates/daemon/src/gateway/watch.rs
+++ b/crates/daemon/src/gateway/watch.rs
@@ -20,6 +20,9 @@
 /// Longest such pause: the store's return is noticed within a quarter of the time in which a change
 /// must be in force.
 const PAUSE_MAX: Duration = Duration::from_millis(400);
+/// Pause between the answer to a watch and the next one, so that changes which come together are
+/// fetched by one call: a fifth of the shortest time in which a change must be in force.
+const GATHER: Duration = Duration::from_millis(150);
 /// Prefix of the operator's keys.
 const CONFIG_PREFIX: &str = "op/";
 /// Prefix of all keys.
@@ -45,8 +48,11 @@
         match step {
             Ok(revision) => {
                 heard(&shared, prefix);
-                from = Some(revision);
+                let changed = from.replace(revision).is_some_and(|before| before != revision);
                 pause = PAUSE_MIN;
+                if changed {
+                    compio::time::sleep(GATHER).await;
+                }
             }
             Err(StoreError::Compacted) => {
                 tracing::info!(prefix, after = from, "history is gone, listing again");
--- a/crates/standins/tests/gateway.rs
+++ b/crates/standins/tests/gateway.rs
@@ -315,6 +315,22 @@
 }
 
 /// The store is away: what is known stays in force, and a new gateway says that it knows nothing.
+/// Twenty changes within 0.6 s: one call each without a pause between watches, 60 in all.
+#[test]
+fn changes_that_come_together_are_fetched_together() {
+    with_fleet(FleetSpec { gateways: 3, ..FleetSpec::default() }, async |fleet| {
+        compio::time::sleep(SECOND).await;
+        let before = fleet.store.calls();
+        for i in 0..20_u8 {
+            fleet.store.put("ebonyloft/other", &[i], 0);
+            compio::time::sleep(SECOND / 33).await;
+        }
+        compio::time::sleep(SECOND / 2).await;
+        let calls = fleet.store.calls() - before;
+        assert!(calls <= 20, "{calls} calls");
+    });
+}
+
 #[test]
 fn an_outage_of_the_store_stops_no_request() {
     with_fleet(FleetSpec::default(), async |fleet| {
