A test of broken streams goes on until an engine broke one off

a_broken_summary_goes_on_within_the_same_answer failed once in a full run. Traced: 4 of 40 runs by itself failed its last assertion, that the faulty engine was hit: of two equal engines one is drawn at random, so all four requests miss it once in sixteen.

--- a/crates/standins/tests/gateway.rs
+++ b/crates/standins/tests/gateway.rs
@@ -147,13 +147,18 @@
 fn a_broken_summary_goes_on_within_the_same_answer() {
     with_fleet(FleetSpec::default(), async |fleet| {
         fleet.runners[1].set_fault(Fault::Breaks);
-        for i in 0..4 {
+        let broken = |fleet: &Fleet| fleet.runners[1].seen.borrow().runs.values().sum::<usize>();
+        // Of two equal engines either is drawn: four at least, and on until one broke off.
+        for i in 0..40 {
             let attempt = format!("s{i}");
             let answer = fleet.caller(0).summary(SUMMARY, &attempt).await.expect("an answer");
             assert!(answer.whole);
             assert_eq!(answer.events(), (1..=20).collect::<Vec<_>>(), "{attempt}");
+            if i >= 3 && broken(fleet) > 0 {
+                break;
+            }
         }
-        assert!(fleet.runners[1].seen.borrow().runs.values().sum::<usize>() > 0);
+        assert!(broken(fleet) > 0);
     });
 }
 
