Prompts are read in the availability zone of the engine that writes

Cause: the reader was chosen near the gateway, by 4 ms, and each of many gateways looked at two random ones, so most moves of memory crossed zones. Now one reader of the writer's zone is compared too, and another zone costs 40 ms of queue.

--- a/crates/daemon/src/gateway/stream/read.rs
+++ b/crates/daemon/src/gateway/stream/read.rs
@@ -31,7 +31,7 @@
         return now;
     }
     // All readers are looked at: whether any can be in time does not depend on the one chosen.
-    match pick(shared, intake, now, 1) {
+    match pick(shared, intake, &shared.node().zone, now, 1) {
         Some((_, at)) => at,
         None => now.after(prefill::plain_time(Work::default(), intake.caller.prompt) * LOCAL_PACE),
     }
@@ -39,9 +39,12 @@
 
 /// Has the prompt read by a prefill engine; without one, the engine that writes the answer reads it.
 pub async fn elsewhere(shared: &Shared, intake: &Intake, flight: &mut Flight) {
+    let node = shared.node();
     for n in 0..READERS_MAX {
         let now = shared.now();
-        let Some((reader, ready_at)) = pick(shared, intake, now, shared.entries()) else {
+        let zone = flight.place.as_ref().map_or_else(|| &node.zone, |p| &p.server.zone);
+        let picked = pick(shared, intake, zone, now, shared.entries());
+        let Some((reader, ready_at)) = picked else {
             return;
         };
         if (n > 0 || flight.reads > 0) && !shared.spend(&intake.service) {
@@ -53,17 +56,23 @@
     }
 }
 
-/// A reader, chosen as one of so many entries, and when the prompt would be read there.
-fn pick(shared: &Shared, intake: &Intake, now: Moment, entries: usize) -> Option<(Server, Moment)> {
+/// A reader for an answer written in the zone, chosen as one of so many entries, and when the prompt
+/// would be read there.
+fn pick(
+    shared: &Shared,
+    intake: &Intake,
+    zone: &str,
+    now: Moment,
+    entries: usize,
+) -> Option<(Server, Moment)> {
     let (roster, engines) = (shared.roster.borrow(), shared.engines.borrow());
     let readers = roster
         .ready(&intake.service)
         .filter(|s| s.stage == Some(Stage::Prefill) && !engines.faulty(now, &s.id));
     let (shares, paces) = (shared.shares.borrow(), shared.paces.borrow());
     let work = |id: &_| engines.own(id).plus(shares.work(now, id));
-    let node = shared.node();
     let prompt = intake.caller.prompt;
-    let choice = Choice { paces: &paces, prompt, zone: &node.zone, entries };
+    let choice = Choice { paces: &paces, prompt, zone, entries };
     let picked = prefill::pick(now, readers, work, &choice, || shared.draw());
     picked.map(|(s, at)| (s.clone(), at))
 }
--- a/crates/router/src/prefill.rs
+++ b/crates/router/src/prefill.rs
@@ -12,6 +12,11 @@
 use crate::share::{Work, compared};
 use crate::stages::READ_RATE;
 
+/// What a reader in another availability zone than the engine that writes costs in a comparison: its
+/// transfer takes twice as long and up to three times the price, and a read takes some 100 ms.
+pub const APART: Duration = Duration::from_millis(40);
+/// Spread of a comparison, so that equal readers are all used.
+const JITTER: Duration = Duration::from_millis(6);
 /// Time of a read beyond its tokens: the first step, and the way there and back.
 pub const READ_SETUP: Duration = Duration::from_millis(30);
 /// Weight of a new observation of an engine's pace: about the last five reads count, so that an
@@ -57,7 +62,7 @@
     pub paces: &'a Paces,
     /// Tokens of the prompt.
     pub prompt: u64,
-    /// Availability zone of the entry.
+    /// Availability zone of the engine that writes the answer, or of the entry while there is none.
     pub zone: &'a str,
     /// Live entries.
     pub entries: usize,
@@ -82,15 +87,16 @@
             return None;
         }
         let took = plain_time(w, choice.prompt).mul_f64(choice.paces.of(&s.id));
-        // A transfer within the zone is half as long.
-        let apart = if s.zone == choice.zone { 0 } else { 4_000 };
-        let jitter = Duration::from_micros(apart + (draw * 6_000.0) as u64);
-        Some((now.after(took), now.after(took + jitter), *s))
-    };
-    let best = |some: &[(f64, &'a Server)]| {
-        some.iter().filter_map(rank).min_by_key(|(_, with_jitter, _)| *with_jitter)
+        let apart = if s.zone == choice.zone { Duration::ZERO } else { APART };
+        let extra = apart + JITTER.mul_f64(*draw);
+        Some((now.after(took), now.after(took + extra), *s))
     };
+    // One of the zone is looked at besides; the engines that write are spread over the zones.
+    let (few, others) = readers.split_at(few.min(readers.len()));
+    let near = others.iter().find(|(_, s)| s.zone == choice.zone);
+    let first = |at: &(Moment, Moment, &Server)| at.1;
+    let some = few.iter().chain(near).filter_map(rank).min_by_key(first);
     // When all of the few are full, the others are looked at too.
-    let found = best(&readers[..few.min(readers.len())]).or_else(|| best(&readers));
+    let found = some.or_else(|| others.iter().filter_map(rank).min_by_key(first));
     found.map(|(at, _, s)| (s, at))
 }
