Work is told every 0.1 s among up to 32 gateways

Cause: from 16 peers on the pause between two rounds grew, to 0.16 s among 25 gateways and 0.19 s among 31; they placed by what was known then, and engines were overbooked. Beyond 32 the pause grows faster, so that the round among 410 is as long as before (2.5 s).

--- a/crates/router/src/share.rs
+++ b/crates/router/src/share.rs
@@ -14,9 +14,12 @@
 /// Pause between two datagrams to each peer while there is work: a tenth of the delay with which
 /// engines report.
 pub const TELL: Duration = Duration::from_millis(100);
-/// Peers up to which that pause holds; it grows with their number, so that the bytes of all grow no
-/// faster than the number of entries.
-pub const TELL_PEERS: usize = 16;
+/// Peers up to which that pause holds. With 16, 25 gateways placed by news of 0.16 s and earned 0.566 of
+/// their callers' worth instead of 0.584.
+pub const TELL_PEERS: usize = 32;
+/// Peers beyond, for each of which that pause is added once more: 410 gateways send no more bytes each
+/// than 32 do.
+pub const TELL_MORE: usize = 16;
 /// How long a peer's share counts without a newer one; ten rounds at the usual pace.
 pub const SHARE_LIFE: Duration = Duration::from_millis(1_500);
 /// How long a peer counts as live without a message.
@@ -26,7 +29,8 @@
 
 /// Pause between two rounds with so many peers.
 pub fn pause(peers: usize) -> Duration {
-    TELL.mul_f64((peers as f64 / TELL_PEERS as f64).max(1.0))
+    let more = peers.saturating_sub(TELL_PEERS);
+    TELL + TELL.mul_f64(more as f64 / TELL_MORE as f64)
 }
 
 /// Work at one engine; four numbers without names on the way, since bytes between availability zones
