Work that begins or ends at an engine is told to peers at once

Cause: what peers know was 0.05 s old on average, and up to 0.1 s, the time in which 31 gateways place three requests; engines were overbooked and read again. Now a datagram is sent when work begins or ends, at least 0.04 s after the last one, and at least every 0.2 s while there is work.

--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -16,6 +16,7 @@
 use ebonyloft_router::catalog::Config;
 use ebonyloft_router::roster::Change;
 use ebonyloft_router::share::{self, Share};
+use futures_util::future::select;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use serde::{Deserialize, Serialize};
@@ -32,8 +33,13 @@
 const LEASE: Duration = Duration::from_secs(10);
 /// Pause between renewals.
 const RENEW: Duration = Duration::from_secs(3);
-/// Datagrams left out while there is no work.
-const IDLE_ROUNDS: u64 = 5;
+/// While there is no work only each second datagram is sent: often enough to count as live.
+const IDLE_ROUNDS: u64 = 2;
+/// Shortest pause between two datagrams, as a part of the usual one: news is told at once unless
+/// there was some just before.
+const GAP_PART: f64 = 0.4;
+/// Longest pause beyond that without news, as a part of the usual one.
+const REST_PART: f64 = 1.6;
 /// Largest datagram.
 const DATAGRAM_MAX: usize = 8 << 10;
 /// Longest wait for a peer's beliefs.
@@ -130,8 +136,11 @@
     let life = shared.now().0;
     let mut seq = 0;
     loop {
-        let count = shared.peers.borrow().len();
-        compio::time::sleep(share::pause(count)).await;
+        let pause = share::pause(shared.peers.borrow().len());
+        compio::time::sleep(pause.mul_f64(GAP_PART)).await;
+        let rest = std::pin::pin!(compio::time::sleep(pause.mul_f64(REST_PART)));
+        select(shared.news(), rest).await;
+        shared.told();
         seq += 1;
         let share = own_share(&shared, life, seq);
         let idle = share.work.is_empty() && share.waiting == 0 && share.changing.is_empty();
--- a/crates/daemon/src/gateway/shared.rs
+++ b/crates/daemon/src/gateway/shared.rs
@@ -88,6 +88,8 @@
     born_at: Moment,
     rng: RefCell<ChaCha8Rng>,
     waiters: RefCell<Vec<oneshot::Sender<()>>>,
+    news: Cell<bool>,
+    teller: RefCell<Option<oneshot::Sender<()>>>,
 }
 
 impl Shared {
@@ -119,6 +121,8 @@
             born_at: clock.now(),
             rng: RefCell::new(rng),
             waiters: RefCell::default(),
+            news: Cell::default(),
+            teller: RefCell::default(),
         })
     }
 
@@ -217,6 +221,30 @@
         }
     }
 
+    /// Work at an engine began or ended: peers should hear of it.
+    pub fn note_news(&self) {
+        self.news.set(true);
+        if let Some(sender) = self.teller.take() {
+            // The teller may be between two rounds.
+            let _ = sender.send(());
+        }
+    }
+
+    /// Resolves when there is something that peers should hear of, at once if there is already.
+    pub fn news(&self) -> oneshot::Receiver<()> {
+        let (sender, receiver) = oneshot::channel();
+        self.teller.replace(Some(sender));
+        if self.news.get() {
+            self.note_news();
+        }
+        receiver
+    }
+
+    /// All news were told.
+    pub fn told(&self) {
+        self.news.set(false);
+    }
+
     /// Resolves when a place may have come free.
     pub fn wake(&self) -> oneshot::Receiver<()> {
         let (sender, receiver) = oneshot::channel();
--- a/crates/daemon/src/gateway/stream/flight.rs
+++ b/crates/daemon/src/gateway/stream/flight.rs
@@ -141,6 +141,7 @@
             give_back(shared, server.addr, engine::drop_hold(&server.id, &hold));
         }
         shared.engines.borrow_mut().freed(now, &server.id, tokens, whole);
+        shared.note_news();
     }
 
     /// The request is over.
--- a/crates/daemon/src/gateway/stream/place.rs
+++ b/crates/daemon/src/gateway/stream/place.rs
@@ -122,6 +122,7 @@
     let server = shared.roster.borrow().get(id).cloned()?;
     let since = shared.now();
     shared.engines.borrow_mut().placed(id, tokens);
+    shared.note_news();
     flight.place = Some(Place { server: server.clone(), hold: None, tokens, growth, since });
     let req = engine::hold(id, tokens, spec.hold.as_millis() as u64);
     let answer = shared.pool.call(server.addr, req, HOLD_WAIT).await;
--- a/crates/daemon/src/gateway/stream/read.rs
+++ b/crates/daemon/src/gateway/stream/read.rs
@@ -94,6 +94,7 @@
     let prompt = intake.caller.prompt;
     let plain = prefill::plain_time(shared.work(&reader.id), prompt);
     shared.engines.borrow_mut().reading(&reader.id, prompt);
+    shared.note_news();
     flight.reading = Some((reader.id.clone(), prompt));
     let mut req = intake.request(now, &reader.id);
     headers::set_prefill(req.headers_mut());
--- a/crates/standins/tests/gateway.rs
+++ b/crates/standins/tests/gateway.rs
@@ -3,8 +3,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use compio::BufResult;
+use compio::net::UdpSocket;
 use compio::runtime::JoinHandle;
 use ebonyloft_router::catalog::{Split, Stage};
+use ebonyloft_router::share::Share;
 use ebonyloft_standins::fleet::caller::Answer;
 use ebonyloft_standins::fleet::runner::{Fault, RunnerSpec};
 use ebonyloft_standins::fleet::store;
@@ -452,6 +455,31 @@
     });
 }
 
+/// Among 200 peers the usual round takes more than a second; work that begins is told at once.
+#[test]
+fn work_that_begins_is_told_at_once() {
+    with_fleet(FleetSpec { gateways: 1, ..FleetSpec::default() }, async |fleet| {
+        let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a socket");
+        let addr = socket.local_addr().expect("its address");
+        for i in 0..200 {
+            let registration = format!("{{\"addr\":\"{addr}\"}}");
+            fleet.store.put(&format!("ebonyloft/gateways/p{i}"), registration.as_bytes(), 0);
+        }
+        let hear = async || {
+            let BufResult(len, buffer) = socket.recv_from(Vec::with_capacity(8 << 10)).await;
+            let (len, _) = len.expect("a datagram");
+            ciborium::from_reader::<Share, _>(&buffer[..len]).expect("a share")
+        };
+        // The one of work before the peers were known may be under way.
+        compio::time::timeout(8 * SECOND, hear()).await.expect("a round");
+        compio::time::sleep(SECOND * 6 / 10).await;
+        let task = summary_task(fleet, SUMMARY);
+        let told = async { while hear().await.work.is_empty() {} };
+        compio::time::timeout(SECOND * 4 / 10, told).await.expect("the work is told");
+        task.await.expect("the caller's task").expect("an answer");
+    });
+}
+
 #[test]
 fn orders_come_from_one_gateway_under_a_growing_fence() {
     // Six engines, all of which write: one or two should read.
