--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -37,7 +37,7 @@
 const IDLE_ROUNDS: u64 = 2;
 /// Shortest pause between two datagrams, as a part of the usual one: news is told at once unless
 /// there was some just before.
-const GAP_PART: f64 = 0.4;
+const GAP_PART: f64 = 0.2;
 /// Longest pause beyond that without news, as a part of the usual one.
 const REST_PART: f64 = 1.6;
 /// Largest datagram.
