One place that ends work whose caller is gone; a refused summary's line has its beliefs' versions

call.rs and stream.rs raced the caller's leaving with the same code. The line of a refused stream lacked service, configuration, list revision and age, which a refused call's line has. Behaviour is unchanged.

--- a/crates/daemon/src/gateway/answer.rs
+++ b/crates/daemon/src/gateway/answer.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use ebonyloft_core::verdict::Verdict;
 use futures_channel::oneshot;
+use futures_util::future::{Either, select};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
 use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER};
@@ -104,6 +105,17 @@
     })
 }
 
+/// What the work comes to, or nothing when its caller is gone before; the work ends there.
+pub async fn unless_gone<T>(
+    gone: oneshot::Receiver<()>,
+    work: impl Future<Output = T>,
+) -> Option<T> {
+    match select(gone, std::pin::pin!(work)).await {
+        Either::Left(_) => None,
+        Either::Right((done, _)) => Some(done),
+    }
+}
+
 /// Has the connection closed behind the answer.
 pub fn close_after(response: &mut Response<Body>) {
     response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
--- a/crates/daemon/src/gateway/call.rs
+++ b/crates/daemon/src/gateway/call.rs
@@ -7,7 +7,6 @@
 use ebonyloft_router::catalog::{Server, ServerId};
 use ebonyloft_router::outcome::{Fate, Progress};
 use futures_channel::oneshot;
-use futures_util::future::{Either, select};
 use hyper::Response;
 
 use super::answer::{self, Body, Cause};
@@ -45,13 +44,8 @@
 ) {
     shared.earn(&intake.service);
     let mut flight = Flight::default();
-    let answered = {
-        let work = std::pin::pin!(deliver(shared, &intake, &mut flight));
-        match select(gone, work).await {
-            Either::Left(_) => None,
-            Either::Right((response, _)) => Some(response),
-        }
-    };
+    let work = deliver(shared, &intake, &mut flight);
+    let answered = answer::unless_gone(gone, work).await;
     flight.close(shared);
     let ms = shared.now().since(intake.came_at).as_millis() as u64;
     let status = answered.as_ref().map_or(0, |r| r.status().as_u16());
--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -18,17 +18,16 @@
 use ebonyloft_router::events::Splitter;
 use ebonyloft_router::outcome::{Fate, Progress};
 use futures_channel::oneshot;
-use futures_util::future::{Either, select};
 use http_body_util::BodyExt;
 use hyper::Response;
 
 use self::flight::Flight;
 use self::outlet::Outlet;
-use super::answer::{Body, Cause};
+use super::answer::{self, Body, Cause};
 use super::call;
 use super::intake::Intake;
 use super::send::{self, Head};
-use super::shared::Shared;
+use super::shared::{Basis, Shared};
 
 /// Silence after which a stream that may be resumed goes on elsewhere: five times the longest pause
 /// that is still in time, and well before callers leave.
@@ -58,14 +57,8 @@
     let mut flight = Flight::new(progress);
     let mut out = Outlet::new(reply);
     let left = intake.ends_at.since(shared.now());
-    let ended = {
-        let work = deliver(shared, &intake, &mut flight, &mut out);
-        let work = std::pin::pin!(compio::time::timeout(left, work));
-        match select(gone, work).await {
-            Either::Left(_) => None,
-            Either::Right((ended, _)) => Some(ended),
-        }
-    };
+    let work = deliver(shared, &intake, &mut flight, &mut out);
+    let ended = answer::unless_gone(gone, compio::time::timeout(left, work)).await;
     let events = out.events();
     let word = conclude(shared, &intake, &flight, out, ended);
     if word == WHOLE {
@@ -110,7 +103,11 @@
         Some(Err(_)) => (Cause::Timeout, retry_at(shared, flight)),
     };
     let retry = retry_at.map(|at| at.since(shared.now()));
-    tracing::info!(id = intake.id(), ?cause, ?verdict, "request refused");
+    let Basis { config, roster, age } = shared.basis();
+    tracing::info!(
+        id = intake.id(), service = %intake.service, ?cause, ?verdict, config, roster, age,
+        "request refused"
+    );
     shared.metrics.count("gateway.refused", 1);
     out.refuse(cause, verdict, retry);
     if cause == Cause::Timeout { "timeout" } else { "refused" }
