--- a/crates/router/tests/engines.rs
+++ b/crates/router/tests/engines.rs
@@ -214,22 +214,29 @@
     assert_eq!(bar(0.0), BAR_MAX);
 }
 
-/// 20 engines of 20,000 tokens with 19,000 taken, one of them with room: one request in twenty of the memory is
-/// free, and a request that gives little leaves it to others.
-#[test]
-fn scarce_memory_is_left_to_requests_that_give_more() {
-    let servers = servers(20);
-    let work = |s: &ServerId| match *s == id(7) {
+/// Peers' work at 20 engines of 20,000 tokens, of which one has room: 5 in 100 of all memory are free.
+fn scarce(s: &ServerId) -> Work {
+    match *s == id(7) {
         true => Work { tokens: 12_000, count: 3, ..Work::default() },
         false => Work { tokens: 19_400, count: 6, ..Work::default() },
-    };
+    }
+}
+
+/// What a request is told while memory is scarce.
+fn advise_scarce(engines: &Engines, ticket: Ticket) -> Advice {
+    let view = View { engine: &spec(), read_at: after(100), entries: 4 };
+    engines.advise(NOW, ticket, &view, servers(20).iter(), scarce, || 0.5)
+}
+
+/// A request that gives little leaves scarce memory to others.
+#[test]
+fn scarce_memory_is_left_to_requests_that_give_more() {
     let advice = |gives: f64, late: bool, begun: bool| {
         let mut engines = Engines::default();
         let first_by = if late { NOW } else { after(900) };
         let need = Need { gives, begun, first_by, ..need() };
         let ticket = engines.join(NOW, need, after(100));
-        let view = View { engine: &spec(), read_at: after(100), entries: 4 };
-        engines.advise(NOW, ticket, &view, servers.iter(), work, || 0.5)
+        advise_scarce(&engines, ticket)
     };
     assert_eq!(advice(2.5, false, false), Advice::Ask(id(7)));
     assert!(matches!(advice(0.5, false, false), Advice::Wait(_)));
@@ -241,17 +248,10 @@
 /// One that waits below the bar is no reason for others to wait.
 #[test]
 fn a_request_below_the_bar_holds_up_nobody() {
-    let servers = servers(20);
-    let work = |s: &ServerId| match *s == id(7) {
-        true => Work { tokens: 12_000, count: 3, ..Work::default() },
-        false => Work { tokens: 19_400, count: 6, ..Work::default() },
-    };
     let mut engines = Engines::default();
     engines.join(NOW, Need { gives: 0.3, first_by: after(800), ..need() }, after(100));
     let second = engines.join(NOW, Need { gives: 2.5, ..need() }, after(100));
-    let view = View { engine: &spec(), read_at: after(100), entries: 4 };
-    let advice = engines.advise(NOW, second, &view, servers.iter(), work, || 0.5);
-    assert_eq!(advice, Advice::Ask(id(7)));
+    assert_eq!(advise_scarce(&engines, second), Advice::Ask(id(7)));
 }
 
 #[test]
