--- a/crates/router/src/patience.rs
+++ b/crates/router/src/patience.rs
@@ -3,7 +3,7 @@
 //! Answers the load of callers who come back after a refusal. They are late whatever is done, and must
 //! not be placed before those who can be in time. Deadlines alone don't tell them apart: on the
 //! users' larger days first attempts came with 11.9 to 14 s on one route. Compared with the route's
-//! timeout, 63 in 100 of those were taken for late ones.
+//! timeout, 82 of 138 requests of a day's first three seconds were taken for late ones.
 
 use std::collections::HashMap;
 use std::time::Duration;
