--- a/crates/router/src/share.rs
+++ b/crates/router/src/share.rs
@@ -17,8 +17,8 @@
 /// Peers up to which that pause holds. With 16, 25 gateways placed by news of 0.16 s and earned 0.566 of
 /// their callers' worth instead of 0.584.
 pub const TELL_PEERS: usize = 32;
-/// Peers beyond, for each of which that pause is added once more: 410 gateways send no more bytes each
-/// than 32 do.
+/// That pause is added once more for each so many peers beyond: each of 410 gateways then sends fewer
+/// datagrams a second than each of 33 does.
 pub const TELL_MORE: usize = 16;
 /// How long a peer's share counts without a newer one; ten rounds at the usual pace.
 pub const SHARE_LIFE: Duration = Duration::from_millis(1_500);
