Two gateways of each availability zone follow the store, the others hear from them

Each gateway now follows the store unless it hears two of its zone that go before it, strongest first, and that hear the store; the others are told revisions by datagram and fetch what changed. The list of gateways has zones and strength; what is fetched is what changed behind the asker's revisions. A list is known up to its own revision only: items of later pages may be newer than it.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -5,12 +5,14 @@
 //! `ebonyloft-platform`.
 
 pub mod answer;
+pub mod belief;
 pub mod call;
 pub mod ingress;
 pub mod intake;
 pub mod orders;
 pub mod peers;
 pub mod pool;
+pub mod register;
 pub mod send;
 pub mod shared;
 pub mod store;
@@ -116,7 +118,7 @@
     spawn(ingress::serve(shared.clone(), callers, closing));
     let sink = Box::new(watch::Prefixes::new(shared));
     spawn(watch::follow(shared.clone(), watch::EVERYTHING, sink));
-    spawn(peers::register(shared.clone()));
+    spawn(register::keep(shared.clone()));
     spawn(peers::serve(shared.clone(), peers));
     spawn(peers::tell(shared.clone(), socket.clone()));
     spawn(peers::hear(shared.clone(), socket));
@@ -152,6 +154,7 @@
         compio::time::sleep(UPKEEP).await;
         round += 1;
         let now = shared.now();
+        shared.judge_role();
         if shared.fresh.borrow().settled(now) {
             for server in shared.roster.borrow_mut().settle() {
                 tracing::info!(server, "backend server is gone: not registered anew");
--- a/crates/daemon/src/gateway/orders.rs
+++ b/crates/daemon/src/gateway/orders.rs
@@ -33,7 +33,7 @@
     let mut planner = Planner::default();
     loop {
         compio::time::sleep(LOOK.mul_f64(0.8 + 0.4 * shared.draw())).await;
-        if shared.is_stopping() || !wanted(&shared) || !shared.lock_free.get() {
+        if shared.is_stopping() || !may_hold(&shared) || !shared.lock_free.get() {
             continue;
         }
         match take(&shared).await {
@@ -50,9 +50,11 @@
     }
 }
 
-/// Is there any service whose engines have stages?
-fn wanted(shared: &Shared) -> bool {
-    shared.config().is_some_and(|c| c.services.iter().any(|s| s.engine.is_some()))
+/// Does this gateway follow the store, and is there any service whose engines have stages? Others don't
+/// know whether the right is free.
+fn may_hold(shared: &Shared) -> bool {
+    shared.role.borrow().follows()
+        && shared.config().is_some_and(|c| c.services.iter().any(|s| s.engine.is_some()))
         && shared.roster.borrow().is_complete()
 }
 
--- a/crates/daemon/src/gateway/shared.rs
+++ b/crates/daemon/src/gateway/shared.rs
@@ -10,7 +10,9 @@
 use ebonyloft_core::time::Moment;
 use ebonyloft_router::budget::Budget;
 use ebonyloft_router::catalog::{Config, ServerId};
+use ebonyloft_router::delegate::{Link, Role};
 use ebonyloft_router::engines::Engines;
+use ebonyloft_router::fleet::Fleet;
 use ebonyloft_router::freshness::Freshness;
 use ebonyloft_router::learned::{Learned, Service};
 use ebonyloft_router::line::Line;
@@ -24,6 +26,7 @@
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 
+use super::belief::Pulls;
 use super::pool::Pool;
 use super::store::StoreClient;
 use crate::clock::Clock;
@@ -78,8 +81,12 @@
     pub shares: RefCell<Shares>,
     /// Extra arrivals, by service.
     pub budgets: RefCell<HashMap<String, Budget>>,
-    /// Other gateways that are registered.
-    pub peers: RefCell<HashMap<String, std::net::SocketAddr>>,
+    /// Gateways that are registered.
+    pub fleet: RefCell<Fleet>,
+    /// This gateway's part in following the store.
+    pub role: RefCell<Role>,
+    /// Beliefs that are being fetched from peers.
+    pub pulls: RefCell<Pulls>,
     /// Nobody is known to hold the right to order engines.
     pub lock_free: Cell<bool>,
     /// Engines that this process ordered to change their stage and that have not yet.
@@ -119,7 +126,9 @@
             learned: RefCell::default(),
             shares: RefCell::default(),
             budgets: RefCell::default(),
-            peers: RefCell::default(),
+            fleet: RefCell::default(),
+            role: RefCell::new(Role::new(clock.now())),
+            pulls: RefCell::default(),
             lock_free: Cell::new(true),
             changing: RefCell::default(),
             stopping: Cell::default(),
@@ -175,8 +184,37 @@
 
     /// Live gateways, this one included.
     pub fn entries(&self) -> usize {
-        let heard = self.shares.borrow().live(self.now());
-        1 + heard.max(self.peers.borrow().len())
+        let heard = 1 + self.shares.borrow().live(self.now());
+        heard.max(self.fleet.borrow().all().len())
+    }
+
+    /// Gateways of this availability zone that take duties before this one, by name; all that there
+    /// may be while it is not registered.
+    pub fn rank(&self) -> Option<usize> {
+        let (node, fleet) = (self.node(), self.fleet.borrow());
+        fleet.ahead(&node.name).map(Iterator::count)
+    }
+
+    /// Judges anew whether this gateway follows the store; one that does not goes by what those say
+    /// that do.
+    pub fn judge_role(&self) {
+        let (now, node) = (self.now(), self.node());
+        let (fleet, shares) = (self.fleet.borrow(), self.shares.borrow());
+        let heard = |name: &&str| matches!(shares.link(now, name), Some(Link::Heard { .. }));
+        let ahead = fleet.ahead(&node.name).map_or(0, |names| names.filter(heard).count());
+        let mut role = self.role.borrow_mut();
+        let before = role.follows();
+        role.judge(now, ahead);
+        if role.follows() != before {
+            tracing::info!(follows = role.follows(), ahead, "part in following the store");
+            self.metrics.gauge("gateway.follows", u64::from(role.follows()));
+        }
+        if !role.follows() {
+            let link = shares.best_link(now);
+            if self.fresh.borrow_mut().adopt(now, link) {
+                tracing::info!(?link, "store, as peers hear it");
+            }
+        }
     }
 
     /// A caller's request for a service came in.
--- a/crates/daemon/src/gateway/watch.rs
+++ b/crates/daemon/src/gateway/watch.rs
@@ -1,4 +1,4 @@
-//! Following the store by one watch, since each call is priced.
+//! Following the store by one watch, for as long as this gateway has to (`ebonyloft_router::delegate`).
 //!
 //! Everything is listed once and then watched from that revision. When the history is gone it is
 //! listed again; what is missing from the new list was removed. While the store is away the belief
@@ -11,7 +11,7 @@
 use ebonyloft_platform::{config, servers};
 use ebonyloft_router::roster::{Change, Effect, Entry};
 
-use super::peers;
+use super::register;
 use super::shared::Shared;
 
 /// First pause after a failed call; doubled with each further failure.
@@ -24,6 +24,13 @@
 /// A tenth of the shortest time in which a change must be in force, and a leaving server is heard of
 /// within 0.2 s.
 const GATHER: Duration = Duration::from_millis(150);
+/// How often a gateway that hears of the store from others looks whether it has to follow it.
+const ROLE_LOOK: Duration = Duration::from_millis(150);
+/// Each so many gateways that go before this one lengthen the pause after a failure once more: of a
+/// zone's gateways that all find the store away the first two ask it as often as if they were alone.
+const RANK_STEP: usize = 2;
+/// Most such lengthenings; a gateway that only itself can reach the store hears it within two seconds.
+const RANK_STEPS_MAX: u32 = 5;
 /// Prefix of the operator's keys.
 const CONFIG_PREFIX: &str = "op/";
 /// Prefix of all keys.
@@ -42,6 +49,11 @@
     let mut from: Option<u64> = None;
     let mut pause = PAUSE_MIN;
     loop {
+        if !shared.role.borrow().follows() {
+            from = None;
+            compio::time::sleep(ROLE_LOOK).await;
+            continue;
+        }
         let step = match from {
             None => list(&shared, prefix, sink.as_ref()).await,
             Some(after) => watch(&shared, prefix, after, sink.as_ref()).await,
@@ -62,12 +74,18 @@
             Err(e) => {
                 unheard(&shared, prefix, &e);
                 compio::time::sleep(pause.mul_f64(0.5 + shared.draw())).await;
-                pause = (pause * 2).min(PAUSE_MAX);
+                pause = (pause * 2).min(PAUSE_MAX * steps(&shared));
             }
         }
     }
 }
 
+/// How many times as long as the first gateways of its zone this one waits after a failure.
+fn steps(shared: &Shared) -> u32 {
+    let steps = shared.rank().map_or(0, |rank| rank / RANK_STEP);
+    1 + RANK_STEPS_MAX.min(steps as u32)
+}
+
 async fn list(shared: &Shared, prefix: &str, sink: &dyn Sink) -> Result<u64, StoreError> {
     let page = shared.store.list(prefix).await?;
     sink.replace(page.items, page.revision);
@@ -114,7 +132,7 @@
         Prefixes(vec![
             (CONFIG_PREFIX, Box::new(ConfigSink(shared.clone()))),
             (servers::PREFIX, Box::new(RosterSink(shared.clone()))),
-            (peers::PREFIX, Box::new(peers::PeerSink(shared.clone()))),
+            (register::PREFIX, Box::new(register::FleetSink(shared.clone()))),
         ])
     }
 }
--- /dev/null
+++ b/crates/router/src/delegate.rs
@@ -0,0 +1,67 @@
+//! Which gateways follow the store and which hear of it from those.
+//!
+//! Answers the load that a fleet of hundreds is for the store: each follower costs it one to three calls
+//! a second, all for the same news. Two gateways of each availability zone follow it, the delegates; the
+//! others hear from them that there is something new and fetch it there. Nobody is elected: each gateway
+//! follows the store unless it hears from two that go before it and follow it well. So a zone whose
+//! delegates are lost, frozen or turned away has new ones as soon as that is noticed, and a gateway that
+//! hears from nobody follows the store itself.
+
+use std::time::Duration;
+
+use ebonyloft_core::time::Moment;
+use serde::{Deserialize, Serialize};
+
+/// Delegates of an availability zone: one may be lost, or cut from the store without noticing yet,
+/// while the other one passes news on.
+pub const PER_ZONE: usize = 2;
+/// How long a delegate counts without a message: it tells something three times in that time, and the
+/// shortest bound in which a change must be in force is twice as long.
+pub const SILENT: Duration = Duration::from_millis(1_000);
+/// How long a gateway that had to follow the store goes on when it has not: delegates that come and go
+/// then cost a few calls, not a list each.
+pub const KEEP: Duration = Duration::from_millis(3_000);
+
+/// How a gateway hears of the store.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Link {
+    /// From delegates.
+    #[default]
+    Indirect,
+    /// It follows the store and hears it.
+    Heard {
+        /// Milliseconds until a missing registration means that the backend server is gone.
+        settles: u32,
+    },
+    /// It follows the store and does not reach it.
+    Away,
+}
+
+/// The part that one gateway has in following the store.
+#[derive(Clone, Copy, Debug)]
+pub struct Role {
+    follows: bool,
+    needed_at: Moment,
+}
+
+impl Role {
+    /// A gateway that starts knows nobody: it follows the store.
+    pub fn new(now: Moment) -> Self {
+        Role { follows: true, needed_at: now }
+    }
+
+    /// Judges anew; `ahead` are the delegates heard that go before this one and hear the store.
+    pub fn judge(&mut self, now: Moment, ahead: usize) {
+        if ahead < PER_ZONE {
+            self.follows = true;
+            self.needed_at = now;
+        } else if now.since(self.needed_at) > KEEP {
+            self.follows = false;
+        }
+    }
+
+    /// Does this gateway follow the store?
+    pub fn follows(&self) -> bool {
+        self.follows
+    }
+}
--- a/crates/router/src/freshness.rs
+++ b/crates/router/src/freshness.rs
@@ -7,6 +7,8 @@
 
 use ebonyloft_core::time::Moment;
 
+use crate::delegate::Link;
+
 /// How long after the store's return a missing backend server may still register anew. The platform
 /// says about two seconds; a tenth is added for the way of the news.
 pub const RETURN_TIME: Duration = Duration::from_millis(2_200);
@@ -37,6 +39,32 @@
         first
     }
 
+    /// What a peer that follows the store says of it, for a process that does not. True when the
+    /// store changed between heard and away.
+    pub fn adopt(&mut self, now: Moment, link: Link) -> bool {
+        let before = self.is_away();
+        match link {
+            Link::Indirect => {}
+            Link::Away => {
+                self.on_failure(now);
+            }
+            Link::Heard { settles } => {
+                self.away_since = None;
+                self.heard_at = now;
+                self.settles_at = now.after(Duration::from_millis(settles.into()));
+            }
+        }
+        self.is_away() != before
+    }
+
+    /// How this process hears of the store, for its peers.
+    pub fn link(&self, now: Moment) -> Link {
+        match self.away_since {
+            Some(_) => Link::Away,
+            None => Link::Heard { settles: self.settles_at.since(now).as_millis() as u32 },
+        }
+    }
+
     /// When the store answered last.
     pub fn heard_at(&self) -> Moment {
         self.heard_at
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -6,8 +6,10 @@
 
 pub mod budget;
 pub mod catalog;
+pub mod delegate;
 pub mod engines;
 pub mod events;
+pub mod fleet;
 pub mod forecast;
 pub mod freshness;
 pub mod growth;
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -12,6 +12,8 @@
     pub zone: String,
     /// Address of the VM.
     pub ip: IpAddr,
+    /// Thousandths of a core that the VM has.
+    pub power: u32,
     /// Where callers connect; none on a VM that serves none.
     pub callers: Option<SocketAddr>,
     /// Where the platform asks for readiness.
--- a/crates/router/src/roster.rs
+++ b/crates/router/src/roster.rs
@@ -68,6 +68,8 @@
     known: BTreeMap<String, Known>,
     /// Revisions of removals, so that an older registration does not come back.
     removed: HashMap<String, u64>,
+    /// Removals up to this revision may be forgotten.
+    forgotten: u64,
     revision: u64,
     complete: bool,
     changed_at: Moment,
@@ -80,6 +82,10 @@
     /// Takes one change; `settled` says whether a removal means that the backend server is gone.
     pub fn apply(&mut self, change: Change, settled: bool) -> Effect {
         self.revision = self.revision.max(change.revision);
+        self.take(change, settled)
+    }
+
+    fn take(&mut self, change: Change, settled: bool) -> Effect {
         if self.removed.get(&change.name).is_some_and(|r| *r >= change.revision) {
             return Effect::Stale;
         }
@@ -106,7 +112,8 @@
             .collect();
         for change in list {
             let name = change.name.clone();
-            effects.push((name, self.apply(change, settled)));
+            // Items may be newer than the list: what changed in between is still to come.
+            effects.push((name, self.take(change, settled)));
         }
         for name in missing {
             let effect = self.remove(&name, revision, settled);
@@ -118,6 +125,23 @@
         effects
     }
 
+    /// Takes all changes behind some revision up to `revision`, as another process knows them.
+    pub fn catch_up(
+        &mut self,
+        changes: Vec<Change>,
+        revision: u64,
+        settled: bool,
+    ) -> Vec<(String, Effect)> {
+        let mut effects = Vec::new();
+        for change in changes {
+            let name = change.name.clone();
+            effects.push((name, self.take(change, settled)));
+        }
+        self.revision = self.revision.max(revision);
+        effects.retain(|(_, e)| *e != Effect::Stale);
+        effects
+    }
+
     /// The store can be believed again: what is still missing is gone.
     pub fn settle(&mut self) -> Vec<String> {
         let gone: Vec<String> =
@@ -174,13 +198,23 @@
         self.known.get(name).map(|k| &k.server)
     }
 
+    /// What changed behind a revision, for another process of the system; none when removals since
+    /// then are forgotten.
+    pub fn since(&self, after: u64) -> Option<Vec<Change>> {
+        if after < self.forgotten || after == 0 {
+            return None;
+        }
+        let removed = self.removed.iter().map(|(name, revision)| Change {
+            name: name.clone(),
+            entry: Entry::Removed,
+            revision: *revision,
+        });
+        let all = self.known.iter().map(row).chain(removed);
+        Some(all.filter(|change| change.revision > after).collect())
+    }
+
     /// All registrations, for another process of the system.
     pub fn changes(&self) -> Vec<Change> {
-        let row = |(name, k): (&String, &Known)| Change {
-            name: name.clone(),
-            entry: Entry::Server(k.server.clone()),
-            revision: k.revision,
-        };
         self.known.iter().map(row).collect()
     }
 
@@ -238,7 +272,18 @@
     fn remember(&mut self, name: &str, revision: u64) {
         if self.removed.len() >= REMOVED_MAX {
             self.removed.clear();
+            self.forgotten = self.revision;
         }
         self.removed.insert(name.to_owned(), revision);
     }
 }
+
+/// What is known of a backend server, for another process: one whose registration vanished while the
+/// store could not be believed is passed on as removed, for the other one to judge.
+fn row((name, known): (&String, &Known)) -> Change {
+    let entry = match known.unheard {
+        true => Entry::Removed,
+        false => Entry::Server(known.server.clone()),
+    };
+    Change { name: name.clone(), entry, revision: known.revision }
+}
--- a/crates/router/src/share.rs
+++ b/crates/router/src/share.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::catalog::ServerId;
+use crate::delegate::{Link, SILENT};
 use crate::forecast::Profile;
 
 /// Pause between two datagrams to each peer while there is work: a tenth of the delay with which
@@ -91,6 +92,12 @@
     /// Revision up to which the sender knows the list of backend servers.
     #[serde(rename = "r")]
     pub roster: u64,
+    /// Revision up to which the sender knows the registered gateways.
+    #[serde(rename = "g")]
+    pub fleet: u64,
+    /// How the sender hears of the store.
+    #[serde(rename = "k")]
+    pub link: Link,
     /// Requests waiting for a place at the sender.
     #[serde(rename = "q")]
     pub waiting: u32,
@@ -142,6 +149,23 @@
         self.peers.values().filter(|p| now.since(p.heard_at) < life).count()
     }
 
+    /// How the peer of this name hears of the store; none when it is silent.
+    pub fn link(&self, now: Moment, name: &str) -> Option<Link> {
+        let peer = self.peers.get(name)?;
+        (now.since(peer.heard_at) < SILENT).then_some(peer.share.link)
+    }
+
+    /// The best way in which any peer that was heard lately follows the store.
+    pub fn best_link(&self, now: Moment) -> Link {
+        let rank = |link: &Link| match link {
+            Link::Heard { settles } => (0, *settles),
+            Link::Away => (1, 0),
+            Link::Indirect => (2, 0),
+        };
+        let heard = self.peers.values().filter(|p| now.since(p.heard_at) < SILENT);
+        heard.map(|p| p.share.link).min_by_key(rank).unwrap_or_default()
+    }
+
     /// Forgets peers that fell silent long ago.
     pub fn expire(&mut self, now: Moment) {
         self.peers.retain(|_, p| now.since(p.heard_at) < PEER_LIFE * 10);
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -242,6 +242,7 @@
             name: format!("front-a-{host}"),
             zone: "a".to_owned(),
             ip,
+            power: 190,
             callers: Some((ip, CALLERS_PORT).into()),
             ready: Some((ip, READY_PORT).into()),
             peer_port: PEER_PORT,
