--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -121,6 +121,7 @@
     spawn(register::keep(shared.clone()));
     spawn(peers::serve(shared.clone(), peers));
     spawn(peers::tell(shared.clone(), socket.clone()));
+    spawn(peers::tell_zones(shared.clone(), socket.clone()));
     spawn(peers::hear(shared.clone(), socket));
     spawn(orders::run(shared.clone()));
     spawn(upkeep(shared.clone(), options.file.clone()));
@@ -162,6 +163,8 @@
         }
         shared.pool.expire(now);
         shared.shares.borrow_mut().expire(now);
+        shared.digests.borrow_mut().expire(now);
+        shared.fleet.borrow_mut().expire(now);
         let roster = shared.roster.borrow();
         shared.plain.borrow_mut().retain(|id| roster.get(id).is_some());
         shared.engines.borrow_mut().retain(|id| roster.get(id).is_some());
--- a/crates/daemon/src/gateway/belief.rs
+++ b/crates/daemon/src/gateway/belief.rs
@@ -87,7 +87,7 @@
 /// A peer told its versions: fetches what is newer there, unless the store itself is followed and heard.
 pub fn compare(shared: &Rc<Shared>, from: SocketAddr, theirs: Versions) {
     let own = versions(shared);
-    let indirect = !shared.role.borrow().follows() || shared.fresh.borrow().is_away();
+    let indirect = !shared.role.borrow().leads() || shared.fresh.borrow().is_away();
     let lists = theirs.roster > own.roster || theirs.fleet > own.fleet;
     if theirs.config <= own.config && !(indirect && lists) {
         return;
@@ -123,11 +123,12 @@
         }
     }
     let away = shared.fresh.borrow().is_away();
-    if shared.role.borrow().follows() && !away {
+    if shared.role.borrow().leads() && !away {
         return;
     }
     if let Some(fleet) = belief.fleet {
-        shared.fleet.borrow_mut().replace(fleet, belief.versions.fleet);
+        let (now, revision) = (shared.now(), belief.versions.fleet);
+        shared.fleet.borrow_mut().replace(now, fleet, revision);
     }
     let revision = belief.versions.roster;
     if revision <= shared.roster.borrow().revision() {
@@ -137,9 +138,7 @@
     let settled = belief.settled && (away || shared.fresh.borrow().settled(shared.now()));
     let effects = match belief.roster {
         None => return,
-        Some(Servers::All(list)) => {
-            shared.roster.borrow_mut().replace(list, revision, settled)
-        }
+        Some(Servers::All(list)) => shared.roster.borrow_mut().replace(list, revision, settled),
         Some(Servers::Changes(changes)) => {
             shared.roster.borrow_mut().catch_up(changes, revision, settled)
         }
@@ -185,7 +184,7 @@
         versions,
         config: shared.config().filter(|c| c.version > theirs.config).map(|c| (*c).clone()),
         roster: (whole && versions.roster > theirs.roster).then(servers),
-        fleet: (versions.fleet > theirs.fleet).then(|| fleet.all().clone()),
+        fleet: (versions.fleet > theirs.fleet).then(|| fleet.registered()),
         settled: shared.fresh.borrow().settled(shared.now()),
     }
 }
--- a/crates/daemon/src/gateway/orders.rs
+++ b/crates/daemon/src/gateway/orders.rs
@@ -3,6 +3,7 @@
 //! One gateway holds the right to order; the others stand by. The right is a key under a lease, its
 //! fencing token a number that grows with each holder and is kept for good.
 
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -10,7 +11,9 @@
 use ebonyloft_platform::store::{StoreError, Write};
 use ebonyloft_router::catalog::{Server, ServerId, Stage};
 use ebonyloft_router::holder::{self, Held, Order, Record};
+use ebonyloft_router::roster::Roster;
 use ebonyloft_router::stages::{Planner, Shape, View};
+use ebonyloft_router::zones::Scope;
 
 use super::shared::Shared;
 
@@ -145,30 +148,49 @@
         let Some(spec) = &service.engine else {
             continue;
         };
-        let servers: Vec<&Server> = roster.ready(&service.name).collect();
         let (shape, rate) = {
             let learned = shared.service(&service.name);
             (learned.shape, learned.reading.rate())
         };
-        let view = View {
-            service: &service.name,
-            servers: &servers,
-            engine: spec,
-            shape: Some(shape).filter(Shape::is_known),
-            rate,
-        };
-        if let Some((to, stage)) = planner.next(shared.now(), &view) {
-            planner.given(shared.now(), &to, stage, spec);
-            shared.changing.replace(planner.changing());
-            let server = roster.get(&to)?.clone();
-            let holder = shared.node().name.clone();
-            return Some((Order { to, stage, holder, fence: held.fence }, server));
+        for (group, servers) in groups(shared, &roster, &service.name) {
+            let view = View {
+                group: &group,
+                servers: &servers,
+                engine: spec,
+                shape: Some(shape).filter(Shape::is_known),
+                rate,
+            };
+            if let Some((to, stage)) = planner.next(shared.now(), &view) {
+                planner.given(shared.now(), &to, stage, spec);
+                shared.changing.replace(planner.changing());
+                let server = roster.get(&to)?.clone();
+                let holder = shared.node().name.clone();
+                return Some((Order { to, stage, holder, fence: held.fence }, server));
+            }
         }
     }
     shared.changing.replace(planner.changing());
     None
 }
 
+/// Engines that are shared out together, by name: all of a service, or those of each zone.
+fn groups<'a>(
+    shared: &Shared,
+    roster: &'a Roster,
+    service: &'a str,
+) -> BTreeMap<String, Vec<&'a Server>> {
+    let scope = shared.scope();
+    let mut groups: BTreeMap<String, Vec<&Server>> = BTreeMap::new();
+    for server in roster.ready(service) {
+        let group = match scope {
+            Scope::All => service.to_owned(),
+            Scope::Zone => format!("{service}/{}", server.zone),
+        };
+        groups.entry(group).or_default().push(server);
+    }
+    groups
+}
+
 async fn send(shared: &Shared, order: Order, server: Server, planner: &mut Planner) {
     let req = engine::order(&order);
     let answer = shared.pool.call(server.addr, req, ORDER_WAIT).await;
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -3,19 +3,22 @@
 //!
 //! Both are told by datagram several times a second; what is newer elsewhere is then fetched.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 use bytes::Bytes;
 use compio::net::{TcpListener, UdpSocket};
 use ebonyloft_router::delegate::Link;
-use ebonyloft_router::share::{self, Share};
+use ebonyloft_router::share::{self, News, Share};
+use ebonyloft_router::zones::{DIGEST_PAUSE, Digest, Room, Scope};
 use futures_util::future::select;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 
 use super::belief::{self, Versions};
 use super::shared::Shared;
+use super::stream::{self, spill};
 use crate::http;
 
 /// While there is no work only each second datagram is sent: often enough to count as live.
@@ -48,7 +51,7 @@
             continue;
         }
         let mut bytes = Vec::new();
-        if let Err(e) = ciborium::into_writer(&share, &mut bytes) {
+        if let Err(e) = ciborium::into_writer(&News::Share(share), &mut bytes) {
             tracing::error!(error = %e, "share not encoded");
             continue;
         }
@@ -65,11 +68,66 @@
     }
 }
 
-/// Who is told of the work here.
+/// Who is told of the work here: those who place at the same engines, and all while engines that may be
+/// theirs are changing their stage.
 fn peers(shared: &Shared) -> Vec<SocketAddr> {
     let (node, fleet) = (shared.node(), shared.fleet.borrow());
+    let all = shared.scope() == Scope::All || !shared.changing.borrow().is_empty();
     let others = fleet.all().iter().filter(|(name, _)| **name != node.name);
-    others.map(|(_, g)| g.addr).collect()
+    others.filter(|(_, g)| all || g.zone == node.zone).map(|(_, g)| g.addr).collect()
+}
+
+/// Tells other zones of this one, for as long as this gateway is a delegate.
+pub async fn tell_zones(shared: Rc<Shared>, socket: Rc<UdpSocket>) {
+    let life = shared.now().0;
+    let mut seq = 0;
+    loop {
+        compio::time::sleep(DIGEST_PAUSE).await;
+        if shared.scope() == Scope::All || !shared.role.borrow().follows() {
+            continue;
+        }
+        seq += 1;
+        let digest = own_digest(&shared, life, seq);
+        let mut bytes = Vec::new();
+        if let Err(e) = ciborium::into_writer(&News::Digest(digest), &mut bytes) {
+            tracing::error!(error = %e, "digest not encoded");
+            continue;
+        }
+        send(&socket, Bytes::from(bytes), &delegates(&shared)).await;
+    }
+}
+
+/// Those who speak for other zones: as they rank, and who was heard lately.
+fn delegates(shared: &Shared) -> Vec<SocketAddr> {
+    let (node, fleet, digests) = (shared.node(), shared.fleet.borrow(), shared.digests.borrow());
+    let heard = digests.live(shared.now()).map(|d| d.addr);
+    let ranked = fleet.delegates().filter(|g| g.zone != node.zone).map(|g| g.addr);
+    let all: BTreeSet<SocketAddr> = heard.chain(ranked).collect();
+    all.into_iter().collect()
+}
+
+fn own_digest(shared: &Shared, life: u64, seq: u64) -> Digest {
+    let node = shared.node();
+    let Versions { config, roster, fleet } = belief::versions(shared);
+    Digest {
+        name: node.name.clone(),
+        zone: node.zone.clone(),
+        addr: (node.ip, node.peer_port).into(),
+        life,
+        seq,
+        config,
+        roster,
+        fleet,
+        rooms: rooms(shared),
+    }
+}
+
+fn rooms(shared: &Shared) -> Vec<Room> {
+    let Some(config) = shared.config() else {
+        return Vec::new();
+    };
+    let engines = config.services.iter().filter_map(|s| Some((&s.name, s.engine.as_ref()?)));
+    engines.map(|(name, spec)| stream::room(shared, name, spec)).collect()
 }
 
 fn own_share(shared: &Shared, life: u64, seq: u64) -> Share {
@@ -86,6 +144,15 @@
         waiting: engines.waiting() as u32,
         changing: shared.changing.borrow().clone(),
         work: engines.work(),
+        digests: passed_on(shared),
+    }
+}
+
+/// What a delegate passes on to its zone.
+fn passed_on(shared: &Shared) -> Vec<Digest> {
+    match shared.role.borrow().follows() {
+        true => shared.digests.borrow().live(shared.now()).cloned().collect(),
+        false => Vec::new(),
     }
 }
 
@@ -111,17 +178,25 @@
                 continue;
             }
         };
-        let Ok(share) = ciborium::from_reader::<Share, _>(&buffer[..len]) else {
-            tracing::warn!(%from, len, "datagram unread");
-            continue;
-        };
-        take(&shared, from, share);
+        match ciborium::from_reader::<News, _>(&buffer[..len]) {
+            Ok(News::Share(share)) => take(&shared, from, share),
+            Ok(News::Digest(digest)) => {
+                let Digest { config, roster, fleet, .. } = digest;
+                shared.digests.borrow_mut().hear(shared.now(), digest);
+                belief::compare(&shared, from, Versions { config, roster, fleet });
+            }
+            Err(e) => tracing::warn!(%from, len, error = %e, "datagram unread"),
+        }
     }
 }
 
 fn take(shared: &Rc<Shared>, from: SocketAddr, share: Share) {
     let Share { config, roster, fleet, .. } = share;
     shared.rest(&share.changing);
+    let mut share = share;
+    for digest in share.digests.drain(..).filter(|d| d.zone != shared.node().zone) {
+        shared.digests.borrow_mut().hear(shared.now(), digest);
+    }
     shared.shares.borrow_mut().hear(shared.now(), share);
     shared.judge_role();
     belief::compare(shared, from, Versions { config, roster, fleet });
@@ -134,7 +209,11 @@
 }
 
 async fn answer(shared: Rc<Shared>, req: Request<Incoming>) -> Response<http::Body> {
-    match req.uri().path() {
+    let path = req.uri().path();
+    if path.starts_with(spill::PATH) {
+        return spill::serve(shared, req).await;
+    }
+    match path {
         belief::PATH => belief::answer(&shared, req.uri().query()),
         _ => http::response(StatusCode::NOT_FOUND, "text/plain", http::full("not here\n")),
     }
--- a/crates/daemon/src/gateway/register.rs
+++ b/crates/daemon/src/gateway/register.rs
@@ -33,7 +33,7 @@
         };
         let list: BTreeMap<String, Gateway> = items.iter().filter_map(named).collect();
         tracing::info!(count = list.len(), revision, "gateways");
-        self.0.fleet.borrow_mut().replace(list, revision);
+        self.0.fleet.borrow_mut().replace(self.0.now(), list, revision);
     }
 
     fn apply(&self, item: Item) {
@@ -46,7 +46,7 @@
         };
         let gateway = decode(&item);
         tracing::info!(peer = name, live = gateway.is_some(), revision = item.revision, "peer");
-        self.0.fleet.borrow_mut().apply(name, gateway, item.revision);
+        self.0.fleet.borrow_mut().apply(self.0.now(), name, gateway, item.revision);
         self.0.note_news();
     }
 }
--- a/crates/daemon/src/gateway/shared.rs
+++ b/crates/daemon/src/gateway/shared.rs
@@ -22,6 +22,7 @@
 use ebonyloft_router::prefill::Paces;
 use ebonyloft_router::roster::Roster;
 use ebonyloft_router::share::{Shares, Work};
+use ebonyloft_router::zones::{self, Digests, Scope};
 use futures_channel::oneshot;
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
@@ -29,6 +30,7 @@
 use super::belief::Pulls;
 use super::pool::Pool;
 use super::store::StoreClient;
+use super::stream::spill::Guests;
 use crate::clock::Clock;
 use crate::metrics::Metrics;
 
@@ -79,6 +81,10 @@
     pub learned: RefCell<Learned>,
     /// What peers told.
     pub shares: RefCell<Shares>,
+    /// What other availability zones told.
+    pub digests: RefCell<Digests>,
+    /// Places here that requests of other zones have.
+    pub guests: RefCell<Guests>,
     /// Extra arrivals, by service.
     pub budgets: RefCell<HashMap<String, Budget>>,
     /// Gateways that are registered.
@@ -125,6 +131,8 @@
             paces: RefCell::default(),
             learned: RefCell::default(),
             shares: RefCell::default(),
+            digests: RefCell::default(),
+            guests: RefCell::default(),
             budgets: RefCell::default(),
             fleet: RefCell::default(),
             role: RefCell::new(Role::new(clock.now())),
@@ -188,6 +196,24 @@
         heard.max(self.fleet.borrow().all().len())
     }
 
+    /// Who shares engines and all news with this gateway.
+    pub fn scope(&self) -> Scope {
+        zones::scope(&self.fleet.borrow())
+    }
+
+    /// The zone whose engines are placed at from here; none when all are.
+    pub fn zone(&self) -> Option<String> {
+        (self.scope() == Scope::Zone).then(|| self.node().zone.clone())
+    }
+
+    /// Gateways that place at the same engines, this one included.
+    pub fn neighbours(&self) -> usize {
+        match self.scope() {
+            Scope::All => self.entries(),
+            Scope::Zone => self.fleet.borrow().of_zone(&self.node().zone).count().max(1),
+        }
+    }
+
     /// Gateways of this availability zone that take duties before this one, by name; all that there
     /// may be while it is not registered.
     pub fn rank(&self) -> Option<usize> {
@@ -200,13 +226,19 @@
     pub fn judge_role(&self) {
         let (now, node) = (self.now(), self.node());
         let (fleet, shares) = (self.fleet.borrow(), self.shares.borrow());
-        let heard = |name: &&str| matches!(shares.link(now, name), Some(Link::Heard { .. }));
-        let ahead = fleet.ahead(&node.name).map_or(0, |names| names.filter(heard).count());
+        let heard = |name: &str| matches!(shares.link(now, name), Some(Link::Heard { .. }));
+        let ahead: Vec<&str> = fleet.ahead(&node.name).map_or_else(Vec::new, Iterator::collect);
+        let (all, heard) = (ahead.len(), ahead.iter().filter(|n| heard(n)).count());
         let mut role = self.role.borrow_mut();
         let before = role.follows();
-        role.judge(now, ahead);
+        role.judge(now, all, heard);
         if role.follows() != before {
-            tracing::info!(follows = role.follows(), ahead, "part in following the store");
+            tracing::info!(
+                follows = role.follows(),
+                ahead = all,
+                heard,
+                "part in following the store"
+            );
             self.metrics.gauge("gateway.follows", u64::from(role.follows()));
         }
         if !role.follows() {
--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -2,13 +2,15 @@
 //!
 //! A place in an engine's memory is reserved first, then the prompt is read by another engine and
 //! fetched from there, then events are passed on as they come. A stream that may be resumed goes on
-//! at another engine behind its last event, within the same answer.
+//! at another engine behind its last event, within the same answer. What the own availability zone can't
+//! serve in time is placed by another one.
 
 mod flight;
 mod outlet;
 mod pass;
 mod place;
 mod read;
+pub mod spill;
 
 use std::time::Duration;
 
@@ -18,6 +20,7 @@
 use ebonyloft_router::catalog::{Engine, Server, ServerId};
 use ebonyloft_router::events::Splitter;
 use ebonyloft_router::outcome::{Fate, Progress};
+use ebonyloft_router::zones::Room;
 use futures_channel::oneshot;
 use http_body_util::BodyExt;
 use hyper::Response;
@@ -174,6 +177,20 @@
     }
 }
 
+/// What this zone's engines of a service have left, for other zones.
+pub fn room(shared: &Shared, service: &str, spec: &Engine) -> Room {
+    let now = shared.now();
+    let prompt = shared.service(service).shape.prompt();
+    let read_at = match read::nearest(shared, service, prompt, now) {
+        Some((_, at)) => at,
+        None => read::alone(shared, service, prompt, now),
+    };
+    let free = place::free(shared, service, spec).max(0.0) * 1_000.0;
+    let places = place::places(shared, service, spec);
+    let read = read_at.since(now).as_millis() as u32;
+    Room { service: service.to_owned(), free: free as u32, places, read }
+}
+
 /// Tokens in one event of the service's engines.
 fn stride(intake: &Intake) -> u64 {
     let service = intake.config.service(&intake.service);
--- a/crates/daemon/src/gateway/stream/flight.rs
+++ b/crates/daemon/src/gateway/stream/flight.rs
@@ -13,6 +13,7 @@
 use ebonyloft_router::outcome::Progress;
 use hyper::{HeaderMap, Request};
 
+use super::spill::Loan;
 use crate::gateway::shared::Shared;
 
 /// Longest wait for a reservation or a handle to be given back; both also lapse by themselves.
@@ -28,6 +29,8 @@
     pub memory: Profile,
     /// What is expected of the answer.
     pub growth: Growth,
+    /// Set when a gateway of another zone counts it.
+    pub loan: Option<Loan>,
 }
 
 /// A prompt that was read.
@@ -50,6 +53,8 @@
     pub ticket: Option<Ticket>,
     /// Its place.
     pub place: Option<Place>,
+    /// Other zones that were asked for a place.
+    pub zones: Vec<String>,
     /// Its prompt being read.
     pub reading: Option<(ServerId, u64)>,
     /// Its prompt, read.
@@ -69,6 +74,7 @@
             progress,
             ticket: None,
             place: None,
+            zones: Vec::new(),
             reading: None,
             source: None,
             reads: 0,
@@ -135,7 +141,10 @@
         let Some(place) = self.place.take() else {
             return;
         };
-        let Place { server, hold, memory, .. } = place;
+        let Place { server, hold, memory, loan, .. } = place;
+        if let Some(loan) = loan {
+            loan.close(shared);
+        }
         if let Some(hold) = hold {
             give_back(shared, server.addr, engine::drop_hold(&server.id, &hold));
         }
--- a/crates/daemon/src/gateway/stream/place.rs
+++ b/crates/daemon/src/gateway/stream/place.rs
@@ -9,10 +9,11 @@
 use ebonyloft_router::forecast::Profile;
 use ebonyloft_router::growth::Growth;
 use ebonyloft_router::roster::Roster;
+use ebonyloft_router::share::Work;
 use futures_util::future::select;
 
 use super::flight::{Flight, Place};
-use super::{Stop, read};
+use super::{Stop, read, spill};
 use crate::gateway::answer::Cause;
 use crate::gateway::intake::Intake;
 use crate::gateway::shared::{Basis, Shared};
@@ -39,7 +40,21 @@
     flight.ticket = Some(ticket);
     loop {
         let now = shared.now();
-        match advise(shared, intake, spec, flight, tried, now) {
+        let advice = advise(shared, intake, spec, flight, tried, now);
+        let short = || is_short(shared, intake, spec, flight, &need, now);
+        if !matches!(advice, Advice::Ask(_))
+            && spill::is_allowed(shared, flight)
+            && short()
+            && let Some(zone) = spill::choose(shared, intake, flight, &need)
+        {
+            if let Some(server) = spill::ask(shared, intake, flight, &need, growth, zone).await {
+                leave(shared, flight);
+                log_placed(shared, intake, spec, &need, &server, joined);
+                return Ok(server);
+            }
+            continue;
+        }
+        match advice {
             Advice::Ask(id) => {
                 if let Some(server) = ask(shared, spec, flight, &id, need.memory, growth).await {
                     leave(shared, flight);
@@ -94,9 +109,9 @@
     now: Moment,
 ) -> Advice {
     let read_at = read::foretold(shared, intake, flight, now);
-    let entries = shared.entries();
+    let entries = shared.neighbours();
     let roster = shared.roster.borrow();
-    let servers = writers(&roster, intake).filter(|s| !tried.contains(&s.id));
+    let servers = writers(shared, &roster, &intake.service).filter(|s| !tried.contains(&s.id));
     let shares = shared.shares.borrow();
     let ticket = flight.ticket.expect("a request in line has a ticket");
     let work = |id: &ServerId| shares.work(now, id);
@@ -104,18 +119,56 @@
     shared.engines.borrow().advise(now, ticket, &view, servers, work, || shared.draw())
 }
 
-/// Engines of the request's service that write answers.
-fn writers<'a>(roster: &'a Roster, intake: &'a Intake) -> impl Iterator<Item = &'a Server> {
-    roster.ready(&intake.service).filter(|s| s.stage == Some(Stage::Decode))
+/// Can the request not be served here now?
+fn is_short(
+    shared: &Shared,
+    intake: &Intake,
+    spec: &Engine,
+    flight: &Flight,
+    need: &Need,
+    now: Moment,
+) -> bool {
+    let read_at = read::foretold(shared, intake, flight, now);
+    let (roster, shares) = (shared.roster.borrow(), shared.shares.borrow());
+    let view = View { engine: spec, read_at, entries: shared.neighbours() };
+    let servers = writers(shared, &roster, &intake.service);
+    let work = |id: &ServerId| shares.work(now, id);
+    shared.engines.borrow().is_short(now, need, &view, servers, work)
 }
 
-/// Free part of the memory of all engines that write, in percent, for the log.
-fn free(shared: &Shared, intake: &Intake, spec: &Engine) -> u64 {
+/// Engines of a service that write answers, of those that are placed at from here.
+pub fn writers<'a>(
+    shared: &Shared,
+    roster: &'a Roster,
+    service: &'a str,
+) -> impl Iterator<Item = &'a Server> {
+    let zone = shared.zone();
+    let here = move |s: &&Server| zone.as_ref().is_none_or(|zone| s.zone == *zone);
+    roster.ready(service).filter(|s| s.stage == Some(Stage::Decode)).filter(here)
+}
+
+/// The same in percent, for the log.
+fn percent(shared: &Shared, intake: &Intake, spec: &Engine) -> u64 {
+    (free(shared, &intake.service, spec) * 100.0) as u64
+}
+
+/// Free part of the memory of all engines that write and are placed at from here.
+pub fn free(shared: &Shared, service: &str, spec: &Engine) -> f64 {
     let (now, roster) = (shared.now(), shared.roster.borrow());
     let shares = shared.shares.borrow();
-    let servers: Vec<&Server> = writers(&roster, intake).collect();
+    let servers: Vec<&Server> = writers(shared, &roster, service).collect();
     let engines = shared.engines.borrow();
-    (engines.free(now, &servers, spec, |id| shares.work(now, id)) * 100.0) as u64
+    engines.free(now, &servers, spec, |id| shares.work(now, id))
+}
+
+/// Usual requests that find a place at engines that are placed at from here.
+pub fn places(shared: &Shared, service: &str, spec: &Engine) -> u32 {
+    let usual = shared.service(service).shape.memory();
+    let (now, roster) = (shared.now(), shared.roster.borrow());
+    let shares = shared.shares.borrow();
+    let servers: Vec<&Server> = writers(shared, &roster, service).collect();
+    let engines = shared.engines.borrow();
+    engines.places(now, &servers, spec, usual, |id| shares.work(now, id))
 }
 
 fn leave(shared: &Shared, flight: &mut Flight) {
@@ -137,21 +190,42 @@
     let server = shared.roster.borrow().get(id).cloned()?;
     shared.engines.borrow_mut().placed(id, memory);
     shared.note_news();
-    flight.place = Some(Place { server: server.clone(), hold: None, memory, growth });
-    let req = engine::hold(id, memory.reserved(), spec.hold.as_millis() as u64);
-    let answer = shared.pool.call(server.addr, req, HOLD_WAIT).await;
-    let now = shared.now();
-    let hold = answer.as_ref().ok().and_then(|(status, body)| engine::read_hold(*status, body));
+    flight.place = Some(Place { server: server.clone(), hold: None, memory, growth, loan: None });
+    let hold = reserve(shared, spec, &server, memory).await;
     if let (Some(place), Some(hold)) = (&mut flight.place, hold) {
         place.hold = Some(hold);
         return Some(server);
     }
     flight.place = None;
+    shared.engines.borrow_mut().freed(shared.now(), id, memory, false);
+    None
+}
+
+/// Has an engine reserve memory that is counted already; a refusal is noted.
+pub async fn reserve(
+    shared: &Shared,
+    spec: &Engine,
+    server: &Server,
+    memory: Profile,
+) -> Option<String> {
+    let id = &server.id;
+    let req = engine::hold(id, memory.reserved(), spec.hold.as_millis() as u64);
+    let answer = shared.pool.call(server.addr, req, HOLD_WAIT).await;
+    let now = shared.now();
+    let hold = answer.as_ref().ok().and_then(|(status, body)| engine::read_hold(*status, body));
+    if hold.is_some() {
+        return hold;
+    }
+    let work = shared.work(id);
     let mut engines = shared.engines.borrow_mut();
-    engines.freed(now, id, memory, false);
     match answer {
         Ok((status, _)) => {
-            tracing::debug!(server = %id, %status, "no place at this engine");
+            let Work { memory: all, count, .. } = work;
+            let asked = memory.reserved();
+            tracing::info!(
+                server = %id, %status, asked, tokens = all.now(), peak = all.peak(), count,
+                "no place at this engine"
+            );
             shared.metrics.count("gateway.hold.full", 1);
             engines.full(now, id);
         }
@@ -172,7 +246,7 @@
     joined: Moment,
     lack: Lack,
 ) {
-    let free = free(shared, intake, spec);
+    let free = percent(shared, intake, spec);
     let now = shared.now();
     let ms = now.since(joined).as_millis() as u64;
     let read = read::foretold(shared, intake, flight, now).since(now).as_millis() as u64;
@@ -203,7 +277,7 @@
     server: &Server,
     joined: Moment,
 ) {
-    let free = free(shared, intake, spec);
+    let free = percent(shared, intake, spec);
     let work = shared.work(&server.id);
     let ms = shared.now().since(joined).as_millis() as u64;
     let Basis { config, roster, age } = shared.basis();
--- a/crates/daemon/src/gateway/stream/read.rs
+++ b/crates/daemon/src/gateway/stream/read.rs
@@ -31,30 +31,51 @@
         return now;
     }
     // All readers are looked at: whether any can be in time does not depend on the one chosen.
-    match pick(shared, intake, &shared.node().zone, now, 1) {
+    match nearest(shared, &intake.service, intake.caller.prompt, now) {
         Some((_, at)) => at,
-        None => {
-            let alone =
-                shared.service(&intake.service).reading.time(Work::default(), intake.caller.prompt);
-            now.after(alone * LOCAL_PACE)
-        }
+        None => alone(shared, &intake.service, intake.caller.prompt, now),
     }
 }
 
+/// The reader that would be done with a prompt first, and when.
+pub fn nearest(
+    shared: &Shared,
+    service: &str,
+    prompt: u64,
+    now: Moment,
+) -> Option<(Server, Moment)> {
+    pick(shared, service, prompt, &shared.node().zone, now, 1)
+}
+
+/// When an engine that writes answers would have read a prompt.
+pub fn alone(shared: &Shared, service: &str, prompt: u64, now: Moment) -> Moment {
+    let alone = shared.service(service).reading.time(Work::default(), prompt);
+    now.after(alone * LOCAL_PACE)
+}
+
 /// Has the prompt read by a prefill engine; without one, the engine that writes the answer reads it.
 pub async fn elsewhere(shared: &Shared, intake: &Intake, flight: &mut Flight) {
     let node = shared.node();
+    let loan = flight.place.as_ref().and_then(|p| p.loan.as_ref());
+    let lent = loan.map(|loan| loan.reader.clone());
     for n in 0..READERS_MAX {
         let now = shared.now();
         let zone = flight.place.as_ref().map_or_else(|| &node.zone, |p| &p.server.zone);
-        let picked = pick(shared, intake, zone, now, shared.entries());
+        let picked = match &lent {
+            // Of the readers of another zone only the one that was named is known.
+            Some(named) => named.clone().filter(|_| n == 0),
+            None => {
+                let prompt = intake.caller.prompt;
+                pick(shared, &intake.service, prompt, zone, now, shared.neighbours())
+            }
+        };
         let Some((reader, ready_at)) = picked else {
             return;
         };
         if (n > 0 || flight.reads > 0) && !shared.spend(&intake.service) {
             return;
         }
-        if read_by(shared, intake, flight, &reader, ready_at).await {
+        if read_by(shared, intake, flight, &reader, ready_at, lent.is_some()).await {
             return;
         }
     }
@@ -64,19 +85,21 @@
 /// would be read there.
 fn pick(
     shared: &Shared,
-    intake: &Intake,
+    service: &str,
+    prompt: u64,
     zone: &str,
     now: Moment,
     entries: usize,
 ) -> Option<(Server, Moment)> {
     let (roster, engines) = (shared.roster.borrow(), shared.engines.borrow());
+    let own = shared.zone();
     let readers = roster
-        .ready(&intake.service)
-        .filter(|s| s.stage == Some(Stage::Prefill) && !engines.faulty(now, &s.id));
+        .ready(service)
+        .filter(|s| s.stage == Some(Stage::Prefill) && !engines.faulty(now, &s.id))
+        .filter(|s| own.as_ref().is_none_or(|own| s.zone == *own));
     let (shares, paces) = (shared.shares.borrow(), shared.paces.borrow());
     let work = |id: &_| engines.own(id).plus(shares.work(now, id));
-    let prompt = intake.caller.prompt;
-    let learned = shared.service(&intake.service);
+    let learned = shared.service(service);
     let choice = Choice { paces: &paces, reading: &learned.reading, prompt, zone, entries };
     let picked = prefill::pick(now, readers, work, &choice, || shared.draw());
     picked.map(|(s, at)| (s.clone(), at))
@@ -94,6 +117,7 @@
     flight: &mut Flight,
     reader: &Server,
     ready_at: Moment,
+    lent: bool,
 ) -> bool {
     let now = shared.now();
     let prompt = intake.caller.prompt;
@@ -120,8 +144,11 @@
     shared.metrics.time("gateway.read_ms", ms);
     let handle = answer.as_ref().and_then(|a| engine::read_prefilled(&a.body));
     if let Some(handle) = handle {
-        shared.paces.borrow_mut().observe(&reader.id, done.since(now), plain);
-        shared.service(&intake.service).reading.observe(work, prompt, done.since(now));
+        // The queue of another zone's reader is not known here: its time says nothing.
+        if !lent {
+            shared.paces.borrow_mut().observe(&reader.id, done.since(now), plain);
+            shared.service(&intake.service).reading.observe(work, prompt, done.since(now));
+        }
         let (id, addr) = (reader.id.clone(), reader.addr);
         let until = done.after(life(intake)).before(HANDLE_MARGIN);
         flight.source = Some(Source { id, addr, handle, until });
--- a/crates/daemon/src/gateway/watch.rs
+++ b/crates/daemon/src/gateway/watch.rs
@@ -24,6 +24,10 @@
 /// A tenth of the shortest time in which a change must be in force, and a leaving server is heard of
 /// within 0.2 s.
 const GATHER: Duration = Duration::from_millis(150);
+/// The same for a gateway that hears of changes from another one before: it follows the store only in
+/// case that the other one is cut from it, and is then that much later. A quarter of the shortest time in
+/// which a change must be in force.
+const GATHER_BEHIND: Duration = Duration::from_millis(500);
 /// How often a gateway that hears of the store from others looks whether it has to follow it.
 const ROLE_LOOK: Duration = Duration::from_millis(150);
 /// Each so many gateways that go before this one lengthen the pause after a failure once more: of a
@@ -64,7 +68,7 @@
                 let changed = from.replace(revision).is_some_and(|before| before != revision);
                 pause = PAUSE_MIN;
                 if changed {
-                    compio::time::sleep(GATHER).await;
+                    compio::time::sleep(gather(&shared)).await;
                 }
             }
             Err(StoreError::Compacted) => {
@@ -80,6 +84,10 @@
     }
 }
 
+fn gather(shared: &Shared) -> Duration {
+    if shared.role.borrow().leads() { GATHER } else { GATHER_BEHIND }
+}
+
 /// How many times as long as the first gateways of its zone this one waits after a failure.
 fn steps(shared: &Shared) -> u32 {
     let steps = shared.rank().map_or(0, |rank| rank / RANK_STEP);
--- a/crates/router/src/delegate.rs
+++ b/crates/router/src/delegate.rs
@@ -20,7 +20,13 @@
 pub const SILENT: Duration = Duration::from_millis(1_000);
 /// How long a gateway that had to follow the store goes on when it has not: delegates that come and go
 /// then cost a few calls, not a list each.
-pub const KEEP: Duration = Duration::from_millis(3_000);
+pub const KEEP: Duration = Duration::from_millis(1_500);
+
+/// How much longer each gateway waits than the one before it until it takes a delegate's place: one that
+/// begins tells the others within two such steps, so that a zone does not list the store all at once.
+pub const STEP: Duration = Duration::from_millis(100);
+/// Most steps; the last gateway of a zone that lost all before it follows the store a second later.
+pub const STEPS_MAX: u32 = 10;
 
 /// How a gateway hears of the store.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -41,25 +47,43 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Role {
     follows: bool,
+    /// Nobody that goes before it hears the store.
+    leads: bool,
+    /// When two delegates were last missed, while it follows.
     needed_at: Moment,
+    /// Since when two are missed, while it does not.
+    missed_since: Option<Moment>,
 }
 
 impl Role {
     /// A gateway that starts knows nobody: it follows the store.
     pub fn new(now: Moment) -> Self {
-        Role { follows: true, needed_at: now }
+        Role { follows: true, leads: true, needed_at: now, missed_since: None }
     }
 
-    /// Judges anew; `ahead` are the delegates heard that go before this one and hear the store.
-    pub fn judge(&mut self, now: Moment, ahead: usize) {
-        if ahead < PER_ZONE {
+    /// Judges anew: `heard` delegates of the `ahead` gateways that go before this one hear the store.
+    pub fn judge(&mut self, now: Moment, ahead: usize, heard: usize) {
+        self.leads = self.follows && heard == 0;
+        if heard >= PER_ZONE {
+            self.missed_since = None;
+            self.follows &= now.since(self.needed_at) <= KEEP;
+            return;
+        }
+        let since = *self.missed_since.get_or_insert(now);
+        let steps = (ahead + 1).saturating_sub(PER_ZONE).min(STEPS_MAX as usize);
+        if self.follows || now.since(since) >= STEP * steps as u32 {
             self.follows = true;
+            self.leads = heard == 0;
             self.needed_at = now;
-        } else if now.since(self.needed_at) > KEEP {
-            self.follows = false;
         }
     }
 
+    /// Is this the delegate from whom its zone hears first? The other ones follow the store in case that
+    /// this one is cut from it without noticing.
+    pub fn leads(&self) -> bool {
+        self.leads
+    }
+
     /// Does this gateway follow the store?
     pub fn follows(&self) -> bool {
         self.follows
--- a/crates/router/src/engines.rs
+++ b/crates/router/src/engines.rs
@@ -62,6 +62,19 @@
     fn in_time(&self, read_at: Moment) -> bool {
         read_at.after(FIRST_EVENT) <= self.first_by
     }
+
+    /// Did it come after its goal had passed, or too close to it?
+    fn is_late(&self, now: Moment) -> bool {
+        self.first_by < now.after(FIRST_EVENT)
+    }
+
+    /// What it gives for its memory, against the usual request.
+    fn gives(&self, late: bool) -> f64 {
+        if self.begun {
+            return f64::INFINITY;
+        }
+        self.gives * if late { LATE_PART } else { 1.0 }
+    }
 }
 
 /// Free part of all engines' memory below which it is kept for requests that give more for it.
@@ -99,10 +112,7 @@
 impl Waiter {
     /// What it gives for its memory, against the usual request.
     fn gives(&self) -> f64 {
-        if self.need.begun {
-            return f64::INFINITY;
-        }
-        self.need.gives * if self.late { LATE_PART } else { 1.0 }
+        self.need.gives(self.late)
     }
 }
 
@@ -166,7 +176,7 @@
     pub fn join(&mut self, now: Moment, need: Need, read_at: Moment) -> Ticket {
         self.next += 1;
         let ticket = Ticket(self.next);
-        let late = need.first_by < now.after(FIRST_EVENT);
+        let late = need.is_late(now);
         let until = match late {
             true => now.after(LATE_WAIT),
             false => need.first_by.before(FIRST_EVENT).before(read_at.since(now)).max(now),
@@ -220,6 +230,50 @@
         Advice::Wait(now.after(ASK_AGAIN).min(waiter.until))
     }
 
+    /// Can none of these engines take the request now, or is what they have left kept for others, or
+    /// can its prompt not be read in time?
+    pub fn is_short<'a>(
+        &self,
+        now: Moment,
+        need: &Need,
+        view: &View<'_>,
+        servers: impl Iterator<Item = &'a Server>,
+        work: impl Fn(&ServerId) -> Work,
+    ) -> bool {
+        let servers: Vec<&Server> = servers.collect();
+        let late = need.is_late(now);
+        let readable = late || need.in_time(view.read_at);
+        let bar = bar(self.free(now, &servers, view.engine, &work));
+        !readable
+            || need.gives(late) < bar
+            || self.roomiest(now, &servers, view, &work, need.memory, &mut || 0.0).is_none()
+    }
+
+    /// An engine for a request of another availability zone, which does not wait here: what is scarce
+    /// or waited for is kept for those who come here.
+    pub fn lend<'a>(
+        &self,
+        now: Moment,
+        need: &Need,
+        view: &View<'_>,
+        servers: impl Iterator<Item = &'a Server>,
+        work: impl Fn(&ServerId) -> Work,
+        mut draw: impl FnMut() -> f64,
+    ) -> Option<ServerId> {
+        let servers: Vec<&Server> = servers.collect();
+        let late = need.is_late(now);
+        let readable = match late {
+            true => view.read_at.since(now) <= LATE_READ,
+            false => need.in_time(view.read_at),
+        };
+        let bar = bar(self.free(now, &servers, view.engine, &work));
+        let over = self.waiting.values().filter(|w| w.gives() >= bar).count();
+        if !readable || over > 0 || need.gives(late) < bar {
+            return None;
+        }
+        self.roomiest(now, &servers, view, &work, need.memory, &mut draw)
+    }
+
     /// An engine reserved a place.
     pub fn placed(&mut self, id: &ServerId, memory: Profile) {
         let record = self.records.entry(id.clone()).or_default();
@@ -355,6 +409,24 @@
         free as f64 / (all as f64).max(1.0)
     }
 
+    /// How many more answers that take `usual` these engines can have now.
+    pub fn places(
+        &self,
+        now: Moment,
+        servers: &[&Server],
+        engine: &Engine,
+        usual: Profile,
+        work: impl Fn(&ServerId) -> Work,
+    ) -> u32 {
+        let places = |s: &&&Server| {
+            let all = self.own(&s.id).plus(work(&s.id));
+            let room = all.memory.room(engine.tokens, MARGIN).max(0) as u64;
+            let slots = engine.slots.saturating_sub(all.count);
+            slots.min((room / usual.peak().max(1)) as u32)
+        };
+        servers.iter().filter(|s| self.may_take(now, &s.id)).map(|s| places(&s)).sum()
+    }
+
     /// When a request with so many ahead of it gets a place, by the pace of the last ends.
     fn foretold(&self, now: Moment, ahead: usize) -> Moment {
         let since = now.before(ENDS_SPAN);
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -6,9 +6,13 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 
+use ebonyloft_core::time::Moment;
 use serde::{Deserialize, Serialize};
 
+use crate::delegate::PER_ZONE;
+
 /// A gateway as it registered itself.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Gateway {
@@ -22,32 +26,63 @@
     pub power: u32,
 }
 
+/// How long a gateway whose registration is gone is still told news and counted: registrations lapse
+/// with the store, and a gateway that lives registers anew within seconds of its return.
+pub const LAPSE: Duration = Duration::from_secs(10);
+
 /// All gateways that are registered, and the revision up to which they are known.
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
     gateways: BTreeMap<String, Gateway>,
+    /// Those of them whose registration is gone, and until when they count.
+    lapsed: BTreeMap<String, Moment>,
     revision: u64,
 }
 
 impl Fleet {
     /// Takes the whole list as of a revision, unless a newer one is known.
-    pub fn replace(&mut self, list: BTreeMap<String, Gateway>, revision: u64) {
-        if revision >= self.revision {
-            self.gateways = list;
-            self.revision = revision;
+    pub fn replace(&mut self, now: Moment, list: BTreeMap<String, Gateway>, revision: u64) {
+        if revision < self.revision {
+            return;
         }
+        self.revision = revision;
+        let missing = self.gateways.keys().filter(|name| !list.contains_key(*name));
+        for name in missing {
+            self.lapsed.entry(name.clone()).or_insert(now.after(LAPSE));
+        }
+        self.lapsed.retain(|name, _| !list.contains_key(name));
+        self.gateways.extend(list);
     }
 
     /// A gateway registered, or its registration is gone.
-    pub fn apply(&mut self, name: &str, gateway: Option<Gateway>, revision: u64) {
+    pub fn apply(&mut self, now: Moment, name: &str, gateway: Option<Gateway>, revision: u64) {
         if revision < self.revision {
             return;
         }
         self.revision = revision;
         match gateway {
-            Some(gateway) => self.gateways.insert(name.to_owned(), gateway),
-            None => self.gateways.remove(name),
-        };
+            Some(gateway) => {
+                self.lapsed.remove(name);
+                self.gateways.insert(name.to_owned(), gateway);
+            }
+            None if self.gateways.contains_key(name) => {
+                self.lapsed.entry(name.to_owned()).or_insert(now.after(LAPSE));
+            }
+            None => {}
+        }
+    }
+
+    /// Forgets gateways whose registration has been gone for long.
+    pub fn expire(&mut self, now: Moment) {
+        let over = |name: &String| self.lapsed.get(name).is_some_and(|until| *until <= now);
+        self.gateways.retain(|name, _| !over(name));
+        self.lapsed.retain(|_, until| *until > now);
+    }
+
+    /// Those whose registration stands, for another process.
+    pub fn registered(&self) -> BTreeMap<String, Gateway> {
+        let stands = |(name, _): &(&String, &Gateway)| !self.lapsed.contains_key(*name);
+        self.gateways.iter().filter(stands).map(|(n, g)| (n.clone(), g.clone())).collect()
     }
 
     /// Revision of the last change.
@@ -55,7 +90,7 @@
         self.revision
     }
 
-    /// All of them, by name.
+    /// All that count, by name.
     pub fn all(&self) -> &BTreeMap<String, Gateway> {
         &self.gateways
     }
@@ -74,4 +109,10 @@
         let before = self.of_zone(&own.zone).filter(move |(n, g)| rank(n, g) < mine);
         Some(before.map(|(n, _)| n.as_str()))
     }
+
+    /// The gateways of each zone that go first, whether they live or not.
+    pub fn delegates(&self) -> impl Iterator<Item = &Gateway> {
+        let first = |name: &str| self.ahead(name).is_some_and(|ahead| ahead.count() < PER_ZONE);
+        self.gateways.iter().filter(move |(name, _)| first(name)).map(|(_, g)| g)
+    }
 }
--- a/crates/router/src/growth.rs
+++ b/crates/router/src/growth.rs
@@ -5,6 +5,8 @@
 //! is learned from answers that ended. With the expectations of the first customer the engines of the
 //! second ran out of memory some 60 times a day.
 
+use serde::{Deserialize, Serialize};
+
 use crate::forecast::Profile;
 
 /// Logarithm of an answer's length as a part of the longest that its caller allows: first guess, the
@@ -89,7 +91,7 @@
 }
 
 /// What is expected of one answer.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Growth {
     /// Mean of the length's logarithm.
     mean: f64,
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -26,3 +26,4 @@
 pub mod routes;
 pub mod share;
 pub mod stages;
+pub mod zones;
--- a/crates/router/src/share.rs
+++ b/crates/router/src/share.rs
@@ -12,6 +12,7 @@
 use crate::catalog::ServerId;
 use crate::delegate::{Link, SILENT};
 use crate::forecast::Profile;
+use crate::zones::Digest;
 
 /// Pause between two datagrams to each peer while there is work: a tenth of the delay with which
 /// engines report.
@@ -107,6 +108,18 @@
     /// The sender's work, by backend server.
     #[serde(rename = "w")]
     pub work: BTreeMap<ServerId, Work>,
+    /// What a delegate heard of other availability zones.
+    #[serde(rename = "d", default, skip_serializing_if = "Vec::is_empty")]
+    pub digests: Vec<Digest>,
+}
+
+/// A datagram between entries.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum News {
+    /// To those who share engines.
+    Share(Share),
+    /// To another availability zone.
+    Digest(Digest),
 }
 
 #[derive(Clone, Debug)]
--- a/crates/router/src/stages.rs
+++ b/crates/router/src/stages.rs
@@ -9,6 +9,7 @@
 use ebonyloft_core::time::Moment;
 
 use crate::catalog::{Engine, Server, ServerId, Stage};
+use crate::forecast::Profile;
 
 /// Part of an engine's reading speed that is planned with; the rest absorbs arrivals that clump.
 pub const READ_PART: f64 = 0.85;
@@ -62,6 +63,21 @@
         self.token += TOKEN_WEIGHT * (seconds - self.token);
     }
 
+    /// Tokens of the usual prompt.
+    pub fn prompt(&self) -> u64 {
+        self.prompt as u64
+    }
+
+    /// Memory of the usual answer at its end.
+    pub fn memory(&self) -> Profile {
+        Profile::flat((self.prompt + self.growth) as u64)
+    }
+
+    /// Time of one token of an answer.
+    pub fn token(&self) -> Duration {
+        Duration::from_secs_f64(self.token)
+    }
+
     /// Have enough requests come to go by them?
     pub fn is_known(&self) -> bool {
         self.seen >= KNOWN
@@ -98,9 +114,9 @@
 /// What a plan is made of.
 #[derive(Clone, Copy, Debug)]
 pub struct View<'a> {
-    /// Name of the service.
-    pub service: &'a str,
-    /// Its engines that may be sent work.
+    /// Names the engines that are shared out together: a service's, or those of it in one zone.
+    pub group: &'a str,
+    /// The engines that may be sent work.
     pub servers: &'a [&'a Server],
     /// What is known of them.
     pub engine: &'a Engine,
@@ -114,12 +130,12 @@
 #[derive(Clone, Debug, Default)]
 pub struct Planner {
     given: HashMap<ServerId, (Stage, Moment)>,
-    /// The change that is wanted, and since when, by service.
+    /// The change that is wanted, and since when, by group.
     wanted: HashMap<String, (Stage, Moment)>,
 }
 
 impl Planner {
-    /// The next engine of a service to change and its new stage; one at a time.
+    /// The next engine of a group to change and its new stage; one at a time.
     pub fn next(&mut self, now: Moment, view: &View<'_>) -> Option<(ServerId, Stage)> {
         self.forget_done(now, view.servers);
         let change = self.change(view);
@@ -161,14 +177,14 @@
     /// wanted, and callers have not come yet: it is made at once.
     fn lasts(&mut self, now: Moment, view: &View<'_>, change: Option<Stage>) -> bool {
         let Some(stage) = change else {
-            self.wanted.remove(view.service);
+            self.wanted.remove(view.group);
             return false;
         };
-        let since = match self.wanted.get(view.service) {
+        let since = match self.wanted.get(view.group) {
             Some((before, since)) if *before == stage => *since,
             _ => now,
         };
-        self.wanted.insert(view.service.to_owned(), (stage, since));
+        self.wanted.insert(view.group.to_owned(), (stage, since));
         view.shape.is_none() || now.since(since) >= WANTED_FOR
     }
 
--- /dev/null
+++ b/crates/router/src/zones.rs
@@ -0,0 +1,156 @@
+//! What availability zones know of each other, and where a request goes that its own can't serve.
+//!
+//! Answers the load of fleets in which everybody telling everybody what work it has costs more than it
+//! gains: the bytes between availability zones grow with the square of the fleet. From a size on, each
+//! zone decides for itself: its gateways tell each other everything, and place, read and write there.
+//! Zones tell each other only how much room they have, a few numbers by delegates several times a second.
+//! A request that its own zone can't serve in time is placed by a gateway of another one, which knows
+//! what its engines have: who placed there by a sum half a second old would fill engines beyond what
+//! their answers grow to.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use ebonyloft_core::time::Moment;
+use serde::{Deserialize, Serialize};
+
+use crate::engines::SCARCE;
+use crate::fleet::Fleet;
+
+/// Gateways from which on zones decide for themselves. Below, what all tell all costs less than what is
+/// gained by sharing all engines: some thirty gateways send 0.02 of what their callers are worth.
+pub const ZONE_FLEET: usize = 40;
+/// Pause between two digests to other zones: what they say is only used to choose whom to ask.
+pub const DIGEST_PAUSE: Duration = Duration::from_millis(250);
+/// How long a digest counts: four more may be lost.
+pub const DIGEST_LIFE: Duration = Duration::from_millis(1_300);
+/// Free part of a zone's memory, in thousandths, below which it keeps it for its own callers.
+const SPILL_FREE: u32 = (SCARCE * 1_000.0) as u32;
+
+/// Who shares all news, and each other's engines.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Scope {
+    /// All gateways.
+    All,
+    /// Those of one availability zone.
+    Zone,
+}
+
+/// The scope of a fleet; the same for all its gateways.
+pub fn scope(fleet: &Fleet) -> Scope {
+    if fleet.all().len() < ZONE_FLEET { Scope::All } else { Scope::Zone }
+}
+
+/// What a zone has left of one service's engines.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Room {
+    /// Name of the service.
+    #[serde(rename = "s")]
+    pub service: String,
+    /// Part of the memory in which answers may still be placed, in thousandths.
+    #[serde(rename = "f")]
+    pub free: u32,
+    /// Usual requests that find a place now; memory that is left in pieces is no place.
+    #[serde(rename = "p")]
+    pub places: u32,
+    /// Milliseconds until a usual prompt would be read.
+    #[serde(rename = "r")]
+    pub read: u32,
+}
+
+/// What a delegate tells other zones of its own.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Digest {
+    /// Name of the sender's VM.
+    #[serde(rename = "n")]
+    pub name: String,
+    /// Its availability zone.
+    #[serde(rename = "z")]
+    pub zone: String,
+    /// Where it is reached.
+    #[serde(rename = "a")]
+    pub addr: SocketAddr,
+    /// Start time of its process, in microseconds.
+    #[serde(rename = "l")]
+    pub life: u64,
+    /// Grows with every digest of this life.
+    #[serde(rename = "q")]
+    pub seq: u64,
+    /// Version of its configuration.
+    #[serde(rename = "c")]
+    pub config: u64,
+    /// Revision up to which it knows the backend servers.
+    #[serde(rename = "b")]
+    pub roster: u64,
+    /// Revision up to which it knows the gateways.
+    #[serde(rename = "g")]
+    pub fleet: u64,
+    /// Its zone's engines, by service.
+    #[serde(rename = "e")]
+    pub rooms: Vec<Room>,
+}
+
+/// The latest digests of other zones.
+#[derive(Clone, Debug, Default)]
+pub struct Digests {
+    heard: HashMap<String, (Moment, Digest)>,
+}
+
+impl Digests {
+    /// A digest arrived, from its sender or by another gateway; false when it is not news.
+    pub fn hear(&mut self, now: Moment, digest: Digest) -> bool {
+        if let Some((_, before)) = self.heard.get(&digest.name)
+            && (before.life, before.seq) >= (digest.life, digest.seq)
+        {
+            return false;
+        }
+        self.heard.insert(digest.name.clone(), (now, digest));
+        true
+    }
+
+    /// Those that still count.
+    pub fn live(&self, now: Moment) -> impl Iterator<Item = &Digest> {
+        let counts = move |at: &Moment| now.since(*at) < DIGEST_LIFE;
+        self.heard.values().filter(move |(at, _)| counts(at)).map(|(_, digest)| digest)
+    }
+
+    /// Forgets those that don't count any more.
+    pub fn expire(&mut self, now: Moment) {
+        self.heard.retain(|_, (at, _)| now.since(*at) < DIGEST_LIFE);
+    }
+
+    /// The zone to ask for a place at a service whose prompt must be read within `within`, and the
+    /// gateway there; `tried` zones are left out, `draw` is uniform in 0..1. Zones are drawn by their
+    /// places: the one with the most would be everybody's choice for as long as its digest counts.
+    pub fn spill(
+        &self,
+        now: Moment,
+        service: &str,
+        within: Duration,
+        tried: &[String],
+        draw: f64,
+    ) -> Option<&Digest> {
+        let weigh = |digest: &Digest| {
+            let room = digest.rooms.iter().find(|r| r.service == service)?;
+            let fits = room.free > SPILL_FREE && u128::from(room.read) <= within.as_millis();
+            (fits && room.places > 0).then(|| f64::from(room.places))
+        };
+        let mut fit: Vec<(f64, &Digest)> = self
+            .live(now)
+            .filter(|d| !tried.contains(&d.zone))
+            .filter_map(|d| Some((weigh(d)?, d)))
+            .collect();
+        fit.sort_by(|a, b| a.1.name.cmp(&b.1.name));
+        let mut left = draw * fit.iter().map(|(weight, _)| weight).sum::<f64>();
+        let mut last = None;
+        for (weight, digest) in fit {
+            last = Some(digest);
+            left -= weight;
+            if left <= 0.0 {
+                break;
+            }
+        }
+        last
+    }
+}
--- a/crates/router/tests/engines.rs
+++ b/crates/router/tests/engines.rs
@@ -271,3 +271,66 @@
     assert!(gives(2_000, 3_200) < 0.75 * middle);
     assert!(gives(740, 1_000) > gives(740, 6_000));
 }
+
+fn lend(engines: &Engines, need: &Need, read_ms: u64, servers: &[Server]) -> Option<ServerId> {
+    let view = View { engine: &spec(), read_at: after(read_ms), entries: 4 };
+    engines.lend(NOW, need, &view, servers.iter(), |_| Work::default(), || 0.5)
+}
+
+/// What another zone can't serve is taken where there is room that nobody here waits for.
+#[test]
+fn room_is_lent_while_nobody_here_waits_for_it() {
+    let servers = servers(2);
+    let mut engines = Engines::default();
+    assert!(lend(&engines, &need(), 100, &servers).is_some());
+    assert_eq!(lend(&engines, &need(), 800, &servers), None, "its prompt would be read too late");
+    let ticket = engines.join(NOW, need(), after(100));
+    assert_eq!(lend(&engines, &need(), 100, &servers), None, "it is waited for");
+    engines.leave(ticket);
+    engines.placed(&id(0), Profile::flat(20_000));
+    engines.placed(&id(1), Profile::flat(17_000));
+    assert_eq!(lend(&engines, &need(), 100, &servers), None, "nothing is free");
+}
+
+/// Scarce memory is lent only to requests that give as much for it as those that come here must.
+#[test]
+fn scarce_memory_is_not_lent_for_less() {
+    let servers = servers(1);
+    let mut engines = Engines::default();
+    engines.placed(&id(0), Profile::flat(18_800));
+    let small = Need { memory: Profile::flat(500), ..need() };
+    assert_eq!(lend(&engines, &Need { gives: 0.5, ..small }, 100, &servers), None);
+    assert!(lend(&engines, &Need { gives: BAR_MAX, ..small }, 100, &servers).is_some());
+}
+
+#[test]
+fn a_zone_is_short_without_room_or_reader() {
+    let servers = servers(1);
+    let mut engines = Engines::default();
+    let short = |engines: &Engines, read_ms: u64| {
+        let view = View { engine: &spec(), read_at: after(read_ms), entries: 4 };
+        engines.is_short(NOW, &need(), &view, servers.iter(), |_| Work::default())
+    };
+    assert!(!short(&engines, 100));
+    assert!(short(&engines, 800), "no reader in time");
+    engines.placed(&id(0), Profile::flat(17_000));
+    assert!(short(&engines, 100), "no room");
+}
+
+/// Memory that is left in pieces smaller than a request is no place.
+#[test]
+fn places_are_counted_by_engine() {
+    let servers = servers(3);
+    let servers: Vec<&Server> = servers.iter().collect();
+    let mut engines = Engines::default();
+    let places = |engines: &Engines| {
+        engines.places(NOW, &servers, &spec(), Profile::flat(4_000), |_| Work::default())
+    };
+    assert_eq!(places(&engines), 15);
+    for i in 0..3 {
+        engines.placed(&id(i), Profile::flat(17_000));
+    }
+    assert_eq!(places(&engines), 0);
+    engines.freed(NOW, &id(0), Profile::flat(17_000), true);
+    assert_eq!(places(&engines), 5);
+}
--- a/crates/router/tests/roster.rs
+++ b/crates/router/tests/roster.rs
@@ -201,3 +201,51 @@
         }
     }
 }
+
+/// Another process that knows everything up to a revision takes what changed since, and knows the same.
+#[test]
+fn what_changed_since_a_revision_brings_another_process_up_to_date() {
+    let mut roster = Roster::default();
+    roster.replace(vec![there(1, 1), there(2, 2), there(3, 3)], 3, true);
+    let mut peer = Roster::default();
+    assert_eq!(roster.since(0), None, "who knows nothing takes the whole list");
+    peer.replace(roster.changes(), roster.revision(), true);
+    roster.apply(gone(1, 4), true);
+    roster.apply(leaving(2, 5), true);
+    roster.apply(there(4, 6), true);
+    roster.apply(wrong(3, 7), true);
+    let changes = roster.since(3).expect("removals are remembered");
+    assert_eq!(changes.len(), 4);
+    peer.catch_up(changes, roster.revision(), true);
+    assert_eq!(peer.changes(), roster.changes());
+    assert_eq!(peer.revision(), 7);
+    assert_eq!(roster.since(7), Some(Vec::new()));
+}
+
+/// A list that is read page by page may have items newer than its revision: what changed in between is
+/// still to come, and nobody may be told that it is known.
+#[test]
+fn a_list_is_known_up_to_its_own_revision_only() {
+    let mut roster = Roster::default();
+    roster.replace(vec![there(1, 1), there(2, 9)], 5, true);
+    assert_eq!(roster.revision(), 5);
+    roster.apply(gone(1, 7), true);
+    assert_eq!(roster.since(5).expect("remembered").len(), 2);
+}
+
+/// One that vanished while the store was away is passed on as removed: the other one judges by itself
+/// whether that means that it is gone.
+#[test]
+fn who_vanished_while_the_store_was_away_is_judged_by_each() {
+    let mut roster = Roster::default();
+    roster.replace(vec![there(1, 1), there(2, 2)], 2, true);
+    let mut peer = Roster::default();
+    peer.replace(roster.changes(), 2, true);
+    assert_eq!(roster.apply(gone(1, 3), false), Effect::Unheard);
+    peer.catch_up(roster.since(2).expect("remembered"), 3, false);
+    assert_eq!(ready(&peer), 2);
+    roster.apply(there(1, 4), true);
+    peer.catch_up(roster.since(3).expect("remembered"), 4, true);
+    assert!(peer.settle().is_empty());
+    assert_eq!(ready(&peer), 2);
+}
--- a/crates/router/tests/stages.rs
+++ b/crates/router/tests/stages.rs
@@ -35,7 +35,7 @@
     let servers: Vec<&Server> = servers.iter().collect();
     let engine = engine(64, 103_424);
     let rate = 55_556.0;
-    let view = View { service: "llm", servers: &servers, engine: &engine, shape, rate };
+    let view = View { group: "llm", servers: &servers, engine: &engine, shape, rate };
     planner.next(at, &view).map(|(_, stage)| stage)
 }
 
@@ -77,7 +77,7 @@
     let servers: Vec<&Server> = all.iter().collect();
     let engine = engine(64, 103_424);
     let rate = 1e6;
-    let view = View { service: "llm", servers: &servers, engine: &engine, shape: None, rate };
+    let view = View { group: "llm", servers: &servers, engine: &engine, shape: None, rate };
     let (id, stage) = Planner::default().next(NOW, &view).expect("a change");
     assert_eq!(stage, Stage::Decode);
     let picked = all.iter().find(|s| s.id == id).expect("it is of the list");
--- /dev/null
+++ b/crates/router/tests/zones.rs
@@ -0,0 +1,110 @@
+//! What availability zones know of each other, and where a request goes that its own can't serve.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use ebonyloft_core::time::Moment;
+use ebonyloft_router::fleet::{Fleet, Gateway};
+use ebonyloft_router::share::{News, Share};
+use ebonyloft_router::zones::{DIGEST_LIFE, Digest, Digests, Room, Scope, ZONE_FLEET, scope};
+
+const NOW: Moment = Moment::from_millis(100_000);
+const SOON: Duration = Duration::from_millis(500);
+
+fn digest(zone: &str, seq: u64, free: u32, read: u32) -> Digest {
+    Digest {
+        name: format!("front-{zone}-1"),
+        zone: zone.into(),
+        addr: ([127, 0, 0, 1], 7_000).into(),
+        life: 1,
+        seq,
+        config: 1,
+        roster: 1,
+        fleet: 1,
+        rooms: vec![Room { service: "llm".into(), free, places: free / 100, read }],
+    }
+}
+
+fn zone_of(digests: &Digests, now: Moment, tried: &[String], draw: f64) -> Option<String> {
+    digests.spill(now, "llm", SOON, tried, draw).map(|d| d.zone.clone())
+}
+
+fn fleet(gateways: usize) -> Fleet {
+    let gateway = |n: usize| {
+        let addr = ([127, 0, 0, 1], n as u16).into();
+        (format!("g{n}"), Gateway { addr, zone: format!("z{}", n % 4), power: 90 })
+    };
+    let mut fleet = Fleet::default();
+    fleet.replace(NOW, (0..gateways).map(gateway).collect::<BTreeMap<_, _>>(), 1);
+    fleet
+}
+
+#[test]
+fn zones_decide_for_themselves_from_a_size_on() {
+    assert_eq!(scope(&fleet(4)), Scope::All);
+    assert_eq!(scope(&fleet(ZONE_FLEET - 1)), Scope::All);
+    assert_eq!(scope(&fleet(ZONE_FLEET)), Scope::Zone);
+    assert_eq!(scope(&fleet(410)), Scope::Zone);
+}
+
+#[test]
+fn a_zone_with_room_and_a_reader_is_asked() {
+    let mut digests = Digests::default();
+    assert_eq!(zone_of(&digests, NOW, &[], 0.5), None);
+    digests.hear(NOW, digest("full", 1, 50, 0));
+    digests.hear(NOW, digest("late", 1, 500, 501));
+    assert_eq!(zone_of(&digests, NOW, &[], 0.5), None);
+    let mut pieces = digest("pieces", 1, 500, 0);
+    pieces.rooms[0].places = 0;
+    digests.hear(NOW, pieces);
+    assert_eq!(zone_of(&digests, NOW, &[], 0.5), None);
+    digests.hear(NOW, digest("good", 1, 500, 499));
+    assert_eq!(zone_of(&digests, NOW, &[], 0.5).as_deref(), Some("good"));
+    assert_eq!(zone_of(&digests, NOW, &["good".to_owned()], 0.5), None, "it was asked");
+    assert_eq!(digests.spill(NOW, "other", SOON, &[], 0.5), None);
+}
+
+/// Not everybody asks the zone that has most: its digest is a moment old.
+#[test]
+fn zones_are_asked_by_the_room_that_they_have() {
+    let mut digests = Digests::default();
+    digests.hear(NOW, digest("a", 1, 300, 0));
+    digests.hear(NOW, digest("b", 1, 100, 0));
+    let asked = |zone: &str| {
+        let draws = (0..1_000).map(|n| f64::from(n) / 1_000.0);
+        draws.filter(|d| zone_of(&digests, NOW, &[], *d).as_deref() == Some(zone)).count()
+    };
+    assert!((740..=760).contains(&asked("a")), "{}", asked("a"));
+    assert_eq!(asked("a") + asked("b"), 1_000);
+}
+
+#[test]
+fn a_digest_counts_for_a_while() {
+    let mut digests = Digests::default();
+    assert!(digests.hear(NOW, digest("a", 5, 500, 0)));
+    assert!(!digests.hear(NOW.after(SOON), digest("a", 5, 500, 0)), "passed on by another one");
+    assert!(!digests.hear(NOW.after(SOON), digest("a", 4, 500, 0)), "overtaken");
+    let later = NOW.after(DIGEST_LIFE);
+    assert_eq!(zone_of(&digests, later, &[], 0.5), None);
+    assert!(digests.hear(later, digest("a", 6, 500, 0)));
+    assert!(zone_of(&digests, later, &[], 0.5).is_some());
+}
+
+/// What one delegate sends fits a datagram, with the digests of the other zones of a large region.
+#[test]
+fn a_share_with_digests_of_other_zones_is_short() {
+    let digests: Vec<Digest> = (0..7)
+        .flat_map(|zone| [1, 2].map(|n| (zone, n)))
+        .map(|(zone, n)| Digest {
+            name: format!("front-{n}"),
+            ..digest(&format!("zone-{zone}"), 1, 500, 90)
+        })
+        .collect();
+    let mut bytes = Vec::new();
+    let share = Share { name: "front-zone-8-1".into(), digests, ..Share::default() };
+    ciborium::into_writer(&News::Share(share), &mut bytes).expect("a share is encoded");
+    assert!(bytes.len() < 2_500, "{}", bytes.len());
+    let mut one = Vec::new();
+    ciborium::into_writer(&News::Digest(digest("zone-1", 1, 500, 90)), &mut one).expect("encoded");
+    assert!(one.len() < 120, "{}", one.len());
+}
--- a/crates/standins/tests/gateway.rs
+++ b/crates/standins/tests/gateway.rs
@@ -7,7 +7,7 @@
 use compio::net::UdpSocket;
 use compio::runtime::JoinHandle;
 use ebonyloft_router::catalog::{Split, Stage};
-use ebonyloft_router::share::Share;
+use ebonyloft_router::share::{News, Share};
 use ebonyloft_standins::fleet::caller::Answer;
 use ebonyloft_standins::fleet::runner::{Fault, RunnerSpec};
 use ebonyloft_standins::fleet::store;
@@ -455,6 +455,13 @@
     });
 }
 
+fn share(datagram: &[u8]) -> Share {
+    match ciborium::from_reader::<News, _>(datagram).expect("a datagram that can be read") {
+        News::Share(share) => share,
+        News::Digest(_) => panic!("a digest goes to other zones only"),
+    }
+}
+
 /// Among 200 peers the usual round takes more than a second; work that begins is told at once.
 #[test]
 fn work_that_begins_is_told_at_once() {
@@ -462,13 +469,13 @@
         let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a socket");
         let addr = socket.local_addr().expect("its address");
         for i in 0..200 {
-            let registration = format!("{{\"addr\":\"{addr}\"}}");
+            let registration = format!("{{\"addr\":\"{addr}\",\"zone\":\"a\"}}");
             fleet.store.put(&format!("ebonyloft/gateways/p{i}"), registration.as_bytes(), 0);
         }
         let hear = async || {
             let BufResult(len, buffer) = socket.recv_from(Vec::with_capacity(8 << 10)).await;
             let (len, _) = len.expect("a datagram");
-            ciborium::from_reader::<Share, _>(&buffer[..len]).expect("a share")
+            share(&buffer[..len])
         };
         // The one of work before the peers were known may be under way.
         compio::time::timeout(8 * SECOND, hear()).await.expect("a round");
