--- /dev/null
+++ b/crates/core/tests/route.rs
@@ -0,0 +1,73 @@
+//! Which executor an entry chooses by what it sent to each.
+
+use std::time::Duration;
+
+use ebonyloft_core::config::Class;
+use ebonyloft_core::ids::{Account, Incarnation, Key, MemberId, Peer, Zone};
+use ebonyloft_core::message::{PlainCall, Repeat, Work};
+use ebonyloft_core::request::{Intent, Spec};
+use ebonyloft_core::route::{Earliest, PoolView};
+use ebonyloft_core::time::Moment;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+const NOW: Moment = Moment::from_millis(100_000);
+const HOLD: Duration = Duration::from_millis(20);
+
+fn peer(n: usize) -> Peer {
+    Peer { id: MemberId(format!("vm-{n}")), life: Incarnation(1) }
+}
+
+fn pool(servers: usize) -> PoolView {
+    let mut pool = PoolView::default();
+    pool.set((0..servers).map(|n| (peer(n), Zone::default())));
+    pool
+}
+
+/// A check whose first byte is wanted within 150 ms.
+fn check() -> Spec {
+    let call = PlainCall {
+        method: "POST".into(),
+        path: String::new(),
+        mime: String::new(),
+        body: Vec::new(),
+    };
+    Spec {
+        intent: Intent::Run,
+        waiter: 1,
+        key: Key { account: Account::from("a"), text: "k".to_owned() },
+        first: true,
+        class: Class::Urgent,
+        first_by: NOW.after(Duration::from_millis(150)),
+        deadline: NOW.after(Duration::from_secs(1)),
+        repeat: Repeat::Once,
+        split: false,
+        work: Work::Plain(call),
+        avoid: Vec::new(),
+    }
+}
+
+fn choose(pool: &mut PoolView) -> Result<Peer, Option<Moment>> {
+    let mut policy = Earliest { zone: Zone::default() };
+    pool.executor(NOW, &check(), HOLD, &mut policy, &mut ChaCha8Rng::seed_from_u64(1))
+}
+
+/// Repeats find the attempt that there is, and send no admission: servers whose load is not known yet
+/// are not taken for full.
+#[test]
+fn choices_that_send_nothing_fill_no_server() {
+    let mut pool = pool(2);
+    for _ in 0..40 {
+        assert!(choose(&mut pool).is_ok());
+    }
+}
+
+#[test]
+fn what_was_sent_since_the_last_report_counts() {
+    let mut pool = pool(1);
+    for _ in 0..8 {
+        let executor = choose(&mut pool).expect("it has room");
+        pool.sent(&executor);
+    }
+    assert!(choose(&mut pool).is_err(), "eight of 20 ms each come first");
+}
