Callers of a process without a configuration wait for a store that is away as long as they can

While the store does not answer the wait is 0.22 to 0.32 of the caller's time left, of which callers follow a third; else half a second as before.

The log line of such a refusal has its inputs now.

--- a/crates/daemon/src/gateway/ingress.rs
+++ b/crates/daemon/src/gateway/ingress.rs
@@ -11,7 +11,7 @@
 use ebonyloft_core::verdict::Verdict;
 use ebonyloft_platform::headers;
 use ebonyloft_router::catalog::{Config, Kind, Limits, Route};
-use ebonyloft_router::routes;
+use ebonyloft_router::{comeback, routes};
 use futures_channel::oneshot;
 use futures_util::future::{Either, Shared as SharedFuture, select};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -23,13 +23,10 @@
 
 use super::answer::{self, Body, Cause};
 use super::intake::Intake;
-use super::shared::Shared;
+use super::shared::{Basis, Shared};
 use super::{call, stream};
 use crate::http;
 
-/// When callers are asked to come back to a process that knows no configuration yet: one round of
-/// the platform's readiness check, by which others are chosen.
-const NOT_READY_RETRY: Duration = Duration::from_millis(500);
 /// Callers' request heads have no more headers than this; a guard for memory.
 const HEADERS_MAX: usize = 100;
 /// Smallest read buffer that the HTTP library allows.
@@ -121,9 +118,14 @@
     let caller = headers::caller(req.headers());
     let refuse = |cause: Cause| {
         let id = caller.attempt.as_deref().unwrap_or("-");
-        tracing::info!(id, ?cause, "request refused unread");
         shared.metrics.count("gateway.refused.unread", 1);
-        let mut response = answer::refusal(cause, Verdict::NotRun, Some(NOT_READY_RETRY));
+        let away = shared.fresh.borrow().is_away();
+        let left = caller.patience.filter(|_| cause == Cause::NotReady);
+        let wait = comeback::wait(left, away, shared.draw());
+        let Basis { config, roster, age } = shared.basis();
+        let ms = wait.as_millis() as u64;
+        tracing::info!(id, ?cause, away, ms, config, roster, age, "request refused unread");
+        let mut response = answer::refusal(cause, Verdict::NotRun, Some(wait));
         if matches!(cause, Cause::Malformed | Cause::TooLarge) {
             answer::close_after(&mut response);
         }
--- a/crates/standins/tests/gateway.rs
+++ b/crates/standins/tests/gateway.rs
@@ -353,6 +353,10 @@
         let answer = fleet.caller(2).call(CHECK, "c2").await.expect("an answer");
         assert_eq!(answer.status, 503);
         assert!(answer.header("retry-after").is_some());
+        // A caller with 14 s to go waits for the store as long as it can.
+        let answer = fleet.caller(2).summary(SUMMARY, "s2").await.expect("an answer");
+        let after: f64 = answer.header("retry-after").expect("a time").parse().expect("seconds");
+        assert!(after > 3.0 && after < 14.0 / 3.0, "{after}");
         fleet.store.set_fault(store::Fault::None);
         fleet.wait_ready(2).await;
         assert_eq!(fleet.caller(2).call(CHECK, "c3").await.expect("an answer").status, 200);
