--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -39,6 +39,8 @@
 /// Path of look-ups that may run again.
 pub const LOOKUP: &str = "/lookup/a";
 
+/// Zone of what is started without one.
+const ZONE: &str = "a";
 const CALLERS_PORT: u16 = 8_144;
 const READY_PORT: u16 = 8_140;
 const PEER_PORT: u16 = 7_660;
@@ -142,15 +144,25 @@
         fleet
     }
 
-    /// Starts and registers a backend server.
+    /// Starts and registers a backend server in the first zone.
     pub async fn add_runner(&mut self, stage: Option<Stage>, spec: &RunnerSpec) -> Rc<Runner> {
+        self.add_runner_in(ZONE, stage, spec).await
+    }
+
+    /// Starts and registers a backend server.
+    pub async fn add_runner_in(
+        &mut self,
+        zone: &str,
+        stage: Option<Stage>,
+        spec: &RunnerSpec,
+    ) -> Rc<Runner> {
         let host = self.take_ip();
         let service = if stage.is_some() { ENGINES } else { PLAIN };
         let server = Server {
             id: ServerId::new(format!("i-{host}"), 0),
             service: service.to_owned(),
             addr: address(self.net, host, RUNNER_PORT),
-            zone: "a".to_owned(),
+            zone: zone.to_owned(),
             slots: spec.slots,
             draining: false,
             stage,
@@ -161,10 +173,15 @@
         runner
     }
 
-    /// Starts a gateway; it may not take callers yet.
+    /// Starts a gateway in the first zone; it may not take callers yet.
     pub fn add_gateway(&mut self) {
+        self.add_gateway_in(ZONE);
+    }
+
+    /// Starts a gateway; it may not take callers yet.
+    pub fn add_gateway_in(&mut self, zone: &str) {
         let host = self.take_ip();
-        let node = self.node(host);
+        let node = self.node(host, zone);
         let (stop, stopped) = oneshot::channel();
         let (ended, done) = oneshot::channel();
         let ip = node.ip;
@@ -236,11 +253,11 @@
         self.next_ip - 1
     }
 
-    fn node(&self, host: u8) -> Node {
+    fn node(&self, host: u8, zone: &str) -> Node {
         let ip = address(self.net, host, 0).ip();
         Node {
-            name: format!("front-a-{host}"),
-            zone: "a".to_owned(),
+            name: format!("front-{zone}-{host}"),
+            zone: zone.to_owned(),
             ip,
             power: 190,
             callers: Some((ip, CALLERS_PORT).into()),
