--- a/crates/daemon/src/gateway/orders.rs
+++ b/crates/daemon/src/gateway/orders.rs
@@ -152,43 +152,37 @@
             let learned = shared.service(&service.name);
             (learned.shape, learned.reading.rate())
         };
-        for (group, servers) in groups(shared, &roster, &service.name) {
-            let view = View {
-                group: &group,
-                servers: &servers,
-                engine: spec,
-                shape: Some(shape).filter(Shape::is_known),
-                rate,
-            };
-            if let Some((to, stage)) = planner.next(shared.now(), &view) {
-                planner.given(shared.now(), &to, stage, spec);
-                shared.changing.replace(planner.changing());
-                let server = roster.get(&to)?.clone();
-                let holder = shared.node().name.clone();
-                return Some((Order { to, stage, holder, fence: held.fence }, server));
-            }
+        let view = View {
+            service: &service.name,
+            groups: &groups(shared, &roster, &service.name),
+            engine: spec,
+            shape: Some(shape).filter(Shape::is_known),
+            rate,
+        };
+        if let Some((to, stage)) = planner.next(shared.now(), &view) {
+            planner.given(shared.now(), &to, stage, spec);
+            shared.changing.replace(planner.changing());
+            let server = roster.get(&to)?.clone();
+            let holder = shared.node().name.clone();
+            return Some((Order { to, stage, holder, fence: held.fence }, server));
         }
     }
     shared.changing.replace(planner.changing());
     None
 }
 
-/// Engines that are shared out together, by name: all of a service, or those of each zone.
-fn groups<'a>(
-    shared: &Shared,
-    roster: &'a Roster,
-    service: &'a str,
-) -> BTreeMap<String, Vec<&'a Server>> {
+/// Engines of a service by who places at them: all, or those of each zone.
+fn groups<'a>(shared: &Shared, roster: &'a Roster, service: &'a str) -> Vec<Vec<&'a Server>> {
     let scope = shared.scope();
-    let mut groups: BTreeMap<String, Vec<&Server>> = BTreeMap::new();
+    let mut groups: BTreeMap<&str, Vec<&Server>> = BTreeMap::new();
     for server in roster.ready(service) {
         let group = match scope {
-            Scope::All => service.to_owned(),
-            Scope::Zone => format!("{service}/{}", server.zone),
+            Scope::All => "",
+            Scope::Zone => server.zone.as_str(),
         };
         groups.entry(group).or_default().push(server);
     }
-    groups
+    groups.into_values().collect()
 }
 
 async fn send(shared: &Shared, order: Order, server: Server, planner: &mut Planner) {
--- a/crates/daemon/src/gateway/stream/spill.rs
+++ b/crates/daemon/src/gateway/stream/spill.rs
@@ -157,9 +157,12 @@
     let server = grant.as_ref().map(|g| g.server.id.to_string());
     let Basis { config, roster, age } = shared.basis();
     tracing::info!(
-        id = intake.id(), zone, peer = %addr, server, ms, config, roster, age, "place elsewhere"
+        id = intake.id(), zone = zone.as_str(), peer = %addr, server, ms, config, roster, age, "place elsewhere"
     );
     shared.metrics.count("gateway.spilled", u64::from(grant.is_some()));
+    if grant.is_none() {
+        shared.digests.borrow_mut().full(shared.now(), &zone);
+    }
     let Grant { id, server, hold, reader } = grant?;
     let reader = reader.map(|(s, ms)| (s, shared.now().after(Duration::from_millis(ms))));
     let memory = need.memory;
--- a/crates/router/src/stages.rs
+++ b/crates/router/src/stages.rs
@@ -114,10 +114,10 @@
 /// What a plan is made of.
 #[derive(Clone, Copy, Debug)]
 pub struct View<'a> {
-    /// Names the engines that are shared out together: a service's, or those of it in one zone.
-    pub group: &'a str,
-    /// The engines that may be sent work.
-    pub servers: &'a [&'a Server],
+    /// Name of the service.
+    pub service: &'a str,
+    /// Its engines that may be sent work, by who places at them: all, or those of each zone.
+    pub groups: &'a [Vec<&'a Server>],
     /// What is known of them.
     pub engine: &'a Engine,
     /// The shape of its requests; none until enough were seen.
@@ -130,29 +130,31 @@
 #[derive(Clone, Debug, Default)]
 pub struct Planner {
     given: HashMap<ServerId, (Stage, Moment)>,
-    /// The change that is wanted, and since when, by group.
+    /// The change that is wanted, and since when, by service.
     wanted: HashMap<String, (Stage, Moment)>,
 }
 
 impl Planner {
-    /// The next engine of a group to change and its new stage; one at a time.
+    /// The next engine of a service to change and its new stage; one at a time.
     pub fn next(&mut self, now: Moment, view: &View<'_>) -> Option<(ServerId, Stage)> {
-        self.forget_done(now, view.servers);
+        self.forget_done(now, view.groups);
         let change = self.change(view);
-        if !self.lasts(now, view, change) {
+        if !self.lasts(now, view, change.map(|(_, stage)| stage)) {
             return None;
         }
-        let free = view.servers.iter().filter(|s| !self.given.contains_key(&s.id));
-        let pick = match change? {
+        let (group, stage) = change?;
+        let servers = &view.groups[group];
+        let free = servers.iter().filter(|s| !self.given.contains_key(&s.id));
+        let pick = match stage {
             // The availability zone with the most readers gives one up.
             Stage::Decode => free
                 .filter(|s| s.stage == Some(Stage::Prefill))
-                .max_by_key(|s| (self.readers(view.servers, Some(&s.zone)), s.id.clone())),
+                .max_by_key(|s| (self.readers(servers, Some(&s.zone)), s.id.clone())),
             Stage::Prefill => {
                 free.filter(|s| s.stage == Some(Stage::Decode)).min_by_key(|s| s.id.clone())
             }
         };
-        pick.map(|s| (s.id.clone(), change.expect("there is one")))
+        pick.map(|s| (s.id.clone(), stage))
     }
 
     /// Engines that read or will soon, of one availability zone or all.
@@ -162,29 +164,39 @@
         servers.iter().filter(|s| here(s) && stage(s) == Some(Stage::Prefill)).count()
     }
 
-    fn change(&self, view: &View<'_>) -> Option<Stage> {
+    /// The group that should change, and the stage that one of its engines should have: the one that is
+    /// farthest from what is wanted, if it is too far by itself, or if all together are and it is nearer
+    /// after a change. Six zones of six engines that each kept one reader too many, by a little less than a
+    /// whole one, wrote with 24 engines where 30 were wanted.
+    fn change(&self, view: &View<'_>) -> Option<(usize, Stage)> {
         let shape = view.shape.unwrap_or_default();
-        let wanted = readers(view.servers.len(), view.engine, &shape, view.rate);
         let slack = if view.shape.is_some() { SLACK_LATER } else { SLACK_FIRST };
-        match wanted - self.readers(view.servers, None) as f64 {
-            more if more > slack => Some(Stage::Prefill),
-            more if more < -slack => Some(Stage::Decode),
-            _ => None,
-        }
+        let gap = |servers: &Vec<&Server>| {
+            let wanted = readers(servers.len(), view.engine, &shape, view.rate);
+            wanted - self.readers(servers, None) as f64
+        };
+        let gaps: Vec<f64> = view.groups.iter().map(gap).collect();
+        let total: f64 = gaps.iter().sum();
+        [(1.0, Stage::Prefill), (-1.0, Stage::Decode)].into_iter().find_map(|(sign, stage)| {
+            let farthest = gaps.iter().map(|gap| gap * sign).enumerate();
+            let (group, gap) = farthest.max_by(|a, b| a.1.total_cmp(&b.1))?;
+            let far = gap > slack || total * sign > slack && gap > SLACK_FIRST;
+            far.then_some((group, stage))
+        })
     }
 
     /// Has this change been wanted for long enough? Before answers were seen nothing moves what is
     /// wanted, and callers have not come yet: it is made at once.
     fn lasts(&mut self, now: Moment, view: &View<'_>, change: Option<Stage>) -> bool {
         let Some(stage) = change else {
-            self.wanted.remove(view.group);
+            self.wanted.remove(view.service);
             return false;
         };
-        let since = match self.wanted.get(view.group) {
+        let since = match self.wanted.get(view.service) {
             Some((before, since)) if *before == stage => *since,
             _ => now,
         };
-        self.wanted.insert(view.group.to_owned(), (stage, since));
+        self.wanted.insert(view.service.to_owned(), (stage, since));
         view.shape.is_none() || now.since(since) >= WANTED_FOR
     }
 
@@ -194,9 +206,9 @@
     }
 
     /// Forgets orders that show, and those that did not in time.
-    fn forget_done(&mut self, now: Moment, servers: &[&Server]) {
+    fn forget_done(&mut self, now: Moment, groups: &[Vec<&Server>]) {
         let shows = |id: &ServerId, stage: Stage| {
-            servers.iter().any(|s| s.id == *id && s.stage == Some(stage))
+            groups.iter().flatten().any(|s| s.id == *id && s.stage == Some(stage))
         };
         self.given.retain(|id, (stage, until)| *until > now && !shows(id, *stage));
     }
--- a/crates/router/src/zones.rs
+++ b/crates/router/src/zones.rs
@@ -25,6 +25,9 @@
 pub const DIGEST_PAUSE: Duration = Duration::from_millis(250);
 /// How long a digest counts: four more may be lost.
 pub const DIGEST_LIFE: Duration = Duration::from_millis(1_300);
+/// How long a zone that granted no place is not asked again, until the next two digests say what it has:
+/// in a burst nine of ten questions were asked in vain.
+pub const FULL_REST: Duration = Duration::from_millis(400);
 /// Free part of a zone's memory, in thousandths, below which it keeps it for its own callers.
 const SPILL_FREE: u32 = (SCARCE * 1_000.0) as u32;
 
@@ -95,6 +98,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Digests {
     heard: HashMap<String, (Moment, Digest)>,
+    /// Zones that granted no place, and until when they are not asked again.
+    full: HashMap<String, Moment>,
 }
 
 impl Digests {
@@ -115,9 +120,15 @@
         self.heard.values().filter(move |(at, _)| counts(at)).map(|(_, digest)| digest)
     }
 
+    /// A zone granted no place: its digest promised more than it has.
+    pub fn full(&mut self, now: Moment, zone: &str) {
+        self.full.insert(zone.to_owned(), now.after(FULL_REST));
+    }
+
     /// Forgets those that don't count any more.
     pub fn expire(&mut self, now: Moment) {
         self.heard.retain(|_, (at, _)| now.since(*at) < DIGEST_LIFE);
+        self.full.retain(|_, until| *until > now);
     }
 
     /// The zone to ask for a place at a service whose prompt must be read within `within`, and the
@@ -139,6 +150,7 @@
         let mut fit: Vec<(f64, &Digest)> = self
             .live(now)
             .filter(|d| !tried.contains(&d.zone))
+            .filter(|d| self.full.get(&d.zone).is_none_or(|until| *until <= now))
             .filter_map(|d| Some((weigh(d)?, d)))
             .collect();
         fit.sort_by(|a, b| a.1.name.cmp(&b.1.name));
--- a/crates/router/tests/zones.rs
+++ b/crates/router/tests/zones.rs
@@ -6,7 +6,9 @@
 use ebonyloft_core::time::Moment;
 use ebonyloft_router::fleet::{Fleet, Gateway};
 use ebonyloft_router::share::{News, Share};
-use ebonyloft_router::zones::{DIGEST_LIFE, Digest, Digests, Room, Scope, ZONE_FLEET, scope};
+use ebonyloft_router::zones::{
+    DIGEST_LIFE, Digest, Digests, FULL_REST, Room, Scope, ZONE_FLEET, scope,
+};
 
 const NOW: Moment = Moment::from_millis(100_000);
 const SOON: Duration = Duration::from_millis(500);
@@ -78,6 +80,16 @@
     assert_eq!(asked("a") + asked("b"), 1_000);
 }
 
+/// What a digest promised is not asked for again and again.
+#[test]
+fn a_zone_that_granted_nothing_is_left_alone_for_a_while() {
+    let mut digests = Digests::default();
+    digests.hear(NOW, digest("a", 1, 300, 0));
+    digests.full(NOW, "a");
+    assert_eq!(zone_of(&digests, NOW.after(FULL_REST / 2), &[], 0.5), None);
+    assert!(zone_of(&digests, NOW.after(FULL_REST), &[], 0.5).is_some());
+}
+
 #[test]
 fn a_digest_counts_for_a_while() {
     let mut digests = Digests::default();
