The first list of a process may be stale, and who has read none helps nobody

A gateway that was still reading its first list counted as one that hears the store, so that others stopped reading theirs and waited to be given it; and 300 lists of 3,300 entries each met the store's limit of calls.

The first list of a life is asked for with a tenth of the price and beside the limit, since the watch from its revision brings it up to date; only who has read a whole list counts as hearing the store, and who has not goes on reading. Comparing lists no longer takes the square of their length.

--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -156,8 +156,11 @@
     }
 }
 
+/// How this gateway hears of the store, for its peers; one that has not read the whole list yet is no
+/// help to them.
 fn link(shared: &Shared) -> Link {
-    match shared.role.borrow().follows() {
+    let helps = shared.role.borrow().follows() && shared.roster.borrow().is_complete();
+    match helps {
         true => shared.fresh.borrow().link(shared.now()),
         false => Link::Indirect,
     }
--- a/crates/daemon/src/gateway/shared.rs
+++ b/crates/daemon/src/gateway/shared.rs
@@ -229,6 +229,8 @@
         let heard = |name: &str| matches!(shares.link(now, name), Some(Link::Heard { .. }));
         let ahead: Vec<&str> = fleet.ahead(&node.name).map_or_else(Vec::new, Iterator::collect);
         let (all, heard) = (ahead.len(), ahead.iter().filter(|n| heard(n)).count());
+        // Who has not read the whole list yet reads it: that is faster than to be given it.
+        let heard = if self.roster.borrow().is_complete() { heard } else { 0 };
         let mut role = self.role.borrow_mut();
         let before = role.follows();
         role.judge(now, all, heard);
--- a/crates/daemon/src/gateway/store.rs
+++ b/crates/daemon/src/gateway/store.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use ebonyloft_platform::store::{self, Item, Lease, Page, StoreError, Write};
+use ebonyloft_platform::store::{self, Age, Item, Lease, Page, StoreError, Write};
 use hyper::{Request, StatusCode};
 
 use super::pool::{ExchangeError, Pool};
@@ -48,13 +48,13 @@
     }
 
     /// All items of a prefix; the revision is that of the first page, so that a watch from there
-    /// also tells what changed between the pages.
-    pub async fn list(&self, prefix: &str) -> Result<Page, StoreError> {
+    /// also tells what changed between the pages, and whatever is newer than a stale list.
+    pub async fn list(&self, prefix: &str, age: Age) -> Result<Page, StoreError> {
         let mut all = Page { items: Vec::new(), more: true, revision: u64::MAX };
         for _ in 0..PAGES_MAX {
             let after = all.items.last().map(|i| i.key.clone()).unwrap_or_default();
-            let page =
-                self.call(store::range(prefix, &after), CALL_WAIT, store::read_range).await?;
+            let req = store::range(prefix, &after, age);
+            let page = self.call(req, CALL_WAIT, store::read_range).await?;
             all.revision = all.revision.min(page.revision);
             all.more = page.more && !page.items.is_empty();
             all.items.extend(page.items);
--- a/crates/daemon/src/gateway/watch.rs
+++ b/crates/daemon/src/gateway/watch.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ebonyloft_platform::store::{CONFIG_KEY, Item, StoreError};
+use ebonyloft_platform::store::{Age, CONFIG_KEY, Item, StoreError};
 use ebonyloft_platform::{config, servers};
 use ebonyloft_router::roster::{Change, Effect, Entry};
 
@@ -52,6 +52,9 @@
 pub async fn follow(shared: Rc<Shared>, prefix: &'static str, sink: Box<dyn Sink>) {
     let mut from: Option<u64> = None;
     let mut pause = PAUSE_MIN;
+    // The first list of a life may be old, since the watch from its revision brings it up to date: when a
+    // whole fleet starts at once the store's limit of calls would hold it up.
+    let mut age = Age::Stale;
     loop {
         if !shared.role.borrow().follows() {
             from = None;
@@ -59,12 +62,13 @@
             continue;
         }
         let step = match from {
-            None => list(&shared, prefix, sink.as_ref()).await,
+            None => list(&shared, prefix, age, sink.as_ref()).await,
             Some(after) => watch(&shared, prefix, after, sink.as_ref()).await,
         };
         match step {
             Ok(revision) => {
                 heard(&shared, prefix);
+                age = Age::Current;
                 let changed = from.replace(revision).is_some_and(|before| before != revision);
                 pause = PAUSE_MIN;
                 if changed {
@@ -94,8 +98,8 @@
     1 + RANK_STEPS_MAX.min(steps as u32)
 }
 
-async fn list(shared: &Shared, prefix: &str, sink: &dyn Sink) -> Result<u64, StoreError> {
-    let page = shared.store.list(prefix).await?;
+async fn list(shared: &Shared, prefix: &str, age: Age, sink: &dyn Sink) -> Result<u64, StoreError> {
+    let page = shared.store.list(prefix, age).await?;
     sink.replace(page.items, page.revision);
     Ok(page.revision)
 }
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -104,9 +104,9 @@
     /// a duty takes the same time of any VM. None when it is not registered.
     pub fn ahead<'a>(&'a self, name: &'a str) -> Option<impl Iterator<Item = &'a str>> {
         let own = self.gateways.get(name)?;
-        let rank = |name: &str, g: &Gateway| (std::cmp::Reverse(g.power), name.to_owned());
-        let mine = rank(name, own);
-        let before = self.of_zone(&own.zone).filter(move |(n, g)| rank(n, g) < mine);
+        let goes_before =
+            move |n: &str, g: &Gateway| g.power > own.power || g.power == own.power && n < name;
+        let before = self.of_zone(&own.zone).filter(move |(n, g)| goes_before(n, g));
         Some(before.map(|(n, _)| n.as_str()))
     }
 
--- a/crates/router/src/roster.rs
+++ b/crates/router/src/roster.rs
@@ -3,7 +3,7 @@
 //! Registrations come from the store with revisions; a lower revision never replaces a higher one.
 //! A registration that vanished while the store could not be believed is kept until it can.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 
 use ebonyloft_core::time::Moment;
 use serde::{Deserialize, Serialize};
@@ -104,10 +104,11 @@
         settled: bool,
     ) -> Vec<(String, Effect)> {
         let mut effects = Vec::new();
+        let named: HashSet<&str> = list.iter().map(|c| c.name.as_str()).collect();
         let missing: Vec<String> = self
             .known
             .iter()
-            .filter(|(name, k)| k.revision <= revision && !list.iter().any(|c| c.name == **name))
+            .filter(|(name, k)| k.revision <= revision && !named.contains(name.as_str()))
             .map(|(name, _)| name.clone())
             .collect();
         for change in list {
@@ -204,13 +205,14 @@
         if after < self.forgotten || after == 0 {
             return None;
         }
-        let removed = self.removed.iter().map(|(name, revision)| Change {
+        let removed = self.removed.iter().filter(|(_, revision)| **revision > after);
+        let removed = removed.map(|(name, revision)| Change {
             name: name.clone(),
             entry: Entry::Removed,
             revision: *revision,
         });
-        let all = self.known.iter().map(row).chain(removed);
-        Some(all.filter(|change| change.revision > after).collect())
+        let known = self.known.iter().filter(|(_, k)| k.revision > after);
+        Some(known.map(row).chain(removed).collect())
     }
 
     /// All registrations, for another process of the system.
