--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -18,7 +18,7 @@
 
 use super::belief::{self, Versions};
 use super::shared::Shared;
-use super::stream::{self, spill};
+use super::stream::{self, lend, spill};
 use crate::http;
 
 /// While there is no work only each second datagram is sent: often enough to count as live.
@@ -214,7 +214,7 @@
 async fn answer(shared: Rc<Shared>, req: Request<Incoming>) -> Response<http::Body> {
     let path = req.uri().path();
     if path.starts_with(spill::PATH) {
-        return spill::serve(shared, req).await;
+        return lend::serve(shared, req).await;
     }
     match path {
         belief::PATH => belief::answer(&shared, req.uri().query()),
--- a/crates/daemon/src/gateway/shared.rs
+++ b/crates/daemon/src/gateway/shared.rs
@@ -30,7 +30,7 @@
 use super::belief::Pulls;
 use super::pool::Pool;
 use super::store::StoreClient;
-use super::stream::spill::Guests;
+use super::stream::lend::Guests;
 use crate::clock::Clock;
 use crate::metrics::Metrics;
 
--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -6,6 +6,7 @@
 //! serve in time is placed by another one.
 
 mod flight;
+pub mod lend;
 mod outlet;
 mod pass;
 mod place;
