--- a/crates/daemon/src/gateway/shared.rs
+++ b/crates/daemon/src/gateway/shared.rs
@@ -214,8 +214,8 @@
         }
     }
 
-    /// Gateways of this availability zone that take duties before this one, by name; all that there
-    /// may be while it is not registered.
+    /// How many gateways of this availability zone take duties before this one; none while it is not
+    /// known to be registered.
     pub fn rank(&self) -> Option<usize> {
         let (node, fleet) = (self.node(), self.fleet.borrow());
         fleet.ahead(&node.name).map(Iterator::count)
