An engine that refuses a place is left alone again before it is asked anew

Cause: since places are lent too, a refusal was noted first and the memory given back after it, which ends the rest of an engine at which an answer ended.

The memory is given back before the refusal is noted, in the one place that asks engines. an_engine_that_refuses_a_place_is_left_alone_for_a_while fails on the code before (run on it) and passes now.

--- a/crates/daemon/src/gateway/stream/lend.rs
+++ b/crates/daemon/src/gateway/stream/lend.rs
@@ -97,9 +97,7 @@
     let Some(server) = engine_for(&shared, &ask.service, &need, &view) else {
         return log(&shared, &ask, &view, None);
     };
-    shared.engines.borrow_mut().placed(&server.id, memory);
     let Some(hold) = place::reserve(&shared, &spec, &server, memory).await else {
-        shared.engines.borrow_mut().freed(now, &server.id, memory, false);
         return log(&shared, &ask, &view, None);
     };
     log(&shared, &ask, &view, Some(&server.id));
--- a/crates/daemon/src/gateway/stream/place.rs
+++ b/crates/daemon/src/gateway/stream/place.rs
@@ -189,8 +189,6 @@
     growth: Growth,
 ) -> Option<Server> {
     let server = shared.roster.borrow().get(id).cloned()?;
-    shared.engines.borrow_mut().placed(id, memory);
-    shared.note_news();
     flight.place = Some(Place { server: server.clone(), hold: None, memory, growth, loan: None });
     let hold = reserve(shared, spec, &server, memory).await;
     if let (Some(place), Some(hold)) = (&mut flight.place, hold) {
@@ -198,11 +196,11 @@
         return Some(server);
     }
     flight.place = None;
-    shared.engines.borrow_mut().freed(shared.now(), id, memory, false);
     None
 }
 
-/// Has an engine reserve memory that is counted already; a refusal is noted.
+/// Counts memory at an engine and has it reserved there; what is refused is not counted any more, and the
+/// engine is left alone for a while.
 pub async fn reserve(
     shared: &Shared,
     spec: &Engine,
@@ -210,6 +208,8 @@
     memory: Profile,
 ) -> Option<String> {
     let id = &server.id;
+    shared.engines.borrow_mut().placed(id, memory);
+    shared.note_news();
     let req = engine::hold(id, memory.reserved(), spec.hold.as_millis() as u64);
     let answer = shared.pool.call(server.addr, req, HOLD_WAIT).await;
     let now = shared.now();
@@ -219,6 +219,7 @@
     }
     let work = shared.work(id);
     let mut engines = shared.engines.borrow_mut();
+    engines.freed(now, id, memory, false);
     match answer {
         Ok((status, _)) => {
             let Work { memory: all, count, .. } = work;
--- a/crates/standins/src/fleet/runner.rs
+++ b/crates/standins/src/fleet/runner.rs
@@ -75,6 +75,8 @@
     Loses,
     /// It turns all requests away, saying that it did not run them.
     Sheds,
+    /// It refuses all reservations.
+    Full,
     /// It grants reservations and turns away the requests that use them.
     Changes,
     /// It breaks streams off after half of their events.
@@ -92,6 +94,8 @@
     pub reads: u64,
     /// Runs whose caller left.
     pub cancelled: u64,
+    /// Reservations that were refused.
+    pub refused: u64,
     /// Orders, with their fencing tokens.
     pub orders: Vec<(Stage, u64)>,
 }
@@ -225,7 +229,9 @@
         holds.retain(|_, (_, until)| *until > now);
         let held: u64 = holds.values().map(|(t, _)| t).sum();
         let slots = holds.len() as u32 + self.running.get();
-        if held + self.used.get() + tokens > self.spec.tokens || slots >= self.spec.slots {
+        let full = held + self.used.get() + tokens > self.spec.tokens || slots >= self.spec.slots;
+        if full || self.fault.get() == Fault::Full {
+            self.seen.borrow_mut().refused += 1;
             return response(503, HeaderMap::new(), Vec::new());
         }
         let name = self.name("hold");
--- a/crates/standins/tests/gateway.rs
+++ b/crates/standins/tests/gateway.rs
@@ -127,6 +127,24 @@
     });
 }
 
+/// An engine that leaves while the store is away refuses what it is asked for, and looks idle to all: it is
+/// asked again after a rest only, some fifteen times while a caller waits and not some hundred.
+#[test]
+fn an_engine_that_refuses_a_place_is_left_alone_for_a_while() {
+    let runner = RunnerSpec { tokens: 5_000, events: 400, ..RunnerSpec::default() };
+    with_fleet(FleetSpec { gateways: 1, runner, ..FleetSpec::default() }, async |fleet| {
+        fleet.runners[1].set_fault(Fault::Full);
+        let first = fleet.caller(0);
+        let request = first.summary_request(SUMMARY, "s1");
+        let _kept = first.begin(request).await.expect("an answer");
+        let before = fleet.runners[1].seen.borrow().refused;
+        let answer = fleet.caller(0).summary(SUMMARY, "s2").await.expect("an answer");
+        assert_eq!(answer.status, 503);
+        let asked = fleet.runners[1].seen.borrow().refused - before;
+        assert!((1..=20).contains(&asked), "{asked} times in {:?}", answer.took);
+    });
+}
+
 /// Memory for one answer only: the second summary can't be in time, and is told so early.
 #[test]
 fn a_summary_without_a_place_is_refused_before_its_goal() {
