--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -183,6 +183,7 @@
             logged = dropped;
         }
         shared.metrics.gauge("gateway.open", shared.open.get() as u64);
+        shared.metrics.gauge("gateway.list_age_ms", shared.basis().age);
         shared.metrics.gauge("gateway.waiting", shared.engines.borrow().waiting() as u64);
         if round.is_multiple_of(RELOAD_ROUNDS) {
             reload(&shared, &file);
--- a/crates/daemon/src/gateway/pool.rs
+++ b/crates/daemon/src/gateway/pool.rs
@@ -33,6 +33,9 @@
 /// Longest time for a whole body however steadily it comes: a megabyte over the slowest link, its other
 /// traffic beside it, takes two seconds.
 const BODY_WAIT: Duration = Duration::from_secs(6);
+/// An answer whose body takes longer than this behind its head is logged: what else was to come from there
+/// is late with it.
+const BODY_SLOW: Duration = Duration::from_millis(100);
 /// Idle connections kept to one address.
 const IDLE_COUNT: usize = 16;
 
@@ -125,10 +128,18 @@
         let begun = compio::time::timeout(limit, self.begin(addr, req)).await;
         let (conn, response) = begun.unwrap_or(Err(ExchangeError::Lost))?;
         let status = response.status();
-        let body = compio::time::timeout(BODY_WAIT, whole(response.into_body(), limit)).await;
-        let body = body.unwrap_or(Err(ExchangeError::Lost))?;
+        let mut body = BytesMut::new();
+        let came_at = self.clock.now();
+        let read = compio::time::timeout(BODY_WAIT, whole(response.into_body(), limit, &mut body));
+        let read = read.await.unwrap_or(Err(ExchangeError::Lost));
+        let took = self.clock.now().since(came_at);
+        if took > BODY_SLOW || read.is_err() {
+            let (bytes, ms) = (body.len(), took.as_millis() as u64);
+            tracing::info!(%addr, bytes, ms, whole = read.is_ok(), "slow answer");
+        }
+        read?;
         self.give(conn);
-        Ok((status, body))
+        Ok((status, body.freeze()))
     }
 
     /// Closes idle connections to an address: the life that they led to is over.
@@ -186,12 +197,15 @@
     }
 }
 
-/// A body, each part of which comes within the limit.
-async fn whole(mut body: Incoming, limit: Duration) -> Result<Bytes, ExchangeError> {
-    let mut all = BytesMut::new();
+/// Reads a body, each part of which comes within the limit.
+async fn whole(
+    mut body: Incoming,
+    limit: Duration,
+    all: &mut BytesMut,
+) -> Result<(), ExchangeError> {
     loop {
         match compio::time::timeout(limit, body.frame()).await {
-            Ok(None) => return Ok(all.freeze()),
+            Ok(None) => return Ok(()),
             Ok(Some(Ok(frame))) => {
                 if let Ok(part) = frame.into_data() {
                     all.extend_from_slice(&part);
--- a/crates/daemon/src/gateway/stream/read.rs
+++ b/crates/daemon/src/gateway/stream/read.rs
@@ -13,7 +13,7 @@
 use crate::gateway::call;
 use crate::gateway::intake::Intake;
 use crate::gateway::send::{self, Expect};
-use crate::gateway::shared::Shared;
+use crate::gateway::shared::{Basis, Shared};
 
 /// How much longer than foretold a read may take before the prompt is read where the answer is
 /// written.
@@ -129,6 +129,7 @@
     let mut req = intake.request(now, &reader.id);
     headers::set_prefill(req.headers_mut());
     let limit = ready_at.since(now) + READ_SLACK;
+    let Basis { config, roster, age } = shared.basis();
     let (fate, answer) = send::whole(shared, intake, reader, req, limit, Expect::Handle).await;
     let done = shared.now();
     flight.reading = None;
@@ -139,7 +140,7 @@
     let rate = shared.service(&intake.service).reading.rate() as u64;
     tracing::info!(
         id = intake.id(), server = %reader.id, ?fate, prompt, queue = work.unread, ms, foretold, rate,
-        "prompt read"
+        config, roster, age, "prompt read"
     );
     shared.metrics.time("gateway.read_ms", ms);
     let handle = answer.as_ref().and_then(|a| engine::read_prefilled(&a.body));
