News that an engine leaves no longer waits for a configuration that is on its way

Cause: one watch tells everything, and the next one is sent when its answer has come whole; a configuration of 4,200 routes takes 3.7 s over 10 Mbit/s beside other traffic, and what was written behind it is asked for only then. Class: small news with a bound in line behind large news without one. While an answer of the store takes longer than 0.15 s the list of backend servers is now followed beside it.

--- a/crates/daemon/src/gateway/pool.rs
+++ b/crates/daemon/src/gateway/pool.rs
@@ -81,6 +81,20 @@
     }
 }
 
+/// An answer whose head has come.
+pub struct Coming {
+    conn: Conn,
+    response: Response<Incoming>,
+    head_at: Moment,
+}
+
+impl Coming {
+    /// When its head came: what it says was true then, however long its body takes.
+    pub fn head_at(&self) -> Moment {
+        self.head_at
+    }
+}
+
 /// Kept connections, by address.
 pub struct Pool {
     clock: Clock,
@@ -117,24 +131,45 @@
     }
 
     /// One exchange whose answer is read whole, with a time limit on its head and on each pause in its
-    /// body. A limit on all of it kept VMs at links of 10 Mbit/s from ever reading a configuration of
-    /// 1,400 routes: two of 32 went by an old one for more than ten seconds.
+    /// body.
     pub async fn call(
         &self,
         addr: SocketAddr,
         req: Request<Bytes>,
         limit: Duration,
     ) -> Result<(StatusCode, Bytes), ExchangeError> {
+        let coming = self.ask(addr, req, limit).await?;
+        self.finish(coming, limit).await
+    }
+
+    /// The first half of a call: until the head of the answer.
+    pub async fn ask(
+        &self,
+        addr: SocketAddr,
+        req: Request<Bytes>,
+        limit: Duration,
+    ) -> Result<Coming, ExchangeError> {
         let begun = compio::time::timeout(limit, self.begin(addr, req)).await;
         let (conn, response) = begun.unwrap_or(Err(ExchangeError::Lost))?;
+        Ok(Coming { conn, response, head_at: self.clock.now() })
+    }
+
+    /// The second half: the body, each part of which must come within the limit. A limit on all of it
+    /// kept VMs at links of 10 Mbit/s from ever reading a configuration of 1,400 routes: two of 32 went
+    /// by an old one for more than ten seconds.
+    pub async fn finish(
+        &self,
+        coming: Coming,
+        limit: Duration,
+    ) -> Result<(StatusCode, Bytes), ExchangeError> {
+        let Coming { conn, response, head_at } = coming;
         let status = response.status();
         let mut body = BytesMut::new();
-        let came_at = self.clock.now();
         let read = compio::time::timeout(BODY_WAIT, whole(response.into_body(), limit, &mut body));
         let read = read.await.unwrap_or(Err(ExchangeError::Lost));
-        let took = self.clock.now().since(came_at);
+        let took = self.clock.now().since(head_at);
         if took > BODY_SLOW || read.is_err() {
-            let (bytes, ms) = (body.len(), took.as_millis() as u64);
+            let (addr, bytes, ms) = (conn.addr, body.len(), took.as_millis() as u64);
             tracing::info!(%addr, bytes, ms, whole = read.is_ok(), "slow answer");
         }
         read?;
--- a/crates/daemon/src/gateway/store.rs
+++ b/crates/daemon/src/gateway/store.rs
@@ -8,7 +8,7 @@
 use ebonyloft_platform::store::{self, Age, Item, Lease, Page, StoreError, Write};
 use hyper::{Request, StatusCode};
 
-use super::pool::{ExchangeError, Pool};
+use super::pool::{Coming, ExchangeError, Pool};
 
 /// Longest wait for an answer; the store answers in 4 ms, and some sixty times slower when it is
 /// slow.
@@ -73,16 +73,22 @@
     }
 
     /// Changes of a prefix behind a revision, as soon as there are any; `contact` is the bound within
-    /// which a fault must be noticed.
+    /// which a fault must be noticed. Ends when there is an answer, which may still take long to read.
     pub async fn watch(
         &self,
         prefix: &str,
         after: u64,
         contact: Duration,
-    ) -> Result<Page, StoreError> {
+    ) -> Result<Coming, StoreError> {
         let wait = contact.saturating_sub(WATCH_MARGIN).max(WATCH_MIN);
         let req = store::watch(prefix, after, wait.as_millis() as u64);
-        self.call(req, wait + WATCH_SLACK, store::read_watch).await
+        self.pool.ask(self.addr, req, wait + WATCH_SLACK).await.map_err(unanswered)
+    }
+
+    /// Reads what a watch told.
+    pub async fn read_watch(&self, coming: Coming) -> Result<Page, StoreError> {
+        let (status, body) = self.pool.finish(coming, CALL_WAIT).await.map_err(unanswered)?;
+        store::read_watch(status, &body)
     }
 
     /// A new lease.
@@ -119,12 +125,14 @@
         limit: Duration,
         read: impl Fn(StatusCode, &[u8]) -> Result<T, StoreError>,
     ) -> Result<T, StoreError> {
-        match self.pool.call(self.addr, req, limit).await {
-            Ok((status, body)) => read(status, &body),
-            Err(ExchangeError::Unsent) => Err(StoreError::Busy { status: 0 }),
-            Err(ExchangeError::Lost) => {
-                Err(StoreError::Unknown { detail: "no answer in time".to_owned() })
-            }
-        }
+        let (status, body) = self.pool.call(self.addr, req, limit).await.map_err(unanswered)?;
+        read(status, &body)
+    }
+}
+
+fn unanswered(e: ExchangeError) -> StoreError {
+    match e {
+        ExchangeError::Unsent => StoreError::Busy { status: 0 },
+        ExchangeError::Lost => StoreError::Unknown { detail: "no answer in time".to_owned() },
     }
 }
--- a/crates/daemon/src/gateway/watch.rs
+++ b/crates/daemon/src/gateway/watch.rs
@@ -2,7 +2,10 @@
 //!
 //! Everything is listed once and then watched from that revision. When the history is gone it is
 //! listed again; what is missing from the new list was removed. While the store is away the belief
-//! stays as it is.
+//! stays as it is. While an answer takes long to read, the list of backend servers is followed beside it
+//! (`bypass`).
+
+mod bypass;
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -98,14 +101,21 @@
     1 + RANK_STEPS_MAX.min(steps as u32)
 }
 
-async fn list(shared: &Shared, prefix: &str, age: Age, sink: &dyn Sink) -> Result<u64, StoreError> {
-    let page = shared.store.list(prefix, age).await?;
+async fn list(
+    shared: &Rc<Shared>,
+    prefix: &str,
+    age: Age,
+    sink: &dyn Sink,
+) -> Result<u64, StoreError> {
+    // Who knows no list yet sends nobody anything.
+    let known = shared.roster.borrow().is_complete();
+    let page = bypass::beside(shared, None, known, shared.store.list(prefix, age)).await?;
     sink.replace(page.items, page.revision);
     Ok(page.revision)
 }
 
 async fn watch(
-    shared: &Shared,
+    shared: &Rc<Shared>,
     prefix: &str,
     after: u64,
     sink: &dyn Sink,
@@ -113,7 +123,10 @@
     let (away, contact) = (shared.fresh.borrow().is_away(), shared.node().bounds.contact);
     let page = match away {
         true => shared.store.news(prefix, after).await?,
-        false => shared.store.watch(prefix, after, contact).await?,
+        false => {
+            let coming = shared.store.watch(prefix, after, contact).await?;
+            bypass::beside(shared, Some(after), true, shared.store.read_watch(coming)).await?
+        }
     };
     for item in page.items {
         sink.apply(item);
