A failing test of the same cause between gateways: a peer's configuration holds up the news that an engine leaves

A peer that only tells what it knows answers slowly; two seconds after it knows of the leaving 10 of 10 prompts still go to the engine.

--- a/crates/daemon/src/gateway/belief.rs
+++ b/crates/daemon/src/gateway/belief.rs
@@ -38,19 +38,25 @@
 
 /// What a gateway knows beyond the versions that it was told.
 #[derive(Debug, Deserialize, Serialize)]
-struct Belief {
-    versions: Versions,
-    config: Option<Config>,
-    roster: Option<Servers>,
-    fleet: Option<BTreeMap<String, Gateway>>,
+pub struct Belief {
+    /// What it knows.
+    pub versions: Versions,
+    /// A newer configuration.
+    pub config: Option<Config>,
+    /// News of the list of backend servers.
+    pub roster: Option<Servers>,
+    /// A newer list of gateways.
+    pub fleet: Option<BTreeMap<String, Gateway>>,
     /// A missing registration means that the backend server is gone.
-    settled: bool,
+    pub settled: bool,
 }
 
 /// Backend servers, or what changed of them.
 #[derive(Debug, Deserialize, Serialize)]
-enum Servers {
+pub enum Servers {
+    /// All that there are.
     All(Vec<Change>),
+    /// What changed behind the revision that was asked for.
     Changes(Vec<Change>),
 }
 
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -4,7 +4,9 @@
 //! them, as on the platform. All tasks run on one thread; what went on is read from the stand-ins.
 
 pub mod caller;
+pub mod peer;
 pub mod runner;
+mod slow;
 pub mod store;
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
@@ -21,6 +23,7 @@
 use futures_channel::oneshot;
 
 use self::caller::Caller;
+use self::peer::Peer;
 use self::runner::{Runner, RunnerSpec};
 use self::store::Store;
 
@@ -197,6 +200,15 @@
         self.gateways.push(Gateway { ip, stop: Some(stop), done });
     }
 
+    /// Starts and registers a gateway that only tells what it knows.
+    pub async fn add_peer(&mut self) -> Rc<Peer> {
+        let host = self.take_ip();
+        let name = format!("peer-{host}");
+        let peer = Peer::start(&name, address(self.net, host, PEER_PORT)).await;
+        self.store.put(&format!("ebonyloft/gateways/{name}"), &peer.registration(), 0);
+        peer
+    }
+
     /// Asks a gateway to stop, as a signal does.
     pub fn stop(&mut self, gateway: usize) {
         if let Some(stop) = self.gateways[gateway].stop.take() {
--- /dev/null
+++ b/crates/standins/src/fleet/peer.rs
@@ -0,0 +1,105 @@
+//! A gateway that only tells others what it knows: it follows the store, and sends large answers slowly.
+
+use std::cell::RefCell;
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+
+use compio::net::{TcpListener, UdpSocket};
+use ebonyloft_router::catalog::{Config, Server};
+use ebonyloft_router::delegate::Link;
+use ebonyloft_router::roster::{Change, Entry};
+use ebonyloft_router::share::{News, Share};
+use ebonyloftd::gateway::belief::{Belief, Servers, Versions};
+use ebonyloftd::http::{self, Body};
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+
+use super::slow;
+
+/// Pause between two datagrams.
+const TELL: Duration = Duration::from_millis(100);
+/// Bytes a second of an answer's body.
+const RATE: usize = 200;
+
+/// What a peer knows.
+#[derive(Default)]
+struct Known {
+    versions: Versions,
+    config: Option<Config>,
+    changes: Vec<Change>,
+}
+
+/// A peer.
+pub struct Peer {
+    name: String,
+    addr: SocketAddr,
+    known: RefCell<Known>,
+}
+
+impl Peer {
+    /// Starts one that knows nothing.
+    pub async fn start(name: &str, addr: SocketAddr) -> Rc<Peer> {
+        let known = RefCell::default();
+        let peer = Rc::new(Peer { name: name.to_owned(), addr, known });
+        let listener = TcpListener::bind(addr).await.expect("a free address");
+        let me = peer.clone();
+        let handler = move |req| {
+            let response = me.answer(&req);
+            async move { response }
+        };
+        let never = Rc::new(std::cell::Cell::new(false));
+        compio::runtime::spawn(http::serve(listener, handler, never)).detach();
+        peer
+    }
+
+    /// Its registration: stronger than any other gateway.
+    pub fn registration(&self) -> Vec<u8> {
+        format!("{{\"addr\":\"{}\",\"zone\":\"a\",\"power\":8000}}", self.addr).into_bytes()
+    }
+
+    /// It hears of a configuration, and that a backend server changed, as of a revision.
+    pub fn hear(&self, config: &Config, server: &Server, revision: u64) {
+        let entry = Entry::Server(server.clone());
+        let change = Change { name: server.id.name.clone(), entry, revision };
+        let versions = Versions { config: config.version, roster: revision, fleet: 0 };
+        *self.known.borrow_mut() =
+            Known { versions, config: Some(config.clone()), changes: vec![change] };
+    }
+
+    /// Tells a gateway of itself for as long as the program runs.
+    pub async fn tell(self: Rc<Self>, to: IpAddr) {
+        let socket = UdpSocket::bind(self.addr).await.expect("a free address");
+        let to = SocketAddr::new(to, self.addr.port());
+        for seq in 1.. {
+            let Versions { config, roster, fleet } = self.known.borrow().versions;
+            let link = Link::Heard { settles: 0 };
+            let name = self.name.clone();
+            let share = Share { name, seq, config, roster, fleet, link, ..Share::default() };
+            let mut bytes = Vec::new();
+            ciborium::into_writer(&News::Share(share), &mut bytes).expect("a share is encoded");
+            let _ = socket.send_to(bytes, to).await;
+            compio::time::sleep(TELL).await;
+        }
+    }
+
+    fn answer(&self, req: &Request<Incoming>) -> Response<Body> {
+        let parts = req.uri().query().unwrap_or_default().split('.');
+        let asked: Vec<u64> = parts.filter_map(|part| part.parse().ok()).collect();
+        let [config, roster, _] = asked[..] else {
+            return http::response(StatusCode::NOT_FOUND, "text/plain", http::full(""));
+        };
+        let known = self.known.borrow();
+        let news = || Servers::Changes(known.changes.clone());
+        let belief = Belief {
+            versions: known.versions,
+            config: known.config.clone().filter(|c| c.version > config),
+            roster: (known.versions.roster > roster).then(news),
+            fleet: None,
+            settled: true,
+        };
+        let mut bytes = Vec::new();
+        ciborium::into_writer(&belief, &mut bytes).expect("beliefs are encoded");
+        http::response(StatusCode::OK, "application/cbor", slow::body(bytes, RATE))
+    }
+}
--- a/crates/standins/src/fleet/store.rs
+++ b/crates/standins/src/fleet/store.rs
@@ -13,19 +13,17 @@
 use ebonyloft_platform::store::Item;
 use ebonyloft_router::catalog::Server;
 use ebonyloftd::http::{self, Body};
-use futures_channel::mpsc;
-use futures_util::SinkExt;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 
+use super::slow;
+
 /// Largest request body.
 const BODY_LIMIT: usize = 4 << 20;
 /// Items on a page.
 const PAGE: usize = 50;
 /// How often a waiting watch looks for changes.
 const LOOK: Duration = Duration::from_millis(5);
-/// Parts a second in which a slow body comes.
-const PARTS: usize = 50;
 
 /// How the store fails.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -145,7 +143,7 @@
         }
         let (status, body) = self.perform(call).await;
         match self.rate.get() {
-            Some(rate) => respond(status, trickle(body, rate)),
+            Some(rate) => respond(status, slow::body(body, rate)),
             None => answer(status, body),
         }
     }
@@ -292,18 +290,3 @@
     let status = StatusCode::from_u16(status).expect("a valid status");
     http::response(status, "application/json", body)
 }
-
-/// A body that comes in parts, at so many bytes a second.
-fn trickle(body: Vec<u8>, rate: usize) -> Body {
-    let (mut tell, parts) = mpsc::channel(0);
-    compio::runtime::spawn(async move {
-        for part in Bytes::from(body).chunks(rate.div_ceil(PARTS)) {
-            compio::time::sleep(Duration::from_secs(1) / PARTS as u32).await;
-            if tell.send(Bytes::copy_from_slice(part)).await.is_err() {
-                return;
-            }
-        }
-    })
-    .detach();
-    http::streamed(parts)
-}
--- a/crates/standins/tests/leaving.rs
+++ b/crates/standins/tests/leaving.rs
@@ -58,3 +58,30 @@
         assert_eq!(prompts_read(fleet, "after", 10).await, 0, "sent to an engine that leaves");
     });
 }
+
+/// The same on the way from gateway to gateway: a peer that knows a new configuration sends it slowly, and
+/// tells soon what else it knows when it is asked for that alone.
+#[test]
+fn a_configuration_from_a_peer_does_not_hold_up_a_leaving() {
+    let spec = FleetSpec { gateways: 0, readers: 2, ..FleetSpec::default() };
+    with_fleet(spec, async |fleet| {
+        let peers = [fleet.add_peer().await, fleet.add_peer().await];
+        fleet.add_gateway();
+        for peer in &peers {
+            compio::runtime::spawn(peer.clone().tell(fleet.gateways[0].ip)).detach();
+        }
+        fleet.wait_ready(0).await;
+        // It hears that both follow the store, and stops to.
+        compio::time::sleep(3 * SECOND).await;
+        let before = fleet.store.calls();
+        let mut reader = fleet.runners[0].server.borrow().clone();
+        reader.draining = true;
+        for peer in &peers {
+            peer.hear(&config(2, &FleetSpec::default()), &reader, 1_000);
+        }
+        compio::time::sleep(BOUND).await;
+        assert_eq!(prompts_read(fleet, "after", 10).await, 0, "sent to an engine that leaves");
+        let calls = fleet.store.calls() - before;
+        assert!(calls <= 3, "{calls} calls: it follows the store itself");
+    });
+}
