Lists and configuration are fetched from peers by calls of their own

Cause: one call asked a peer for everything newer, and no other one was made until it had come whole: news that an engine leaves came in the same answer as a configuration of 0.66 MB, or behind it.

--- a/crates/daemon/src/gateway/belief.rs
+++ b/crates/daemon/src/gateway/belief.rs
@@ -1,14 +1,14 @@
 //! What one gateway believes, fetched by another one that heard of something newer.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use ebonyloft_core::time::Moment;
 use ebonyloft_router::catalog::Config;
 use ebonyloft_router::fleet::Gateway;
+use ebonyloft_router::pulls::{Part, Versions};
 use ebonyloft_router::roster::Change;
 use hyper::{Request, Response, StatusCode};
 use serde::{Deserialize, Serialize};
@@ -19,23 +19,9 @@
 
 /// Longest wait for a peer's beliefs, and for each part of them.
 const PULL_WAIT: Duration = Duration::from_millis(500);
-/// Shortest time between two pulls from one peer, so that one which is a step ahead all the time is not
-/// asked at each of its messages.
-const PULL_GAP: Duration = Duration::from_millis(150);
 /// Path of a gateway's beliefs.
 pub const PATH: &str = "/belief";
 
-/// Versions of what a gateway knows.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Versions {
-    /// Version of the configuration.
-    pub config: u64,
-    /// Revision of the list of backend servers.
-    pub roster: u64,
-    /// Revision of the list of gateways.
-    pub fleet: u64,
-}
-
 /// What a gateway knows beyond the versions that it was told.
 #[derive(Debug, Deserialize, Serialize)]
 pub struct Belief {
@@ -60,27 +46,6 @@
     Changes(Vec<Change>),
 }
 
-/// Pulls that are under way or were lately.
-#[derive(Default)]
-pub struct Pulls {
-    under_way: bool,
-    begun: HashMap<SocketAddr, Moment>,
-}
-
-impl Pulls {
-    /// May this peer be asked now? Notes that it is.
-    fn begin(&mut self, now: Moment, from: SocketAddr) -> bool {
-        let due = self.begun.get(&from).is_none_or(|at| now.since(*at) > PULL_GAP);
-        if self.under_way || !due {
-            return false;
-        }
-        self.begun.retain(|_, at| now.since(*at) <= PULL_GAP);
-        self.begun.insert(from, now);
-        self.under_way = true;
-        true
-    }
-}
-
 /// What this gateway knows.
 pub fn versions(shared: &Shared) -> Versions {
     Versions {
@@ -94,30 +59,45 @@
 pub fn compare(shared: &Rc<Shared>, from: SocketAddr, theirs: Versions) {
     let own = versions(shared);
     let indirect = !shared.role.borrow().leads() || shared.fresh.borrow().is_away();
-    let lists = theirs.roster > own.roster || theirs.fleet > own.fleet;
-    if theirs.config <= own.config && !(indirect && lists) {
-        return;
+    if own.lacks(Part::Lists, theirs) && indirect {
+        begin(shared, from, Part::Lists, own);
     }
-    if shared.pulls.borrow_mut().begin(shared.now(), from) {
-        compio::runtime::spawn(pull(shared.clone(), from, own)).detach();
+    if own.lacks(Part::Config, theirs) {
+        begin(shared, from, Part::Config, own);
     }
 }
 
-async fn pull(shared: Rc<Shared>, from: SocketAddr, own: Versions) {
+fn begin(shared: &Rc<Shared>, from: SocketAddr, part: Part, own: Versions) {
+    if shared.pulls.borrow_mut().begin(shared.now(), part, from) {
+        compio::runtime::spawn(pull(shared.clone(), from, part, own)).detach();
+    }
+}
+
+async fn pull(shared: Rc<Shared>, from: SocketAddr, part: Part, own: Versions) {
+    let belief = fetch(&shared, from, own.asking(part)).await;
+    shared.pulls.borrow_mut().end(shared.now(), part, belief.is_some());
+    if let Some(belief) = belief {
+        take(&shared, from, belief);
+    }
+}
+
+async fn fetch(shared: &Shared, from: SocketAddr, known: Versions) -> Option<Belief> {
     let mut req = Request::new(Bytes::new());
-    let Versions { config, roster, fleet } = own;
+    let Versions { config, roster, fleet } = known;
     let path = format!("{PATH}?{config}.{roster}.{fleet}");
     *req.uri_mut() = path.parse().expect("numbers make a valid path");
-    let belief = shared.pool.call(from, req, PULL_WAIT).await;
-    shared.pulls.borrow_mut().under_way = false;
-    let belief = match belief {
-        Ok((StatusCode::OK, body)) => ciborium::from_reader::<Belief, _>(&body[..]),
-        Ok((status, _)) => return tracing::debug!(%from, %status, "peer has no beliefs"),
-        Err(e) => return tracing::debug!(%from, error = %e, "peer not reached"),
-    };
-    match belief {
-        Ok(belief) => take(&shared, from, belief),
-        Err(e) => tracing::warn!(%from, error = %e, "peer's beliefs unread"),
+    match shared.pool.call(from, req, PULL_WAIT).await {
+        Ok((StatusCode::OK, body)) => ciborium::from_reader(&body[..])
+            .inspect_err(|e| tracing::warn!(%from, error = %e, "peer's beliefs unread"))
+            .ok(),
+        Ok((status, _)) => {
+            tracing::debug!(%from, %status, "peer has no beliefs");
+            None
+        }
+        Err(e) => {
+            tracing::debug!(%from, error = %e, "peer not reached");
+            None
+        }
     }
 }
 
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -10,13 +10,14 @@
 use bytes::Bytes;
 use compio::net::{TcpListener, UdpSocket};
 use ebonyloft_router::delegate::Link;
+use ebonyloft_router::pulls::Versions;
 use ebonyloft_router::share::{self, News, Share};
 use ebonyloft_router::zones::{DIGEST_PAUSE, Digest, Room, Scope};
 use futures_util::future::select;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 
-use super::belief::{self, Versions};
+use super::belief;
 use super::shared::Shared;
 use super::stream::{self, lend, spill};
 use crate::http;
--- a/crates/daemon/src/gateway/shared.rs
+++ b/crates/daemon/src/gateway/shared.rs
@@ -20,6 +20,7 @@
 use ebonyloft_router::patience::Patience;
 use ebonyloft_router::plain::Plain;
 use ebonyloft_router::prefill::Paces;
+use ebonyloft_router::pulls::Pulls;
 use ebonyloft_router::roster::Roster;
 use ebonyloft_router::share::{Shares, Work};
 use ebonyloft_router::zones::{self, Digests, Scope};
@@ -27,7 +28,6 @@
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 
-use super::belief::Pulls;
 use super::pool::Pool;
 use super::store::StoreClient;
 use super::stream::lend::Guests;
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod patience;
 pub mod plain;
 pub mod prefill;
+pub mod pulls;
 pub mod reading;
 pub mod roster;
 pub mod routes;
--- /dev/null
+++ b/crates/router/tests/pulls.rs
@@ -0,0 +1,68 @@
+//! What is fetched from which peer: each part by itself, from one peer at a time.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use ebonyloft_core::time::Moment;
+use ebonyloft_router::pulls::{Part, Pulls, Versions};
+
+fn at(ms: u64) -> Moment {
+    Moment::default().after(Duration::from_millis(ms))
+}
+
+fn peer(n: u16) -> SocketAddr {
+    ([127, 0, 0, 1], n).into()
+}
+
+#[test]
+fn lists_are_fetched_while_a_configuration_is_on_its_way() {
+    let mut pulls = Pulls::default();
+    assert!(pulls.begin(at(0), Part::Config, peer(1)));
+    assert!(pulls.begin(at(1), Part::Lists, peer(1)));
+    pulls.end(at(5), Part::Lists, true);
+    assert!(pulls.begin(at(300), Part::Lists, peer(1)));
+}
+
+#[test]
+fn a_configuration_comes_from_one_peer_at_a_time() {
+    let mut pulls = Pulls::default();
+    assert!(pulls.begin(at(0), Part::Config, peer(1)));
+    for n in 2..10 {
+        assert!(!pulls.begin(at(2_000), Part::Config, peer(n)));
+    }
+    pulls.end(at(2_500), Part::Config, true);
+    assert!(pulls.begin(at(2_501), Part::Config, peer(2)));
+}
+
+#[test]
+fn a_peer_is_asked_again_after_a_while() {
+    let mut pulls = Pulls::default();
+    assert!(pulls.begin(at(0), Part::Lists, peer(1)));
+    pulls.end(at(5), Part::Lists, true);
+    assert!(!pulls.begin(at(100), Part::Lists, peer(1)));
+    assert!(pulls.begin(at(100), Part::Lists, peer(2)));
+    pulls.end(at(105), Part::Lists, true);
+    assert!(pulls.begin(at(151), Part::Lists, peer(1)));
+}
+
+/// Who is told no asks another peer, but not each of dozens within a moment.
+#[test]
+fn a_peer_with_nothing_to_give_is_followed_by_a_rest() {
+    let mut pulls = Pulls::default();
+    assert!(pulls.begin(at(0), Part::Config, peer(1)));
+    pulls.end(at(2), Part::Config, false);
+    assert!(!pulls.begin(at(10), Part::Config, peer(2)));
+    assert!(pulls.begin(at(52), Part::Config, peer(2)));
+}
+
+#[test]
+fn a_call_asks_for_its_part_only() {
+    let own = Versions { config: 3, roster: 40, fleet: 7 };
+    let theirs = Versions { config: 4, roster: 41, fleet: 7 };
+    for (part, other) in [(Part::Config, Part::Lists), (Part::Lists, Part::Config)] {
+        assert!(own.lacks(part, theirs));
+        assert!(own.asking(part).lacks(part, theirs));
+        assert!(!own.asking(part).lacks(other, theirs));
+    }
+    assert!(!theirs.lacks(Part::Lists, own));
+}
