A missing registration is taken as gone also by who hears of the store from peers

Cause: upkeep read the time, then took the peers' word, which counts from the moment it is taken, and judged by the time read before: not yet, each time anew.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -154,8 +154,10 @@
     loop {
         compio::time::sleep(UPKEEP).await;
         round += 1;
-        let now = shared.now();
         shared.judge_role();
+        // Read only now: who hears of the store from peers believes it as of the moment that their word
+        // is taken, and would by an earlier one never take a missing registration as gone.
+        let now = shared.now();
         if shared.fresh.borrow().settled(now) {
             for server in shared.roster.borrow_mut().settle() {
                 tracing::info!(server, "backend server is gone: not registered anew");
