A gateway sends its configuration to as many peers at a time as its link carries

Cause: peers that hear of a configuration ask whoever told them first. A VM at 10 Mbit/s sent 0.66 MB to seven at once; for 3.5 s none of its connections to backend servers, peers or the store came up within 80 ms, callers were refused, and it heard of a leaving 3.1 s late. One configuration for each 10 Mbit/s now; who is told no asks another peer. Of use to callers wherever the VMs that go first are weak.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -17,6 +17,7 @@
 pub mod shared;
 pub mod store;
 pub mod stream;
+pub mod uploads;
 pub mod watch;
 
 use std::cell::Cell;
--- a/crates/daemon/src/gateway/belief.rs
+++ b/crates/daemon/src/gateway/belief.rs
@@ -142,14 +142,28 @@
         return http::response(StatusCode::BAD_REQUEST, "text/plain", http::full("no versions\n"));
     };
     let belief = belief(shared, theirs);
+    let upload = match &belief.config {
+        None => None,
+        Some(_) => match shared.uploads.begin(shared.node().link) {
+            // Another peer has it too, or will.
+            None => return unavailable("enough are being sent\n"),
+            upload => upload,
+        },
+    };
     let mut bytes = Vec::new();
-    match ciborium::into_writer(&belief, &mut bytes) {
-        Ok(()) => http::response(StatusCode::OK, "application/cbor", http::full(bytes)),
-        Err(e) => {
-            tracing::error!(error = %e, "beliefs not encoded");
-            http::response(StatusCode::INTERNAL_SERVER_ERROR, "text/plain", http::full(""))
-        }
+    if let Err(e) = ciborium::into_writer(&belief, &mut bytes) {
+        tracing::error!(error = %e, "beliefs not encoded");
+        return unavailable("not encoded\n");
     }
+    let body = match upload {
+        Some(upload) => upload.body(bytes.into()),
+        None => http::full(bytes),
+    };
+    http::response(StatusCode::OK, "application/cbor", body)
+}
+
+fn unavailable(why: &'static str) -> Response<http::Body> {
+    http::response(StatusCode::SERVICE_UNAVAILABLE, "text/plain", http::full(why))
 }
 
 fn parse(query: &str) -> Option<Versions> {
--- a/crates/daemon/src/gateway/shared.rs
+++ b/crates/daemon/src/gateway/shared.rs
@@ -31,6 +31,7 @@
 use super::pool::Pool;
 use super::store::StoreClient;
 use super::stream::lend::Guests;
+use super::uploads::Uploads;
 use crate::clock::Clock;
 use crate::metrics::Metrics;
 
@@ -93,6 +94,8 @@
     pub role: RefCell<Role>,
     /// Beliefs that are being fetched from peers.
     pub pulls: RefCell<Pulls>,
+    /// Configurations on their way to peers.
+    pub uploads: Uploads,
     /// Nobody is known to hold the right to order engines.
     pub lock_free: Cell<bool>,
     /// Engines that this process ordered to change their stage and that have not yet.
@@ -137,6 +140,7 @@
             fleet: RefCell::default(),
             role: RefCell::new(Role::new(clock.now())),
             pulls: RefCell::default(),
+            uploads: Uploads::default(),
             lock_free: Cell::new(true),
             changing: RefCell::default(),
             stopping: Cell::default(),
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -14,6 +14,8 @@
     pub ip: IpAddr,
     /// Thousandths of a core that the VM has.
     pub power: u32,
+    /// Megabits a second that its link carries; zero where that is not known.
+    pub link: u32,
     /// Where callers connect; none on a VM that serves none.
     pub callers: Option<SocketAddr>,
     /// Where the platform asks for readiness.
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -272,6 +272,7 @@
             zone: zone.to_owned(),
             ip,
             power: 190,
+            link: 10,
             callers: Some((ip, CALLERS_PORT).into()),
             ready: Some((ip, READY_PORT).into()),
             peer_port: PEER_PORT,
