--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -200,12 +200,12 @@
         self.gateways.push(Gateway { ip, stop: Some(stop), done });
     }
 
-    /// Starts and registers a gateway that only tells what it knows.
-    pub async fn add_peer(&mut self) -> Rc<Peer> {
+    /// Starts and registers a gateway that only tells what it knows, with so many thousandths of a core.
+    pub async fn add_peer(&mut self, power: u32) -> Rc<Peer> {
         let host = self.take_ip();
         let name = format!("peer-{host}");
         let peer = Peer::start(&name, address(self.net, host, PEER_PORT)).await;
-        self.store.put(&format!("ebonyloft/gateways/{name}"), &peer.registration(), 0);
+        self.store.put(&format!("ebonyloft/gateways/{name}"), &peer.registration(power), 0);
         peer
     }
 
--- a/crates/standins/src/fleet/peer.rs
+++ b/crates/standins/src/fleet/peer.rs
@@ -56,9 +56,9 @@
         peer
     }
 
-    /// Its registration: stronger than any other gateway.
-    pub fn registration(&self) -> Vec<u8> {
-        format!("{{\"addr\":\"{}\",\"zone\":\"a\",\"power\":8000}}", self.addr).into_bytes()
+    /// Its registration, with thousandths of a core: the strongest go first.
+    pub fn registration(&self, power: u32) -> Vec<u8> {
+        format!("{{\"addr\":\"{}\",\"zone\":\"a\",\"power\":{power}}}", self.addr).into_bytes()
     }
 
     /// It hears of a configuration.
--- a/crates/standins/src/fleet/store.rs
+++ b/crates/standins/src/fleet/store.rs
@@ -37,6 +37,8 @@
     Silent,
     /// It does what it is told and does not answer.
     Lost,
+    /// It takes calls and answers none, nor the watches that wait.
+    Deaf,
 }
 
 struct Lease {
@@ -135,7 +137,7 @@
         match self.fault.get() {
             Fault::None => {}
             Fault::Busy => return answer(503, Vec::new()),
-            Fault::Silent => return std::future::pending().await,
+            Fault::Silent | Fault::Deaf => return std::future::pending().await,
             Fault::Lost => {
                 self.perform(call).await;
                 return std::future::pending().await;
@@ -175,8 +177,10 @@
     async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> (u16, Vec<u8>) {
         let end = Instant::now() + wait;
         loop {
-            if self.fault.get() != Fault::None {
-                return (503, Vec::new());
+            match self.fault.get() {
+                Fault::None => {}
+                Fault::Deaf => return std::future::pending().await,
+                _ => return (503, Vec::new()),
             }
             {
                 let mut state = self.state.borrow_mut();
--- a/crates/standins/tests/leaving.rs
+++ b/crates/standins/tests/leaving.rs
@@ -5,12 +5,16 @@
 
 use ebonyloft_router::roster::Entry;
 use ebonyloft_standins::fleet::peer::Peer;
-use ebonyloft_standins::fleet::{Fleet, FleetSpec, SUMMARY, config, with_fleet};
+use ebonyloft_standins::fleet::{Fleet, FleetSpec, SUMMARY, config, store, with_fleet};
 
 const SECOND: Duration = Duration::from_secs(1);
 /// Within which a leaving server must be sent nothing more.
 const BOUND: Duration = Duration::from_secs(2);
 
+/// Thousandths of a core of a VM that goes before the stand-ins' gateways, and of one that follows.
+const STRONG: u32 = 8_000;
+const WEAK: u32 = 10;
+
 /// The first reader says that it leaves; another one stays.
 fn reader_leaves(fleet: &Fleet) {
     let reader = &fleet.runners[0];
@@ -112,11 +116,38 @@
     });
 }
 
+/// Operators saw prompts sent to engines 3.3 and 3.7 s after these had said that they leave, by a VM to
+/// which the store answered nothing, while others had heard.
+///
+/// Order of events: the VM went first in following the store for its zone; the store fell silent to it, with
+/// a watch waiting; an engine left; peers heard of it and said so several times a second; the VM asked none
+/// of them, since it took itself for well informed until its watch ran out 3.8 s after it was sent. Cause:
+/// silence was taken for "nothing new" for as long as the bound of contact allows, which is longer than a
+/// leaving engine's, and whoever leads believed itself against what all others said.
+///
+/// Evidence: in the log of a played day two such VMs hear of leavings 3.6 and 3.7 s after the first gateway;
+/// no other one does later than 0.2 s.
+#[test]
+fn who_leads_and_is_deaf_to_the_store_hears_of_a_leaving_from_peers() {
+    let spec = FleetSpec { gateways: 1, readers: 2, ..FleetSpec::default() };
+    with_fleet(spec, async |fleet| {
+        let peer = fleet.add_peer(WEAK).await;
+        compio::runtime::spawn(peer.clone().tell(fleet.gateways[0].ip)).detach();
+        compio::time::sleep(SECOND).await;
+        fleet.store.set_fault(store::Fault::Deaf);
+        let mut reader = fleet.runners[0].server.borrow().clone();
+        reader.draining = true;
+        peer.hear_change(&reader.id.name, Entry::Server(reader.clone()), 1_000);
+        compio::time::sleep(BOUND / 2).await;
+        assert_eq!(prompts_read(fleet, "after", 10).await, 0, "sent to an engine that leaves");
+    });
+}
+
 /// A gateway that hears of the store from two peers only, which know nothing new yet.
 fn with_peers(body: impl AsyncFnOnce(&Fleet, &[Rc<Peer>])) {
     let spec = FleetSpec { gateways: 0, readers: 2, ..FleetSpec::default() };
     with_fleet(spec, async |fleet| {
-        let peers = [fleet.add_peer().await, fleet.add_peer().await];
+        let peers = [fleet.add_peer(STRONG).await, fleet.add_peer(STRONG).await];
         fleet.add_gateway();
         for peer in &peers {
             compio::runtime::spawn(peer.clone().tell(fleet.gateways[0].ip)).detach();
