Silence of the store is not taken for nothing new beyond three fifths of the shortest bound

Cause of the finding: a watch was kept waiting for the bound of contact, up to 3.8 s, while a leaving engine's is 3.0; until it ended, a VM to which the store had fallen silent told its zone that it hears the store, and, if it led, asked no peer, though all of them said that they knew more.

--- a/crates/daemon/src/gateway/belief.rs
+++ b/crates/daemon/src/gateway/belief.rs
@@ -58,8 +58,11 @@
 /// A peer told its versions: fetches what is newer there, unless the store itself is followed and heard.
 pub fn compare(shared: &Rc<Shared>, from: SocketAddr, theirs: Versions) {
     let own = versions(shared);
-    let indirect = !shared.role.borrow().leads() || shared.fresh.borrow().is_away();
-    if own.lacks(Part::Lists, theirs) && indirect {
+    // Who leads goes by the store, but not against what others have heard of it: the store may be silent
+    // to this gateway alone, which it notices only when a watch has run out.
+    let direct = shared.role.borrow().leads() && !shared.fresh.borrow().is_away();
+    let behind = shared.pulls.borrow_mut().is_behind(shared.now(), own, theirs);
+    if own.lacks(Part::Lists, theirs) && (!direct || behind) {
         begin(shared, from, Part::Lists, own);
     }
     if own.lacks(Part::Config, theirs) {
@@ -109,9 +112,6 @@
         }
     }
     let away = shared.fresh.borrow().is_away();
-    if shared.role.borrow().leads() && !away {
-        return;
-    }
     if let Some(fleet) = belief.fleet {
         let (now, revision) = (shared.now(), belief.versions.fleet);
         shared.fleet.borrow_mut().replace(now, fleet, revision);
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -162,7 +162,7 @@
 fn link(shared: &Shared) -> Link {
     let helps = shared.role.borrow().follows() && shared.roster.borrow().is_complete();
     match helps {
-        true => shared.fresh.borrow().link(shared.now()),
+        true => shared.fresh.borrow().link(shared.now(), shared.node().bounds.silence()),
         false => Link::Indirect,
     }
 }
--- a/crates/daemon/src/gateway/shared.rs
+++ b/crates/daemon/src/gateway/shared.rs
@@ -46,7 +46,7 @@
     pub config: u64,
     /// Revision of the list of backend servers.
     pub roster: u64,
-    /// Milliseconds since the store was heard.
+    /// Milliseconds since that list was known to hold.
     pub age: u64,
 }
 
@@ -249,6 +249,9 @@
         }
         if !role.follows() {
             let link = shares.best_link(now);
+            if let Some(at) = shares.known_at(now, self.roster.borrow().revision()) {
+                self.fresh.borrow_mut().known(at);
+            }
             if self.fresh.borrow_mut().adopt(now, link) {
                 tracing::info!(?link, "store, as peers hear it");
             }
@@ -301,11 +304,11 @@
 
     /// What decisions are based on now, for the log.
     pub fn basis(&self) -> Basis {
-        let heard = self.fresh.borrow().heard_at();
+        let known_at = self.fresh.borrow().known_at();
         Basis {
             config: self.config.borrow().as_ref().map_or(0, |c| c.version),
             roster: self.roster.borrow().revision(),
-            age: self.now().since(heard).as_millis() as u64,
+            age: self.now().since(known_at).as_millis() as u64,
         }
     }
 
--- a/crates/daemon/src/gateway/store.rs
+++ b/crates/daemon/src/gateway/store.rs
@@ -13,15 +13,12 @@
 /// Longest wait for an answer; the store answers in 4 ms, and some sixty times slower when it is
 /// slow.
 pub const CALL_WAIT: Duration = Duration::from_millis(800);
-/// How long before the bound of contact a watch ends that is kept waiting: a connection that went
-/// silent is then noticed, and the store listed anew over another one, within the bound.
-const WATCH_MARGIN: Duration = Duration::from_millis(700);
 /// Milliseconds that a call for news is kept waiting: next to nothing.
 const NEWS_WAIT: u64 = 1;
-/// Shortest wait of a watch, whatever the bound says.
+/// Shortest wait of a watch, whatever the bounds say.
 const WATCH_MIN: Duration = Duration::from_millis(500);
 /// How much later than asked the answer to a watch may come.
-pub const WATCH_SLACK: Duration = Duration::from_millis(500);
+const WATCH_SLACK: Duration = Duration::from_millis(500);
 /// Pages read of one prefix at most; a guard against a list that never ends.
 const PAGES_MAX: usize = 200;
 
@@ -72,15 +69,15 @@
         self.call(store::watch(prefix, after, NEWS_WAIT), CALL_WAIT, store::read_watch).await
     }
 
-    /// Changes of a prefix behind a revision, as soon as there are any; `contact` is the bound within
-    /// which a fault must be noticed. Ends when there is an answer, which may still take long to read.
+    /// Changes of a prefix behind a revision, as soon as there are any; ends within `silence`, answered or
+    /// not. An answer may still take long to read.
     pub async fn watch(
         &self,
         prefix: &str,
         after: u64,
-        contact: Duration,
+        silence: Duration,
     ) -> Result<Coming, StoreError> {
-        let wait = contact.saturating_sub(WATCH_MARGIN).max(WATCH_MIN);
+        let wait = silence.saturating_sub(WATCH_SLACK).max(WATCH_MIN);
         let req = store::watch(prefix, after, wait.as_millis() as u64);
         self.pool.ask(self.addr, req, wait + WATCH_SLACK).await.map_err(unanswered)
     }
--- a/crates/daemon/src/gateway/watch.rs
+++ b/crates/daemon/src/gateway/watch.rs
@@ -10,6 +10,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use ebonyloft_core::time::Moment;
 use ebonyloft_platform::store::{Age, CONFIG_KEY, Item, StoreError};
 use ebonyloft_platform::{config, servers};
 use ebonyloft_router::roster::{Change, Effect, Entry};
@@ -70,7 +71,6 @@
         };
         match step {
             Ok(revision) => {
-                heard(&shared, prefix);
                 age = Age::Current;
                 let changed = from.replace(revision).is_some_and(|before| before != revision);
                 pause = PAUSE_MIN;
@@ -109,8 +109,12 @@
 ) -> Result<u64, StoreError> {
     // Who knows no list yet sends nobody anything.
     let known = shared.roster.borrow().is_complete();
+    let known_at = shared.now();
     let page = bypass::beside(shared, None, known, shared.store.list(prefix, age)).await?;
     sink.replace(page.items, page.revision);
+    if age == Age::Current {
+        heard(shared, prefix, known_at);
+    }
     Ok(page.revision)
 }
 
@@ -120,22 +124,28 @@
     after: u64,
     sink: &dyn Sink,
 ) -> Result<u64, StoreError> {
-    let (away, contact) = (shared.fresh.borrow().is_away(), shared.node().bounds.contact);
-    let page = match away {
+    let silence = shared.node().bounds.silence();
+    let mut known_at = shared.now();
+    // Behind a stale list too: until it is brought up to date nothing is known to hold.
+    let unsure = shared.fresh.borrow().is_unsure();
+    let page = match unsure {
         true => shared.store.news(prefix, after).await?,
         false => {
-            let coming = shared.store.watch(prefix, after, contact).await?;
+            let coming = shared.store.watch(prefix, after, silence).await?;
+            known_at = coming.head_at();
             bypass::beside(shared, Some(after), true, shared.store.read_watch(coming)).await?
         }
     };
     for item in page.items {
         sink.apply(item);
     }
+    heard(shared, prefix, known_at);
     Ok(page.revision.max(after))
 }
 
-fn heard(shared: &Shared, prefix: &str) {
-    if shared.fresh.borrow_mut().on_answer(shared.now()) {
+/// The store answered; what it said holds as of `known_at`.
+fn heard(shared: &Shared, prefix: &str, known_at: Moment) {
+    if shared.fresh.borrow_mut().on_answer(shared.now(), known_at) {
         tracing::info!(prefix, "store is back");
         shared.metrics.count("gateway.store.back", 1);
     }
--- a/crates/daemon/src/gateway/watch/bypass.rs
+++ b/crates/daemon/src/gateway/watch/bypass.rs
@@ -14,7 +14,7 @@
 use ebonyloft_platform::store::{Age, StoreError};
 use futures_util::future::{Either, select};
 
-use super::{PAUSE_MAX, RosterSink, Sink, gather};
+use super::{PAUSE_MAX, RosterSink, Sink, gather, heard};
 use crate::gateway::shared::Shared;
 
 /// How long an answer may take before the list is followed beside it: changes that come together are
@@ -63,15 +63,19 @@
 
 async fn step(shared: &Shared, from: Option<u64>, sink: &RosterSink) -> Result<u64, StoreError> {
     let Some(after) = from else {
+        let known_at = shared.now();
         let page = shared.store.list(servers::PREFIX, Age::Current).await?;
         sink.replace(page.items, page.revision);
+        heard(shared, servers::PREFIX, known_at);
         return Ok(page.revision);
     };
-    let contact = shared.node().bounds.contact;
-    let coming = shared.store.watch(servers::PREFIX, after, contact).await?;
+    let silence = shared.node().bounds.silence();
+    let coming = shared.store.watch(servers::PREFIX, after, silence).await?;
+    let known_at = coming.head_at();
     let page = shared.store.read_watch(coming).await?;
     for item in page.items {
         sink.apply(item);
     }
+    heard(shared, servers::PREFIX, known_at);
     Ok(page.revision.max(after))
 }
--- a/crates/router/src/delegate.rs
+++ b/crates/router/src/delegate.rs
@@ -38,6 +38,9 @@
     Heard {
         /// Milliseconds until a missing registration means that the backend server is gone.
         settles: u32,
+        /// Milliseconds since its list of backend servers was known to hold.
+        #[serde(default)]
+        age: u32,
     },
     /// It follows the store and does not reach it.
     Away,
--- a/crates/router/src/freshness.rs
+++ b/crates/router/src/freshness.rs
@@ -18,13 +18,13 @@
 pub struct Freshness {
     away_since: Option<Moment>,
     settles_at: Moment,
-    heard_at: Moment,
+    known_at: Moment,
 }
 
 impl Freshness {
-    /// The store answered. True when it was away before.
-    pub fn on_answer(&mut self, now: Moment) -> bool {
-        self.heard_at = now;
+    /// The store answered; what it said holds as of `known_at`. True when it was away before.
+    pub fn on_answer(&mut self, now: Moment, known_at: Moment) -> bool {
+        self.known(known_at);
         let back = self.away_since.take().is_some();
         if back {
             self.settles_at = now.after(RETURN_TIME);
@@ -48,26 +48,39 @@
             Link::Away => {
                 self.on_failure(now);
             }
-            Link::Heard { settles } => {
+            Link::Heard { settles, .. } => {
                 self.away_since = None;
-                self.heard_at = now;
                 self.settles_at = now.after(Duration::from_millis(settles.into()));
             }
         }
         self.is_away() != before
     }
 
-    /// How this process hears of the store, for its peers.
-    pub fn link(&self, now: Moment) -> Link {
-        match self.away_since {
-            Some(_) => Link::Away,
-            None => Link::Heard { settles: self.settles_at.since(now).as_millis() as u32 },
+    /// The list of backend servers holds as of this moment: nothing that the store said by then is
+    /// missing.
+    pub fn known(&mut self, at: Moment) {
+        self.known_at = self.known_at.max(at);
+    }
+
+    /// How this process hears of the store, for its peers: it does not help them when it has heard nothing
+    /// for longer than `silence`, whatever it waits for.
+    pub fn link(&self, now: Moment, silence: Duration) -> Link {
+        let age = now.since(self.known_at);
+        if self.is_away() || age > silence {
+            return Link::Away;
         }
+        let settles = self.settles_at.since(now).as_millis() as u32;
+        Link::Heard { settles, age: age.as_millis() as u32 }
+    }
+
+    /// As of when the list of backend servers is known to hold.
+    pub fn known_at(&self) -> Moment {
+        self.known_at
     }
 
-    /// When the store answered last.
-    pub fn heard_at(&self) -> Moment {
-        self.heard_at
+    /// Is nothing known to hold as of now: was the store never heard, or is it out of reach?
+    pub fn is_unsure(&self) -> bool {
+        self.is_away() || self.known_at == Moment::default()
     }
 
     /// Is the store out of reach, as far as this process knows?
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -43,6 +43,19 @@
     pub order_gap: Duration,
     /// Time after a fault on its way to the store by which a VM is expected to follow it again.
     pub contact: Duration,
+    /// Time after a backend server said that it leaves by which it must be sent nothing more.
+    pub drain: Duration,
+    /// Time after the operator changed the configuration by which it must be in force.
+    pub apply: Duration,
+}
+
+impl Bounds {
+    /// Longest time for which a belief may stand without being heard to hold: beyond it silence no longer
+    /// counts as "nothing new". Three fifths of the shortest time in which any news must be acted on; the
+    /// rest is left to ask a peer, and for the requests that are on their way.
+    pub fn silence(&self) -> Duration {
+        self.contact.min(self.drain).min(self.apply) * 3 / 5
+    }
 }
 
 impl Eq for Bounds {}
--- a/crates/router/src/pulls.rs
+++ b/crates/router/src/pulls.rs
@@ -18,6 +18,10 @@
 /// Shortest time until a part is asked for again after a peer had nothing to give: another one may.
 const REST: Duration = Duration::from_millis(50);
 
+/// How long a gateway that hears the store waits for its own answer when peers know newer lists: it gathers
+/// changes for 0.15 s, and a slow store answers within 0.3.
+const OWN_ANSWER: Duration = Duration::from_millis(500);
+
 /// Versions of what a gateway knows.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Versions {
@@ -64,6 +68,9 @@
 pub struct Pulls {
     config: Calls,
     lists: Calls,
+    /// Revisions of the lists that are known here, and since when peers know newer ones.
+    lists_known: (u64, u64),
+    behind_since: Option<Moment>,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -74,6 +81,19 @@
 }
 
 impl Pulls {
+    /// Should the lists of a peer that knows `theirs` be fetched by a gateway that hears the store itself?
+    /// Not for as long as its own answer from there may be on the way.
+    pub fn is_behind(&mut self, now: Moment, own: Versions, theirs: Versions) -> bool {
+        let lists = (own.roster, own.fleet);
+        if self.lists_known != lists {
+            (self.lists_known, self.behind_since) = (lists, None);
+        }
+        if !own.lacks(Part::Lists, theirs) {
+            return false;
+        }
+        now.since(*self.behind_since.get_or_insert(now)) >= OWN_ANSWER
+    }
+
     /// May this peer be asked for the part now? Notes that it is.
     pub fn begin(&mut self, now: Moment, part: Part, from: SocketAddr) -> bool {
         let calls = self.calls(part);
--- a/crates/router/src/roster.rs
+++ b/crates/router/src/roster.rs
@@ -194,6 +194,15 @@
         self.named(&id.name).filter(|s| s.id == *id)
     }
 
+    /// Did the backend server of this name say that it leaves, or is it gone? Not known of one that was
+    /// never heard of.
+    pub fn has_left(&self, name: &str) -> bool {
+        match self.named(name) {
+            Some(server) => server.draining,
+            None => self.removed.contains_key(name),
+        }
+    }
+
     /// The backend server that has this name now.
     pub fn named(&self, name: &str) -> Option<&Server> {
         self.known.get(name).map(|k| &k.server)
--- a/crates/router/src/share.rs
+++ b/crates/router/src/share.rs
@@ -171,7 +171,7 @@
     /// The best way in which any peer that was heard lately follows the store.
     pub fn best_link(&self, now: Moment) -> Link {
         let rank = |link: &Link| match link {
-            Link::Heard { settles } => (0, *settles),
+            Link::Heard { settles, .. } => (0, *settles),
             Link::Away => (1, 0),
             Link::Indirect => (2, 0),
         };
@@ -179,6 +179,18 @@
         heard.map(|p| p.share.link).min_by_key(rank).unwrap_or_default()
     }
 
+    /// As of when a list of backend servers of this revision is known to hold: peers that follow the store
+    /// and know nothing newer say so. None when no such peer was heard lately.
+    pub fn known_at(&self, now: Moment, roster: u64) -> Option<Moment> {
+        let heard = self.peers.values().filter(|p| now.since(p.heard_at) < SILENT);
+        let knows_no_more = heard.filter(|p| p.share.roster <= roster);
+        let at = knows_no_more.filter_map(|p| match p.share.link {
+            Link::Heard { age, .. } => Some(p.heard_at.before(Duration::from_millis(age.into()))),
+            Link::Away | Link::Indirect => None,
+        });
+        at.max()
+    }
+
     /// Forgets peers that fell silent long ago.
     pub fn expire(&mut self, now: Moment) {
         self.peers.retain(|_, p| now.since(p.heard_at) < PEER_LIFE * 10);
--- a/crates/router/tests/budget.rs
+++ b/crates/router/tests/budget.rs
@@ -15,6 +15,8 @@
         grace: Duration::from_secs(8),
         order_gap: Duration::from_secs(3),
         contact: Duration::from_secs(3),
+        drain: Duration::from_secs(2),
+        apply: Duration::from_secs(2),
     }
 }
 
--- a/crates/router/tests/pulls.rs
+++ b/crates/router/tests/pulls.rs
@@ -66,3 +66,21 @@
     }
     assert!(!theirs.lacks(Part::Lists, own));
 }
+
+/// Who hears the store itself waits for its own answer, for half a second and not for a watch to run out.
+#[test]
+fn who_stays_behind_its_peers_asks_them() {
+    let mut pulls = Pulls::default();
+    let own = Versions { config: 3, roster: 40, fleet: 7 };
+    let theirs = Versions { roster: 41, ..own };
+    assert!(!pulls.is_behind(at(0), own, own));
+    assert!(!pulls.is_behind(at(1_000), own, theirs));
+    assert!(!pulls.is_behind(at(1_200), own, own), "another peer knows no more");
+    let own = Versions { config: 4, ..own };
+    assert!(!pulls.is_behind(at(1_499), own, theirs));
+    assert!(pulls.is_behind(at(1_500), own, theirs));
+    assert!(!pulls.is_behind(at(1_510), theirs, theirs), "it has heard");
+    let newer = Versions { roster: 42, ..own };
+    assert!(!pulls.is_behind(at(1_600), theirs, newer));
+    assert!(pulls.is_behind(at(2_100), theirs, newer));
+}
--- a/crates/standins/src/fleet/peer.rs
+++ b/crates/standins/src/fleet/peer.rs
@@ -88,7 +88,7 @@
         for seq in 1.. {
             let Known { versions, settles, .. } = *self.known.borrow();
             let Versions { config, roster, fleet } = versions;
-            let link = Link::Heard { settles };
+            let link = Link::Heard { settles, age: 0 };
             let name = self.name.clone();
             let share = Share { name, seq, config, roster, fleet, link, ..Share::default() };
             let mut bytes = Vec::new();
