A watch ends when the belief that it renews has stood for as long as it may

Cause: a watch waited for the whole silence that is allowed less its slack, but began up to 0.5 s after the answer before it, while changes are gathered: a delegate in good contact would have called itself cut off for some milliseconds. The wait is now counted from the moment as of which the list holds.

--- a/crates/daemon/src/gateway/store.rs
+++ b/crates/daemon/src/gateway/store.rs
@@ -15,8 +15,9 @@
 pub const CALL_WAIT: Duration = Duration::from_millis(800);
 /// Milliseconds that a call for news is kept waiting: next to nothing.
 const NEWS_WAIT: u64 = 1;
-/// Shortest wait of a watch, whatever the bounds say.
-const WATCH_MIN: Duration = Duration::from_millis(500);
+/// Shortest wait of a watch, however soon it must have ended: a store that is down is not asked more than
+/// three times a second.
+const WATCH_MIN: Duration = Duration::from_millis(300);
 /// How much later than asked the answer to a watch may come.
 const WATCH_SLACK: Duration = Duration::from_millis(500);
 /// Pages read of one prefix at most; a guard against a list that never ends.
@@ -69,15 +70,15 @@
         self.call(store::watch(prefix, after, NEWS_WAIT), CALL_WAIT, store::read_watch).await
     }
 
-    /// Changes of a prefix behind a revision, as soon as there are any; ends within `silence`, answered or
+    /// Changes of a prefix behind a revision, as soon as there are any; ends within `within`, answered or
     /// not. An answer may still take long to read.
     pub async fn watch(
         &self,
         prefix: &str,
         after: u64,
-        silence: Duration,
+        within: Duration,
     ) -> Result<Coming, StoreError> {
-        let wait = silence.saturating_sub(WATCH_SLACK).max(WATCH_MIN);
+        let wait = within.saturating_sub(WATCH_SLACK).max(WATCH_MIN);
         let req = store::watch(prefix, after, wait.as_millis() as u64);
         self.pool.ask(self.addr, req, wait + WATCH_SLACK).await.map_err(unanswered)
     }
--- a/crates/daemon/src/gateway/watch.rs
+++ b/crates/daemon/src/gateway/watch.rs
@@ -124,14 +124,13 @@
     after: u64,
     sink: &dyn Sink,
 ) -> Result<u64, StoreError> {
-    let silence = shared.node().bounds.silence();
     let mut known_at = shared.now();
     // Behind a stale list too: until it is brought up to date nothing is known to hold.
     let unsure = shared.fresh.borrow().is_unsure();
     let page = match unsure {
         true => shared.store.news(prefix, after).await?,
         false => {
-            let coming = shared.store.watch(prefix, after, silence).await?;
+            let coming = shared.store.watch(prefix, after, patience(shared)).await?;
             known_at = coming.head_at();
             bypass::beside(shared, Some(after), true, shared.store.read_watch(coming)).await?
         }
@@ -143,6 +142,12 @@
     Ok(page.revision.max(after))
 }
 
+/// How long a watch may be silent: until the belief that it renews has stood for as long as it may.
+fn patience(shared: &Shared) -> Duration {
+    let silence = shared.node().bounds.silence();
+    shared.fresh.borrow().known_at().after(silence).since(shared.now())
+}
+
 /// The store answered; what it said holds as of `known_at`.
 fn heard(shared: &Shared, prefix: &str, known_at: Moment) {
     if shared.fresh.borrow_mut().on_answer(shared.now(), known_at) {
--- a/crates/daemon/src/gateway/watch/bypass.rs
+++ b/crates/daemon/src/gateway/watch/bypass.rs
@@ -14,7 +14,7 @@
 use ebonyloft_platform::store::{Age, StoreError};
 use futures_util::future::{Either, select};
 
-use super::{PAUSE_MAX, RosterSink, Sink, gather, heard};
+use super::{PAUSE_MAX, RosterSink, Sink, gather, heard, patience};
 use crate::gateway::shared::Shared;
 
 /// How long an answer may take before the list is followed beside it: changes that come together are
@@ -69,8 +69,7 @@
         heard(shared, servers::PREFIX, known_at);
         return Ok(page.revision);
     };
-    let silence = shared.node().bounds.silence();
-    let coming = shared.store.watch(servers::PREFIX, after, silence).await?;
+    let coming = shared.store.watch(servers::PREFIX, after, patience(shared)).await?;
     let known_at = coming.head_at();
     let page = shared.store.read_watch(coming).await?;
     for item in page.items {
