The soak learns servers that leave while the store is silent to half of the gateways

A kind of its own, 13: a relay before each second gateway's way to the store falls silent, a server says that it leaves, and nobody sends it anything once the bound is over, unless nobody could hear or a process was frozen. Drawn more often beside faults that leave a way to hear; what was drawn before is drawn as before for kept seeds and the second short run.

--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -16,7 +16,7 @@
 
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use self::world::{FIRST_KINDS, KINDS, Plan, play};
+use self::world::{FIRST_KINDS, KINDS, LEAVING_KINDS, Plan, SECOND_KINDS, play};
 
 /// Seeds that failed once, each with what it showed.
 const KEPT: &[(u64, &str)] = &[
@@ -34,7 +34,8 @@
 fn a_short_run_keeps_the_promises() {
     let plan = Plan { seed: 1, faults: Duration::from_secs(8), gateways: 3, kinds: FIRST_KINDS };
     play(plan);
-    play(Plan { seed: 2, kinds: KINDS, ..plan });
+    play(Plan { seed: 2, kinds: SECOND_KINDS, ..plan });
+    play(Plan { seed: 3, kinds: LEAVING_KINDS, ..plan });
 }
 
 #[test]
@@ -55,5 +56,6 @@
     let gateways = number("EBONYLOFT_SOAK_GATEWAYS").unwrap_or(3) as usize;
     for seed in first..first + number("EBONYLOFT_SOAK_SEEDS").unwrap_or(5) {
         play(Plan { seed, faults, gateways, kinds: KINDS });
+        play(Plan { seed, faults, gateways, kinds: LEAVING_KINDS });
     }
 }
--- a/crates/daemon/tests/soak/faults.rs
+++ b/crates/daemon/tests/soak/faults.rs
@@ -6,8 +6,9 @@
 
 use ebonyloft_platform::serve;
 use ebonyloft_platform::store::CONFIG_KEY;
+use ebonyloft_standins::fleet::runner::{self, Runner};
+use ebonyloft_standins::fleet::store;
 use ebonyloft_standins::fleet::{FleetSpec, config};
-use ebonyloft_standins::fleet::{runner, store};
 use ebonyloft_standins::relay::RelaySwitch;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -24,6 +25,9 @@
         "state":"ready","sequence":1,"cold_remaining_ms":0}"#,
 ];
 
+/// Within which a leaving server must be sent nothing more; the default of the settings.
+const BOUND: Duration = Duration::from_secs(2);
+
 fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
 }
@@ -52,7 +56,8 @@
     let lasts = ms(rng.random_range(100..2_500));
     let gateway = &world.gateways[rng.random_range(0..world.gateways.len())];
     let (runner, relay) = &world.runners[rng.random_range(0..world.runners.len())];
-    match rng.random_range(0..world.plan.kinds) {
+    let kinds = world.plan.kinds;
+    match kinds[rng.random_range(0..kinds.len() as u32) as usize] {
         0 => {
             gateway.signal(Signal::KILL);
             compio::time::sleep(lasts / 3).await;
@@ -64,17 +69,22 @@
             gateway.revive();
         }
         2 => {
+            world.unsure(lasts);
             gateway.signal(Signal::STOP);
             compio::time::sleep(lasts).await;
             gateway.signal(Signal::CONT);
         }
         3 => gateway.signal(Signal::HUP),
         4 => {
+            world.unsure(lasts);
             world.store.set_fault(STORE_FAULTS[rng.random_range(0..STORE_FAULTS.len())]);
             compio::time::sleep(lasts).await;
             world.store.set_fault(store::Fault::None);
         }
-        5 => cut(&world.store_relay, &mut rng, lasts).await,
+        5 => {
+            world.unsure(lasts);
+            cut(&world.store_relay, &mut rng, lasts).await;
+        }
         6 | 7 => cut(relay, &mut rng, lasts).await,
         8 | 9 => {
             runner.set_fault(RUNNER_FAULTS[rng.random_range(0..RUNNER_FAULTS.len())]);
@@ -98,6 +108,7 @@
             runner.set_fault(runner::Fault::None);
             world.store.register(&runner.server.borrow());
         }
+        13 => leave(world, runner).await,
         _ => {
             let name = runner.server.borrow().id.name.clone();
             let wrong = WRONG_ENTRIES[rng.random_range(0..WRONG_ENTRIES.len())];
@@ -109,6 +120,38 @@
     }
 }
 
+/// The store falls silent to each second gateway; a backend server leaves and is sent nothing more once the
+/// bound is over, by anybody; later it is back.
+async fn leave(world: &World, runner: &Runner) {
+    if runner.server.borrow().draining {
+        return;
+    }
+    let mute = [&world.half_relay.mute_forward, &world.half_relay.mute_back];
+    mute.iter().for_each(|switch| switch.store(true, Ordering::Relaxed));
+    compio::time::sleep(ms(500)).await;
+    let said = |draining| {
+        runner.server.borrow_mut().draining = draining;
+        world.store.register(&runner.server.borrow());
+    };
+    said(true);
+    let left = Instant::now();
+    compio::time::sleep(BOUND + ms(300)).await;
+    let before = arrived(runner);
+    compio::time::sleep(ms(1_500)).await;
+    if world.unsure_until.get() < left {
+        let (seed, more) = (world.plan.seed, arrived(runner) - before);
+        assert_eq!(more, 0, "seed {seed}: sent to a backend server that left");
+        world.left.set(world.left.get() + 1);
+    }
+    mute.iter().for_each(|switch| switch.store(false, Ordering::Relaxed));
+    said(false);
+}
+
+fn arrived(runner: &Runner) -> u64 {
+    let seen = runner.seen.borrow();
+    seen.reads + seen.arrivals.values().sum::<usize>() as u64
+}
+
 /// A path that is late, reset, closed to new connections, or silent in one direction or both.
 async fn cut(relay: &RelaySwitch, rng: &mut ChaCha8Rng, lasts: Duration) {
     let switches = match rng.random_range(0..6) {
--- a/crates/daemon/tests/soak/world.rs
+++ b/crates/daemon/tests/soak/world.rs
@@ -24,6 +24,9 @@
 /// How long everything has to come back after the last fault.
 const RECOVERY: Duration = Duration::from_secs(12);
 
+/// After such a fault, until everybody has heard of what there is.
+const SETTLED: Duration = Duration::from_secs(4);
+
 /// One run.
 #[derive(Clone, Copy, Debug)]
 pub struct Plan {
@@ -32,13 +35,18 @@
     pub faults: Duration,
     pub gateways: usize,
     /// Kinds of faults that are drawn from; a kept seed stays what it was when more are added.
-    pub kinds: u32,
+    pub kinds: &'static [u32],
 }
 
 /// Kinds that the kept seeds were drawn from.
-pub const FIRST_KINDS: u32 = 11;
+pub const FIRST_KINDS: &[u32] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10];
+/// Kinds that the second short run was drawn from.
+pub const SECOND_KINDS: &[u32] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12];
 /// All kinds.
-pub const KINDS: u32 = 13;
+pub const KINDS: &[u32] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13];
+/// Servers leave while the store is silent to half of the gateways, beside all that leaves them a way to
+/// hear of it.
+pub const LEAVING_KINDS: &[u32] = &[0, 1, 3, 6, 8, 10, 11, 12, 13, 13, 13];
 
 /// A gateway process; it is started anew whenever it ended.
 pub struct Gateway {
@@ -51,7 +59,15 @@
 pub struct World {
     pub plan: Plan,
     pub store: Rc<Store>,
+    /// On the way of all gateways to the store.
     pub store_relay: RelaySwitch,
+    /// On the way of each second gateway, before that.
+    pub half_relay: RelaySwitch,
+    /// Until when a gateway may go by an old list for a reason of its own: it was frozen, or nobody reached
+    /// the store.
+    pub unsure_until: Cell<Instant>,
+    /// Servers that left of which it was seen that they are sent nothing more.
+    pub left: Cell<u32>,
     pub runners: Vec<(Rc<Runner>, RelaySwitch)>,
     pub gateways: Vec<Gateway>,
     pub ledger: RefCell<Ledger>,
@@ -89,6 +105,7 @@
         let spec = FleetSpec::default();
         store.put(CONFIG_KEY, &serve::config(&config(1, &spec)), 0);
         let store_relay = between((ip(2), 8_142).into(), (ip(1), 8_142).into()).await;
+        let half_relay = between((ip(3), 8_142).into(), (ip(2), 8_142).into()).await;
         let mut runners = Vec::new();
         let stages = [Some(Stage::Prefill), Some(Stage::Decode), Some(Stage::Decode), None, None];
         for (i, stage) in stages.into_iter().enumerate() {
@@ -109,12 +126,15 @@
             store.register(&runner.server.borrow());
             runners.push((runner, switch));
         }
-        let gateways =
-            (0..plan.gateways).map(|n| Gateway::start(ip(100 + n as u8), ip(2))).collect();
+        let start = |n: usize| Gateway::start(ip(100 + n as u8), ip(2 + n as u8 % 2));
+        let gateways = (0..plan.gateways).map(start).collect();
         World {
             plan,
             store,
             store_relay,
+            half_relay,
+            unsure_until: Cell::new(Instant::now()),
+            left: Cell::default(),
             runners,
             gateways,
             ledger: RefCell::default(),
@@ -133,6 +153,12 @@
         self.runners.iter().map(|(r, _)| r.runs(attempt)).sum()
     }
 
+    /// Gateways may go by an old list from now on, and for a while after a fault that lasts so long.
+    pub fn unsure(&self, lasts: Duration) {
+        let until = Instant::now() + lasts + SETTLED;
+        self.unsure_until.set(until.max(self.unsure_until.get()));
+    }
+
     async fn wait_ready(&self) {
         for gateway in &self.gateways {
             let caller = Caller::new((gateway.ip, 8_140).into());
