--- a/crates/standins/tests/leaving.rs
+++ b/crates/standins/tests/leaving.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use ebonyloft_router::catalog::{Config, Route};
 use ebonyloft_router::roster::Entry;
 use ebonyloft_standins::fleet::peer::Peer;
 use ebonyloft_standins::fleet::{CHECK, Fleet, FleetSpec, SUMMARY, config, store, with_fleet};
@@ -15,6 +16,17 @@
 const STRONG: u32 = 8_000;
 const WEAK: u32 = 10;
 
+/// A configuration of some hundred kilobytes.
+fn large(version: u64) -> Config {
+    let mut config = config(version, &FleetSpec::default());
+    let route = config.routes[0].clone();
+    config.routes.extend((0..400).map(|n| {
+        let (name, prefix) = (format!("more-{n}"), format!("/more-{n}/"));
+        Route { name, prefix, ..route.clone() }
+    }));
+    config
+}
+
 /// The first reader says that it leaves; another one stays.
 fn reader_leaves(fleet: &Fleet) {
     let reader = &fleet.runners[0];
@@ -55,15 +67,9 @@
     let spec = FleetSpec { gateways: 1, readers: 2, ..FleetSpec::default() };
     with_fleet(spec, async |fleet| {
         assert!(prompts_read(fleet, "before", 10).await > 0, "it is used until it leaves");
-        let mut next = config(2, &FleetSpec::default());
-        let route = next.routes[0].clone();
-        next.routes.extend((0..400).map(|n| {
-            let (name, prefix) = (format!("more-{n}"), format!("/more-{n}/"));
-            ebonyloft_router::catalog::Route { name, prefix, ..route.clone() }
-        }));
         // The configuration takes some six seconds.
         fleet.store.set_rate(20 << 10);
-        fleet.configure(&next);
+        fleet.configure(&large(2));
         compio::time::sleep(SECOND / 2).await;
         reader_leaves(fleet);
         compio::time::sleep(BOUND).await;
@@ -71,6 +77,21 @@
     });
 }
 
+/// The same when the history is gone and everything is listed anew.
+#[test]
+fn a_list_that_takes_long_does_not_hold_up_a_leaving() {
+    let spec = FleetSpec { gateways: 1, readers: 2, ..FleetSpec::default() };
+    with_fleet(spec, async |fleet| {
+        fleet.configure(&large(2));
+        compio::time::sleep(SECOND).await;
+        fleet.store.set_rate(20 << 10);
+        reader_leaves(fleet);
+        fleet.store.compact();
+        compio::time::sleep(BOUND).await;
+        assert_eq!(prompts_read(fleet, "after", 10).await, 0, "sent to an engine that leaves");
+    });
+}
+
 /// The same on the way from gateway to gateway: a peer that knows a new configuration sends it slowly, and
 /// tells soon what else it knows when it is asked for that alone.
 #[test]
@@ -129,12 +150,32 @@
 /// no other one does later than 0.2 s.
 #[test]
 fn who_leads_and_is_deaf_to_the_store_hears_of_a_leaving_from_peers() {
+    leader_hears_from_a_peer(store::Fault::Deaf);
+}
+
+/// Watches that wait are cut, and further calls find the store silent.
+#[test]
+fn who_leads_and_is_cut_off_by_the_store_hears_of_a_leaving_from_peers() {
+    leader_hears_from_a_peer(store::Fault::Silent);
+}
+
+#[test]
+fn who_leads_and_is_turned_away_by_the_store_hears_of_a_leaving_from_peers() {
+    leader_hears_from_a_peer(store::Fault::Busy);
+}
+
+#[test]
+fn who_leads_and_gets_no_answer_of_the_store_hears_of_a_leaving_from_peers() {
+    leader_hears_from_a_peer(store::Fault::Lost);
+}
+
+fn leader_hears_from_a_peer(fault: store::Fault) {
     let spec = FleetSpec { gateways: 1, readers: 2, ..FleetSpec::default() };
     with_fleet(spec, async |fleet| {
         let peer = fleet.add_peer(WEAK).await;
         compio::runtime::spawn(peer.clone().tell(fleet.gateways[0].ip)).detach();
         compio::time::sleep(SECOND).await;
-        fleet.store.set_fault(store::Fault::Deaf);
+        fleet.store.set_fault(fault);
         let mut reader = fleet.runners[0].server.borrow().clone();
         reader.draining = true;
         peer.hear_change(&reader.id.name, Entry::Server(reader.clone()), 1_000);
