A configuration that stalls on its way counts for six seconds at the most

Cause: leave to send one was held by its body; on a connection that went silent a body never ends, and a VM of 10 Mbit/s would have sent its configuration to nobody any more. Found by reading the change.

--- a/crates/daemon/src/gateway/belief.rs
+++ b/crates/daemon/src/gateway/belief.rs
@@ -144,7 +144,7 @@
     let belief = belief(shared, theirs);
     let upload = match &belief.config {
         None => None,
-        Some(_) => match shared.uploads.begin(shared.node().link) {
+        Some(_) => match shared.uploads.begin(shared.now(), shared.node().link) {
             // Another peer has it too, or will.
             None => return unavailable("enough are being sent\n"),
             upload => upload,
--- a/crates/daemon/src/gateway/pool.rs
+++ b/crates/daemon/src/gateway/pool.rs
@@ -32,7 +32,7 @@
 pub const IDLE_MAX_ONCE: Duration = Duration::from_millis(500);
 /// Longest time for a whole body however steadily it comes: a megabyte over the slowest link, its other
 /// traffic beside it, takes two seconds.
-const BODY_WAIT: Duration = Duration::from_secs(6);
+pub const BODY_WAIT: Duration = Duration::from_secs(6);
 /// An answer whose body takes longer than this behind its head is logged: what else was to come from there
 /// is late with it.
 const BODY_SLOW: Duration = Duration::from_millis(100);
--- a/crates/daemon/src/gateway/uploads.rs
+++ b/crates/daemon/src/gateway/uploads.rs
@@ -1,10 +1,13 @@
 //! Configurations that are on their way to peers, as many at a time as the link carries.
 
-use std::sync::Arc;
+use std::cell::RefCell;
+use std::sync::{Arc, Weak};
 
 use bytes::Bytes;
+use ebonyloft_core::time::Moment;
 use futures_util::stream;
 
+use super::pool::BODY_WAIT;
 use crate::http;
 
 /// Megabits a second that each configuration under way should have: what the weakest VMs take in. A VM of
@@ -17,26 +20,39 @@
 const PART: usize = 16 << 10;
 
 /// Counts those under way.
-#[derive(Clone, Debug, Default)]
+#[derive(Debug, Default)]
 pub struct Uploads {
-    /// Its other holders are the bodies under way.
-    open: Arc<()>,
+    open: RefCell<Vec<Open>>,
+}
+
+/// One under way, and until when it counts at the most.
+#[derive(Debug)]
+struct Open {
+    upload: Weak<()>,
+    until: Moment,
 }
 
 /// Leave to send one.
 pub struct Upload {
-    _open: Arc<()>,
+    _counts: Arc<()>,
 }
 
 impl Uploads {
     /// Leave to send one more over a link of so many megabits a second, if it carries that.
-    pub fn begin(&self, link: u32) -> Option<Upload> {
+    pub fn begin(&self, now: Moment, link: u32) -> Option<Upload> {
         let most = match link {
             0 => UNKNOWN,
             link => (link / EACH).max(1) as usize,
         };
-        let open = Arc::strong_count(&self.open) - 1;
-        (open < most).then(|| Upload { _open: self.open.clone() })
+        let mut open = self.open.borrow_mut();
+        open.retain(|o| o.until > now && o.upload.strong_count() > 0);
+        if open.len() >= most {
+            return None;
+        }
+        let counts = Arc::new(());
+        // Beyond that its reader has given up, though a silent connection does not say so.
+        open.push(Open { upload: Arc::downgrade(&counts), until: now.after(BODY_WAIT) });
+        Some(Upload { _counts: counts })
     }
 }
 
