Who asks for lists and configuration by one call is told the lists when enough configurations are on their way

Cause: a gateway of the version before, which asks for both at once, would have been refused both for as long as its peer sends configurations, and heard of no leaving meanwhile: the incident's class, in a fleet that is being updated. Found by reading the change; the test on sockets asks so and got 503 before. 22 of 22 tests on uploads, zones and leaving.

--- a/crates/daemon/src/gateway/belief.rs
+++ b/crates/daemon/src/gateway/belief.rs
@@ -141,15 +141,17 @@
     let Some(theirs) = query.and_then(parse) else {
         return http::response(StatusCode::BAD_REQUEST, "text/plain", http::full("no versions\n"));
     };
-    let belief = belief(shared, theirs);
-    let upload = match &belief.config {
-        None => None,
-        Some(_) => match shared.uploads.begin(shared.now(), shared.node().link) {
+    let mut belief = belief(shared, theirs);
+    let mut upload = None;
+    if belief.config.is_some() {
+        upload = shared.uploads.begin(shared.now(), shared.node().link);
+        if upload.is_none() && belief.roster.is_none() && belief.fleet.is_none() {
             // Another peer has it too, or will.
-            None => return unavailable("enough are being sent\n"),
-            upload => upload,
-        },
-    };
+            return unavailable("enough are being sent\n");
+        }
+        // Who asks for all by one call is told the lists at once.
+        belief.config = belief.config.filter(|_| upload.is_some());
+    }
     let mut bytes = Vec::new();
     if let Err(e) = ciborium::into_writer(&belief, &mut bytes) {
         tracing::error!(error = %e, "beliefs not encoded");
--- a/crates/standins/tests/uploads.rs
+++ b/crates/standins/tests/uploads.rs
@@ -56,6 +56,8 @@
         assert_eq!(code, "200");
         assert_eq!(status(fleet, &wanted).await.1, "503");
         assert_eq!(status(fleet, &format!("{none}.{all}.{all}")).await.1, "200");
+        // Peers of the version before ask for everything by one call.
+        assert_eq!(status(fleet, &format!("{all}.{all}.{all}")).await.1, "200");
         // Its reader is gone.
         drop(first);
         compio::time::sleep(SECOND / 2).await;
