--- a/crates/daemon/src/gateway/belief.rs
+++ b/crates/daemon/src/gateway/belief.rs
@@ -55,7 +55,7 @@
     }
 }
 
-/// A peer told its versions: fetches what is newer there, unless the store itself is followed and heard.
+/// A peer told its versions: fetches what is newer there; the lists only if they do not come from the store.
 pub fn compare(shared: &Rc<Shared>, from: SocketAddr, theirs: Versions) {
     let own = versions(shared);
     // Who leads goes by the store, but not against what others have heard of it: the store may be silent
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -295,6 +295,17 @@
     (Ipv4Addr::new(127, net[0], net[1], host), port).into()
 }
 
+/// A configuration with so many routes more.
+pub fn large_config(version: u64, routes: usize) -> Config {
+    let mut config = config(version, &FleetSpec::default());
+    let route = config.routes[0].clone();
+    config.routes.extend((0..routes).map(|n| {
+        let (name, prefix) = (format!("more-{n}"), format!("/more-{n}/"));
+        Route { name, prefix, ..route.clone() }
+    }));
+    config
+}
+
 /// The configuration of a deployment: four kinds of request, two services.
 pub fn config(version: u64, spec: &FleetSpec) -> Config {
     let stream = |name: &str, prefix: &str, attempts, resumable| Route {
--- a/crates/standins/tests/leaving.rs
+++ b/crates/standins/tests/leaving.rs
@@ -3,30 +3,22 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ebonyloft_router::catalog::{Config, Route};
 use ebonyloft_router::roster::Entry;
 use ebonyloft_standins::fleet::peer::Peer;
-use ebonyloft_standins::fleet::{CHECK, Fleet, FleetSpec, SUMMARY, config, store, with_fleet};
+use ebonyloft_standins::fleet::{
+    CHECK, Fleet, FleetSpec, SUMMARY, config, large_config, store, with_fleet,
+};
 
 const SECOND: Duration = Duration::from_secs(1);
 /// Within which a leaving server must be sent nothing more.
 const BOUND: Duration = Duration::from_secs(2);
 
+/// Routes of a configuration that takes seconds over the slow link.
+const ROUTES: usize = 400;
 /// Thousandths of a core of a VM that goes before the stand-ins' gateways, and of one that follows.
 const STRONG: u32 = 8_000;
 const WEAK: u32 = 10;
 
-/// A configuration of some hundred kilobytes.
-fn large(version: u64) -> Config {
-    let mut config = config(version, &FleetSpec::default());
-    let route = config.routes[0].clone();
-    config.routes.extend((0..400).map(|n| {
-        let (name, prefix) = (format!("more-{n}"), format!("/more-{n}/"));
-        Route { name, prefix, ..route.clone() }
-    }));
-    config
-}
-
 /// The first reader says that it leaves; another one stays.
 fn reader_leaves(fleet: &Fleet) {
     let reader = &fleet.runners[0];
@@ -69,7 +61,7 @@
         assert!(prompts_read(fleet, "before", 10).await > 0, "it is used until it leaves");
         // The configuration takes some six seconds.
         fleet.store.set_rate(20 << 10);
-        fleet.configure(&large(2));
+        fleet.configure(&large_config(2, ROUTES));
         compio::time::sleep(SECOND / 2).await;
         reader_leaves(fleet);
         compio::time::sleep(BOUND).await;
@@ -82,7 +74,7 @@
 fn a_list_that_takes_long_does_not_hold_up_a_leaving() {
     let spec = FleetSpec { gateways: 1, readers: 2, ..FleetSpec::default() };
     with_fleet(spec, async |fleet| {
-        fleet.configure(&large(2));
+        fleet.configure(&large_config(2, ROUTES));
         compio::time::sleep(SECOND).await;
         fleet.store.set_rate(20 << 10);
         reader_leaves(fleet);
--- a/crates/standins/tests/uploads.rs
+++ b/crates/standins/tests/uploads.rs
@@ -4,8 +4,7 @@
 use std::net::TcpStream;
 use std::time::Duration;
 
-use ebonyloft_router::catalog::Route;
-use ebonyloft_standins::fleet::{Fleet, FleetSpec, config, with_fleet};
+use ebonyloft_standins::fleet::{Fleet, FleetSpec, large_config, with_fleet};
 
 const SECOND: Duration = Duration::from_secs(1);
 /// Port at which gateways reach each other.
@@ -42,13 +41,7 @@
 #[test]
 fn a_weak_vm_sends_one_configuration_at_a_time() {
     with_fleet(FleetSpec { gateways: 1, ..FleetSpec::default() }, async |fleet| {
-        let mut next = config(2, &FleetSpec::default());
-        let route = next.routes[0].clone();
-        next.routes.extend((0..ROUTES).map(|n| {
-            let (name, prefix) = (format!("more-{n}"), format!("/more-{n}/"));
-            Route { name, prefix, ..route.clone() }
-        }));
-        fleet.configure(&next);
+        fleet.configure(&large_config(2, ROUTES));
         compio::time::sleep(2 * SECOND).await;
         let (all, none) = (0, u64::MAX);
         let wanted = format!("{all}.{none}.{none}");
