--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -7,6 +7,7 @@
 pub mod answer;
 pub mod belief;
 pub mod call;
+pub mod digest;
 pub mod ingress;
 pub mod intake;
 pub mod orders;
@@ -37,6 +38,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+use self::digest::Digester;
 use self::shared::Shared;
 use crate::clock::Clock;
 use crate::metrics::{Metrics, Registry};
@@ -61,6 +63,8 @@
     pub file: PathBuf,
     /// Port of the metrics page.
     pub metrics_port: u16,
+    /// Key of the digests of what requests ask for; the same at all gateways.
+    pub digest_key: String,
 }
 
 /// Runs until `stop` resolves and everything under way has ended; `hup` gives a message for each
@@ -74,7 +78,8 @@
     let clock = Clock::default();
     let (metrics, registry) = Metrics::kept(&node.name);
     let rng = ChaCha8Rng::from_os_rng();
-    let shared = Shared::new(node, clock, rng, metrics);
+    let digester = Digester::new(options.digest_key.as_bytes());
+    let shared = Shared::new(node, clock, rng, metrics, digester);
     let node = shared.node();
     let (close, closing) = oneshot::channel();
     start(&shared, &node, &options, registry, closing.shared(), hup).await?;
--- a/crates/daemon/src/gateway/call.rs
+++ b/crates/daemon/src/gateway/call.rs
@@ -195,8 +195,9 @@
     let ms = now.since(sent).as_millis() as u64;
     let Basis { config, roster, age } = shared.basis();
     tracing::info!(
-        id = intake.id(), server = %to.id, ?fate, ms, running = load.map(|l| l.running),
-        waiting = load.map(|l| l.waiting), config, roster, age, "sent"
+        id = intake.id(), content = %intake.content, server = %to.id, ?fate, ms,
+        running = load.map(|l| l.running), waiting = load.map(|l| l.waiting), config, roster,
+        age, "sent"
     );
     (fate, answer)
 }
--- a/crates/daemon/src/gateway/ingress.rs
+++ b/crates/daemon/src/gateway/ingress.rs
@@ -11,6 +11,7 @@
 use ebonyloft_core::verdict::Verdict;
 use ebonyloft_platform::headers;
 use ebonyloft_router::catalog::{Config, Kind, Limits, Route};
+use ebonyloft_router::content::Content;
 use ebonyloft_router::{comeback, routes};
 use futures_channel::oneshot;
 use futures_util::future::{Either, Shared as SharedFuture, select};
@@ -154,14 +155,17 @@
     let Some(service) = choose_service(shared, &config, route) else {
         return Err(refuse(Cause::NoServer));
     };
+    let host = host.to_ascii_lowercase();
     let (parts, body) = req.into_parts();
     let body = match Limited::new(body, config.limits.body).collect().await {
         Ok(body) => body.to_bytes(),
         Err(e) if e.is::<LengthLimitError>() => return Err(refuse(Cause::TooLarge)),
         Err(_) => return Err(refuse(Cause::Malformed)),
     };
+    let content = shared.digester.content(&parts.method, &host, &parts.uri, &body);
     let times = times(shared, came_at, &config.routes[route], &caller);
-    Ok(intake(times, config, route, service, parts, body, caller))
+    let target = Target { config, route, service };
+    Ok(intake(times, target, parts, body, caller, content))
 }
 
 /// Can a request that comes now still end before the process does?
@@ -181,6 +185,13 @@
     goal_at: Moment,
 }
 
+/// Where a request goes: its route in a configuration, and the service chosen for it.
+struct Target {
+    config: Rc<Config>,
+    route: usize,
+    service: String,
+}
+
 fn times(shared: &Shared, came_at: Moment, route: &Route, caller: &headers::Caller) -> Times {
     let patience = caller.patience.unwrap_or(route.timeout);
     let mut deadlines = shared.patience.borrow_mut();
@@ -194,19 +205,20 @@
 
 fn intake(
     times: Times,
-    config: Rc<Config>,
-    route: usize,
-    service: String,
+    target: Target,
     parts: hyper::http::request::Parts,
     body: Bytes,
     caller: headers::Caller,
+    content: Content,
 ) -> Intake {
     let Times { came_at, ends_at, goal_at } = times;
+    let Target { config, route, service } = target;
     Intake {
         method: parts.method,
         uri: parts.uri,
         headers: headers::forwarded(&parts.headers),
         caller,
+        content,
         body,
         config,
         route,
--- a/crates/daemon/src/gateway/intake.rs
+++ b/crates/daemon/src/gateway/intake.rs
@@ -7,6 +7,7 @@
 use ebonyloft_core::time::Moment;
 use ebonyloft_platform::headers::{self, Caller};
 use ebonyloft_router::catalog::{Config, Kind, Route, ServerId};
+use ebonyloft_router::content::Content;
 use http::HeaderMap;
 use hyper::{Method, Request, Uri};
 
@@ -23,6 +24,8 @@
     pub headers: HeaderMap,
     /// What the caller says of it.
     pub caller: Caller,
+    /// Digest of what it asks for.
+    pub content: Content,
     /// The whole body.
     pub body: Bytes,
     /// The configuration by which it is treated, to its end.
--- a/crates/daemon/src/gateway/send.rs
+++ b/crates/daemon/src/gateway/send.rs
@@ -65,6 +65,10 @@
         }
     };
     let reply = headers::reply(response.status(), response.headers());
+    let Reply { status, leaving, pause, .. } = reply;
+    if leaving || pause.is_some() {
+        tracing::info!(id = intake.id(), server = %to.id, status, leaving, ?pause, "answer says");
+    }
     Ok(Head { reply, response, conn })
 }
 
--- a/crates/daemon/src/gateway/shared.rs
+++ b/crates/daemon/src/gateway/shared.rs
@@ -28,6 +28,7 @@
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 
+use super::digest::Digester;
 use super::pool::Pool;
 use super::store::StoreClient;
 use super::stream::lend::Guests;
@@ -56,6 +57,8 @@
     pub clock: Clock,
     /// Settings; replaced when the file changes.
     pub node: RefCell<Rc<Node>>,
+    /// Makes digests of what requests ask for.
+    pub digester: Digester,
     /// Connections.
     pub pool: Rc<Pool>,
     /// The store.
@@ -115,12 +118,19 @@
 
 impl Shared {
     /// State of a process that knows nothing yet.
-    pub fn new(node: Node, clock: Clock, rng: ChaCha8Rng, metrics: Metrics) -> Rc<Self> {
+    pub fn new(
+        node: Node,
+        clock: Clock,
+        rng: ChaCha8Rng,
+        metrics: Metrics,
+        digester: Digester,
+    ) -> Rc<Self> {
         let pool = Rc::new(Pool::new(clock));
         let store = StoreClient::new(pool.clone(), node.store);
         Rc::new(Shared {
             clock,
             node: RefCell::new(Rc::new(node)),
+            digester,
             pool,
             store,
             config: RefCell::default(),
--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -146,8 +146,8 @@
         flight.progress.note(fate);
         arrived |= fate != Fate::Unsent;
         tracing::info!(
-            id = intake.id(), server = %server.id, ?fate, events = splitter.count(),
-            last = splitter.last(), "stream sent"
+            id = intake.id(), content = %intake.content, server = %server.id, ?fate,
+            events = splitter.count(), last = splitter.last(), "stream sent"
         );
         if matches!(fate, Fate::Answered(200)) {
             return Ok(());
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod budget;
 pub mod catalog;
 pub mod comeback;
+pub mod content;
 pub mod delegate;
 pub mod engines;
 pub mod events;
--- a/crates/router/src/outcome.rs
+++ b/crates/router/src/outcome.rs
@@ -1,5 +1,7 @@
 //! What became of one send to a backend server, and what may follow from it.
 
+use std::time::Duration;
+
 use ebonyloft_core::verdict::Verdict;
 
 /// Load that a backend server tells with an answer.
@@ -30,6 +32,19 @@
     pub load: Option<Load>,
     /// The body has an encoding that nobody asked for.
     pub encoded: bool,
+    /// The backend server says that it leaves.
+    pub leaving: bool,
+    /// The backend server wants nothing from this process for a while.
+    pub pause: Option<Pause>,
+}
+
+/// For how long a backend server wants nothing from the process that it answered.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Pause {
+    /// From the answer on.
+    For(Duration),
+    /// It said something that is no time.
+    Unreadable,
 }
 
 /// How one send ended.
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -188,7 +188,11 @@
         let (stop, stopped) = oneshot::channel();
         let (ended, done) = oneshot::channel();
         let ip = node.ip;
-        let options = Options { file: "/nowhere".into(), metrics_port: METRICS_PORT };
+        let options = Options {
+            file: "/nowhere".into(),
+            metrics_port: METRICS_PORT,
+            digest_key: "stand-ins".to_owned(),
+        };
         compio::runtime::spawn(async move {
             let stop = async {
                 let _ = stopped.await;
