--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -4,6 +4,7 @@
 //! them, as on the platform. All tasks run on one thread; what went on is read from the stand-ins.
 
 pub mod caller;
+mod life;
 pub mod peer;
 pub mod runner;
 mod slow;
@@ -171,6 +172,7 @@
             stage,
         };
         let runner = Runner::start(server, spec.clone()).await;
+        runner.keep_registered(&self.store);
         self.store.register(&runner.server.borrow());
         self.runners.push(runner.clone());
         runner
--- a/crates/standins/src/fleet/caller.rs
+++ b/crates/standins/src/fleet/caller.rs
@@ -85,6 +85,20 @@
         self.send(self.summary_request(path, attempt)).await
     }
 
+    /// A request with this body, for a summary or a short call.
+    pub async fn with_body(
+        &self,
+        path: &str,
+        attempt: &str,
+        body: String,
+    ) -> Result<Answer, ExchangeError> {
+        let summary = path.starts_with("/summary");
+        let patience = if summary { self.patience } else { Duration::from_secs(1) };
+        let tokens = summary.then_some((3_000, 2_040));
+        let sent = Sent { host: HOST, path, attempt, patience, tokens, body: body.into() };
+        self.send(serve::request(&sent)).await
+    }
+
     /// The request of a summary.
     pub fn summary_request(&self, path: &str, attempt: &str) -> Request<Bytes> {
         let body = Bytes::from(vec![b'x'; 3_000]);
--- a/crates/standins/src/fleet/runner.rs
+++ b/crates/standins/src/fleet/runner.rs
@@ -4,13 +4,13 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use compio::net::TcpListener;
 use ebonyloft_platform::serve::{self, Answered, RunnerCall, Work};
-use ebonyloft_router::catalog::{Server, Stage};
+use ebonyloft_router::catalog::{Server, ServerId, Stage};
 use ebonyloft_router::outcome::Load;
 use ebonyloftd::gateway::answer::{Body, Broken, full};
 use ebonyloftd::http;
@@ -20,12 +20,22 @@
 use hyper::body::{Frame, Incoming};
 use hyper::{HeaderMap, Request, Response, StatusCode};
 
+use super::life::Life;
+use super::store::Store;
+
 /// Largest request body.
 const BODY_LIMIT: usize = 4 << 20;
 
 /// How long work may take that came without a time.
 const PATIENCE: Duration = Duration::from_secs(30);
 
+/// Begin of a body under which a backend server ends as soon as it runs it; what follows names the content.
+pub const ENDS: &str = "ends servers: ";
+/// The same, and reading its prompt ends an engine too.
+pub const ENDS_READERS: &str = "ends readers: ";
+/// How long after a crash the registration lapses.
+const LEASE: Duration = Duration::from_millis(1_000);
+
 /// How a backend server behaves.
 #[derive(Clone, Debug)]
 pub struct RunnerSpec {
@@ -43,6 +53,10 @@
     pub events: u64,
     /// How long a prompt that was read is kept.
     pub handle_life: Duration,
+    /// Time from the begin of a run until the server ends under it.
+    pub ends_after: Duration,
+    /// How long it is down then.
+    pub down: Duration,
 }
 
 impl Default for RunnerSpec {
@@ -55,6 +69,8 @@
             pace: Duration::from_millis(10),
             events: 20,
             handle_life: Duration::from_millis(500),
+            ends_after: Duration::from_millis(70),
+            down: Duration::from_millis(1_500),
         }
     }
 }
@@ -98,6 +114,12 @@
     pub refused: u64,
     /// Orders, with their fencing tokens.
     pub orders: Vec<(Stage, u64)>,
+    /// Arrivals of content under which servers end, by its name; prompts read only are not counted.
+    pub marked: Vec<(String, Instant)>,
+    /// When a life ended, and under which content.
+    pub ended: Vec<(String, Instant)>,
+    /// When calls of all kinds came that this life took.
+    pub taken: Vec<Instant>,
 }
 
 /// A backend server.
@@ -107,7 +129,16 @@
     /// What it has seen.
     pub seen: RefCell<Seen>,
     spec: RunnerSpec,
+    /// Where it listens; its registration may name a relay before it.
+    addr: SocketAddr,
     fault: Cell<Fault>,
+    /// All its answers say that it leaves.
+    leaving: Cell<bool>,
+    /// Work is turned away; it wants nothing for so many seconds.
+    pause: RefCell<Option<String>>,
+    life: RefCell<Option<Life>>,
+    lives: Cell<u64>,
+    store: RefCell<Option<Rc<Store>>>,
     running: Cell<u32>,
     holds: RefCell<HashMap<String, (u64, Instant)>>,
     handles: RefCell<HashMap<String, Instant>>,
@@ -118,25 +149,84 @@
 impl Runner {
     /// Starts one.
     pub async fn start(server: Server, spec: RunnerSpec) -> Rc<Runner> {
-        let listener = TcpListener::bind(server.addr).await.expect("a free address");
+        let addr = server.addr;
         let runner = Rc::new(Runner {
             server: RefCell::new(server),
+            addr,
             seen: RefCell::default(),
             spec,
             fault: Cell::default(),
+            leaving: Cell::default(),
+            pause: RefCell::default(),
+            life: RefCell::default(),
+            lives: Cell::default(),
+            store: RefCell::default(),
             running: Cell::default(),
             holds: RefCell::default(),
             handles: RefCell::default(),
             used: Cell::default(),
             names: Cell::default(),
         });
-        let me = runner.clone();
-        let handler = move |req| me.clone().handle(req);
-        let never = Rc::new(Cell::new(false));
-        compio::runtime::spawn(http::serve(listener, handler, never)).detach();
+        runner.listen().await;
         runner
     }
 
+    async fn listen(self: &Rc<Self>) {
+        let me = self.clone();
+        let life = Life::begin(self.addr, move |req| me.clone().handle(req)).await;
+        self.life.replace(Some(life));
+    }
+
+    /// Registers there after a crash.
+    pub fn keep_registered(&self, store: &Rc<Store>) {
+        self.store.replace(Some(store.clone()));
+    }
+
+    /// Has all answers say that it leaves.
+    pub fn say_leaving(&self) {
+        self.leaving.set(true);
+    }
+
+    /// Turns work away and wants nothing for so many seconds; none ends that.
+    pub fn want_nothing(&self, seconds: Option<&str>) {
+        self.pause.replace(seconds.map(str::to_owned));
+    }
+
+    /// Ends at once, as a crashed process does, and comes back later in a new life at the same address.
+    pub fn crash(self: &Rc<Self>, under: &str) {
+        let Some(life) = self.life.take() else {
+            return;
+        };
+        self.seen.borrow_mut().ended.push((under.to_owned(), Instant::now()));
+        let me = self.clone();
+        // A task of its own: what is dropped may be the task that runs now.
+        compio::runtime::spawn(async move {
+            drop(life);
+            me.come_back().await;
+        })
+        .detach();
+    }
+
+    async fn come_back(self: Rc<Self>) {
+        let store = self.store.borrow().clone();
+        let before = self.server.borrow().clone();
+        compio::time::sleep(LEASE.min(self.spec.down)).await;
+        if let Some(store) = &store {
+            store.unregister(&before);
+        }
+        compio::time::sleep(self.spec.down.saturating_sub(LEASE)).await;
+        self.holds.borrow_mut().clear();
+        self.handles.borrow_mut().clear();
+        self.lives.set(self.lives.get() + 1);
+        let first = before.id.name.split('+').next().unwrap_or_default();
+        let name = format!("{first}+{}", self.lives.get());
+        self.server.borrow_mut().id = ServerId::new(name, 0);
+        self.listen().await;
+        if let Some(store) = &store {
+            store.register(&self.server.borrow());
+        }
+    }
+
     /// Makes it fail from now on.
     pub fn set_fault(&self, fault: Fault) {
         self.fault.set(fault);
@@ -170,7 +260,27 @@
     async fn handle(self: Rc<Self>, req: Request<Incoming>) -> Response<Body> {
         let (parts, body) = req.into_parts();
         let body = http::read_body(body, BODY_LIMIT).await.unwrap_or_default();
-        match serve::runner_call(&Request::from_parts(parts, body)) {
+        let mark = Mark::of(&body);
+        let (leaving, me) = (self.leaving.get(), self.clone());
+        let call = serve::runner_call(&Request::from_parts(parts, body));
+        let mut response = me.answer(call, mark).await;
+        if leaving {
+            serve::say_leaving(response.headers_mut());
+        }
+        response
+    }
+
+    async fn answer(
+        self: Rc<Self>,
+        call: Option<RunnerCall>,
+        mark: Option<Mark>,
+    ) -> Response<Body> {
+        if let Some(call) = &call
+            && !matches!(call, RunnerCall::DropHold { .. } | RunnerCall::DropHandle { .. })
+        {
+            self.seen.borrow_mut().taken.push(Instant::now());
+        }
+        match call {
             None => response(400, HeaderMap::new(), Vec::new()),
             Some(RunnerCall::Hold { tokens, ttl }) => self.hold(tokens, ttl),
             Some(RunnerCall::DropHold { hold }) => {
@@ -185,17 +295,23 @@
                 self.seen.borrow_mut().orders.push((stage, fence));
                 response(202, HeaderMap::new(), Vec::new())
             }
-            Some(RunnerCall::Work(work)) => self.work(work).await,
+            Some(RunnerCall::Work(work)) => self.work(work, mark).await,
         }
     }
 
-    async fn work(self: Rc<Self>, work: Work) -> Response<Body> {
+    async fn work(self: Rc<Self>, work: Work, mark: Option<Mark>) -> Response<Body> {
         if work.expected.as_ref().is_some_and(|id| id.name != self.server.borrow().id.name) {
             return response(serve::MOVED.as_u16(), serve::rejection(&work.attempt), Vec::new());
         }
         if !work.prefill {
             let mut seen = self.seen.borrow_mut();
             *seen.arrivals.entry(work.attempt.clone()).or_default() += 1;
+            seen.marked.extend(mark.iter().map(|mark| (mark.name.clone(), Instant::now())));
+        }
+        if let Some(seconds) = &*self.pause.borrow() {
+            let mut head = serve::rejection(&work.attempt);
+            serve::say_pause(&mut head, seconds);
+            return response(503, head, Vec::new());
         }
         let full = self.running.get() >= self.spec.slots;
         let turned = self.fault.get() == Fault::Changes && !work.prefill;
@@ -208,13 +324,34 @@
             self.note_run(&attempt);
             return std::future::pending().await;
         }
-        let done =
-            compio::time::timeout(patience.unwrap_or(PATIENCE), self.clone().run(stage, work));
+        let done = compio::time::timeout(
+            patience.unwrap_or(PATIENCE),
+            self.clone().run(stage, work, mark),
+        );
         // Work ends at the time that was sent with it.
         done.await.unwrap_or_else(|_| response(504, self.head(&attempt), Vec::new()))
     }
 
-    async fn run(self: Rc<Self>, stage: Option<Stage>, work: Work) -> Response<Body> {
+    async fn run(
+        self: Rc<Self>,
+        stage: Option<Stage>,
+        work: Work,
+        mark: Option<Mark>,
+    ) -> Response<Body> {
+        if let Some(mark) = mark
+            && (mark.reading || !work.prefill)
+        {
+            let me = self.clone();
+            compio::runtime::spawn(async move {
+                compio::time::sleep(me.spec.ends_after).await;
+                me.crash(&mark.name);
+            })
+            .detach();
+            if stage != Some(Stage::Decode) {
+                return std::future::pending().await;
+            }
+            return silent(self.head(&work.attempt));
+        }
         match (stage, work.prefill) {
             (Some(Stage::Prefill), true) => self.read(work).await,
             (Some(Stage::Decode), false) => self.write(work).await,
@@ -334,6 +471,23 @@
     }
 }
 
+/// Content under which a server ends.
+#[derive(Clone, Debug)]
+struct Mark {
+    name: String,
+    /// Reading its prompt ends an engine too.
+    reading: bool,
+}
+
+impl Mark {
+    fn of(body: &[u8]) -> Option<Mark> {
+        let text = std::str::from_utf8(body).ok()?;
+        let named = |begin| text.strip_prefix(begin).map(|rest: &str| rest.trim_end().to_owned());
+        let runs = named(ENDS).map(|name| Mark { name, reading: false });
+        runs.or_else(|| Some(Mark { name: named(ENDS_READERS)?, reading: true }))
+    }
+}
+
 /// A request that takes a slot and memory.
 struct Run<'a> {
     runner: &'a Runner,
@@ -367,6 +521,14 @@
     response
 }
 
+/// An answer whose body does not come.
+fn silent(headers: HeaderMap) -> Response<Body> {
+    let body = StreamBody::new(futures_util::stream::pending::<Result<Frame<Bytes>, Broken>>());
+    let mut response = Response::new(body.boxed_unsync());
+    *response.headers_mut() = headers;
+    response
+}
+
 /// An answer that ends before its body.
 fn broken(headers: HeaderMap) -> Response<Body> {
     let (mut sender, receiver) = mpsc::channel(1);
