A request under which three servers ended is refused at all gateways

What callers and operators saw: one request, repeated by its caller, ended twenty engines in thirteen seconds, and whatever ran beside it was cut off with them.

Cause: what a request did to servers was kept in the attempt (Progress), and each attempt begins with a clean one, at any gateway.

Why it holds: endings stay with the content's digest, are told to all gateways as facts that count once, and a proved content is refused before anything is spent on it and again right before each send. A loss alone never counts: its server must be seen to have ended. One whole answer clears.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -13,6 +13,7 @@
 pub mod orders;
 pub mod peers;
 pub mod pool;
+pub mod quarantine;
 pub mod register;
 pub mod send;
 pub mod shared;
@@ -128,7 +129,9 @@
     spawn(peers::serve(shared.clone(), peers));
     spawn(peers::tell(shared.clone(), socket.clone()));
     spawn(peers::tell_zones(shared.clone(), socket.clone()));
+    spawn(peers::tell_words(shared.clone(), socket.clone()));
     spawn(peers::hear(shared.clone(), socket));
+    spawn(quarantine::run(shared.clone()));
     spawn(orders::run(shared.clone()));
     spawn(upkeep(shared.clone(), options.file.clone()));
     spawn(hup);
--- a/crates/daemon/src/gateway/answer.rs
+++ b/crates/daemon/src/gateway/answer.rs
@@ -41,6 +41,10 @@
     Overload,
     /// Backend servers turned it away and the budget of extra arrivals is spent.
     Budget,
+    /// Backend servers ended under the same request: it is not sent any more.
+    Quarantined,
+    /// A backend server may have ended under the same request: it is being looked into, or tried.
+    Suspect,
     /// It was sent, and no whole answer came.
     Lost,
     /// The time for it ran out after it was sent.
--- a/crates/daemon/src/gateway/call.rs
+++ b/crates/daemon/src/gateway/call.rs
@@ -13,6 +13,7 @@
 
 use super::answer::{self, Body, Cause};
 use super::intake::Intake;
+use super::quarantine::{self, Run};
 use super::send::{self, Expect, Whole};
 use super::shared::{Basis, Shared};
 
@@ -107,6 +108,10 @@
             cause = Cause::Timeout;
             break;
         }
+        if quarantine::is_proved(shared, &intake.content) {
+            cause = Cause::Quarantined;
+            break;
+        }
         // What failed is tried again only where that takes nobody's place.
         if last.is_some() && !shared.line(&intake.service).has_room(now) {
             break;
@@ -128,6 +133,7 @@
         let (fate, answer) = send_to(shared, intake, &server, limit, flight).await;
         arrived |= fate != Fate::Unsent;
         progress.note(fate);
+        quarantine::note_fate(shared, intake, &server, fate, Run::Call);
         tried.push(server.id.clone());
         match fate {
             Fate::Answered(status) => {
@@ -204,6 +210,7 @@
 
 /// Another life answered at its address.
 pub fn gone(shared: &Shared, id: &ServerId) {
+    quarantine::note_ended(shared, id, "address");
     if shared.roster.borrow_mut().replaced(id) {
         tracing::info!(server = %id, "backend server is gone: another one has its address");
     }
--- a/crates/daemon/src/gateway/ingress.rs
+++ b/crates/daemon/src/gateway/ingress.rs
@@ -25,7 +25,7 @@
 use super::answer::{self, Body, Cause};
 use super::intake::Intake;
 use super::shared::{Basis, Shared};
-use super::{call, stream};
+use super::{call, quarantine, stream};
 use crate::http;
 
 /// Callers' request heads have no more headers than this; a guard for memory.
@@ -248,6 +248,10 @@
 
 /// Hands a request to a task of its own, which outlives the caller for as long as it must clean up.
 async fn work(shared: &Rc<Shared>, intake: Intake) -> Response<Body> {
+    let trial = match quarantine::admit(shared, &intake) {
+        Ok(trial) => trial,
+        Err(refused) => return refused.response(shared.now()),
+    };
     let (token, gone) = oneshot::channel();
     let (reply, answer) = oneshot::channel();
     let task = shared.clone();
@@ -257,6 +261,9 @@
             Kind::Stream => stream::run(&task, intake, gone, reply).await,
             Kind::Idempotent | Kind::Once => call::run(&task, intake, gone, reply).await,
         }
+        if let Some(trial) = trial {
+            trial.close(&task);
+        }
         task.open.set(task.open.get() - 1);
     })
     .detach();
--- a/crates/daemon/src/gateway/pool.rs
+++ b/crates/daemon/src/gateway/pool.rs
@@ -5,6 +5,7 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -81,6 +82,17 @@
     }
 }
 
+/// What a call to an address met.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Reached {
+    /// An answer with this status.
+    Answered(StatusCode),
+    /// Nobody listens there.
+    Refused,
+    /// The connection broke.
+    Broken,
+}
+
 /// An answer whose head has come.
 pub struct Coming {
     conn: Conn,
@@ -177,6 +189,27 @@
         Ok((status, body.freeze()))
     }
 
+    /// A call over a new connection, for what it meets rather than for its answer.
+    pub async fn reach(&self, addr: SocketAddr, mut req: Request<Bytes>) -> Reached {
+        let stream = match TcpStream::connect(addr).await {
+            Ok(stream) => stream,
+            Err(e) if e.kind() == ErrorKind::ConnectionRefused => return Reached::Refused,
+            Err(_) => return Reached::Broken,
+        };
+        let Ok(mut conn) = self.over(addr, stream).await else {
+            return Reached::Broken;
+        };
+        set_host(&mut req, addr);
+        let Ok(response) = conn.exchange(req).await else {
+            return Reached::Broken;
+        };
+        let status = response.status();
+        if response.into_body().collect().await.is_ok() {
+            self.give(conn);
+        }
+        Reached::Answered(status)
+    }
+
     /// Closes idle connections to an address: the life that they led to is over.
     pub fn forget(&self, addr: SocketAddr) {
         self.idle.borrow_mut().remove(&addr);
@@ -206,6 +239,10 @@
 
     async fn open(&self, addr: SocketAddr) -> Result<Conn, ExchangeError> {
         let stream = TcpStream::connect(addr).await.map_err(|_| ExchangeError::Unsent)?;
+        self.over(addr, stream).await
+    }
+
+    async fn over(&self, addr: SocketAddr, stream: TcpStream) -> Result<Conn, ExchangeError> {
         // Small writes would otherwise wait for acknowledgements; nothing breaks without it.
         let _ = stream.set_nodelay(true);
         let io = HyperStream::new_plain(stream);
@@ -223,9 +260,7 @@
         addr: SocketAddr,
         mut req: Request<Bytes>,
     ) -> Result<(Conn, Response<Incoming>), ExchangeError> {
-        if let Ok(host) = addr.to_string().parse() {
-            req.headers_mut().insert(hyper::header::HOST, host);
-        }
+        set_host(&mut req, addr);
         let mut conn = self.take(addr, IDLE_MAX).await?;
         let response = conn.exchange(req).await?;
         Ok((conn, response))
@@ -250,3 +285,9 @@
         }
     }
 }
+
+fn set_host(req: &mut Request<Bytes>, addr: SocketAddr) {
+    if let Ok(host) = addr.to_string().parse() {
+        req.headers_mut().insert(hyper::header::HOST, host);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/quarantine.rs
@@ -0,0 +1,422 @@
+//! Requests under which backend servers end: what is seen of them here, told to all, and acted on.
+//!
+//! What counts is decided in `ebonyloft_router::quarantine` and `losses`. A proved content is also written
+//! to the store, under a lease, so that it outlives the loss of all gateways; a key that was removed says
+//! nothing, since keys lapse with the store. An operator lets a content in again by writing so there.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use compio::time::timeout;
+use ebonyloft_core::time::Moment;
+use ebonyloft_core::verdict::Verdict;
+use ebonyloft_platform::engine;
+use ebonyloft_platform::store::{Item, StoreError, Write};
+use ebonyloft_router::catalog::{Server, ServerId};
+use ebonyloft_router::content::Content;
+use ebonyloft_router::losses::{CALL_WAIT, Found, Loss, STREAM_WAIT};
+use ebonyloft_router::outcome::Fate;
+use ebonyloft_router::quarantine::{Change, Fact, PROVED_LIFE, Standing, Word};
+use futures_util::future::{Either, select};
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
+use serde::{Deserialize, Serialize};
+
+use super::answer::{self, Body, Cause};
+use super::intake::Intake;
+use super::pool::Reached;
+use super::shared::{Basis, Shared};
+use super::watch::Sink;
+use crate::http;
+
+/// Prefix of the keys of proved contents.
+pub const PREFIX: &str = "ebonyloft/quarantine/";
+/// Path by which gateways compare notes.
+pub const PATH: &str = "/quarantine";
+/// Longest wait for a server's sign of life: some hundred times the way between availability zones.
+const SIGN_WAIT: Duration = Duration::from_millis(150);
+/// Longest wait for a peer's notes.
+const NOTES_WAIT: Duration = Duration::from_millis(500);
+/// Largest notes of a peer; twelve thousand contents take less.
+const NOTES_BYTES: usize = 8 << 20;
+/// How long a stream that broke off waits for word whether its engine ended, before it goes on elsewhere.
+const INQUIRY_WAIT: Duration = Duration::from_millis(300);
+/// Pause between two looks at an inquiry that is waited for.
+const INQUIRY_LOOK: Duration = Duration::from_millis(10);
+/// Pause between two rounds of upkeep.
+const UPKEEP: Duration = Duration::from_millis(250);
+/// Tries to write a proved content to the store, each later than the one before.
+const WRITES_MAX: u32 = 5;
+/// Pause before the second of them; doubled with each.
+const WRITE_PAUSE: Duration = Duration::from_millis(500);
+/// Runs that ended this soon behind their first event had only just begun.
+pub const EARLY: Duration = Duration::from_millis(1_000);
+
+/// A content as it stands in the store.
+#[derive(Debug, Default, Deserialize, Serialize)]
+struct Record {
+    /// Servers that ended under it.
+    servers: Vec<String>,
+    /// The gateway that wrote it.
+    by: String,
+    /// An operator lets it in again.
+    #[serde(default)]
+    release: bool,
+}
+
+/// The only try of a suspected content in the system.
+pub struct Trial(Content);
+
+impl Trial {
+    /// Others may try it again, if anybody may.
+    pub fn close(self, shared: &Shared) {
+        tell(shared, self.0, Fact::Over);
+    }
+}
+
+/// Why a request is not sent, and until when.
+#[derive(Clone, Copy, Debug)]
+pub struct Refused {
+    cause: Cause,
+    until: Moment,
+}
+
+impl Refused {
+    /// The caller's answer: it has not run, and is worth sending again then.
+    pub fn response(self, now: Moment) -> Response<Body> {
+        answer::refusal(self.cause, Verdict::NotRun, Some(self.until.since(now)))
+    }
+}
+
+/// May this request be sent at all? One that may not is answered at once.
+pub fn admit(shared: &Shared, intake: &Intake) -> Result<Option<Trial>, Refused> {
+    let now = shared.now();
+    let standing = shared.quarantine.borrow().standing(now, &intake.content);
+    let (cause, until) = match standing {
+        Standing::Free => return Ok(None),
+        Standing::Suspect => {
+            tell(shared, intake.content, Fact::Trying);
+            return Ok(Some(Trial(intake.content)));
+        }
+        Standing::Held(until) => (Cause::Suspect, until),
+        Standing::Proved(until) => (Cause::Quarantined, until),
+    };
+    let endings = shared.quarantine.borrow().endings(&intake.content).len();
+    let Basis { config, roster, age } = shared.basis();
+    let ms = until.since(now).as_millis() as u64;
+    tracing::info!(
+        id = intake.id(), content = %intake.content, ?cause, endings, ms, config, roster, age,
+        "request refused: servers ended under it"
+    );
+    shared.metrics.count("gateway.quarantine.refused", 1);
+    Err(Refused { cause, until })
+}
+
+/// Is a content proved by now? Asked again before each send, since it may have waited.
+pub fn is_proved(shared: &Shared, content: &Content) -> bool {
+    let standing = shared.quarantine.borrow().standing(shared.now(), content);
+    matches!(standing, Standing::Proved(_))
+}
+
+/// How a run that broke off had begun.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Run {
+    /// A stream or a prompt, which had only just begun.
+    Begun,
+    /// A stream that had gone on for a while.
+    Advanced,
+    /// A short call.
+    Call,
+}
+
+/// A run broke off, or no answer came: whether its server ended is looked into.
+pub fn note_loss(shared: &Shared, intake: &Intake, server: &Server, run: Run) {
+    // Who leaves ends; that is nobody's fault.
+    if shared.roster.borrow().has_left(&server.id.name) {
+        return;
+    }
+    let now = shared.now();
+    let early = run != Run::Advanced;
+    let wait = if run == Run::Call { CALL_WAIT } else { STREAM_WAIT };
+    let loss = Loss { content: intake.content, early, at: now };
+    shared.losses.borrow_mut().lost(server, loss, wait);
+    if run == Run::Begun {
+        tell(shared, intake.content, Fact::Lost);
+    }
+    shared.inquiries.wake_all();
+}
+
+/// A send ended: one that broke off is looked into, a whole answer clears its content.
+pub fn note_fate(shared: &Shared, intake: &Intake, server: &Server, fate: Fate, run: Run) {
+    match fate {
+        Fate::Lost => note_loss(shared, intake, server, run),
+        Fate::Answered(status) if status < 500 => served(shared, &intake.content),
+        Fate::Answered(_) | Fate::Moved | Fate::Rejected | Fate::Unsent => {}
+    }
+}
+
+fn served(shared: &Shared, content: &Content) {
+    let known = shared.quarantine.borrow().is_known(content);
+    if known {
+        tell(shared, *content, Fact::Served);
+    }
+}
+
+/// Waits until it is known whether the server ended at which a run of this content broke off, but not for
+/// long.
+pub async fn settled(shared: &Shared, content: &Content) {
+    let until = shared.now().after(INQUIRY_WAIT);
+    while shared.now() < until && shared.losses.borrow().is_open(content) {
+        compio::time::sleep(INQUIRY_LOOK).await;
+    }
+}
+
+/// A server answered what was sent at `sent`.
+pub fn note_alive(shared: &Shared, id: &ServerId, sent: Moment) {
+    let cleared = shared.losses.borrow_mut().alive(id, sent);
+    let early = cleared.iter().filter(|loss| loss.early);
+    early.for_each(|loss| tell(shared, loss.content, Fact::Over));
+}
+
+/// A life of a server has ended without having said that it leaves.
+pub fn note_ended(shared: &Shared, id: &ServerId, how: &'static str) {
+    let losses = shared.losses.borrow_mut().ended(id);
+    blame(shared, id, losses, how);
+}
+
+/// The registration of a name is gone, or names another life now.
+pub fn note_gone(shared: &Shared, name: &str) {
+    let current = shared.roster.borrow().named(name).map(|s| s.id.clone());
+    let ended = shared.losses.borrow_mut().ended_but(name, current.as_ref());
+    for (id, losses) in ended {
+        blame(shared, &id, losses, "registration");
+    }
+}
+
+fn blame(shared: &Shared, id: &ServerId, losses: Vec<Loss>, how: &'static str) {
+    for loss in losses {
+        let age = shared.now().since(loss.at).as_millis() as u64;
+        tracing::info!(
+            content = %loss.content, server = %id, early = loss.early, how, age,
+            "backend server ended under a request"
+        );
+        let fact = Fact::Ended(id.clone(), loss.early);
+        note(shared, Word { content: loss.content, age, fact });
+        if loss.early {
+            tell(shared, loss.content, Fact::Over);
+        }
+    }
+}
+
+fn tell(shared: &Shared, content: Content, fact: Fact) {
+    note(shared, Word { content, age: 0, fact });
+}
+
+/// Takes what happened here and has it told to all.
+fn note(shared: &Shared, word: Word) {
+    take(shared, &word, None);
+    shared.words.borrow_mut().push(word);
+    shared.inquiries.wake_all();
+}
+
+/// Takes what happened here, or what a peer told.
+pub fn take(shared: &Shared, word: &Word, peer: Option<&str>) {
+    let change = shared.quarantine.borrow_mut().take(shared.now(), word);
+    let (content, fact, age) = (word.content, &word.fact, word.age);
+    match change {
+        Change::Nothing => {}
+        Change::Suspected => {
+            let endings = shared.quarantine.borrow().endings(&content).len();
+            tracing::info!(%content, ?fact, age, peer, endings, "content suspected");
+        }
+        Change::Proved => {
+            let quarantine = shared.quarantine.borrow();
+            let ended = quarantine.endings(&content).iter().map(|e| e.server.to_string());
+            let servers = ended.collect::<Vec<_>>().join(" ");
+            tracing::warn!(%content, ?fact, age, peer, servers, "content proved");
+            shared.metrics.count("gateway.quarantine.proved", 1);
+            if peer.is_none() || is_first(shared) {
+                shared.proofs.borrow_mut().push(content);
+            }
+        }
+        Change::Cleared => tracing::info!(%content, ?fact, age, peer, "content cleared"),
+    }
+}
+
+/// Does this gateway come first of all? It writes what is proved only by what several others saw.
+fn is_first(shared: &Shared) -> bool {
+    shared.fleet.borrow().all().keys().next() == Some(&shared.node().name)
+}
+
+/// Looks into losses, writes proofs to the store, forgets what is over.
+pub async fn run(shared: Rc<Shared>) {
+    loop {
+        let now = shared.now();
+        let asks = shared.losses.borrow().next_ask().map_or(UPKEEP, |at| at.since(now));
+        let timer = std::pin::pin!(compio::time::sleep(asks.min(UPKEEP)));
+        if let Either::Left(_) = select(shared.inquiries.wake(), timer).await {
+            continue_asks(&shared);
+            continue;
+        }
+        continue_asks(&shared);
+        upkeep(&shared);
+    }
+}
+
+fn continue_asks(shared: &Rc<Shared>) {
+    for (id, addr) in shared.losses.borrow_mut().ask(shared.now()) {
+        compio::runtime::spawn(ask(shared.clone(), id, addr)).detach();
+    }
+    for content in shared.proofs.take() {
+        compio::runtime::spawn(write(shared.clone(), content)).detach();
+    }
+}
+
+fn upkeep(shared: &Shared) {
+    let now = shared.now();
+    for (server, loss) in shared.losses.borrow_mut().expire(now) {
+        tracing::info!(content = %loss.content, %server, "not known whether the server ended");
+    }
+    for content in shared.quarantine.borrow_mut().expire(now) {
+        tracing::info!(%content, "content forgotten");
+    }
+    shared.drift.borrow_mut().expire(now);
+    let (suspects, proved) = shared.quarantine.borrow().counts();
+    shared.metrics.gauge("gateway.quarantine.suspects", suspects as u64);
+    shared.metrics.gauge("gateway.quarantine.contents", proved as u64);
+}
+
+/// Asks a server for a sign of life.
+async fn ask(shared: Rc<Shared>, id: ServerId, addr: SocketAddr) {
+    let sent = shared.now();
+    let reached = timeout(SIGN_WAIT, shared.pool.reach(addr, engine::report(&id))).await;
+    let found = match reached {
+        Ok(Reached::Answered(StatusCode::MISDIRECTED_REQUEST)) => Found::Other,
+        Ok(Reached::Answered(_)) => Found::Alive,
+        Ok(Reached::Refused) => Found::Nobody,
+        Ok(Reached::Broken) | Err(_) => Found::Silence,
+    };
+    let ended = shared.losses.borrow_mut().found(&id, found);
+    tracing::info!(server = %id, ?found, ended, "sign of life asked for");
+    shared.metrics.count("gateway.quarantine.asked", 1);
+    if found == Found::Alive {
+        note_alive(&shared, &id, sent);
+    }
+    if ended {
+        note_ended(&shared, &id, if found == Found::Other { "address" } else { "port" });
+    }
+}
+
+/// Writes a proved content to the store; another gateway may have done so.
+async fn write(shared: Rc<Shared>, content: Content) {
+    let mut pause = WRITE_PAUSE;
+    for _ in 0..WRITES_MAX {
+        match try_write(&shared, content).await {
+            Ok(()) | Err(StoreError::Conflict) => return,
+            Err(e) => tracing::info!(%content, error = %e, "proof not written"),
+        }
+        compio::time::sleep(pause.mul_f64(0.5 + shared.draw())).await;
+        pause *= 2;
+    }
+}
+
+async fn try_write(shared: &Shared, content: Content) -> Result<(), StoreError> {
+    let key = format!("{PREFIX}{:016x}{:016x}", content.0, content.1);
+    let ended = shared.quarantine.borrow().endings(&content).to_vec();
+    let servers = ended.iter().map(|e| e.server.to_string()).collect();
+    let record = Record { servers, by: shared.node().name.clone(), release: false };
+    let value = serde_json::to_vec(&record).expect("plain strings serialise");
+    let lease = shared.store.lease(PROVED_LIFE).await?;
+    let write = Write { key: &key, value: &value, lease: lease.id };
+    let written = shared.store.txn(&[(&key, 0)], &[write]).await;
+    if matches!(written, Err(StoreError::Conflict)) {
+        shared.store.end(lease.id).await?;
+    }
+    written.map(drop)
+}
+
+/// Takes proved contents from the store.
+pub struct ProofSink(pub Rc<Shared>);
+
+impl Sink for ProofSink {
+    fn replace(&self, items: Vec<Item>, _revision: u64) {
+        items.into_iter().for_each(|item| self.apply(item));
+    }
+
+    fn apply(&self, item: Item) {
+        let Some(content) = item.key.strip_prefix(PREFIX).and_then(parse) else {
+            return;
+        };
+        let Some(value) = item.value else {
+            return;
+        };
+        let fact = match serde_json::from_slice::<Record>(&value) {
+            Ok(Record { release: true, .. }) => Fact::Released,
+            Ok(_) => Fact::Proved,
+            Err(e) => {
+                let revision = item.revision;
+                return tracing::warn!(key = item.key, revision, error = %e, "proof unread");
+            }
+        };
+        if fact == Fact::Proved && is_proved(&self.0, &content) {
+            return;
+        }
+        take(&self.0, &Word { content, age: 0, fact }, Some("store"));
+    }
+}
+
+fn parse(digits: &str) -> Option<Content> {
+    let all = u128::from_str_radix(digits, 16).ok().filter(|_| digits.len() == 32)?;
+    Some(Content::of(all.to_be_bytes()))
+}
+
+/// A peer told the sum over what it knows: if it differs for long, notes are compared.
+pub fn compare(shared: &Rc<Shared>, peer: &str, from: SocketAddr, sum: u64) {
+    let now = shared.now();
+    let same = sum == shared.quarantine.borrow().sum();
+    if shared.drift.borrow_mut().hear(now, peer, same) {
+        compio::runtime::spawn(exchange(shared.clone(), from)).detach();
+    }
+}
+
+async fn exchange(shared: Rc<Shared>, peer: SocketAddr) {
+    let table = shared.quarantine.borrow().table(shared.now());
+    let mut bytes = Vec::new();
+    if let Err(e) = ciborium::into_writer(&table, &mut bytes) {
+        return tracing::error!(error = %e, "notes not encoded");
+    }
+    let mut req = Request::new(Bytes::from(bytes));
+    *req.method_mut() = Method::POST;
+    *req.uri_mut() = PATH.parse().expect("a fixed path is valid");
+    match shared.pool.call(peer, req, NOTES_WAIT).await {
+        Ok((StatusCode::OK, body)) => take_all(&shared, &body, &peer.to_string()),
+        Ok((status, _)) => tracing::debug!(%peer, %status, "peer has no notes"),
+        Err(e) => tracing::debug!(%peer, error = %e, "notes not compared"),
+    }
+}
+
+fn take_all(shared: &Shared, bytes: &[u8], peer: &str) {
+    match ciborium::from_reader::<Vec<Word>, _>(bytes) {
+        Ok(words) => words.iter().for_each(|word| take(shared, word, Some(peer))),
+        Err(e) => tracing::warn!(peer, error = %e, "notes unread"),
+    }
+}
+
+/// Answers a peer that compares notes.
+pub async fn answer(shared: Rc<Shared>, req: Request<Incoming>) -> Response<http::Body> {
+    let status = |status| http::response(status, "text/plain", http::full(""));
+    let Some(body) = http::read_body(req.into_body(), NOTES_BYTES).await else {
+        return status(StatusCode::BAD_REQUEST);
+    };
+    take_all(&shared, &body, "asking");
+    let mut bytes = Vec::new();
+    match ciborium::into_writer(&shared.quarantine.borrow().table(shared.now()), &mut bytes) {
+        Ok(()) => http::response(StatusCode::OK, "application/cbor", http::full(bytes)),
+        Err(e) => {
+            tracing::error!(error = %e, "notes not encoded");
+            status(StatusCode::INTERNAL_SERVER_ERROR)
+        }
+    }
+}
--- a/crates/daemon/src/gateway/send.rs
+++ b/crates/daemon/src/gateway/send.rs
@@ -12,6 +12,7 @@
 
 use super::intake::Intake;
 use super::pool::{Conn, ExchangeError, IDLE_MAX, IDLE_MAX_ONCE};
+use super::quarantine;
 use super::shared::Shared;
 
 /// The head of an answer, and the connection that its body comes on.
@@ -57,6 +58,12 @@
         shared.pool.give(conn);
         return Err(Fate::Unsent);
     }
+    if quarantine::is_proved(shared, &intake.content) {
+        tracing::info!(id = intake.id(), content = %intake.content, server = %to.id, "not sent: proved");
+        shared.pool.give(conn);
+        return Err(Fate::Unsent);
+    }
+    let sent = shared.now();
     let response = match conn.exchange(req).await {
         Ok(response) => response,
         Err(e) => {
@@ -65,6 +72,9 @@
         }
     };
     let reply = headers::reply(response.status(), response.headers());
+    if !reply.moved {
+        quarantine::note_alive(shared, &to.id, sent);
+    }
     let Reply { status, leaving, pause, .. } = reply;
     if leaving || pause.is_some() {
         tracing::info!(id = intake.id(), server = %to.id, status, leaving, ?pause, "answer says");
--- a/crates/daemon/src/gateway/shared.rs
+++ b/crates/daemon/src/gateway/shared.rs
@@ -10,17 +10,21 @@
 use ebonyloft_core::time::Moment;
 use ebonyloft_router::budget::Budget;
 use ebonyloft_router::catalog::{Config, ServerId};
+use ebonyloft_router::content::Content;
 use ebonyloft_router::delegate::{Link, Role};
+use ebonyloft_router::drift::Drift;
 use ebonyloft_router::engines::Engines;
 use ebonyloft_router::fleet::Fleet;
 use ebonyloft_router::freshness::Freshness;
 use ebonyloft_router::learned::{Learned, Service};
 use ebonyloft_router::line::Line;
+use ebonyloft_router::losses::Losses;
 use ebonyloft_router::node::Node;
 use ebonyloft_router::patience::Patience;
 use ebonyloft_router::plain::Plain;
 use ebonyloft_router::prefill::Paces;
 use ebonyloft_router::pulls::Pulls;
+use ebonyloft_router::quarantine::{Quarantine, Word};
 use ebonyloft_router::roster::Roster;
 use ebonyloft_router::share::{Shares, Work};
 use ebonyloft_router::zones::{self, Digests, Scope};
@@ -99,6 +103,18 @@
     pub pulls: RefCell<Pulls>,
     /// Configurations on their way to peers.
     pub uploads: Uploads,
+    /// Contents under which backend servers ended.
+    pub quarantine: RefCell<Quarantine>,
+    /// Losses of which it is not known yet whether their servers ended.
+    pub losses: RefCell<Losses>,
+    /// Wakes who looks into them.
+    pub inquiries: Waiters,
+    /// What all gateways should hear of contents.
+    pub words: RefCell<Vec<Word>>,
+    /// Contents proved here that the store should know.
+    pub proofs: RefCell<Vec<Content>>,
+    /// Since when peers know something else of contents.
+    pub drift: RefCell<Drift>,
     /// Nobody is known to hold the right to order engines.
     pub lock_free: Cell<bool>,
     /// Engines that this process ordered to change their stage and that have not yet.
@@ -151,6 +167,12 @@
             role: RefCell::new(Role::new(clock.now())),
             pulls: RefCell::default(),
             uploads: Uploads::default(),
+            quarantine: RefCell::default(),
+            losses: RefCell::default(),
+            inquiries: Waiters::default(),
+            words: RefCell::default(),
+            proofs: RefCell::default(),
+            drift: RefCell::default(),
             lock_free: Cell::new(true),
             changing: RefCell::default(),
             stopping: Cell::default(),
--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -32,6 +32,7 @@
 use super::answer::{self, Body, Cause};
 use super::call;
 use super::intake::Intake;
+use super::quarantine::{self, Run};
 use super::send::{self, Head};
 use super::shared::{Basis, Shared};
 
@@ -132,6 +133,10 @@
     let mut cause = Cause::NoServer;
     let mut arrived = false;
     while flight.progress.may_send() {
+        if quarantine::is_proved(shared, &intake.content) {
+            cause = Cause::Quarantined;
+            break;
+        }
         if arrived && !shared.spend(&intake.service) {
             cause = Cause::Budget;
             break;
@@ -141,9 +146,12 @@
             None => plain(shared, intake, &tried).ok_or(Stop::Refused(cause, None))?,
         };
         flight.progress.begin();
+        flight.advanced_at = None;
         let (fate, answer) = attempt(shared, intake, &server, flight, out, &mut splitter).await;
         let now = shared.now();
         flight.progress.note(fate);
+        let run = flight.run(now);
+        quarantine::note_fate(shared, intake, &server, fate, run);
         arrived |= fate != Fate::Unsent;
         tracing::info!(
             id = intake.id(), content = %intake.content, server = %server.id, ?fate,
@@ -172,6 +180,9 @@
             }
         }
         splitter.restart();
+        if (fate, run) == (Fate::Lost, Run::Begun) {
+            quarantine::settled(shared, &intake.content).await;
+        }
     }
     match failure {
         Some(answer) => Err(Stop::Failed(Box::new(answer))),
--- a/crates/daemon/src/gateway/stream/flight.rs
+++ b/crates/daemon/src/gateway/stream/flight.rs
@@ -14,6 +14,7 @@
 use hyper::{HeaderMap, Request};
 
 use super::spill::Loan;
+use crate::gateway::quarantine::{EARLY, Run};
 use crate::gateway::shared::Shared;
 
 /// Longest wait for a reservation or a handle to be given back; both also lapse by themselves.
@@ -63,6 +64,8 @@
     pub reads: u32,
     /// Tokens of the answer made so far.
     pub made: u64,
+    /// When the first event of the present run came.
+    pub advanced_at: Option<Moment>,
     /// Longest pause before an event, the first one after the head of the answer included.
     pub pause: Duration,
 }
@@ -79,10 +82,19 @@
             source: None,
             reads: 0,
             made: 0,
+            advanced_at: None,
             pause: Duration::ZERO,
         }
     }
 
+    /// How far the present run has come.
+    pub fn run(&self, now: Moment) -> Run {
+        match self.advanced_at {
+            Some(at) if now >= at.after(EARLY) => Run::Advanced,
+            _ => Run::Begun,
+        }
+    }
+
     /// Names the place and the prompt in the request for the engine.
     pub fn decorate(&self, headers: &mut HeaderMap) {
         if let Some(hold) = self.place.as_ref().and_then(|p| p.hold.as_deref()) {
--- a/crates/daemon/src/gateway/stream/pass.rs
+++ b/crates/daemon/src/gateway/stream/pass.rs
@@ -65,6 +65,7 @@
             return;
         }
         let (shared, now) = (self.shared, self.shared.now());
+        self.flight.advanced_at.get_or_insert(now);
         let pause = now.since(self.last);
         self.flight.pause = self.flight.pause.max(pause);
         self.last = now;
--- a/crates/daemon/src/gateway/stream/read.rs
+++ b/crates/daemon/src/gateway/stream/read.rs
@@ -12,6 +12,7 @@
 use super::flight::{Flight, Source};
 use crate::gateway::call;
 use crate::gateway::intake::Intake;
+use crate::gateway::quarantine::{self, Run};
 use crate::gateway::send::{self, Expect};
 use crate::gateway::shared::{Basis, Shared};
 
@@ -158,6 +159,9 @@
     }
     engines.fault(done, &reader.id);
     drop(engines);
+    if fate == Fate::Lost {
+        quarantine::note_loss(shared, intake, reader, Run::Begun);
+    }
     match fate {
         Fate::Moved => {
             call::gone(shared, &reader.id);
--- a/crates/daemon/src/gateway/watch.rs
+++ b/crates/daemon/src/gateway/watch.rs
@@ -15,8 +15,8 @@
 use ebonyloft_platform::{config, servers};
 use ebonyloft_router::roster::{Change, Effect, Entry};
 
-use super::register;
 use super::shared::Shared;
+use super::{quarantine, register};
 
 /// First pause after a failed call; doubled with each further failure.
 const PAUSE_MIN: Duration = Duration::from_millis(60);
@@ -172,6 +172,7 @@
         Prefixes(vec![
             (CONFIG_PREFIX, Box::new(ConfigSink(shared.clone()))),
             (servers::PREFIX, Box::new(RosterSink(shared.clone()))),
+            (quarantine::PREFIX, Box::new(quarantine::ProofSink(shared.clone()))),
             (register::PREFIX, Box::new(register::FleetSink(shared.clone()))),
         ])
     }
@@ -275,6 +276,10 @@
     if let (Effect::Reborn, Some((addr, _))) = (effect, known) {
         shared.pool.forget(addr);
     }
+    match effect {
+        Effect::Gone | Effect::Reborn => quarantine::note_gone(shared, name),
+        _ => {}
+    }
     let born = known.map(|(_, born)| born);
     tracing::info!(server = name, ?effect, born, revision, "backend server");
 }
--- /dev/null
+++ b/crates/router/src/drift.rs
@@ -0,0 +1,46 @@
+//! When to compare notes with a peer that knows something else.
+//!
+//! News is told at once, but a datagram may be lost, a VM cut off, a process new. Peers tell a sum of what
+//! they know with what they tell anyway; only a difference that lasts is worth a call.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use ebonyloft_core::time::Moment;
+
+/// How long sums must differ: what was told by datagram is on its way to one of both for less.
+const LASTS: Duration = Duration::from_millis(400);
+/// Shortest time between two calls, whomever they go to.
+const GAP: Duration = Duration::from_millis(400);
+/// A peer that was not heard for longer is forgotten.
+const FORGET: Duration = Duration::from_secs(10);
+
+/// Since when each peer's sum differs from this process's.
+#[derive(Clone, Debug, Default)]
+pub struct Drift {
+    since: HashMap<String, (Moment, Moment)>,
+    next_at: Moment,
+}
+
+impl Drift {
+    /// A peer told its sum; true when notes should be compared with it now.
+    pub fn hear(&mut self, now: Moment, peer: &str, same: bool) -> bool {
+        if same {
+            self.since.remove(peer);
+            return false;
+        }
+        let (since, heard_at) = self.since.entry(peer.to_owned()).or_insert((now, now));
+        *heard_at = now;
+        if now < since.after(LASTS) || now < self.next_at {
+            return false;
+        }
+        *since = now;
+        self.next_at = now.after(GAP);
+        true
+    }
+
+    /// Forgets peers that fell silent.
+    pub fn expire(&mut self, now: Moment) {
+        self.since.retain(|_, (_, heard_at)| heard_at.after(FORGET) > now);
+    }
+}
--- a/crates/router/src/share.rs
+++ b/crates/router/src/share.rs
@@ -12,6 +12,7 @@
 use crate::catalog::ServerId;
 use crate::delegate::{Link, SILENT};
 use crate::forecast::Profile;
+use crate::quarantine::Word;
 use crate::zones::Digest;
 
 /// Pause between two datagrams to each peer while there is work: a tenth of the delay with which
@@ -108,14 +109,24 @@
     /// The sender's work, by backend server.
     #[serde(rename = "w")]
     pub work: BTreeMap<ServerId, Work>,
+    /// Sum over what the sender knows of contents under which servers ended.
+    #[serde(rename = "t", default, skip_serializing_if = "is_zero")]
+    pub quarantine: u64,
     /// What a delegate heard of other availability zones.
     #[serde(rename = "d", default, skip_serializing_if = "Vec::is_empty")]
     pub digests: Vec<Digest>,
 }
 
+/// Left out on the way: most gateways know of no such content most of the time.
+pub(crate) fn is_zero(sum: &u64) -> bool {
+    *sum == 0
+}
+
 /// A datagram between entries.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum News {
+    /// To all gateways, at once: of contents under which servers end.
+    Words(Vec<Word>),
     /// To those who share engines.
     Share(Share),
     /// To another availability zone.
--- a/crates/router/src/zones.rs
+++ b/crates/router/src/zones.rs
@@ -17,6 +17,7 @@
 
 use crate::engines::SCARCE;
 use crate::fleet::Fleet;
+use crate::share::is_zero;
 
 /// Gateways from which on zones decide for themselves. Below, what all tell all costs less than what is
 /// gained by sharing all engines: some thirty gateways send 0.02 of what their callers are worth.
@@ -89,6 +90,9 @@
     /// Revision up to which it knows the gateways.
     #[serde(rename = "g")]
     pub fleet: u64,
+    /// Sum over what it knows of contents under which servers ended.
+    #[serde(rename = "t", default, skip_serializing_if = "is_zero")]
+    pub quarantine: u64,
     /// Its zone's engines, by service.
     #[serde(rename = "e")]
     pub rooms: Vec<Room>,
--- /dev/null
+++ b/crates/router/tests/losses.rs
@@ -0,0 +1,132 @@
+//! Whether a server ended when an answer broke off, and when to compare notes.
+
+use std::time::Duration;
+
+use ebonyloft_core::time::Moment;
+use ebonyloft_router::catalog::{Server, ServerId};
+use ebonyloft_router::content::Content;
+use ebonyloft_router::drift::Drift;
+use ebonyloft_router::losses::{ASK_GAP, CALL_WAIT, Found, LOSS_LIFE, Loss, Losses, STREAM_WAIT};
+
+const NOW: Moment = Moment::from_millis(1_000_000);
+
+fn server(name: &str) -> Server {
+    Server {
+        id: ServerId::new(name, 0),
+        service: "s".into(),
+        addr: ([127, 0, 0, 1], 1).into(),
+        zone: "z".into(),
+        slots: 4,
+        draining: false,
+        stage: None,
+    }
+}
+
+fn loss(content: u64, at: Moment) -> Loss {
+    Loss { content: Content(content, 0), early: true, at }
+}
+
+fn asked(losses: &mut Losses, now: Moment) -> Vec<String> {
+    losses.ask(now).into_iter().map(|(id, _)| id.name).collect()
+}
+
+#[test]
+fn a_server_that_answers_later_did_not_end() {
+    let mut losses = Losses::default();
+    losses.lost(&server("a"), loss(1, NOW), STREAM_WAIT);
+    // It was sent before: the server may have answered and then ended.
+    let before = NOW.before(Duration::from_millis(1));
+    assert_eq!(losses.alive(&ServerId::new("a", 0), before), []);
+    assert!(losses.is_open(&Content(1, 0)));
+    assert_eq!(losses.alive(&ServerId::new("a", 0), NOW), [loss(1, NOW)]);
+    assert!(!losses.is_open(&Content(1, 0)));
+    assert_eq!(losses.ended(&ServerId::new("a", 0)), []);
+}
+
+#[test]
+fn a_server_is_asked_soon_for_streams_and_later_for_calls() {
+    let mut losses = Losses::default();
+    losses.lost(&server("a"), loss(1, NOW), STREAM_WAIT);
+    losses.lost(&server("b"), loss(2, NOW), CALL_WAIT);
+    assert!(asked(&mut losses, NOW).is_empty());
+    assert_eq!(losses.next_ask(), Some(NOW.after(STREAM_WAIT)));
+    assert_eq!(asked(&mut losses, NOW.after(STREAM_WAIT)), ["a"]);
+    assert!(asked(&mut losses, NOW.after(STREAM_WAIT)).is_empty(), "one question at a time");
+    assert_eq!(asked(&mut losses, NOW.after(CALL_WAIT)), ["a", "b"]);
+}
+
+/// A server with too many connections turns one away too.
+#[test]
+fn nobody_must_listen_twice() {
+    let (mut losses, id) = (Losses::default(), ServerId::new("a", 0));
+    losses.lost(&server("a"), loss(1, NOW), STREAM_WAIT);
+    assert!(!losses.found(&id, Found::Nobody));
+    losses.alive(&id, NOW.before(Duration::from_millis(1)));
+    assert!(!losses.found(&id, Found::Nobody), "it answered in between");
+    assert!(losses.found(&id, Found::Nobody));
+    assert_eq!(losses.ended(&id), [loss(1, NOW)]);
+}
+
+#[test]
+fn another_life_at_its_address_is_enough() {
+    let (mut losses, id) = (Losses::default(), ServerId::new("a", 0));
+    losses.lost(&server("a"), loss(1, NOW), STREAM_WAIT);
+    assert!(!losses.found(&id, Found::Silence));
+    assert!(losses.found(&id, Found::Other));
+}
+
+#[test]
+fn a_new_life_of_a_name_ends_the_one_before_only() {
+    let mut losses = Losses::default();
+    let (old, new) = (ServerId::new("a", 1), ServerId::new("a", 2));
+    for id in [&old, &new] {
+        losses.lost(&Server { id: id.clone(), ..server("a") }, loss(1, NOW), STREAM_WAIT);
+    }
+    losses.lost(&server("b"), loss(2, NOW), STREAM_WAIT);
+    assert_eq!(losses.ended_but("a", Some(&new)), [(old, vec![loss(1, NOW)])]);
+    assert_eq!(losses.ended_but("a", None), [(new, vec![loss(1, NOW)])]);
+    assert!(losses.is_open(&Content(2, 0)));
+}
+
+/// A path that is silent says nothing, and neither does the time that passes.
+#[test]
+fn what_is_not_learned_in_time_proves_nothing() {
+    let mut losses = Losses::default();
+    losses.lost(&server("a"), loss(1, NOW), STREAM_WAIT);
+    let mut questions = 0;
+    let mut now = NOW;
+    while now < NOW.after(LOSS_LIFE) {
+        questions += asked(&mut losses, now).len();
+        assert_eq!(losses.expire(now), []);
+        now = now.after(ASK_GAP / 3);
+    }
+    assert!(questions <= 8, "{questions}");
+    assert_eq!(losses.expire(now), [(ServerId::new("a", 0), loss(1, NOW))]);
+    assert_eq!(losses.ended(&ServerId::new("a", 0)), []);
+}
+
+#[test]
+fn notes_are_compared_with_a_peer_that_differs_for_long() {
+    let (mut drift, step) = (Drift::default(), Duration::from_millis(100));
+    let at = |n: u32| NOW.after(step * n);
+    assert!(!drift.hear(at(0), "a", false));
+    assert!(!drift.hear(at(3), "a", false));
+    assert!(!drift.hear(at(4), "a", true), "what was on its way came");
+    assert!(!drift.hear(at(5), "a", false));
+    assert!(!drift.hear(at(5), "b", false));
+    assert!(drift.hear(at(10), "a", false));
+    assert!(!drift.hear(at(10), "b", false), "one call at a time");
+    assert!(drift.hear(at(15), "b", false));
+}
+
+/// Half of the fleet knows, the other half does not: peers that know the same hide no difference.
+#[test]
+fn peers_that_agree_hide_no_difference() {
+    let (mut drift, step) = (Drift::default(), Duration::from_millis(100));
+    let mut called = false;
+    for n in 0..10 {
+        called |= drift.hear(NOW.after(step * n), "other", false);
+        drift.hear(NOW.after(step * n), "same", true);
+    }
+    assert!(called);
+}
--- a/crates/standins/src/fleet/store.rs
+++ b/crates/standins/src/fleet/store.rs
@@ -109,6 +109,22 @@
         self.state.borrow_mut().write(key, None, 0);
     }
 
+    /// The keys of a prefix.
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        let state = self.state.borrow();
+        state.items.keys().filter(|key| key.starts_with(prefix)).cloned().collect()
+    }
+
+    /// Shows nobody the keys of a prefix.
+    pub fn hide(&self, prefix: &str) {
+        let keys = self.keys(prefix);
+        let mut state = self.state.borrow_mut();
+        for key in keys {
+            state.items.remove(&key);
+        }
+        state.history.retain(|item| !item.key.starts_with(prefix));
+    }
+
     /// Writes a backend server's registration.
     pub fn register(&self, server: &Server) {
         let key = format!("{}{}", servers::PREFIX, server.id.name);
