A server whose answer says that it leaves is sent nothing more, whatever the store says

What operators saw: a server was sent calls 2.1 s after an answer of its own had said that it leaves, by the gateway that had passed that answer on, while the store was silent.

Cause: of an answer's head only what concerns the request was read; the store's word of leaving was the only one.

Why it holds: every answer of a server, to a request, a prompt, a reservation or an order, is read for it; it marks that life in the roster, which all choices go by and which is looked at again right before each send. A registration from before does not undo it, a next life does. All gateways are told, by datagram and by the notes that they compare.

--- a/crates/daemon/src/gateway/orders.rs
+++ b/crates/daemon/src/gateway/orders.rs
@@ -15,6 +15,7 @@
 use ebonyloft_router::stages::{Planner, Shape, View};
 use ebonyloft_router::zones::Scope;
 
+use super::said;
 use super::shared::Shared;
 
 /// Key of the right; it exists for as long as its holder's lease.
@@ -187,7 +188,7 @@
 
 async fn send(shared: &Shared, order: Order, server: Server, planner: &mut Planner) {
     let req = engine::order(&order);
-    let answer = shared.pool.call(server.addr, req, ORDER_WAIT).await;
+    let answer = said::call(shared, &server, req, ORDER_WAIT).await;
     let (to, stage): (&ServerId, Stage) = (&order.to, order.stage);
     match answer {
         Ok((status, _)) => {
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -6,7 +6,6 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use compio::net::{TcpListener, UdpSocket};
@@ -19,7 +18,7 @@
 use hyper::{Request, Response, StatusCode};
 
 use super::belief;
-use super::quarantine;
+use super::notes;
 use super::shared::Shared;
 use super::stream::{self, lend, spill};
 use crate::http;
@@ -33,10 +32,6 @@
 /// Longest pause beyond that without news, as a part of the usual one: answers grow meanwhile, by
 /// some fifty tokens each.
 const REST_PART: f64 = 1.6;
-/// Words in one datagram.
-const WORDS_MAX: usize = 32;
-/// Pause until words are told once more.
-const WORDS_AGAIN: Duration = Duration::from_millis(120);
 /// Largest datagram.
 const DATAGRAM_MAX: usize = 8 << 10;
 
@@ -66,7 +61,8 @@
     }
 }
 
-async fn send(socket: &UdpSocket, bytes: Bytes, to: &[SocketAddr]) {
+/// Sends a datagram to some.
+pub async fn send(socket: &UdpSocket, bytes: Bytes, to: &[SocketAddr]) {
     for addr in to {
         let compio::BufResult(sent, _) = socket.send_to(bytes.clone(), *addr).await;
         if let Err(e) = sent {
@@ -84,39 +80,6 @@
     others.filter(|(_, g)| all || g.zone == node.zone).map(|(_, g)| g.addr).collect()
 }
 
-/// Tells all gateways at once of contents under which backend servers end, and once more in case that a
-/// datagram is lost; later the sums of what is known tell.
-pub async fn tell_words(shared: Rc<Shared>, socket: Rc<UdpSocket>) {
-    loop {
-        let words = shared.words.take();
-        if words.is_empty() {
-            // Only the sender's end could fail, and it lives as long as the process.
-            let _ = shared.inquiries.wake().await;
-            continue;
-        }
-        for part in words.chunks(WORDS_MAX) {
-            let mut bytes = Vec::new();
-            if let Err(e) = ciborium::into_writer(&News::Words(part.to_vec()), &mut bytes) {
-                tracing::error!(error = %e, "words not encoded");
-                continue;
-            }
-            let (bytes, all) = (Bytes::from(bytes), everybody(&shared));
-            send(&socket, bytes.clone(), &all).await;
-            let (again, shared) = (socket.clone(), shared.clone());
-            compio::runtime::spawn(async move {
-                compio::time::sleep(WORDS_AGAIN).await;
-                send(&again, bytes, &everybody(&shared)).await;
-            })
-            .detach();
-        }
-    }
-}
-
-fn everybody(shared: &Shared) -> Vec<SocketAddr> {
-    let (node, fleet) = (shared.node(), shared.fleet.borrow());
-    fleet.all().iter().filter(|(name, _)| **name != node.name).map(|(_, g)| g.addr).collect()
-}
-
 /// Tells other zones of this one, for as long as this gateway is a delegate.
 pub async fn tell_zones(shared: Rc<Shared>, socket: Rc<UdpSocket>) {
     let life = shared.now().0;
@@ -158,7 +121,7 @@
         config,
         roster,
         fleet,
-        quarantine: shared.quarantine.borrow().sum(),
+        notes: notes::sum(shared),
         rooms: rooms(shared),
     }
 }
@@ -185,7 +148,7 @@
         waiting: engines.waiting() as u32,
         changing: shared.changing.borrow().clone(),
         work: engines.work(),
-        quarantine: shared.quarantine.borrow().sum(),
+        notes: notes::sum(shared),
         digests: passed_on(shared),
     }
 }
@@ -226,23 +189,20 @@
         match ciborium::from_reader::<News, _>(&buffer[..len]) {
             Ok(News::Share(share)) => take(&shared, from, share),
             Ok(News::Digest(digest)) => {
-                let Digest { config, roster, fleet, quarantine, .. } = digest;
-                quarantine::compare(&shared, &digest.name, from, quarantine);
+                let Digest { config, roster, fleet, .. } = digest;
+                notes::compare(&shared, &digest.name, from, digest.notes);
                 shared.digests.borrow_mut().hear(shared.now(), digest);
                 belief::compare(&shared, from, Versions { config, roster, fleet });
             }
-            Ok(News::Words(words)) => {
-                let peer = from.to_string();
-                words.iter().for_each(|word| quarantine::take(&shared, word, Some(&peer)));
-            }
+            Ok(News::Notes(heard)) => notes::take(&shared, &heard, &from.to_string()),
             Err(e) => tracing::warn!(%from, len, error = %e, "datagram unread"),
         }
     }
 }
 
 fn take(shared: &Rc<Shared>, from: SocketAddr, share: Share) {
-    let Share { config, roster, fleet, quarantine, .. } = share;
-    quarantine::compare(shared, &share.name, from, quarantine);
+    let Share { config, roster, fleet, .. } = share;
+    notes::compare(shared, &share.name, from, share.notes);
     shared.rest(&share.changing);
     let mut share = share;
     for digest in share.digests.drain(..).filter(|d| d.zone != shared.node().zone) {
@@ -265,7 +225,7 @@
         return lend::serve(shared, req).await;
     }
     match path {
-        quarantine::PATH => quarantine::answer(shared, req).await,
+        notes::PATH => notes::answer(shared, req).await,
         belief::PATH => belief::answer(&shared, req.uri().query()),
         _ => http::response(StatusCode::NOT_FOUND, "text/plain", http::full("not here\n")),
     }
--- a/crates/daemon/src/gateway/pool.rs
+++ b/crates/daemon/src/gateway/pool.rs
@@ -17,7 +17,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::{Request, Response, StatusCode};
+use hyper::{HeaderMap, Request, Response, StatusCode};
 use snafu::Snafu;
 
 use crate::clock::Clock;
@@ -154,6 +154,19 @@
         self.finish(coming, limit).await
     }
 
+    /// The same, with the headers of the answer.
+    pub async fn call_headed(
+        &self,
+        addr: SocketAddr,
+        req: Request<Bytes>,
+        limit: Duration,
+    ) -> Result<(HeaderMap, StatusCode, Bytes), ExchangeError> {
+        let mut coming = self.ask(addr, req, limit).await?;
+        let headers = std::mem::take(coming.response.headers_mut());
+        let (status, body) = self.finish(coming, limit).await?;
+        Ok((headers, status, body))
+    }
+
     /// The first half of a call: until the head of the answer.
     pub async fn ask(
         &self,
--- a/crates/daemon/src/gateway/quarantine.rs
+++ b/crates/daemon/src/gateway/quarantine.rs
@@ -8,7 +8,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use compio::time::timeout;
 use ebonyloft_core::time::Moment;
 use ebonyloft_core::verdict::Verdict;
@@ -20,8 +19,7 @@
 use ebonyloft_router::outcome::Fate;
 use ebonyloft_router::quarantine::{Change, Fact, PROVED_LIFE, Standing, Word};
 use futures_util::future::{Either, select};
-use hyper::body::Incoming;
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{Response, StatusCode};
 use serde::{Deserialize, Serialize};
 
 use super::answer::{self, Body, Cause};
@@ -29,18 +27,11 @@
 use super::pool::Reached;
 use super::shared::{Basis, Shared};
 use super::watch::Sink;
-use crate::http;
 
 /// Prefix of the keys of proved contents.
 pub const PREFIX: &str = "ebonyloft/quarantine/";
-/// Path by which gateways compare notes.
-pub const PATH: &str = "/quarantine";
 /// Longest wait for a server's sign of life: some hundred times the way between availability zones.
 const SIGN_WAIT: Duration = Duration::from_millis(150);
-/// Longest wait for a peer's notes.
-const NOTES_WAIT: Duration = Duration::from_millis(500);
-/// Largest notes of a peer; twelve thousand contents take less.
-const NOTES_BYTES: usize = 8 << 20;
 /// How long a stream that broke off waits for word whether its engine ended, before it goes on elsewhere.
 const INQUIRY_WAIT: Duration = Duration::from_millis(300);
 /// Pause between two looks at an inquiry that is waited for.
@@ -217,7 +208,7 @@
 /// Takes what happened here and has it told to all.
 fn note(shared: &Shared, word: Word) {
     take(shared, &word, None);
-    shared.words.borrow_mut().push(word);
+    shared.notes.borrow_mut().words.push(word);
     shared.inquiries.wake_all();
 }
 
@@ -282,7 +273,6 @@
     for content in shared.quarantine.borrow_mut().expire(now) {
         tracing::info!(%content, "content forgotten");
     }
-    shared.drift.borrow_mut().expire(now);
     let (suspects, proved) = shared.quarantine.borrow().counts();
     shared.metrics.gauge("gateway.quarantine.suspects", suspects as u64);
     shared.metrics.gauge("gateway.quarantine.contents", proved as u64);
@@ -371,52 +361,3 @@
     let all = u128::from_str_radix(digits, 16).ok().filter(|_| digits.len() == 32)?;
     Some(Content::of(all.to_be_bytes()))
 }
-
-/// A peer told the sum over what it knows: if it differs for long, notes are compared.
-pub fn compare(shared: &Rc<Shared>, peer: &str, from: SocketAddr, sum: u64) {
-    let now = shared.now();
-    let same = sum == shared.quarantine.borrow().sum();
-    if shared.drift.borrow_mut().hear(now, peer, same) {
-        compio::runtime::spawn(exchange(shared.clone(), from)).detach();
-    }
-}
-
-async fn exchange(shared: Rc<Shared>, peer: SocketAddr) {
-    let table = shared.quarantine.borrow().table(shared.now());
-    let mut bytes = Vec::new();
-    if let Err(e) = ciborium::into_writer(&table, &mut bytes) {
-        return tracing::error!(error = %e, "notes not encoded");
-    }
-    let mut req = Request::new(Bytes::from(bytes));
-    *req.method_mut() = Method::POST;
-    *req.uri_mut() = PATH.parse().expect("a fixed path is valid");
-    match shared.pool.call(peer, req, NOTES_WAIT).await {
-        Ok((StatusCode::OK, body)) => take_all(&shared, &body, &peer.to_string()),
-        Ok((status, _)) => tracing::debug!(%peer, %status, "peer has no notes"),
-        Err(e) => tracing::debug!(%peer, error = %e, "notes not compared"),
-    }
-}
-
-fn take_all(shared: &Shared, bytes: &[u8], peer: &str) {
-    match ciborium::from_reader::<Vec<Word>, _>(bytes) {
-        Ok(words) => words.iter().for_each(|word| take(shared, word, Some(peer))),
-        Err(e) => tracing::warn!(peer, error = %e, "notes unread"),
-    }
-}
-
-/// Answers a peer that compares notes.
-pub async fn answer(shared: Rc<Shared>, req: Request<Incoming>) -> Response<http::Body> {
-    let status = |status| http::response(status, "text/plain", http::full(""));
-    let Some(body) = http::read_body(req.into_body(), NOTES_BYTES).await else {
-        return status(StatusCode::BAD_REQUEST);
-    };
-    take_all(&shared, &body, "asking");
-    let mut bytes = Vec::new();
-    match ciborium::into_writer(&shared.quarantine.borrow().table(shared.now()), &mut bytes) {
-        Ok(()) => http::response(StatusCode::OK, "application/cbor", http::full(bytes)),
-        Err(e) => {
-            tracing::error!(error = %e, "notes not encoded");
-            status(StatusCode::INTERNAL_SERVER_ERROR)
-        }
-    }
-}
--- /dev/null
+++ b/crates/daemon/src/gateway/said.rs
@@ -0,0 +1,73 @@
+//! What backend servers say with their answers beside the status, whatever was asked.
+//!
+//! An answer is the freshest news there is of the server that gave it. Who says that it leaves is sent
+//! nothing more from here, also while the store is silent, and all gateways are told.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use ebonyloft_platform::headers;
+use ebonyloft_router::catalog::{Server, ServerId};
+use ebonyloft_router::outcome::Reply;
+use hyper::{Request, StatusCode};
+
+use super::pool::ExchangeError;
+use super::quarantine;
+use super::shared::{Basis, Shared};
+
+/// Takes what the head of an answer says of the server that was sent something.
+pub fn note(shared: &Shared, to: &ServerId, reply: &Reply) {
+    if reply.leaving
+        && let Some(id) = speaker(shared, to, reply)
+    {
+        leaving(shared, &id, "answer");
+    }
+}
+
+/// The life that answered: the one that was meant, unless it says that it is another one.
+fn speaker(shared: &Shared, to: &ServerId, reply: &Reply) -> Option<ServerId> {
+    match &reply.instance {
+        Some(name) if *name != to.name => {
+            let roster = shared.roster.borrow();
+            Some(roster.named(name).map_or_else(|| ServerId::new(name, 0), |s| s.id.clone()))
+        }
+        _ => (!reply.moved).then(|| to.clone()),
+    }
+}
+
+/// A life of a server leaves, by its own word or a peer's word of that.
+pub fn leaving(shared: &Shared, id: &ServerId, from: &str) {
+    if !shared.roster.borrow_mut().hear_leaving(id) {
+        return;
+    }
+    let Basis { roster, age, .. } = shared.basis();
+    tracing::info!(server = %id, from, roster, age, "backend server says that it leaves");
+    shared.metrics.count("gateway.left_by_answer", 1);
+    if from == "answer" {
+        shared.notes.borrow_mut().leaving.push(id.clone());
+        shared.inquiries.wake_all();
+    }
+    shared.wake_all();
+    shared.line_waiters.wake_all();
+}
+
+/// A call to a backend server that is not a caller's request; none is made to one that leaves.
+pub async fn call(
+    shared: &Shared,
+    to: &Server,
+    req: Request<Bytes>,
+    limit: Duration,
+) -> Result<(StatusCode, Bytes), ExchangeError> {
+    if shared.roster.borrow().has_left(&to.id.name) {
+        tracing::info!(server = %to.id, "not asked: the backend server leaves");
+        return Err(ExchangeError::Unsent);
+    }
+    let sent = shared.now();
+    let (headers, status, body) = shared.pool.call_headed(to.addr, req, limit).await?;
+    let reply = headers::reply(status, &headers);
+    if !reply.moved {
+        quarantine::note_alive(shared, &to.id, sent);
+    }
+    note(shared, &to.id, &reply);
+    Ok((status, body))
+}
--- a/crates/daemon/src/gateway/send.rs
+++ b/crates/daemon/src/gateway/send.rs
@@ -13,6 +13,7 @@
 use super::intake::Intake;
 use super::pool::{Conn, ExchangeError, IDLE_MAX, IDLE_MAX_ONCE};
 use super::quarantine;
+use super::said;
 use super::shared::Shared;
 
 /// The head of an answer, and the connection that its body comes on.
@@ -75,10 +76,7 @@
     if !reply.moved {
         quarantine::note_alive(shared, &to.id, sent);
     }
-    let Reply { status, leaving, pause, .. } = reply;
-    if leaving || pause.is_some() {
-        tracing::info!(id = intake.id(), server = %to.id, status, leaving, ?pause, "answer says");
-    }
+    said::note(shared, &to.id, &reply);
     Ok(Head { reply, response, conn })
 }
 
--- a/crates/daemon/src/gateway/shared.rs
+++ b/crates/daemon/src/gateway/shared.rs
@@ -24,9 +24,9 @@
 use ebonyloft_router::plain::Plain;
 use ebonyloft_router::prefill::Paces;
 use ebonyloft_router::pulls::Pulls;
-use ebonyloft_router::quarantine::{Quarantine, Word};
+use ebonyloft_router::quarantine::Quarantine;
 use ebonyloft_router::roster::Roster;
-use ebonyloft_router::share::{Shares, Work};
+use ebonyloft_router::share::{Notes, Shares, Work};
 use ebonyloft_router::zones::{self, Digests, Scope};
 use futures_channel::oneshot;
 use rand::Rng;
@@ -109,11 +109,11 @@
     pub losses: RefCell<Losses>,
     /// Wakes who looks into them.
     pub inquiries: Waiters,
-    /// What all gateways should hear of contents.
-    pub words: RefCell<Vec<Word>>,
+    /// What all gateways should hear beside what the store says.
+    pub notes: RefCell<Notes>,
     /// Contents proved here that the store should know.
     pub proofs: RefCell<Vec<Content>>,
-    /// Since when peers know something else of contents.
+    /// Since when peers know something else beside what the store says.
     pub drift: RefCell<Drift>,
     /// Nobody is known to hold the right to order engines.
     pub lock_free: Cell<bool>,
@@ -170,7 +170,7 @@
             quarantine: RefCell::default(),
             losses: RefCell::default(),
             inquiries: Waiters::default(),
-            words: RefCell::default(),
+            notes: RefCell::default(),
             proofs: RefCell::default(),
             drift: RefCell::default(),
             lock_free: Cell::new(true),
--- a/crates/daemon/src/gateway/stream/place.rs
+++ b/crates/daemon/src/gateway/stream/place.rs
@@ -16,6 +16,7 @@
 use super::{Stop, read, spill};
 use crate::gateway::answer::Cause;
 use crate::gateway::intake::Intake;
+use crate::gateway::said;
 use crate::gateway::shared::{Basis, Shared};
 
 /// Longest wait for an engine to reserve a place; it answers within a few milliseconds.
@@ -211,7 +212,7 @@
     shared.engines.borrow_mut().placed(id, memory);
     shared.note_news();
     let req = engine::hold(id, memory.reserved(), spec.hold.as_millis() as u64);
-    let answer = shared.pool.call(server.addr, req, HOLD_WAIT).await;
+    let answer = said::call(shared, server, req, HOLD_WAIT).await;
     let now = shared.now();
     let hold = answer.as_ref().ok().and_then(|(status, body)| engine::read_hold(*status, body));
     if hold.is_some() {
--- a/crates/router/src/catalog.rs
+++ b/crates/router/src/catalog.rs
@@ -7,6 +7,8 @@
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
 
+use crate::drift::mix;
+
 /// A configuration as the operator wrote it.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Config {
@@ -152,6 +154,12 @@
     pub fn new(name: impl Into<String>, born: u64) -> Self {
         ServerId { name: name.into(), born }
     }
+
+    /// A number that hardly any other life has.
+    pub fn number(&self) -> u64 {
+        let step = |n: u64, b: u8| (n ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3);
+        mix(self.name.bytes().fold(0xcbf2_9ce4_8422_2325, step) ^ self.born)
+    }
 }
 
 impl From<(String, u64)> for ServerId {
--- a/crates/router/src/drift.rs
+++ b/crates/router/src/drift.rs
@@ -44,3 +44,10 @@
         self.since.retain(|_, (_, heard_at)| heard_at.after(FORGET) > now);
     }
 }
+
+/// Spreads a number's bits, so that sums over few of them differ.
+pub fn mix(n: u64) -> u64 {
+    let n = (n ^ n >> 30).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let n = (n ^ n >> 27).wrapping_mul(0x94d0_49bb_1331_11eb);
+    n ^ n >> 31
+}
--- a/crates/router/src/outcome.rs
+++ b/crates/router/src/outcome.rs
@@ -32,6 +32,8 @@
     pub load: Option<Load>,
     /// The body has an encoding that nobody asked for.
     pub encoded: bool,
+    /// Name of the life that answered, if it says so.
+    pub instance: Option<String>,
     /// The backend server says that it leaves.
     pub leaving: bool,
     /// The backend server wants nothing from this process for a while.
--- a/crates/router/src/quarantine.rs
+++ b/crates/router/src/quarantine.rs
@@ -16,6 +16,7 @@
 
 use crate::catalog::ServerId;
 use crate::content::Content;
+use crate::drift::mix;
 
 /// Points at which a content is refused: three servers that ended as soon as they ran it, or five that ended
 /// later.
@@ -356,19 +357,6 @@
         // Which of many endings each one keeps does not matter any more.
         return mix(own);
     }
-    let ending = |e: &Ending| mix(own ^ fold(&e.server.name) ^ e.server.born);
+    let ending = |e: &Ending| mix(own ^ e.server.number());
     row.endings.iter().map(ending).fold(0, |a, b| a ^ b)
 }
-
-/// A name as a number.
-fn fold(name: &str) -> u64 {
-    name.bytes()
-        .fold(0xcbf2_9ce4_8422_2325, |n, b| (n ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
-}
-
-/// Spreads a number's bits.
-fn mix(n: u64) -> u64 {
-    let n = (n ^ n >> 30).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let n = (n ^ n >> 27).wrapping_mul(0x94d0_49bb_1331_11eb);
-    n ^ n >> 31
-}
--- a/crates/router/src/roster.rs
+++ b/crates/router/src/roster.rs
@@ -2,8 +2,11 @@
 //!
 //! Registrations come from the store with revisions; a lower revision never replaces a higher one.
 //! A registration that vanished while the store could not be believed is kept until it can.
+//!
+//! A backend server also says with its answers that it leaves. That holds for the life that said it, whatever
+//! a store that is silent, late or behind says of it, and ends with that life.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
 use ebonyloft_core::time::Moment;
 use serde::{Deserialize, Serialize};
@@ -70,6 +73,8 @@
     removed: HashMap<String, u64>,
     /// Removals up to this revision may be forgotten.
     forgotten: u64,
+    /// Lives that said themselves that they leave.
+    said: BTreeSet<ServerId>,
     revision: u64,
     complete: bool,
     changed_at: Moment,
@@ -77,6 +82,8 @@
 
 /// Removals remembered; ids are never used again, and a late registration is seconds late.
 const REMOVED_MAX: usize = 4_096;
+/// Lives remembered that said that they leave and are not registered, as far as is known.
+const SAID_MAX: usize = 4_096;
 
 impl Roster {
     /// Takes one change; `settled` says whether a removal means that the backend server is gone.
@@ -164,6 +171,24 @@
         true
     }
 
+    /// A life said that it leaves; true when that is news.
+    pub fn hear_leaving(&mut self, id: &ServerId) -> bool {
+        if self.removed.contains_key(&id.name) || self.get(id).is_some_and(|s| s.draining) {
+            return false;
+        }
+        if self.said.len() >= SAID_MAX {
+            let known = &self.known;
+            self.said.retain(|id| known.get(&id.name).is_some_and(|k| k.server.id == *id));
+        }
+        self.said.insert(id.clone())
+    }
+
+    /// Lives that are registered as ready and said that they leave: what a peer may not know from the
+    /// store.
+    pub fn said(&self) -> impl Iterator<Item = &ServerId> {
+        self.said.iter().filter(|id| self.get(id).is_some_and(|s| !s.draining))
+    }
+
     /// Was a whole list ever read?
     pub fn is_complete(&self) -> bool {
         self.complete
@@ -186,7 +211,8 @@
 
     /// The backend servers of a service that may be sent work.
     pub fn ready<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Server> {
-        self.known.values().map(|k| &k.server).filter(move |s| s.service == service && !s.draining)
+        let stays = move |s: &&Server| !s.draining && !self.said.contains(&s.id);
+        self.known.values().map(|k| &k.server).filter(move |s| s.service == service).filter(stays)
     }
 
     /// One backend server, in this life.
@@ -198,8 +224,8 @@
     /// never heard of.
     pub fn has_left(&self, name: &str) -> bool {
         match self.named(name) {
-            Some(server) => server.draining,
-            None => self.removed.contains_key(name),
+            Some(server) => server.draining || self.said.contains(&server.id),
+            None => self.removed.contains_key(name) || self.said.iter().any(|id| id.name == name),
         }
     }
 
@@ -250,6 +276,8 @@
             None => Effect::Joined,
         };
         self.removed.remove(&name);
+        // Only what another life under this name said is over.
+        self.said.retain(|id| id.name != name || *id == server.id);
         self.known.insert(name, Known { server, revision, unheard: false });
         effect
     }
@@ -285,6 +313,7 @@
             self.removed.clear();
             self.forgotten = self.revision;
         }
+        self.said.retain(|id| id.name != name);
         self.removed.insert(name.to_owned(), revision);
     }
 }
--- a/crates/router/src/share.rs
+++ b/crates/router/src/share.rs
@@ -109,15 +109,33 @@
     /// The sender's work, by backend server.
     #[serde(rename = "w")]
     pub work: BTreeMap<ServerId, Work>,
-    /// Sum over what the sender knows of contents under which servers ended.
+    /// Sum over what the sender knows beside what the store says.
     #[serde(rename = "t", default, skip_serializing_if = "is_zero")]
-    pub quarantine: u64,
+    pub notes: u64,
     /// What a delegate heard of other availability zones.
     #[serde(rename = "d", default, skip_serializing_if = "Vec::is_empty")]
     pub digests: Vec<Digest>,
 }
 
-/// Left out on the way: most gateways know of no such content most of the time.
+/// What gateways know beside what the store says.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Notes {
+    /// Of contents under which servers end.
+    #[serde(rename = "w", default, skip_serializing_if = "Vec::is_empty")]
+    pub words: Vec<Word>,
+    /// Lives of servers whose answers say that they leave.
+    #[serde(rename = "l", default, skip_serializing_if = "Vec::is_empty")]
+    pub leaving: Vec<ServerId>,
+}
+
+impl Notes {
+    /// Is there nothing in it?
+    pub fn is_empty(&self) -> bool {
+        self.words.is_empty() && self.leaving.is_empty()
+    }
+}
+
+/// Left out on the way: most of the time most gateways know nothing beside what the store says.
 pub(crate) fn is_zero(sum: &u64) -> bool {
     *sum == 0
 }
@@ -125,8 +143,8 @@
 /// A datagram between entries.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum News {
-    /// To all gateways, at once: of contents under which servers end.
-    Words(Vec<Word>),
+    /// To all gateways, at once.
+    Notes(Notes),
     /// To those who share engines.
     Share(Share),
     /// To another availability zone.
--- a/crates/router/src/zones.rs
+++ b/crates/router/src/zones.rs
@@ -90,9 +90,9 @@
     /// Revision up to which it knows the gateways.
     #[serde(rename = "g")]
     pub fleet: u64,
-    /// Sum over what it knows of contents under which servers ended.
+    /// Sum over what it knows beside what the store says.
     #[serde(rename = "t", default, skip_serializing_if = "is_zero")]
-    pub quarantine: u64,
+    pub notes: u64,
     /// Its zone's engines, by service.
     #[serde(rename = "e")]
     pub rooms: Vec<Room>,
--- a/crates/router/tests/roster.rs
+++ b/crates/router/tests/roster.rs
@@ -53,6 +53,56 @@
     roster.ready("llm").count()
 }
 
+/// Its own word outranks the store's, which may be silent, late or behind.
+#[test]
+fn a_server_that_said_that_it_leaves_gets_no_work_whatever_the_store_says() {
+    let mut roster = Roster::default();
+    roster.apply(there(1, 5), true);
+    roster.apply(there(2, 6), true);
+    assert!(roster.hear_leaving(&id(1)));
+    assert!(!roster.hear_leaving(&id(1)), "no news");
+    assert_eq!(ready(&roster), 1);
+    assert!(roster.has_left(&name(1)));
+    assert_eq!(roster.said().collect::<Vec<_>>(), [&id(1)]);
+    // A heartbeat from before, and a whole list.
+    roster.apply(there(1, 7), true);
+    roster.replace(vec![there(1, 8), there(2, 8)], 9, true);
+    assert_eq!(ready(&roster), 1);
+    roster.apply(leaving(1, 10), true);
+    assert_eq!(roster.said().count(), 0, "the store says it too");
+    assert_eq!(ready(&roster), 1);
+}
+
+#[test]
+fn what_a_life_said_ends_with_it() {
+    let mut roster = Roster::default();
+    roster.apply(there(1, 5), true);
+    roster.hear_leaving(&id(1));
+    roster.apply(reborn(1, 6), true);
+    assert_eq!(ready(&roster), 1);
+    assert!(!roster.has_left(&name(1)));
+    // The word of the life before comes late, from a peer.
+    roster.hear_leaving(&id(1));
+    assert_eq!(ready(&roster), 1);
+    roster.apply(gone(1, 7), true);
+    assert!(!roster.hear_leaving(&id(1)), "it is known to be gone");
+}
+
+/// A peer tells of it before the store tells that there is such a server.
+#[test]
+fn a_word_may_come_before_the_registration() {
+    let mut roster = Roster::default();
+    assert!(roster.hear_leaving(&id(1)));
+    assert!(roster.has_left(&name(1)));
+    assert_eq!(roster.said().count(), 0);
+    roster.apply(there(1, 5), true);
+    assert_eq!(ready(&roster), 0);
+    for n in 10..10_000 {
+        roster.hear_leaving(&id(n));
+    }
+    assert!(roster.has_left(&name(1)), "of one that is registered it is not forgotten");
+}
+
 #[test]
 fn a_leaving_server_gets_no_work_from_the_moment_it_is_heard() {
     let mut roster = Roster::default();
--- a/crates/router/tests/zones.rs
+++ b/crates/router/tests/zones.rs
@@ -23,7 +23,7 @@
         config: 1,
         roster: 1,
         fleet: 1,
-        quarantine: 0,
+        notes: 0,
         rooms: vec![Room { service: "llm".into(), free, places: free / 100, read }],
     }
 }
--- a/crates/standins/src/fleet/runner.rs
+++ b/crates/standins/src/fleet/runner.rs
@@ -187,6 +187,11 @@
         self.leaving.set(true);
     }
 
+    /// Says so no more; for its next life.
+    pub fn stay(&self) {
+        self.leaving.set(false);
+    }
+
     /// Turns work away and wants nothing for so many seconds; none ends that.
     pub fn want_nothing(&self, seconds: Option<&str>) {
         self.pause.replace(seconds.map(str::to_owned));
--- a/crates/standins/tests/answers.rs
+++ b/crates/standins/tests/answers.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use ebonyloft_standins::fleet::runner::Fault;
 use ebonyloft_standins::fleet::{
     CHECK, Fleet, FleetSpec, LOOKUP, ONCE_SUMMARY, SUMMARY, store, with_fleet,
 };
@@ -57,3 +58,62 @@
         }
     });
 }
+
+/// Any answer counts, also one to a reservation only.
+#[test]
+fn an_engine_that_says_so_with_a_reservation_is_sent_nothing_more() {
+    let spec = FleetSpec { gateways: 1, readers: 1, writers: 2, plain: 1, ..FleetSpec::default() };
+    with_fleet(spec, async |fleet| {
+        fleet.store.set_fault(store::Fault::Silent);
+        let writer = &fleet.runners[1];
+        writer.set_fault(Fault::Full);
+        writer.say_leaving();
+        requests(fleet, "before", 6).await;
+        let heard = Instant::now();
+        writer.set_fault(Fault::None);
+        requests(fleet, "after", 6).await;
+        assert!(writer.seen.borrow().refused > 0, "it was never asked");
+        assert_eq!(taken_later(fleet, 1, heard), 0, "it was asked again");
+    });
+}
+
+/// Who is told by an answer tells the others.
+#[test]
+fn all_gateways_hear_what_one_was_told() {
+    let spec = FleetSpec { gateways: 3, readers: 1, writers: 1, plain: 2, ..FleetSpec::default() };
+    with_fleet(spec, async |fleet| {
+        compio::time::sleep(BOUND / 2).await;
+        fleet.store.set_fault(store::Fault::Silent);
+        let plain = fleet.runners[2].clone();
+        plain.say_leaving();
+        let mut n = 0;
+        while plain.seen.borrow().taken.is_empty() {
+            n += 1;
+            let _ = fleet.caller(0).call(CHECK, &format!("first-{n}")).await;
+        }
+        compio::time::sleep(BOUND / 4).await;
+        let heard = Instant::now();
+        requests(fleet, "after", 6).await;
+        assert_eq!(taken_later(fleet, 2, heard), 0, "another gateway sent it something");
+    });
+}
+
+/// What was said ends with the life that said it: the next one at the address is used.
+#[test]
+fn the_next_life_is_used() {
+    let spec = FleetSpec { gateways: 2, readers: 1, writers: 1, plain: 1, ..FleetSpec::default() };
+    with_fleet(spec, async |fleet| {
+        let plain = fleet.runners[2].clone();
+        plain.say_leaving();
+        requests(fleet, "before", 1).await;
+        let answer = fleet.caller(0).call(CHECK, "refused").await.expect("an answer");
+        assert_eq!(answer.status, 503);
+        plain.stay();
+        plain.crash("the end of a life");
+        compio::time::sleep(BOUND).await;
+        for gateway in 0..2 {
+            let answer = fleet.caller(gateway).call(CHECK, &format!("again{gateway}")).await;
+            assert_eq!(answer.expect("an answer").status, 200);
+        }
+    });
+}
--- a/crates/standins/tests/gateway.rs
+++ b/crates/standins/tests/gateway.rs
@@ -481,7 +481,7 @@
     match ciborium::from_reader::<News, _>(datagram).expect("a datagram that can be read") {
         News::Share(share) => share,
         News::Digest(_) => panic!("a digest goes to other zones only"),
-        News::Words(_) => panic!("no backend server ended"),
+        News::Notes(_) => panic!("no backend server ended or leaves"),
     }
 }
 
