--- a/crates/standins/tests/answers.rs
+++ b/crates/standins/tests/answers.rs
@@ -117,3 +117,39 @@
         }
     });
 }
+
+/// What the rule says: a server that turns a request away may say for how long it wants nothing; no more
+/// than two requests may reach it from the same gateway from half a second on until then.
+///
+/// Cause of the failure: of an answer's head only that nothing had run was read, and the next request chose
+/// the server as if it had said nothing.
+#[test]
+fn a_server_that_wants_nothing_is_sent_nothing() {
+    let spec = FleetSpec { gateways: 1, readers: 1, writers: 1, plain: 1, ..FleetSpec::default() };
+    with_fleet(spec, async |fleet| {
+        fleet.runners.iter().for_each(|r| r.want_nothing(Some("5")));
+        requests(fleet, "before", 1).await;
+        compio::time::sleep(BOUND / 4).await;
+        let begin = Instant::now();
+        for n in 0..20 {
+            for path in [CHECK, LOOKUP, SUMMARY, ONCE_SUMMARY] {
+                let caller = fleet.caller(0);
+                compio::runtime::spawn(async move {
+                    let attempt = format!("after-{n}{path}");
+                    // Whatever it is told: what reaches the servers counts.
+                    let _ = match path {
+                        CHECK | LOOKUP => caller.call(path, &attempt).await,
+                        _ => caller.summary(path, &attempt).await,
+                    };
+                })
+                .detach();
+            }
+            compio::time::sleep(BOUND / 40).await;
+        }
+        for runner in 0..fleet.runners.len() {
+            let sent = taken_later(fleet, runner, begin);
+            println!("server {runner}: {sent}");
+            assert!(sent <= 2, "server {runner} was sent {sent} requests");
+        }
+    });
+}
