A server that wants nothing for a while is sent nothing by this gateway until then

Cause: the Retry-After of a server that turned a request away was not read; its rests were guessed (0.4 s, doubled), and plain servers had none.

Why it holds: the pause is kept by the server's life and looked at wherever a server is chosen and again right before each send, of requests, prompts, reservations, orders, questions and what is given back. It is no fault and is told to nobody. Longer than five minutes is not believed, and what is no time counts as a second; both are logged. When all that could serve want nothing for longer than the caller's goal, the caller is refused at once and told the earliest moment; a shorter pause is waited for.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -179,6 +179,7 @@
         shared.digests.borrow_mut().expire(now);
         shared.fleet.borrow_mut().expire(now);
         shared.drift.borrow_mut().expire(now);
+        shared.pauses.borrow_mut().expire(now);
         let roster = shared.roster.borrow();
         shared.plain.borrow_mut().retain(|id| roster.get(id).is_some());
         shared.engines.borrow_mut().retain(|id| roster.get(id).is_some());
--- a/crates/daemon/src/gateway/call.rs
+++ b/crates/daemon/src/gateway/call.rs
@@ -14,6 +14,7 @@
 use super::answer::{self, Body, Cause};
 use super::intake::Intake;
 use super::quarantine::{self, Run};
+use super::said;
 use super::send::{self, Expect, Whole};
 use super::shared::{Basis, Shared};
 
@@ -120,6 +121,13 @@
             cause = Cause::Budget;
             break;
         }
+        if let Some(at) = all_rest(shared, intake, &tried) {
+            if at >= intake.goal_at {
+                return refuse_until(shared, intake, progress.verdict(), at);
+            }
+            compio::time::sleep(at.since(now)).await;
+            continue;
+        }
         if !wait(shared, intake, flight).await {
             cause = Cause::Overload;
             break;
@@ -154,9 +162,16 @@
     refuse(shared, intake, cause, progress.verdict())
 }
 
+/// When the first backend server takes something again, if all that could be sent to want nothing now.
+fn all_rest(shared: &Shared, intake: &Intake, tried: &[ServerId]) -> Option<Moment> {
+    let roster = shared.roster.borrow();
+    let left = roster.ready(&intake.service).filter(|s| !tried.contains(&s.id));
+    shared.pauses.borrow().soonest(shared.now(), left)
+}
+
 fn pick(shared: &Shared, intake: &Intake, now: Moment, tried: &[ServerId]) -> Option<Server> {
     let (node, roster) = (shared.node(), shared.roster.borrow());
-    let servers = roster.ready(&intake.service);
+    let servers = roster.ready(&intake.service).filter(|s| !said::rests(shared, &s.id));
     let plain = shared.plain.borrow();
     plain.pick(now, &node.zone, servers, tried, || shared.draw()).cloned()
 }
@@ -226,6 +241,21 @@
 
 fn refuse(shared: &Shared, intake: &Intake, cause: Cause, verdict: Verdict) -> Response<Body> {
     let retry = intake.route().goal.mul_f64(RETRY_PART * (1.0 + shared.draw()));
+    refuse_for(shared, intake, cause, verdict, retry)
+}
+
+/// All backend servers want nothing for longer than the caller's goal.
+fn refuse_until(shared: &Shared, intake: &Intake, verdict: Verdict, at: Moment) -> Response<Body> {
+    refuse_for(shared, intake, Cause::Overload, verdict, at.since(shared.now()))
+}
+
+fn refuse_for(
+    shared: &Shared,
+    intake: &Intake,
+    cause: Cause,
+    verdict: Verdict,
+    retry: Duration,
+) -> Response<Body> {
     let Basis { config, roster, age } = shared.basis();
     tracing::info!(
         id = intake.id(), service = %intake.service, ?cause, ?verdict, config, roster, age,
--- a/crates/daemon/src/gateway/quarantine.rs
+++ b/crates/daemon/src/gateway/quarantine.rs
@@ -25,6 +25,7 @@
 use super::answer::{self, Body, Cause};
 use super::intake::Intake;
 use super::pool::Reached;
+use super::said;
 use super::shared::{Basis, Shared};
 use super::watch::Sink;
 
@@ -280,6 +281,9 @@
 
 /// Asks a server for a sign of life.
 async fn ask(shared: Rc<Shared>, id: ServerId, addr: SocketAddr) {
+    if said::rests(&shared, &id) {
+        return;
+    }
     let sent = shared.now();
     let reached = timeout(SIGN_WAIT, shared.pool.reach(addr, engine::report(&id))).await;
     let found = match reached {
--- a/crates/daemon/src/gateway/said.rs
+++ b/crates/daemon/src/gateway/said.rs
@@ -22,6 +22,23 @@
     {
         leaving(shared, &id, "answer");
     }
+    if let Some(pause) = reply.pause.filter(|_| !reply.moved) {
+        let now = shared.now();
+        let (until, as_said) = shared.pauses.borrow_mut().note(now, to, pause);
+        let ms = until.since(now).as_millis() as u64;
+        tracing::info!(server = %to, ms, ?pause, as_said, "backend server wants nothing for a while");
+        shared.metrics.count("gateway.paused", 1);
+    }
+}
+
+/// Does a backend server want nothing now?
+pub fn rests(shared: &Shared, id: &ServerId) -> bool {
+    !shared.pauses.borrow().is_open(shared.now(), id)
+}
+
+/// May a backend server still be sent something? Asked again right before each send.
+pub fn takes(shared: &Shared, id: &ServerId) -> bool {
+    !shared.roster.borrow().has_left(&id.name) && !rests(shared, id)
 }
 
 /// The life that answered: the one that was meant, unless it says that it is another one.
@@ -51,15 +68,16 @@
     shared.line_waiters.wake_all();
 }
 
-/// A call to a backend server that is not a caller's request; none is made to one that leaves.
+/// A call to a backend server that is not a caller's request; none is made to one that leaves or wants
+/// nothing.
 pub async fn call(
     shared: &Shared,
     to: &Server,
     req: Request<Bytes>,
     limit: Duration,
 ) -> Result<(StatusCode, Bytes), ExchangeError> {
-    if shared.roster.borrow().has_left(&to.id.name) {
-        tracing::info!(server = %to.id, "not asked: the backend server leaves");
+    if !takes(shared, &to.id) {
+        tracing::info!(server = %to.id, "not asked: the backend server leaves, or wants nothing");
         return Err(ExchangeError::Unsent);
     }
     let sent = shared.now();
--- a/crates/daemon/src/gateway/send.rs
+++ b/crates/daemon/src/gateway/send.rs
@@ -54,8 +54,10 @@
     let mut conn = shared.pool.take(to.addr, idle_max).await.map_err(fate)?;
     // It may have left while the request waited: for its prompt to be read, in another zone, or for this
     // connection.
-    if shared.roster.borrow().has_left(&to.id.name) {
-        tracing::info!(id = intake.id(), server = %to.id, "not sent: the backend server leaves");
+    if !said::takes(shared, &to.id) {
+        tracing::info!(
+            id = intake.id(), server = %to.id, "not sent: the backend server leaves, or wants nothing"
+        );
         shared.pool.give(conn);
         return Err(Fate::Unsent);
     }
--- a/crates/daemon/src/gateway/shared.rs
+++ b/crates/daemon/src/gateway/shared.rs
@@ -21,6 +21,7 @@
 use ebonyloft_router::losses::Losses;
 use ebonyloft_router::node::Node;
 use ebonyloft_router::patience::Patience;
+use ebonyloft_router::pauses::Pauses;
 use ebonyloft_router::plain::Plain;
 use ebonyloft_router::prefill::Paces;
 use ebonyloft_router::pulls::Pulls;
@@ -103,6 +104,8 @@
     pub pulls: RefCell<Pulls>,
     /// Configurations on their way to peers.
     pub uploads: Uploads,
+    /// Backend servers that want nothing from this process for a while.
+    pub pauses: RefCell<Pauses>,
     /// Contents under which backend servers ended.
     pub quarantine: RefCell<Quarantine>,
     /// Losses of which it is not known yet whether their servers ended.
@@ -167,6 +170,7 @@
             role: RefCell::new(Role::new(clock.now())),
             pulls: RefCell::default(),
             uploads: Uploads::default(),
+            pauses: RefCell::default(),
             quarantine: RefCell::default(),
             losses: RefCell::default(),
             inquiries: Waiters::default(),
--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -33,6 +33,7 @@
 use super::call;
 use super::intake::Intake;
 use super::quarantine::{self, Run};
+use super::said;
 use super::send::{self, Head};
 use super::shared::{Basis, Shared};
 
@@ -170,6 +171,10 @@
         match fate {
             Fate::Answered(_) => failure = answer,
             Fate::Moved => call::gone(shared, &server.id),
+            // An engine that said how long it wants nothing is passed over until then.
+            Fate::Rejected | Fate::Unsent if said::rests(shared, &server.id) => {
+                cause = Cause::Overload;
+            }
             Fate::Rejected => {
                 cause = Cause::Overload;
                 shared.engines.borrow_mut().rejected(now, &server.id);
@@ -241,18 +246,19 @@
             read::elsewhere(shared, intake, flight).await;
         }
         // It may have begun to leave while the prompt was read.
-        let stays = shared.roster.borrow().ready(&intake.service).any(|s| s.id == server.id);
-        if stays {
+        if said::takes(shared, &server.id) {
             return Ok(server);
         }
-        tracing::info!(id = intake.id(), server = %server.id, "place given up: the engine leaves");
+        tracing::info!(
+            id = intake.id(), server = %server.id, "place given up: the engine leaves, or wants nothing"
+        );
         flight.give_up_place(shared, shared.now());
     }
 }
 
 fn plain(shared: &Shared, intake: &Intake, tried: &[ServerId]) -> Option<Server> {
     let (node, roster) = (shared.node(), shared.roster.borrow());
-    let servers = roster.ready(&intake.service);
+    let servers = roster.ready(&intake.service).filter(|s| !said::rests(shared, &s.id));
     let plain = shared.plain.borrow();
     plain.pick(shared.now(), &node.zone, servers, tried, || shared.draw()).cloned()
 }
--- a/crates/daemon/src/gateway/stream/flight.rs
+++ b/crates/daemon/src/gateway/stream/flight.rs
@@ -15,6 +15,7 @@
 
 use super::spill::Loan;
 use crate::gateway::quarantine::{EARLY, Run};
+use crate::gateway::said;
 use crate::gateway::shared::Shared;
 
 /// Longest wait for a reservation or a handle to be given back; both also lapse by themselves.
@@ -139,7 +140,8 @@
     /// Frees the prompt that was read.
     pub fn drop_source(&mut self, shared: &Shared) {
         if let Some(source) = self.source.take() {
-            give_back(shared, source.addr, engine::drop_handle(&source.id, &source.handle));
+            let req = engine::drop_handle(&source.id, &source.handle);
+            give_back(shared, &source.id, source.addr, req);
         }
     }
 
@@ -158,7 +160,7 @@
             loan.close(shared);
         }
         if let Some(hold) = hold {
-            give_back(shared, server.addr, engine::drop_hold(&server.id, &hold));
+            give_back(shared, &server.id, server.addr, engine::drop_hold(&server.id, &hold));
         }
         shared.engines.borrow_mut().freed(now, &server.id, memory, whole);
         shared.note_news();
@@ -170,7 +172,11 @@
     }
 }
 
-fn give_back(shared: &Shared, addr: SocketAddr, req: Request<Bytes>) {
+fn give_back(shared: &Shared, id: &ServerId, addr: SocketAddr, req: Request<Bytes>) {
+    if said::rests(shared, id) {
+        // It lapses by itself, and the engine wants nothing.
+        return;
+    }
     let pool = shared.pool.clone();
     compio::runtime::spawn(async move {
         if let Err(e) = pool.call(addr, req, GIVE_BACK_WAIT).await {
--- a/crates/daemon/src/gateway/stream/place.rs
+++ b/crates/daemon/src/gateway/stream/place.rs
@@ -41,6 +41,10 @@
     flight.ticket = Some(ticket);
     loop {
         let now = shared.now();
+        if let Some(at) = all_rest(shared, intake, tried).filter(|at| *at >= need.first_by) {
+            leave(shared, flight);
+            return Err(Stop::Refused(Cause::Overload, Some(at)));
+        }
         let advice = advise(shared, intake, spec, flight, tried, now);
         let short = || is_short(shared, intake, spec, flight, &need, now);
         if !matches!(advice, Advice::Ask(_))
@@ -76,6 +80,15 @@
     }
 }
 
+/// When the first engine that writes takes something again, if all that could be asked want nothing now;
+/// other zones' may be asked where zones decide for themselves.
+fn all_rest(shared: &Shared, intake: &Intake, tried: &[ServerId]) -> Option<Moment> {
+    let roster = shared.roster.borrow();
+    let writers = roster.ready(&intake.service).filter(|s| s.stage == Some(Stage::Decode));
+    let left = writers.filter(|s| !tried.contains(&s.id));
+    shared.pauses.borrow().soonest(shared.now(), left)
+}
+
 /// What is expected of the answer, by what was learned of its route.
 fn expect(shared: &Shared, intake: &Intake) -> Growth {
     let mut learned = shared.learned.borrow_mut();
@@ -140,13 +153,14 @@
 
 /// Engines of a service that write answers, of those that are placed at from here.
 pub fn writers<'a>(
-    shared: &Shared,
+    shared: &'a Shared,
     roster: &'a Roster,
     service: &'a str,
 ) -> impl Iterator<Item = &'a Server> {
     let zone = shared.zone();
     let here = move |s: &&Server| zone.as_ref().is_none_or(|zone| s.zone == *zone);
-    roster.ready(service).filter(|s| s.stage == Some(Stage::Decode)).filter(here)
+    let open = |s: &&Server| !said::rests(shared, &s.id);
+    roster.ready(service).filter(|s| s.stage == Some(Stage::Decode)).filter(here).filter(open)
 }
 
 /// The same in percent, for the log.
@@ -234,7 +248,10 @@
         }
         Err(e) => {
             tracing::info!(server = %id, error = %e, "engine cannot be reached");
-            engines.fault(now, id);
+            // Who leaves or wants nothing was not asked at all.
+            if said::takes(shared, id) {
+                engines.fault(now, id);
+            }
         }
     }
     None
--- a/crates/daemon/src/gateway/stream/read.rs
+++ b/crates/daemon/src/gateway/stream/read.rs
@@ -13,6 +13,7 @@
 use crate::gateway::call;
 use crate::gateway::intake::Intake;
 use crate::gateway::quarantine::{self, Run};
+use crate::gateway::said;
 use crate::gateway::send::{self, Expect};
 use crate::gateway::shared::{Basis, Shared};
 
@@ -97,7 +98,8 @@
     let readers = roster
         .ready(service)
         .filter(|s| s.stage == Some(Stage::Prefill) && !engines.faulty(now, &s.id))
-        .filter(|s| own.as_ref().is_none_or(|own| s.zone == *own));
+        .filter(|s| own.as_ref().is_none_or(|own| s.zone == *own))
+        .filter(|s| !said::rests(shared, &s.id));
     let (shares, paces) = (shared.shares.borrow(), shared.paces.borrow());
     let work = |id: &_| engines.own(id).plus(shares.work(now, id));
     let learned = shared.service(service);
@@ -157,7 +159,10 @@
         flight.reads += 1;
         return true;
     }
-    engines.fault(done, &reader.id);
+    // That it wants nothing is no fault.
+    if !said::rests(shared, &reader.id) {
+        engines.fault(done, &reader.id);
+    }
     drop(engines);
     if fate == Fate::Lost {
         quarantine::note_loss(shared, intake, reader, Run::Begun);
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod node;
 pub mod outcome;
 pub mod patience;
+pub mod pauses;
 pub mod plain;
 pub mod prefill;
 pub mod pulls;
--- /dev/null
+++ b/crates/router/tests/pauses.rs
@@ -0,0 +1,66 @@
+//! Servers that want nothing for a while.
+
+use std::time::Duration;
+
+use ebonyloft_core::time::Moment;
+use ebonyloft_router::catalog::{Server, ServerId};
+use ebonyloft_router::outcome::Pause;
+use ebonyloft_router::pauses::{PAUSE_MAX, PAUSE_UNREADABLE, Pauses};
+
+const NOW: Moment = Moment::from_millis(1_000_000);
+const SECOND: Duration = Duration::from_secs(1);
+
+fn id(name: &str) -> ServerId {
+    ServerId::new(name, 0)
+}
+
+fn server(name: &str) -> Server {
+    Server {
+        id: id(name),
+        service: "s".into(),
+        addr: ([127, 0, 0, 1], 1).into(),
+        zone: "z".into(),
+        slots: 4,
+        draining: false,
+        stage: None,
+    }
+}
+
+#[test]
+fn a_server_is_open_again_when_its_time_is_over() {
+    let mut pauses = Pauses::default();
+    assert_eq!(pauses.note(NOW, &id("a"), Pause::For(SECOND * 2)), (NOW.after(SECOND * 2), true));
+    assert!(!pauses.is_open(NOW.after(SECOND), &id("a")));
+    assert!(pauses.is_open(NOW.after(SECOND * 2), &id("a")));
+    assert!(pauses.is_open(NOW, &id("b")));
+    // Its next life said nothing.
+    assert!(pauses.is_open(NOW, &ServerId::new("a", 1)));
+    // A later word counts, also a shorter one.
+    pauses.note(NOW, &id("a"), Pause::For(SECOND));
+    assert!(pauses.is_open(NOW.after(SECOND), &id("a")));
+}
+
+#[test]
+fn nonsense_is_bounded() {
+    let mut pauses = Pauses::default();
+    let year = Pause::For(SECOND * 31_536_000);
+    assert_eq!(pauses.note(NOW, &id("a"), year), (NOW.after(PAUSE_MAX), false));
+    let (until, as_said) = pauses.note(NOW, &id("b"), Pause::Unreadable);
+    assert_eq!((until, as_said), (NOW.after(PAUSE_UNREADABLE), false));
+    pauses.note(NOW, &id("c"), Pause::For(Duration::ZERO));
+    assert!(pauses.is_open(NOW, &id("c")));
+}
+
+#[test]
+fn the_earliest_moment_is_known_when_all_rest() {
+    let mut pauses = Pauses::default();
+    let all = [server("a"), server("b")];
+    assert_eq!(pauses.soonest(NOW, all.iter()), None);
+    pauses.note(NOW, &id("a"), Pause::For(SECOND * 3));
+    assert_eq!(pauses.soonest(NOW, all.iter()), None);
+    pauses.note(NOW, &id("b"), Pause::For(SECOND * 2));
+    assert_eq!(pauses.soonest(NOW, all.iter()), Some(NOW.after(SECOND * 2)));
+    assert_eq!(pauses.soonest(NOW, std::iter::empty()), None);
+    pauses.expire(NOW.after(SECOND * 2));
+    assert!(!pauses.is_open(NOW.after(SECOND * 2), &id("a")));
+}
--- a/crates/standins/tests/answers.rs
+++ b/crates/standins/tests/answers.rs
@@ -84,17 +84,16 @@
     with_fleet(spec, async |fleet| {
         compio::time::sleep(BOUND / 2).await;
         fleet.store.set_fault(store::Fault::Silent);
-        let plain = fleet.runners[2].clone();
-        plain.say_leaving();
-        let mut n = 0;
-        while plain.seen.borrow().taken.is_empty() {
-            n += 1;
-            let _ = fleet.caller(0).call(CHECK, &format!("first-{n}")).await;
-        }
+        // The one that the first gateway used and knows is used again.
+        let _ = fleet.caller(0).call(CHECK, "first").await;
+        let used = if fleet.runs("first") == fleet.runners[2].runs("first") { 2 } else { 3 };
+        fleet.runners[used].say_leaving();
+        let _ = fleet.caller(0).call(CHECK, "second").await;
+        assert_eq!(fleet.runners[used].runs("second"), 1, "it is not told");
         compio::time::sleep(BOUND / 4).await;
         let heard = Instant::now();
         requests(fleet, "after", 6).await;
-        assert_eq!(taken_later(fleet, 2, heard), 0, "another gateway sent it something");
+        assert_eq!(taken_later(fleet, used, heard), 0, "another gateway sent it something");
     });
 }
 
@@ -153,3 +152,63 @@
         }
     });
 }
+
+/// When all that could serve want nothing for longer than the caller's goal, the caller hears so at once,
+/// and the earliest moment.
+#[test]
+fn who_cannot_be_served_in_time_is_told_the_earliest_moment() {
+    let spec = FleetSpec { gateways: 1, readers: 1, writers: 1, plain: 2, ..FleetSpec::default() };
+    with_fleet(spec, async |fleet| {
+        fleet.runners[1].want_nothing(Some("7"));
+        fleet.runners[2].want_nothing(Some("9"));
+        fleet.runners[3].want_nothing(Some("5"));
+        requests(fleet, "before", 1).await;
+        for (path, most) in [(CHECK, 5.0), (LOOKUP, 5.0), (SUMMARY, 7.0)] {
+            let caller = fleet.caller(0);
+            let answer = match path {
+                SUMMARY => caller.summary(path, path).await,
+                _ => caller.call(path, path).await,
+            };
+            let answer = answer.expect("an answer");
+            assert_eq!((answer.status, fleet.runs(path)), (503, 0), "{path}");
+            assert!(answer.took < Duration::from_millis(50), "{path}: {:?}", answer.took);
+            let wait: f64 = answer.header("retry-after").expect("a time").parse().expect("seconds");
+            assert!(wait <= most && wait > most - 4.0, "{path}: {wait} of {most}");
+        }
+    });
+}
+
+/// A pause that ends within the goal is waited for; one server's pause is nobody else's.
+#[test]
+fn a_short_pause_is_waited_for_and_others_are_used() {
+    let spec = FleetSpec { gateways: 1, readers: 1, writers: 2, plain: 1, ..FleetSpec::default() };
+    with_fleet(spec, async |fleet| {
+        fleet.runners[3].want_nothing(Some("0.1"));
+        let _ = fleet.caller(0).call(CHECK, "before").await;
+        fleet.runners[3].want_nothing(None);
+        let answer = fleet.caller(0).call(CHECK, "after").await.expect("an answer");
+        assert_eq!(answer.status, 200);
+        fleet.runners[1].want_nothing(Some("60"));
+        for n in 0..8 {
+            let answer = fleet.caller(0).summary(SUMMARY, &format!("s{n}")).await;
+            assert_eq!(answer.expect("an answer").status, 200, "{n}");
+        }
+    });
+}
+
+/// What is no time is no reason to stay away for long, nor to fail.
+#[test]
+fn nonsense_is_no_time() {
+    let spec = FleetSpec { gateways: 1, readers: 1, writers: 1, plain: 1, ..FleetSpec::default() };
+    with_fleet(spec, async |fleet| {
+        for (n, text) in ["-3", "NaN", "soon", "1e400", ""].into_iter().enumerate() {
+            fleet.runners[2].want_nothing(Some(text));
+            let answer = fleet.caller(0).call(CHECK, &format!("n{n}")).await.expect("an answer");
+            assert_eq!(answer.status, 503, "{text}");
+            fleet.runners[2].want_nothing(None);
+            compio::time::sleep(Duration::from_millis(1_100)).await;
+            let answer = fleet.caller(0).call(CHECK, &format!("a{n}")).await.expect("an answer");
+            assert_eq!(answer.status, 200, "{text}");
+        }
+    });
+}
