--- a/crates/daemon/src/gateway/call.rs
+++ b/crates/daemon/src/gateway/call.rs
@@ -28,16 +28,18 @@
 /// The send that is under way, or the turn that is waited for.
 #[derive(Default)]
 struct Flight {
-    open: Option<(ServerId, Moment)>,
+    open: Option<(Server, Moment)>,
     ticket: Option<Ticket>,
 }
 
 impl Flight {
-    /// The caller is gone: the send's connection is closed already, nothing is learnt from it.
-    fn close(self, shared: &Shared, service: &str) {
-        if let Some((id, sent)) = self.open {
-            shared.plain.borrow_mut().dropped(&id, sent);
+    /// The caller is gone: the send's connection is closed already, nothing is learnt from it of its time.
+    fn close(self, shared: &Shared, intake: &Intake) {
+        let service = &intake.service;
+        if let Some((server, sent)) = self.open {
+            shared.plain.borrow_mut().dropped(&server.id, sent);
             shared.line(service).dropped(sent);
+            quarantine::note_left(shared, intake, &server, Run::Call);
         }
         if let Some(ticket) = self.ticket {
             shared.line(service).leave(ticket);
@@ -86,7 +88,7 @@
     let mut flight = Flight::default();
     let work = deliver(shared, &intake, &mut flight);
     let answered = answer::unless_gone(gone, work).await;
-    flight.close(shared, &intake.service);
+    flight.close(shared, &intake);
     let ms = shared.now().since(intake.came_at).as_millis() as u64;
     let status = answered.as_ref().map_or(0, |r| r.status().as_u16());
     tracing::info!(id = intake.id(), route = %intake.route().name, status, ms, "request ended");
@@ -204,7 +206,7 @@
     let sent = shared.now();
     shared.plain.borrow_mut().sent(sent, &to.id);
     shared.line(&intake.service).sent(sent);
-    flight.open = Some((to.id.clone(), sent));
+    flight.open = Some((to.clone(), sent));
     let req = intake.request(sent, &to.id);
     let (fate, answer) = send::whole(shared, intake, to, req, limit, Expect::Signature).await;
     let now = shared.now();
--- a/crates/daemon/src/gateway/quarantine.rs
+++ b/crates/daemon/src/gateway/quarantine.rs
@@ -140,6 +140,15 @@
     shared.inquiries.wake_all();
 }
 
+/// Nobody waits for a run any more that had only just begun: whether its server ends is looked into too, or
+/// a caller who leaves early could end one server after the other unseen. Other answers of the server mostly
+/// tell that it lives.
+pub fn note_left(shared: &Shared, intake: &Intake, server: &Server, run: Run) {
+    if run != Run::Advanced {
+        note_loss(shared, intake, server, Run::Call);
+    }
+}
+
 /// A send ended: one that broke off is looked into, a whole answer clears its content.
 pub fn note_fate(shared: &Shared, intake: &Intake, server: &Server, fate: Fate, run: Run) {
     match fate {
--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -68,6 +68,9 @@
     let work = deliver(shared, &intake, &mut flight, &mut out);
     let ended = answer::unless_gone(gone, compio::time::timeout(left, work)).await;
     let events = out.events();
+    if let Some(server) = flight.open.take() {
+        quarantine::note_left(shared, &intake, &server, flight.run(shared.now()));
+    }
     let word = conclude(shared, &intake, &flight, out, ended);
     if word == WHOLE {
         observe(shared, &intake, &flight);
@@ -148,10 +151,12 @@
         };
         flight.progress.begin();
         flight.advanced_at = None;
+        flight.open = Some(server.clone());
         let (fate, answer) = attempt(shared, intake, &server, flight, out, &mut splitter).await;
         let now = shared.now();
         flight.progress.note(fate);
         let run = flight.run(now);
+        flight.open = None;
         quarantine::note_fate(shared, intake, &server, fate, run);
         arrived |= fate != Fate::Unsent;
         tracing::info!(
--- a/crates/daemon/src/gateway/stream/flight.rs
+++ b/crates/daemon/src/gateway/stream/flight.rs
@@ -53,6 +53,8 @@
     pub progress: Progress,
     /// Its turn in the line for places.
     pub ticket: Option<Ticket>,
+    /// Where a send is under way, of the request or of its prompt.
+    pub open: Option<Server>,
     /// Its place.
     pub place: Option<Place>,
     /// Other zones that were asked for a place.
@@ -77,6 +79,7 @@
         Flight {
             progress,
             ticket: None,
+            open: None,
             place: None,
             zones: Vec::new(),
             reading: None,
--- a/crates/daemon/src/gateway/stream/read.rs
+++ b/crates/daemon/src/gateway/stream/read.rs
@@ -133,7 +133,9 @@
     headers::set_prefill(req.headers_mut());
     let limit = ready_at.since(now) + READ_SLACK;
     let Basis { config, roster, age } = shared.basis();
+    flight.open = Some(reader.clone());
     let (fate, answer) = send::whole(shared, intake, reader, req, limit, Expect::Handle).await;
+    flight.open = None;
     let done = shared.now();
     flight.reading = None;
     let mut engines = shared.engines.borrow_mut();
--- a/crates/standins/tests/crashing.rs
+++ b/crates/standins/tests/crashing.rs
@@ -248,6 +248,31 @@
     });
 }
 
+/// Its caller leaves before the server has ended, and comes again: what it did is seen all the same.
+#[test]
+fn a_caller_who_leaves_early_hides_nothing() {
+    with_fleet(spec(2), async |fleet| {
+        let end = Instant::now() + Duration::from_secs(9);
+        let (mut n, body) = (0, format!("{ENDS}a"));
+        while Instant::now() < end {
+            n += 1;
+            for path in [SUMMARY, LOOKUP] {
+                let caller = fleet.caller(n % 2);
+                let (attempt, body) = (format!("{path}-{n}"), format!("{body}{path}"));
+                let sent = caller.with_body(path, &attempt, body);
+                // Some 50 ms to read the prompt, 70 until the end.
+                let _ = compio::time::timeout(PAUSE / 3, sent).await;
+            }
+            compio::time::sleep(PAUSE).await;
+        }
+        for path in [SUMMARY, LOOKUP] {
+            let (ended, late) = toll(fleet, &format!("a{path}"));
+            assert!(ended >= PROVED, "{ended} servers ended under {path}: nothing is proved");
+            assert!(late <= LATE_MAX, "{path}: {late} sends too late; {ended} servers ended");
+        }
+    });
+}
+
 /// The content gets its answer at once, and a true one: it did not run, and is not worth sending soon.
 async fn refused(fleet: &Fleet, gateway: usize) {
     let body = format!("{ENDS}a");
