A proof is written to the store for as long as it stands

What would have been lost: a content proved while the store is away for more than some eight seconds was never written, and forgotten with the last gateway. The test fails before (no key 8 s behind the store's return).

--- a/crates/daemon/src/gateway/quarantine.rs
+++ b/crates/daemon/src/gateway/quarantine.rs
@@ -39,10 +39,10 @@
 const INQUIRY_LOOK: Duration = Duration::from_millis(10);
 /// Pause between two rounds of upkeep.
 const UPKEEP: Duration = Duration::from_millis(250);
-/// Tries to write a proved content to the store, each later than the one before.
-const WRITES_MAX: u32 = 5;
-/// Pause before the second of them; doubled with each.
+/// Pause before a proved content that could not be written to the store is written again; doubled with each.
 const WRITE_PAUSE: Duration = Duration::from_millis(500);
+/// Longest such pause: the store is back for a few seconds at least.
+const WRITE_PAUSE_MAX: Duration = Duration::from_secs(4);
 /// Runs that ended this soon behind their first event had only just begun.
 pub const EARLY: Duration = Duration::from_millis(1_000);
 
@@ -312,16 +312,16 @@
     }
 }
 
-/// Writes a proved content to the store; another gateway may have done so.
+/// Writes a proved content to the store, for as long as it stands; another gateway may have done so.
 async fn write(shared: Rc<Shared>, content: Content) {
     let mut pause = WRITE_PAUSE;
-    for _ in 0..WRITES_MAX {
+    while is_proved(&shared, &content) {
         match try_write(&shared, content).await {
             Ok(()) | Err(StoreError::Conflict) => return,
             Err(e) => tracing::info!(%content, error = %e, "proof not written"),
         }
         compio::time::sleep(pause.mul_f64(0.5 + shared.draw())).await;
-        pause *= 2;
+        pause = (pause * 2).min(WRITE_PAUSE_MAX);
     }
 }
 
--- a/crates/standins/tests/crashing.rs
+++ b/crates/standins/tests/crashing.rs
@@ -273,6 +273,20 @@
     });
 }
 
+/// A proof that the store could not take yet is written when it can.
+#[test]
+fn a_proof_is_written_when_the_store_is_back() {
+    with_fleet(spec(1), async |fleet| {
+        fleet.store.set_fault(store::Fault::Silent);
+        repeat(fleet, SUMMARY, "a", Duration::from_secs(4), PAUSE).await;
+        compio::time::sleep(Duration::from_secs(12)).await;
+        assert!(fleet.store.keys("ebonyloft/quarantine/").is_empty());
+        fleet.store.set_fault(store::Fault::None);
+        compio::time::sleep(Duration::from_secs(8)).await;
+        assert_eq!(fleet.store.keys("ebonyloft/quarantine/").len(), 1);
+    });
+}
+
 /// The content gets its answer at once, and a true one: it did not run, and is not worth sending soon.
 async fn refused(fleet: &Fleet, gateway: usize) {
     let body = format!("{ENDS}a");
