--- a/crates/cli/src/cmd/trace.rs
+++ b/crates/cli/src/cmd/trace.rs
@@ -12,6 +12,8 @@
 Reads the gateways' logs, from files or standard input, and prints every line that concerns one
 request, in the order of time, with what decided it; then what the end of it means.
 
+Of one that was refused because servers ended under the same request, it shows these servers too.
+
 Use it when a caller names a request that failed. Logs of several gateways may be given in any order:
 a caller's repeats have ids of their own, and each lies in the log of the gateway that took it.
 Lines that are not JSON, or have text before it, are taken as far as they can be read.";
@@ -19,6 +21,9 @@
 /// Fields that every line has; the rest is printed as it is.
 const COMMON: [&str; 5] = ["timestamp", "level", "message", "target", "id"];
 
+/// Causes of a refusal that are explained by what was seen of the request's content.
+const QUARANTINED: [&str; 2] = ["Quarantined", "Suspect"];
+
 /// Arguments.
 #[derive(clap::Args, Debug)]
 #[command(long_about = HELP)]
@@ -31,19 +36,24 @@
 
 /// Runs the command.
 pub fn run(args: Args) -> CliResult<()> {
-    let mut lines = Vec::new();
+    let (mut lines, mut contents) = (Vec::new(), Vec::new());
     if args.files.is_empty() {
-        read(&args.id, io::stdin(), &mut lines)?;
+        read(&args.id, io::stdin(), &mut lines, &mut contents)?;
     }
     for path in &args.files {
         let file = File::open(path)
             .map_err(|source| CliError::File { path: path.display().to_string(), source })?;
-        read(&args.id, file, &mut lines)?;
+        read(&args.id, file, &mut lines, &mut contents)?;
     }
     if lines.is_empty() {
         let detail = format!("no line of request {}: it reached none of these gateways", args.id);
         return Err(CliError::Input { detail });
     }
+    if lines.iter().any(|line| QUARANTINED.contains(&text(line, "cause"))) {
+        let content = lines.iter().map(|l| text(l, "content")).find(|c| !c.is_empty());
+        let content = content.unwrap_or_default().to_owned();
+        lines.extend(contents.into_iter().filter(|l| text(l, "content") == content));
+    }
     lines.sort_by(|a, b| text(a, "timestamp").cmp(text(b, "timestamp")));
     let mut out = io::stdout().lock();
     for line in &lines {
@@ -55,18 +65,28 @@
     Ok(())
 }
 
-fn read(id: &str, from: impl Read, lines: &mut Vec<Map<String, Value>>) -> CliResult<()> {
+/// Reads the lines of a request, and those of contents as such, which name no request.
+fn read(
+    id: &str,
+    from: impl Read,
+    lines: &mut Vec<Map<String, Value>>,
+    contents: &mut Vec<Map<String, Value>>,
+) -> CliResult<()> {
     for line in BufReader::new(from).split(b'\n') {
         let line = line?;
         let line = String::from_utf8_lossy(&line);
         // What collects the logs may put its own words first.
-        let Some(start) = line.find('{').filter(|_| line.contains(id)) else {
+        let named = line.contains(id) || line.contains("\"content\"");
+        let Some(start) = line.find('{').filter(|_| named) else {
+            continue;
+        };
+        let Ok(Value::Object(map)) = serde_json::from_str(&line[start..]) else {
             continue;
         };
-        if let Ok(Value::Object(map)) = serde_json::from_str(&line[start..])
-            && text(&map, "id") == id
-        {
+        if text(&map, "id") == id {
             lines.push(map);
+        } else if !map.contains_key("id") && map.contains_key("content") {
+            contents.push(map);
         }
     }
     Ok(())
@@ -107,6 +127,8 @@
         "Stopping" => "Refused: the gateway was stopping. It did not run.",
         "NoRoute" => "Refused: no route of this configuration has its host and path.",
         "Budget" => "Given up: the budget of extra arrivals was spent; see the verdict.",
+        "Quarantined" => "Refused: servers ended under the same request. It did not run.",
+        "Suspect" => "Refused: the same request is being looked into, or tried. It did not run.",
         "Lost" => "Failed: it was sent and no whole answer came; it may have run.",
         _ => return None,
     })
--- a/crates/cli/tests/trace.rs
+++ b/crates/cli/tests/trace.rs
@@ -43,6 +43,25 @@
     assert!(text.ends_with("Failed: it was sent and no whole answer came; it may have run.\n"));
 }
 
+/// Of a refusal for what the same content did before, the servers are shown too, whoever was served there.
+#[test]
+fn a_quarantined_request_is_told_with_the_servers_that_ended() {
+    let log = r#"
+{"timestamp":"2026-07-06T12:57:51.1Z","message":"backend server ended under a request","content":"0a1b","server":"i-7"}
+{"timestamp":"2026-07-06T12:57:51.2Z","message":"content proved","content":"0a1b","servers":"i-5 i-6 i-7"}
+{"timestamp":"2026-07-06T12:57:51.3Z","message":"content proved","content":"ffff","servers":"i-1 i-2 i-3"}
+{"timestamp":"2026-07-06T12:57:51.4Z","message":"sent","id":"d4","content":"0a1b","fate":"Lost"}
+{"timestamp":"2026-07-06T12:57:55.2Z","message":"request refused","id":"e5","content":"0a1b","cause":"Quarantined"}
+"#;
+    let text = String::from_utf8(trace(&["e5"], log).stdout).expect("text");
+    let lines: Vec<&str> = text.lines().collect();
+    assert_eq!(lines.len(), 4, "{text}");
+    assert!(lines[0].contains("server=i-7"));
+    assert!(lines[1].contains("servers=i-5 i-6 i-7"));
+    assert!(lines[2].contains("cause=Quarantined"));
+    assert_eq!(lines[3], "Refused: servers ended under the same request. It did not run.");
+}
+
 #[test]
 fn an_unknown_request_is_an_error() {
     let output = trace(&["zz"], LOG);
