--- a/crates/router/src/quarantine.rs
+++ b/crates/router/src/quarantine.rs
@@ -37,6 +37,10 @@
 pub const SUSPECTS_MAX: usize = 8_192;
 /// Proved contents kept; a flood of suspects does not push them out.
 pub const PROVED_MAX: usize = 4_096;
+/// How long a whole answer speaks for a content: what many callers ask for is there whenever a server ends.
+pub const SOUND_LIFE: Duration = Duration::from_secs(10);
+/// Contents kept that were answered whole lately: more than one gateway serves in that time.
+const SOUND_MAX: usize = 16_384;
 /// Rows between two looks at their numbers.
 const LOOK_ROWS: usize = 512;
 /// Endings kept of one content; more prove nothing more.
@@ -169,6 +173,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
     rows: HashMap<Content, Row>,
+    /// Contents that were answered whole here, and when.
+    sound: HashMap<Content, Moment>,
     /// Rows at which their numbers are looked at again.
     look_at: usize,
 }
@@ -189,6 +195,23 @@
         self.rows.contains_key(content)
     }
 
+    /// A content was answered whole here; true when others should hear of it.
+    pub fn served_here(&mut self, now: Moment, content: Content) -> bool {
+        if self.sound.len() >= SOUND_MAX {
+            self.sound.retain(|_, at| at.after(SOUND_LIFE) > now);
+        }
+        if self.sound.len() >= SOUND_MAX {
+            self.sound.clear();
+        }
+        self.sound.insert(content, now);
+        self.is_known(&content)
+    }
+
+    /// Was a content answered whole here shortly before a moment, or since?
+    pub fn is_sound(&self, at: Moment, content: &Content) -> bool {
+        self.sound.get(content).is_some_and(|served| served.after(SOUND_LIFE) > at)
+    }
+
     /// Takes what happened here, or what a peer tells.
     pub fn take(&mut self, now: Moment, word: &Word) -> Change {
         let (content, at) = (word.content, now.before(Duration::from_millis(word.age)));
--- a/crates/router/tests/quarantine.rs
+++ b/crates/router/tests/quarantine.rs
@@ -6,8 +6,8 @@
 use ebonyloft_router::catalog::ServerId;
 use ebonyloft_router::content::Content;
 use ebonyloft_router::quarantine::{
-    Change, Fact, PROVED_LIFE, PROVED_MAX, Quarantine, SUSPECT_LIFE, SUSPECTS_MAX, Standing,
-    TRIAL_LIFE, Word,
+    Change, Fact, PROVED_LIFE, PROVED_MAX, Quarantine, SOUND_LIFE, SUSPECT_LIFE, SUSPECTS_MAX,
+    Standing, TRIAL_LIFE, Word,
 };
 use proptest::prelude::*;
 
@@ -91,6 +91,23 @@
     assert_eq!(all.take(after, &word(BAD, ended("d", true))), Change::Suspected);
 }
 
+/// What many callers ask for is at some server whenever one ends.
+#[test]
+fn what_was_answered_lately_is_sound() {
+    let mut all = Quarantine::default();
+    assert!(!all.served_here(NOW, BAD), "nobody needs to hear of it");
+    assert!(all.is_sound(NOW.after(SOUND_LIFE / 2), &BAD));
+    assert!(!all.is_sound(NOW.after(SOUND_LIFE), &BAD));
+    // It was answered after the loss.
+    assert!(all.is_sound(NOW.before(SOUND_LIFE * 2), &BAD));
+    told(&mut all, &[ended("a", true)]);
+    assert!(all.served_here(NOW, BAD));
+    for n in 0..100_000 {
+        all.served_here(NOW, Content(n, 2));
+    }
+    assert!(all.is_sound(NOW, &Content(99_999, 2)));
+}
+
 #[test]
 fn a_proof_stands_until_its_deadline_or_an_operators_word() {
     let mut all = Quarantine::default();
--- a/crates/standins/tests/crashing.rs
+++ b/crates/standins/tests/crashing.rs
@@ -143,6 +143,37 @@
     });
 }
 
+/// What all callers ask for is at each server that ends; it is served on.
+#[test]
+fn what_everybody_asks_for_is_served_on() {
+    with_fleet(spec(2), async |fleet| {
+        let end = Instant::now() + Duration::from_secs(12);
+        let bad = async {
+            let mut n = 0;
+            while Instant::now() < end {
+                // Another content each time: one server ends after the other.
+                repeat(fleet, LOOKUP, &format!("bad{n}"), PAUSE * 2, PAUSE).await;
+                n += 1;
+            }
+        };
+        let asked = async {
+            let (mut n, mut quarantined) = (0, 0);
+            while Instant::now() < end {
+                n += 1;
+                let (caller, attempt) = (fleet.caller(n % 2), format!("q{n}"));
+                let answer = caller.with_body(LOOKUP, &attempt, "same".into()).await;
+                let answer = answer.expect("an answer");
+                let text = String::from_utf8_lossy(&answer.body).into_owned();
+                quarantined += usize::from(text.contains("quarantined"));
+                compio::time::sleep(PAUSE / 25).await;
+            }
+            quarantined
+        };
+        let (_, quarantined) = futures_util::join!(bad, asked);
+        assert_eq!(quarantined, 0);
+    });
+}
+
 /// A server that loses each answer of a request did not end under it.
 #[test]
 fn answers_that_are_lost_prove_nothing() {
