What is sent to a server that is down already did not end it, and what is sound is not suspected

Cause, from the gateways' logs: a server had ended 0.85 s before; seven checks sent to it since were lost after 0 to 1 ms, and the lapse of its registration blamed them all.

Why it holds: a run counts for an ending only if it was sent before the first loss at that life; what the life answered since clears the losses before. And a content that this gateway saw answered whole in the last ten seconds is not suspected at all.

--- a/crates/daemon/src/gateway/call.rs
+++ b/crates/daemon/src/gateway/call.rs
@@ -13,7 +13,7 @@
 
 use super::answer::{self, Body, Cause};
 use super::intake::Intake;
-use super::quarantine::{self, Run};
+use super::quarantine::{self, Run, Sent};
 use super::said;
 use super::send::{self, Expect, Whole};
 use super::shared::{Basis, Shared};
@@ -39,7 +39,8 @@
         if let Some((server, sent)) = self.open {
             shared.plain.borrow_mut().dropped(&server.id, sent);
             shared.line(service).dropped(sent);
-            quarantine::note_left(shared, intake, &server, Run::Call);
+            let sent = Sent { server: &server, run: Run::Call, at: sent };
+            quarantine::note_left(shared, intake, sent);
         }
         if let Some(ticket) = self.ticket {
             shared.line(service).leave(ticket);
@@ -143,7 +144,8 @@
         let (fate, answer) = send_to(shared, intake, &server, limit, flight).await;
         arrived |= fate != Fate::Unsent;
         progress.note(fate);
-        quarantine::note_fate(shared, intake, &server, fate, Run::Call);
+        let sent = Sent { server: &server, run: Run::Call, at: now };
+        quarantine::note_fate(shared, intake, sent, fate);
         tried.push(server.id.clone());
         match fate {
             Fate::Answered(status) => {
--- a/crates/daemon/src/gateway/quarantine.rs
+++ b/crates/daemon/src/gateway/quarantine.rs
@@ -100,7 +100,7 @@
     let ms = until.since(now).as_millis() as u64;
     tracing::info!(
         id = intake.id(), content = %intake.content, ?cause, endings, ms, config, roster, age,
-        "request refused: servers ended under it"
+        "request refused"
     );
     shared.metrics.count("gateway.quarantine.refused", 1);
     Err(Refused { cause, until })
@@ -123,18 +123,30 @@
     Call,
 }
 
+/// A send of a request to a backend server.
+#[derive(Clone, Copy, Debug)]
+pub struct Sent<'a> {
+    /// The server.
+    pub server: &'a Server,
+    /// How far it has come.
+    pub run: Run,
+    /// When it was sent.
+    pub at: Moment,
+}
+
 /// A run broke off, or no answer came: whether its server ended is looked into.
-pub fn note_loss(shared: &Shared, intake: &Intake, server: &Server, run: Run) {
+pub fn note_loss(shared: &Shared, intake: &Intake, sent: Sent<'_>) {
+    let (now, server) = (shared.now(), sent.server);
     // Who leaves ends; that is nobody's fault.
-    if shared.roster.borrow().has_left(&server.id.name) {
+    let left = shared.roster.borrow().has_left(&server.id.name);
+    if left || shared.quarantine.borrow().is_sound(now, &intake.content) {
         return;
     }
-    let now = shared.now();
-    let early = run != Run::Advanced;
-    let wait = if run == Run::Call { CALL_WAIT } else { STREAM_WAIT };
-    let loss = Loss { content: intake.content, early, at: now };
+    let early = sent.run != Run::Advanced;
+    let wait = if sent.run == Run::Call { CALL_WAIT } else { STREAM_WAIT };
+    let loss = Loss { content: intake.content, early, sent: sent.at, at: now };
     shared.losses.borrow_mut().lost(server, loss, wait);
-    if run == Run::Begun {
+    if sent.run == Run::Begun {
         tell(shared, intake.content, Fact::Lost);
     }
     shared.inquiries.wake_all();
@@ -143,24 +155,24 @@
 /// Nobody waits for a run any more that had only just begun: whether its server ends is looked into too, or
 /// a caller who leaves early could end one server after the other unseen. Other answers of the server mostly
 /// tell that it lives.
-pub fn note_left(shared: &Shared, intake: &Intake, server: &Server, run: Run) {
-    if run != Run::Advanced {
-        note_loss(shared, intake, server, Run::Call);
+pub fn note_left(shared: &Shared, intake: &Intake, sent: Sent<'_>) {
+    if sent.run != Run::Advanced {
+        note_loss(shared, intake, Sent { run: Run::Call, ..sent });
     }
 }
 
 /// A send ended: one that broke off is looked into, a whole answer clears its content.
-pub fn note_fate(shared: &Shared, intake: &Intake, server: &Server, fate: Fate, run: Run) {
+pub fn note_fate(shared: &Shared, intake: &Intake, sent: Sent<'_>, fate: Fate) {
     match fate {
-        Fate::Lost => note_loss(shared, intake, server, run),
+        Fate::Lost => note_loss(shared, intake, sent),
         Fate::Answered(status) if status < 500 => served(shared, &intake.content),
         Fate::Answered(_) | Fate::Moved | Fate::Rejected | Fate::Unsent => {}
     }
 }
 
 fn served(shared: &Shared, content: &Content) {
-    let known = shared.quarantine.borrow().is_known(content);
-    if known {
+    let tells = shared.quarantine.borrow_mut().served_here(shared.now(), *content);
+    if tells {
         tell(shared, *content, Fact::Served);
     }
 }
@@ -198,6 +210,9 @@
 
 fn blame(shared: &Shared, id: &ServerId, losses: Vec<Loss>, how: &'static str) {
     for loss in losses {
+        if shared.quarantine.borrow().is_sound(loss.at, &loss.content) {
+            continue;
+        }
         let age = shared.now().since(loss.at).as_millis() as u64;
         tracing::info!(
             content = %loss.content, server = %id, early = loss.early, how, age,
--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -32,7 +32,7 @@
 use super::answer::{self, Body, Cause};
 use super::call;
 use super::intake::Intake;
-use super::quarantine::{self, Run};
+use super::quarantine::{self, Run, Sent};
 use super::said;
 use super::send::{self, Head};
 use super::shared::{Basis, Shared};
@@ -68,8 +68,9 @@
     let work = deliver(shared, &intake, &mut flight, &mut out);
     let ended = answer::unless_gone(gone, compio::time::timeout(left, work)).await;
     let events = out.events();
-    if let Some(server) = flight.open.take() {
-        quarantine::note_left(shared, &intake, &server, flight.run(shared.now()));
+    if let Some((server, at)) = flight.open.take() {
+        let run = flight.run(shared.now());
+        quarantine::note_left(shared, &intake, Sent { server: &server, run, at });
     }
     let word = conclude(shared, &intake, &flight, out, ended);
     if word == WHOLE {
@@ -151,13 +152,14 @@
         };
         flight.progress.begin();
         flight.advanced_at = None;
-        flight.open = Some(server.clone());
+        let begun = shared.now();
+        flight.open = Some((server.clone(), begun));
         let (fate, answer) = attempt(shared, intake, &server, flight, out, &mut splitter).await;
         let now = shared.now();
         flight.progress.note(fate);
         let run = flight.run(now);
         flight.open = None;
-        quarantine::note_fate(shared, intake, &server, fate, run);
+        quarantine::note_fate(shared, intake, Sent { server: &server, run, at: begun }, fate);
         arrived |= fate != Fate::Unsent;
         tracing::info!(
             id = intake.id(), content = %intake.content, server = %server.id, ?fate,
--- a/crates/daemon/src/gateway/stream/flight.rs
+++ b/crates/daemon/src/gateway/stream/flight.rs
@@ -53,8 +53,8 @@
     pub progress: Progress,
     /// Its turn in the line for places.
     pub ticket: Option<Ticket>,
-    /// Where a send is under way, of the request or of its prompt.
-    pub open: Option<Server>,
+    /// Where a send is under way, of the request or of its prompt, and since when.
+    pub open: Option<(Server, Moment)>,
     /// Its place.
     pub place: Option<Place>,
     /// Other zones that were asked for a place.
--- a/crates/daemon/src/gateway/stream/read.rs
+++ b/crates/daemon/src/gateway/stream/read.rs
@@ -12,7 +12,7 @@
 use super::flight::{Flight, Source};
 use crate::gateway::call;
 use crate::gateway::intake::Intake;
-use crate::gateway::quarantine::{self, Run};
+use crate::gateway::quarantine::{self, Run, Sent};
 use crate::gateway::said;
 use crate::gateway::send::{self, Expect};
 use crate::gateway::shared::{Basis, Shared};
@@ -133,7 +133,7 @@
     headers::set_prefill(req.headers_mut());
     let limit = ready_at.since(now) + READ_SLACK;
     let Basis { config, roster, age } = shared.basis();
-    flight.open = Some(reader.clone());
+    flight.open = Some((reader.clone(), now));
     let (fate, answer) = send::whole(shared, intake, reader, req, limit, Expect::Handle).await;
     flight.open = None;
     let done = shared.now();
@@ -167,7 +167,8 @@
     }
     drop(engines);
     if fate == Fate::Lost {
-        quarantine::note_loss(shared, intake, reader, Run::Begun);
+        let sent = Sent { server: reader, run: Run::Begun, at: now };
+        quarantine::note_loss(shared, intake, sent);
     }
     match fate {
         Fate::Moved => {
--- a/crates/router/src/losses.rs
+++ b/crates/router/src/losses.rs
@@ -37,6 +37,8 @@
     pub content: Content,
     /// It had only just begun.
     pub early: bool,
+    /// When it was sent.
+    pub sent: Moment,
     /// When it was lost.
     pub at: Moment,
 }
@@ -98,9 +100,13 @@
         cleared
     }
 
-    /// The server has ended, with everything that broke off there.
+    /// The server has ended, with everything that broke off there then. What was sent after the first loss met
+    /// a server that was down already.
     pub fn ended(&mut self, id: &ServerId) -> Vec<Loss> {
-        self.cases.remove(id).map_or_else(Vec::new, |case| case.losses)
+        let mut losses = self.cases.remove(id).map_or_else(Vec::new, |case| case.losses);
+        let first = losses.iter().map(|loss| loss.at).min().unwrap_or_default();
+        losses.retain(|loss| loss.sent <= first);
+        losses
     }
 
     /// The same for all lives of a name but `current`, each with its losses.
