The soak learns contents under which servers end, and servers that say that they leave or want nothing

Two sets of kinds of their own, beside cuts, stops, kills, a store that is away and a changing configuration; both are in the short run and in each seed by hand. Draws and checks of the kept seeds are unchanged.

--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -16,7 +16,9 @@
 
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use self::world::{FIRST_KINDS, KINDS, LEAVING_KINDS, Plan, SECOND_KINDS, play};
+use self::world::{
+    ANSWER_KINDS, ENDING_KINDS, FIRST_KINDS, KINDS, LEAVING_KINDS, Plan, SECOND_KINDS, play,
+};
 
 /// Seeds that failed once, each with what it showed.
 const KEPT: &[(u64, &str)] = &[
@@ -36,6 +38,8 @@
     play(plan);
     play(Plan { seed: 2, kinds: SECOND_KINDS, ..plan });
     play(Plan { seed: 3, kinds: LEAVING_KINDS, ..plan });
+    play(Plan { seed: 4, kinds: ANSWER_KINDS, ..plan });
+    play(Plan { seed: 5, kinds: ENDING_KINDS, ..plan });
 }
 
 #[test]
@@ -57,5 +61,7 @@
     for seed in first..first + number("EBONYLOFT_SOAK_SEEDS").unwrap_or(5) {
         play(Plan { seed, faults, gateways, kinds: KINDS });
         play(Plan { seed, faults, gateways, kinds: LEAVING_KINDS });
+        play(Plan { seed, faults, gateways, kinds: ANSWER_KINDS });
+        play(Plan { seed, faults, gateways, kinds: ENDING_KINDS });
     }
 }
--- a/crates/daemon/tests/soak/callers.rs
+++ b/crates/daemon/tests/soak/callers.rs
@@ -36,8 +36,11 @@
             assert!(world.runs(attempt) <= 1, "seed {seed}: {attempt} ran more than once");
         }
         assert!(self.served * 4 > self.asked, "seed {seed}: {} of {}", self.served, self.asked);
-        let left = world.left.get();
-        println!("seed {seed}: {} of {} served, {left} leavings kept", self.served, self.asked);
+        let (left, ended) = (world.left.get(), world.ended.get());
+        let (served, asked) = (self.served, self.asked);
+        println!(
+            "seed {seed}: {served} of {asked} served, {left} leavings kept, {ended} servers ended"
+        );
     }
 }
 
--- a/crates/daemon/tests/soak/faults.rs
+++ b/crates/daemon/tests/soak/faults.rs
@@ -6,9 +6,10 @@
 
 use ebonyloft_platform::serve;
 use ebonyloft_platform::store::CONFIG_KEY;
-use ebonyloft_standins::fleet::runner::{self, Runner};
+use ebonyloft_standins::fleet::caller::Caller;
+use ebonyloft_standins::fleet::runner::{self, ENDS, Runner};
 use ebonyloft_standins::fleet::store;
-use ebonyloft_standins::fleet::{FleetSpec, config};
+use ebonyloft_standins::fleet::{FleetSpec, LOOKUP, SUMMARY, config};
 use ebonyloft_standins::relay::RelaySwitch;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -28,6 +29,11 @@
 /// Within which a leaving server must be sent nothing more; the default of the settings.
 const BOUND: Duration = Duration::from_secs(2);
 
+/// Within which every gateway must know that a content is proved; the default of the settings.
+const CONTACT: Duration = Duration::from_secs(3);
+/// How often a content under which servers end is sent: for six seconds.
+const REPEATS: usize = 50;
+
 fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
 }
@@ -109,6 +115,13 @@
             world.store.register(&runner.server.borrow());
         }
         13 => leave(world, runner).await,
+        14 => end_servers(world, &format!("{seed:x}"), rng.random()).await,
+        15 => say_leaving(world, runner).await,
+        16 => {
+            runner.want_nothing(Some(&format!("{:.2}", lasts.as_secs_f64())));
+            compio::time::sleep(lasts).await;
+            runner.want_nothing(None);
+        }
         _ => {
             let name = runner.server.borrow().id.name.clone();
             let wrong = WRONG_ENTRIES[rng.random_range(0..WRONG_ENTRIES.len())];
@@ -150,6 +163,62 @@
     seen.reads + seen.arrivals.values().sum::<usize>() as u64
 }
 
+/// A content under which servers end is sent through all gateways in turn; once three have ended it reaches
+/// no others.
+async fn end_servers(world: &World, name: &str, summary: bool) {
+    let path = if summary { SUMMARY } else { LOOKUP };
+    let body = format!("{ENDS}{name}");
+    for n in 0..REPEATS {
+        let caller = Caller::new(world.address(n % world.gateways.len()));
+        let (attempt, body) = (format!("ends-{name}-{n}"), body.clone());
+        compio::runtime::spawn(async move {
+            // Nobody waits for an answer; the process may be down.
+            let _ = caller.with_body(path, &attempt, body).await;
+        })
+        .detach();
+        compio::time::sleep(ms(120)).await;
+    }
+    let of = |rows: &[(String, Instant)]| -> Vec<Instant> {
+        rows.iter().filter(|(n, _)| n == name).map(|(_, at)| *at).collect()
+    };
+    let seen = world.runners.iter().map(|(r, _)| r.seen.borrow());
+    let (mut ended, mut reached) = (Vec::new(), Vec::new());
+    for seen in seen {
+        ended.extend(of(&seen.ended));
+        reached.extend(of(&seen.marked));
+    }
+    ended.sort();
+    let bound = ended.get(2).map(|third| *third + CONTACT);
+    let late = bound.map_or(0, |bound| reached.iter().filter(|at| **at > bound).count());
+    let seed = world.plan.seed;
+    assert!(late <= 3, "seed {seed}: {name} ended {} servers, sent {late} times late", ended.len());
+    world.ended.set(world.ended.get() + ended.len() as u32);
+}
+
+/// A server says with all answers that it leaves, and the store tells nobody; it is sent nothing more once
+/// everybody who was told has had the bound's time.
+async fn say_leaving(world: &World, runner: &Rc<Runner>) {
+    let lives = runner.server.borrow().id.clone();
+    runner.say_leaving();
+    compio::time::sleep(ms(500)).await;
+    let told = Instant::now();
+    compio::time::sleep(BOUND).await;
+    let before = arrived(runner);
+    compio::time::sleep(ms(1_500)).await;
+    let same = runner.server.borrow().id == lives;
+    // Nobody is told by a server that nobody asked.
+    let heard = runner.seen.borrow().taken.iter().any(|at| *at < told);
+    if same && heard && world.unsure_until.get() < told {
+        let (seed, more) = (world.plan.seed, arrived(runner) - before);
+        assert_eq!(more, 0, "seed {seed}: sent to a server that had said that it leaves");
+        world.left.set(world.left.get() + 1);
+    }
+    runner.stay();
+    if same {
+        runner.crash("the end of a life");
+    }
+}
+
 /// A path that is late, reset, closed to new connections, or silent in one direction or both.
 async fn cut(relay: &RelaySwitch, rng: &mut ChaCha8Rng, lasts: Duration) {
     let switches = match rng.random_range(0..6) {
--- a/crates/daemon/tests/soak/world.rs
+++ b/crates/daemon/tests/soak/world.rs
@@ -48,6 +48,12 @@
 /// hear of it.
 pub const LEAVING_KINDS: &[u32] = &[0, 1, 3, 6, 8, 10, 11, 12, 13, 13, 13];
 
+/// Contents under which servers end, and servers that say with their answers that they leave or want nothing,
+/// beside what leaves everybody a way to hear of it.
+pub const ANSWER_KINDS: &[u32] = &[3, 6, 8, 10, 14, 14, 15, 15, 16];
+/// Contents under which servers end, while gateways are killed and stopped and the store is away.
+pub const ENDING_KINDS: &[u32] = &[0, 1, 3, 4, 6, 8, 10, 11, 14, 14, 14];
+
 /// A gateway process; it is started anew whenever it ended.
 pub struct Gateway {
     ip: Ipv4Addr,
@@ -68,6 +74,8 @@
     pub unsure_until: Cell<Instant>,
     /// Servers that left of which it was seen that they are sent nothing more.
     pub left: Cell<u32>,
+    /// Servers that ended under contents that end them.
+    pub ended: Cell<u32>,
     pub runners: Vec<(Rc<Runner>, RelaySwitch)>,
     pub gateways: Vec<Gateway>,
     pub ledger: RefCell<Ledger>,
@@ -123,6 +131,7 @@
             let front: SocketAddr = (ip(host + 20), 8_147).into();
             let switch = between(front, (ip(host), 8_147).into()).await;
             runner.server.borrow_mut().addr = front;
+            runner.keep_registered(&store);
             store.register(&runner.server.borrow());
             runners.push((runner, switch));
         }
@@ -135,6 +144,7 @@
             half_relay,
             unsure_until: Cell::new(Instant::now()),
             left: Cell::default(),
+            ended: Cell::default(),
             runners,
             gateways,
             ledger: RefCell::default(),
