Whether a server ended is asked for as long as it takes to come back, and seen by who registers at its address

Cause, from the gateways' logs: registrations vanished while the store could not be believed, which says nothing; the path took connections for a server that was down, so that nobody refused them; and the server was asked for 1.2 s, when it is back after 1.5. Another life that registers at the address was not taken as a sign.

Why it holds: questions are spread over six seconds, and a registration at the address of a life that is looked into ends that life, whatever the store is believed.

--- a/crates/daemon/src/gateway/quarantine.rs
+++ b/crates/daemon/src/gateway/quarantine.rs
@@ -218,6 +218,13 @@
     }
 }
 
+/// A life registered at an address: whoever was there before has ended, also when the store can't be
+/// believed yet.
+pub fn note_joined(shared: &Shared, addr: SocketAddr, id: &ServerId) {
+    let replaced = shared.losses.borrow().replaced(addr, id);
+    replaced.iter().for_each(|before| note_ended(shared, before, "address"));
+}
+
 fn blame(shared: &Shared, id: &ServerId, losses: Vec<Loss>, how: &'static str) {
     for loss in losses {
         if shared.quarantine.borrow().is_sound(loss.at, &loss.content) {
--- a/crates/daemon/src/gateway/watch.rs
+++ b/crates/daemon/src/gateway/watch.rs
@@ -276,9 +276,12 @@
     if let (Effect::Reborn, Some((addr, _))) = (effect, known) {
         shared.pool.forget(addr);
     }
-    match effect {
-        Effect::Gone | Effect::Reborn => quarantine::note_gone(shared, name),
-        _ => {}
+    if matches!(effect, Effect::Gone | Effect::Reborn) {
+        quarantine::note_gone(shared, name);
+    }
+    let joined = shared.roster.borrow().named(name).map(|s| (s.addr, s.id.clone()));
+    if let (Effect::Joined, Some((addr, id))) = (effect, joined) {
+        quarantine::note_joined(shared, addr, &id);
     }
     let born = known.map(|(_, born)| born);
     tracing::info!(server = name, ?effect, born, revision, "backend server");
--- a/crates/daemon/tests/soak/world.rs
+++ b/crates/daemon/tests/soak/world.rs
@@ -14,7 +14,7 @@
 use ebonyloft_standins::fleet::caller::Caller;
 use ebonyloft_standins::fleet::runner::{self, Runner, RunnerSpec};
 use ebonyloft_standins::fleet::store::{self, Store};
-use ebonyloft_standins::fleet::{CHECK, ENGINES, FleetSpec, PLAIN, SUMMARY, config};
+use ebonyloft_standins::fleet::{CHECK, ENGINES, FleetSpec, ONCE_SUMMARY, PLAIN, SUMMARY, config};
 use ebonyloft_standins::relay::{self, RelaySwitch};
 use rustix::process::{Pid, Signal, kill_process};
 
@@ -74,7 +74,7 @@
     pub unsure_until: Cell<Instant>,
     /// Servers that left of which it was seen that they are sent nothing more.
     pub left: Cell<u32>,
-    /// Servers that ended under contents that end them.
+    /// Contents that end servers, so far.
     pub ended: Cell<u32>,
     pub runners: Vec<(Rc<Runner>, RelaySwitch)>,
     pub gateways: Vec<Gateway>,
@@ -169,6 +169,15 @@
         self.unsure_until.set(until.max(self.unsure_until.get()));
     }
 
+    /// Could a request be served, as far as backend servers go? Contents that end servers leave none of a kind
+    /// for seconds, and a life that began while the store was away is known to nobody.
+    pub fn may_serve(&self, path: &str) -> bool {
+        let stage = (path == SUMMARY || path == ONCE_SUMMARY).then_some(Stage::Decode);
+        let up = |r: &Runner| r.is_up() && r.server.borrow().stage == stage;
+        self.ended.get() == 0
+            || self.unsure_until.get() < Instant::now() && self.runners.iter().any(|(r, _)| up(r))
+    }
+
     async fn wait_ready(&self) {
         for gateway in &self.gateways {
             let caller = Caller::new((gateway.ip, 8_140).into());
--- a/crates/router/src/losses.rs
+++ b/crates/router/src/losses.rs
@@ -19,16 +19,16 @@
 pub const STREAM_WAIT: Duration = Duration::from_millis(30);
 /// The same for a short call: by then other calls to the server mostly tell.
 pub const CALL_WAIT: Duration = Duration::from_millis(1_000);
-/// Pause between two questions to one server.
+/// Pause between the first two questions to one server; it grows by half of it with each further one.
 pub const ASK_GAP: Duration = Duration::from_millis(150);
 /// Questions that must find nobody listening: one may be turned away by a server that has too many
 /// connections.
 const REFUSALS: u32 = 2;
-/// How long a loss is looked into: a registration lapses within three heartbeats, and the news of it comes
-/// within half a second.
-pub const LOSS_LIFE: Duration = Duration::from_millis(5_000);
-/// Questions to one server about one run of losses.
-const ASKS_MAX: u32 = 8;
+/// How long a loss is looked into: a registration lapses within three heartbeats, and a server that crashed
+/// is back after some seconds, in another life.
+pub const LOSS_LIFE: Duration = Duration::from_millis(6_000);
+/// Questions to one server about one run of losses; spread over that time.
+const ASKS_MAX: u32 = 10;
 
 /// A run that broke off.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -120,12 +120,18 @@
         ids.into_iter().map(|id| (id.clone(), self.ended(&id))).collect()
     }
 
+    /// Lives that have ended since another one registered at their address.
+    pub fn replaced(&self, addr: SocketAddr, by: &ServerId) -> Vec<ServerId> {
+        let there = self.cases.iter().filter(|(id, case)| case.addr == addr && *id != by);
+        there.map(|(id, _)| id.clone()).collect()
+    }
+
     /// Servers to be asked now; each is asked again later unless something is learned.
     pub fn ask(&mut self, now: Moment) -> Vec<(ServerId, SocketAddr)> {
         let mut due = Vec::new();
         for (id, case) in &mut self.cases {
             if case.ask_at <= now && case.asked < ASKS_MAX {
-                case.ask_at = now.after(ASK_GAP);
+                case.ask_at = now.after(ASK_GAP + ASK_GAP / 2 * case.asked);
                 case.asked += 1;
                 due.push((id.clone(), case.addr));
             }
--- a/crates/standins/src/fleet/runner.rs
+++ b/crates/standins/src/fleet/runner.rs
@@ -249,6 +249,11 @@
         self.seen.borrow().runs.get(attempt).copied().unwrap_or(0)
     }
 
+    /// Is it alive?
+    pub fn is_up(&self) -> bool {
+        self.life.borrow().is_some()
+    }
+
     /// Requests being processed.
     pub fn running(&self) -> u32 {
         self.running.get()
