--- a/crates/daemon/src/gateway/quarantine.rs
+++ b/crates/daemon/src/gateway/quarantine.rs
@@ -60,12 +60,15 @@
 }
 
 /// The only try of a suspected content in the system.
-pub struct Trial(Content);
+pub struct Trial {
+    content: Content,
+    number: u64,
+}
 
 impl Trial {
     /// Others may try it again, if anybody may.
     pub fn close(self, shared: &Shared) {
-        tell(shared, self.0, Fact::Over);
+        tell(shared, self.content, Fact::Over(self.number));
     }
 }
 
@@ -99,8 +102,9 @@
     let (cause, until) = match standing {
         Standing::Free => return Ok(None),
         Standing::Suspect => {
-            tell(shared, intake.content, Fact::Trying);
-            return Ok(Some(Trial(intake.content)));
+            let trial = Trial { content: intake.content, number: shared.draw_number() };
+            tell(shared, trial.content, Fact::Trying(trial.number));
+            return Ok(Some(trial));
         }
         Standing::Held(until) => (Cause::Suspect, until),
         Standing::Proved(until) => (Cause::Quarantined, until),
@@ -154,10 +158,11 @@
     }
     let early = sent.run != Run::Advanced;
     let wait = if sent.run == Run::Call { CALL_WAIT } else { STREAM_WAIT };
-    let loss = Loss { content: intake.content, early, sent: sent.at, at: now };
+    let number = shared.draw_number();
+    let loss = Loss { content: intake.content, early, sent: sent.at, at: now, number };
     shared.losses.borrow_mut().lost(server, loss, wait);
     if sent.run == Run::Begun {
-        tell(shared, intake.content, Fact::Lost);
+        tell(shared, intake.content, Fact::Lost(number));
     }
     shared.inquiries.wake_all();
 }
@@ -200,7 +205,7 @@
 pub fn note_alive(shared: &Shared, id: &ServerId, sent: Moment) {
     let cleared = shared.losses.borrow_mut().alive(id, sent);
     let early = cleared.iter().filter(|loss| loss.early);
-    early.for_each(|loss| tell(shared, loss.content, Fact::Over));
+    early.for_each(|loss| tell(shared, loss.content, Fact::Over(loss.number)));
 }
 
 /// A life of a server has ended without having said that it leaves.
@@ -238,7 +243,7 @@
         let fact = Fact::Ended(id.clone(), loss.early);
         note(shared, Word { content: loss.content, age, fact });
         if loss.early {
-            tell(shared, loss.content, Fact::Over);
+            tell(shared, loss.content, Fact::Over(loss.number));
         }
     }
 }
--- a/crates/daemon/src/gateway/shared.rs
+++ b/crates/daemon/src/gateway/shared.rs
@@ -200,6 +200,11 @@
         self.rng.borrow_mut().random()
     }
 
+    /// A number that no other gateway is likely to draw.
+    pub fn draw_number(&self) -> u64 {
+        self.rng.borrow_mut().random()
+    }
+
     /// The settings in force.
     pub fn node(&self) -> Rc<Node> {
         self.node.borrow().clone()
--- a/crates/router/src/losses.rs
+++ b/crates/router/src/losses.rs
@@ -41,6 +41,8 @@
     pub sent: Moment,
     /// When it was lost.
     pub at: Moment,
+    /// Number of the inquiry.
+    pub number: u64,
 }
 
 /// What came of a question whether a server lives.
--- a/crates/router/src/quarantine.rs
+++ b/crates/router/src/quarantine.rs
@@ -43,6 +43,8 @@
 const SOUND_MAX: usize = 16_384;
 /// Rows between two looks at their numbers.
 const LOOK_ROWS: usize = 512;
+/// Trials and inquiries kept of one content: more are not made at a time.
+const HOLDS_MAX: usize = 16;
 /// Endings kept of one content; more prove nothing more.
 const ENDINGS_MAX: usize = PROOF as usize;
 
@@ -74,15 +76,15 @@
 /// What happened to a content.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Fact {
-    /// A run broke off as soon as it had begun; why is being looked into.
+    /// A run broke off as soon as it had begun; why is being looked into, by this number.
     #[serde(rename = "l")]
-    Lost,
-    /// A suspected content is being tried.
+    Lost(u64),
+    /// A suspected content is being tried, by this number.
     #[serde(rename = "t")]
-    Trying,
-    /// The trial, or the inquiry, is over.
+    Trying(u64),
+    /// The trial or the inquiry of this number is over.
     #[serde(rename = "o")]
-    Over,
+    Over(u64),
     /// A server ended under it; whether it had only just begun.
     #[serde(rename = "e")]
     Ended(ServerId, bool),
@@ -131,8 +133,8 @@
     served_at: Moment,
     /// Neither endings nor proofs up to then count: an operator let it in.
     released_at: Moment,
-    /// It is being tried or looked into until then.
-    held_until: Moment,
+    /// Trials and inquiries, by their numbers, and until when each counts at the latest.
+    holds: Vec<(u64, Moment)>,
 }
 
 impl Row {
@@ -141,6 +143,10 @@
         self.endings.iter().map(points).sum()
     }
 
+    fn held_until(&self) -> Moment {
+        self.holds.iter().map(|(_, until)| *until).max().unwrap_or_default()
+    }
+
     fn is_watched(&self) -> bool {
         self.endings.iter().any(|e| e.early)
     }
@@ -153,7 +159,7 @@
         // A clearing must outlive the endings that others may still tell.
         let cleared =
             if cleared > Moment::default() { cleared.after(SUSPECT_LIFE) } else { cleared };
-        proof.max(endings.unwrap_or_default()).max(cleared).max(self.held_until)
+        proof.max(endings.unwrap_or_default()).max(cleared).max(self.held_until())
     }
 
     fn standing(&self, now: Moment) -> Standing {
@@ -162,8 +168,8 @@
         {
             return Standing::Proved(at.after(PROVED_LIFE));
         }
-        if self.held_until > now {
-            return Standing::Held(self.held_until);
+        if self.held_until() > now {
+            return Standing::Held(self.held_until());
         }
         if self.is_watched() { Standing::Suspect } else { Standing::Free }
     }
@@ -216,9 +222,9 @@
     pub fn take(&mut self, now: Moment, word: &Word) -> Change {
         let (content, at) = (word.content, now.before(Duration::from_millis(word.age)));
         match &word.fact {
-            Fact::Lost => self.hold(content, at.after(INQUIRY_LIFE)),
-            Fact::Trying => self.hold(content, at.after(TRIAL_LIFE)),
-            Fact::Over => self.let_go(content),
+            Fact::Lost(number) => self.hold(now, content, *number, at.after(INQUIRY_LIFE)),
+            Fact::Trying(number) => self.hold(now, content, *number, at.after(TRIAL_LIFE)),
+            Fact::Over(number) => self.let_go(now, content, *number),
             Fact::Ended(server, early) => {
                 let ending = Ending { server: server.clone(), early: *early, at };
                 return self.ended(now, content, ending);
@@ -230,15 +236,21 @@
         Change::Nothing
     }
 
-    fn hold(&mut self, content: Content, until: Moment) {
+    fn hold(&mut self, now: Moment, content: Content, number: u64, until: Moment) {
         let row = self.rows.entry(content).or_default();
-        row.held_until = row.held_until.max(until);
+        row.holds.retain(|(_, until)| *until > now);
+        if row.holds.len() < HOLDS_MAX && row.holds.iter().all(|(n, _)| *n != number) {
+            row.holds.push((number, until));
+        }
+        self.bound();
     }
 
-    fn let_go(&mut self, content: Content) {
-        if let Some(row) = self.rows.get_mut(&content) {
-            row.held_until = Moment::default();
-        }
+    /// Only its own hold: others may still be looked into.
+    fn let_go(&mut self, now: Moment, content: Content, number: u64) {
+        let Some(row) = self.rows.get_mut(&content) else {
+            return;
+        };
+        row.holds.retain(|(n, until)| *n != number && *until > now);
     }
 
     fn ended(&mut self, now: Moment, content: Content, ending: Ending) -> Change {
@@ -269,7 +281,7 @@
         let before = row.endings.len();
         row.served_at = row.served_at.max(at);
         row.endings.retain(|e| e.at > at);
-        row.held_until = Moment::default();
+        row.holds.clear();
         if row.endings.len() < before { Change::Cleared } else { Change::Nothing }
     }
 
@@ -294,7 +306,7 @@
         }
         row.released_at = at;
         row.endings.retain(|e| e.at > at);
-        row.held_until = Moment::default();
+        row.holds.clear();
         row.proved_at = row.proved_at.filter(|proved| *proved > at);
         if row.proved_at.is_none() { Change::Cleared } else { Change::Nothing }
     }
--- a/crates/router/tests/losses.rs
+++ b/crates/router/tests/losses.rs
@@ -25,7 +25,7 @@
 }
 
 fn loss(content: u64, at: Moment) -> Loss {
-    Loss { content: Content(content, 0), early: true, sent: at.before(RUN), at }
+    Loss { content: Content(content, 0), early: true, sent: at.before(RUN), at, number: content }
 }
 
 fn asked(losses: &mut Losses, now: Moment) -> Vec<String> {
--- a/crates/router/tests/quarantine.rs
+++ b/crates/router/tests/quarantine.rs
@@ -60,23 +60,35 @@
 #[test]
 fn a_suspect_is_tried_by_one_at_a_time() {
     let mut all = Quarantine::default();
-    told(&mut all, &[ended("a", true), Fact::Trying]);
+    told(&mut all, &[ended("a", true), Fact::Trying(1)]);
     assert_eq!(all.standing(NOW, &BAD), Standing::Held(NOW.after(TRIAL_LIFE)));
-    told(&mut all, &[Fact::Over]);
+    told(&mut all, &[Fact::Over(1)]);
     assert_eq!(all.standing(NOW, &BAD), Standing::Suspect);
-    told(&mut all, &[Fact::Trying]);
+    told(&mut all, &[Fact::Trying(2)]);
     assert_eq!(all.standing(NOW.after(TRIAL_LIFE), &BAD), Standing::Suspect, "its end was lost");
 }
 
 #[test]
 fn a_loss_holds_others_back_until_it_is_judged() {
     let mut all = Quarantine::default();
-    told(&mut all, &[Fact::Lost]);
+    told(&mut all, &[Fact::Lost(1)]);
     assert!(matches!(all.standing(NOW, &BAD), Standing::Held(_)));
-    told(&mut all, &[Fact::Over]);
+    told(&mut all, &[Fact::Over(1)]);
     assert_eq!(all.standing(NOW, &BAD), Standing::Free, "a loss alone proves nothing");
 }
 
+/// The end of one inquiry lets nobody try what another one is still looked into for.
+#[test]
+fn the_end_of_one_inquiry_ends_no_other() {
+    let mut all = Quarantine::default();
+    told(&mut all, &[Fact::Lost(1), Fact::Lost(2), ended("a", true), Fact::Over(1)]);
+    assert!(matches!(all.standing(NOW, &BAD), Standing::Held(_)));
+    told(&mut all, &[Fact::Over(2)]);
+    assert_eq!(all.standing(NOW, &BAD), Standing::Suspect);
+    told(&mut all, &[Fact::Trying(3), Fact::Over(2)]);
+    assert!(matches!(all.standing(NOW, &BAD), Standing::Held(_)));
+}
+
 #[test]
 fn a_whole_answer_clears_a_suspect_and_what_is_told_of_before() {
     let mut all = Quarantine::default();
@@ -158,9 +170,9 @@
 fn facts() -> impl Strategy<Value = Fact> {
     prop_oneof![
         6 => ("[a-d]", any::<bool>()).prop_map(|(s, early)| ended(&s, early)),
-        1 => Just(Fact::Lost),
-        1 => Just(Fact::Trying),
-        1 => Just(Fact::Over),
+        1 => (0_u64..3).prop_map(Fact::Lost),
+        1 => (0_u64..3).prop_map(Fact::Trying),
+        1 => (0_u64..3).prop_map(Fact::Over),
         1 => Just(Fact::Served),
         1 => Just(Fact::Proved),
     ]
--- a/crates/standins/src/fleet/runner.rs
+++ b/crates/standins/src/fleet/runner.rs
@@ -222,6 +222,8 @@
         compio::time::sleep(self.spec.down.saturating_sub(LEASE)).await;
         self.holds.borrow_mut().clear();
         self.handles.borrow_mut().clear();
+        // The next life says nothing of this one.
+        self.leaving.set(false);
         self.lives.set(self.lives.get() + 1);
         let first = before.id.name.split('+').next().unwrap_or_default();
         let name = format!("{first}+{}", self.lives.get());
