What is close to a proof stands in the store too, so that the loss of all gateways forgets none of it

Cause: all gateways were killed when two endings were known; the new ones began from nothing. A write for each such content, by one or two gateways. The test on sockets fails before.

--- a/crates/check/src/answers/world.rs
+++ b/crates/check/src/answers/world.rs
@@ -7,7 +7,7 @@
 use ebonyloft_router::catalog::{Server, ServerId, Stage};
 use ebonyloft_router::content::Content;
 use ebonyloft_router::losses::{Found, Loss};
-use ebonyloft_router::quarantine::{Fact, Standing, Word};
+use ebonyloft_router::quarantine::{Ending, Fact, Standing, Word};
 use ebonyloft_router::roster::{Change, Entry};
 use ebonyloft_router::share::{News, Notes};
 use rand::{Rng, SeedableRng};
@@ -94,6 +94,7 @@
     Leave(usize),
     Pause(usize, Duration),
     Prove(Content),
+    Keep(Content, Vec<Ending>),
 }
 
 struct Host {
@@ -116,6 +117,7 @@
     flights: BTreeMap<u64, Flight>,
     next: u64,
     stored: HashSet<Content>,
+    suspects: HashMap<Content, Vec<Ending>>,
     ended: HashMap<Content, Vec<Moment>>,
     reached: HashMap<Content, Vec<Moment>>,
     told: HashMap<(usize, u32, ServerId), Moment>,
@@ -136,6 +138,7 @@
             flights: BTreeMap::new(),
             next: 0,
             stored: HashSet::new(),
+            suspects: HashMap::new(),
             ended: HashMap::new(),
             reached: HashMap::new(),
             told: HashMap::new(),
@@ -294,6 +297,9 @@
             Event::Prove(content) => {
                 self.stored.insert(content);
             }
+            Event::Keep(content, endings) => {
+                self.suspects.insert(content, endings);
+            }
         }
     }
 
@@ -595,6 +601,13 @@
                 let word = Word { content: *content, age: 0, fact: Fact::Proved };
                 self.gates[n].quarantine.take(now, &word);
             }
+            for (content, endings) in &self.suspects {
+                for e in endings {
+                    let age = now.since(e.at).as_millis() as u64;
+                    let fact = Fact::Ended(e.server.clone(), e.early);
+                    self.gates[n].quarantine.take(now, &Word { content: *content, age, fact });
+                }
+            }
         }
     }
 
@@ -610,6 +623,11 @@
             if let Some(content) = self.newly_proved(from, word) {
                 self.queue.after(ms(self.rng.random_range(10..60)), Event::Prove(content));
             }
+            let known = &self.gates[from].quarantine;
+            if known.is_close(&word.content) && !self.deaf_at_start() {
+                let keep = Event::Keep(word.content, known.endings(&word.content).to_vec());
+                self.queue.after(ms(self.rng.random_range(10..60)), keep);
+            }
         }
         if !words.is_empty() && self.gates[from].hears(now) {
             self.tell(from, Notes { words, ..Notes::default() });
--- a/crates/daemon/src/gateway/quarantine.rs
+++ b/crates/daemon/src/gateway/quarantine.rs
@@ -17,7 +17,7 @@
 use ebonyloft_router::content::Content;
 use ebonyloft_router::losses::{CALL_WAIT, Found, Loss, STREAM_WAIT};
 use ebonyloft_router::outcome::Fate;
-use ebonyloft_router::quarantine::{Change, Fact, PROVED_LIFE, Standing, Word};
+use ebonyloft_router::quarantine::{Change, Fact, PROVED_LIFE, SUSPECT_LIFE, Standing, Word};
 use futures_util::future::{Either, select};
 use hyper::{Response, StatusCode};
 use serde::{Deserialize, Serialize};
@@ -31,6 +31,8 @@
 
 /// Prefix of the keys of proved contents.
 pub const PREFIX: &str = "ebonyloft/quarantine/";
+/// Prefix of the keys of contents that one more ending would prove: all gateways may be lost before.
+pub const SUSPECTS: &str = "ebonyloft/suspects/";
 /// Longest wait for a server's sign of life: some hundred times the way between availability zones.
 const SIGN_WAIT: Duration = Duration::from_millis(150);
 /// How long a stream that broke off waits for word whether its engine ended, before it goes on elsewhere; and
@@ -52,6 +54,9 @@
 struct Record {
     /// Servers that ended under it.
     servers: Vec<String>,
+    /// The same, with whether it had only just begun there, and when.
+    #[serde(default)]
+    endings: Vec<(ServerId, bool, Moment)>,
     /// The gateway that wrote it.
     by: String,
     /// An operator lets it in again.
@@ -268,6 +273,10 @@
         Change::Suspected => {
             let endings = shared.quarantine.borrow().endings(&content).len();
             tracing::info!(%content, ?fact, age, peer, endings, "content suspected");
+            let close = shared.quarantine.borrow().is_close(&content);
+            if close && (peer.is_none() || is_first(shared)) {
+                shared.proofs.borrow_mut().push(content);
+            }
         }
         Change::Proved => {
             let quarantine = shared.quarantine.borrow();
@@ -349,10 +358,16 @@
     }
 }
 
-/// Writes a proved content to the store, for as long as it stands; another gateway may have done so.
+/// Is there something of a content that the store should keep?
+fn is_kept(shared: &Shared, content: &Content) -> bool {
+    is_proved(shared, content) || shared.quarantine.borrow().is_close(content)
+}
+
+/// Writes a proved content to the store, or one that is close to it, for as long as it is; another gateway
+/// may have done so.
 async fn write(shared: Rc<Shared>, content: Content) {
     let mut pause = WRITE_PAUSE;
-    while is_proved(&shared, &content) {
+    while is_kept(&shared, &content) {
         match try_write(&shared, content).await {
             Ok(()) | Err(StoreError::Conflict) => return,
             Err(e) => tracing::info!(%content, error = %e, "proof not written"),
@@ -363,12 +378,17 @@
 }
 
 async fn try_write(shared: &Shared, content: Content) -> Result<(), StoreError> {
-    let key = format!("{PREFIX}{:016x}{:016x}", content.0, content.1);
+    let (prefix, life) = match is_proved(shared, &content) {
+        true => (PREFIX, PROVED_LIFE),
+        false => (SUSPECTS, SUSPECT_LIFE),
+    };
+    let key = format!("{prefix}{:016x}{:016x}", content.0, content.1);
     let ended = shared.quarantine.borrow().endings(&content).to_vec();
     let servers = ended.iter().map(|e| e.server.to_string()).collect();
-    let record = Record { servers, by: shared.node().name.clone(), release: false };
+    let endings = ended.into_iter().map(|e| (e.server, e.early, e.at)).collect();
+    let record = Record { servers, endings, by: shared.node().name.clone(), release: false };
     let value = serde_json::to_vec(&record).expect("plain strings serialise");
-    let lease = shared.store.lease(PROVED_LIFE).await?;
+    let lease = shared.store.lease(life).await?;
     let write = Write { key: &key, value: &value, lease: lease.id };
     let written = shared.store.txn(&[(&key, 0)], &[write]).await;
     if matches!(written, Err(StoreError::Conflict)) {
@@ -377,7 +397,7 @@
     written.map(drop)
 }
 
-/// Takes proved contents from the store.
+/// Takes proved contents, and those that are close to it, from the store.
 pub struct ProofSink(pub Rc<Shared>);
 
 impl Sink for ProofSink {
@@ -386,10 +406,13 @@
     }
 
     fn apply(&self, item: Item) {
-        let Some(content) = item.key.strip_prefix(PREFIX).and_then(parse) else {
+        let Some(value) = item.value else {
             return;
         };
-        let Some(value) = item.value else {
+        if let Some(content) = item.key.strip_prefix(SUSPECTS).and_then(parse) {
+            return self.suspect(content, &value);
+        }
+        let Some(content) = item.key.strip_prefix(PREFIX).and_then(parse) else {
             return;
         };
         let fact = match serde_json::from_slice::<Record>(&value) {
@@ -407,6 +430,19 @@
     }
 }
 
+impl ProofSink {
+    fn suspect(&self, content: Content, value: &[u8]) {
+        let Ok(record) = serde_json::from_slice::<Record>(value) else {
+            return tracing::warn!(%content, "suspect unread");
+        };
+        for (server, early, at) in record.endings {
+            let age = self.0.now().since(at).as_millis() as u64;
+            let word = Word { content, age, fact: Fact::Ended(server, early) };
+            take(&self.0, &word, Some("store"));
+        }
+    }
+}
+
 fn parse(digits: &str) -> Option<Content> {
     let all = u128::from_str_radix(digits, 16).ok().filter(|_| digits.len() == 32)?;
     Some(Content::of(all.to_be_bytes()))
--- a/crates/daemon/src/gateway/watch.rs
+++ b/crates/daemon/src/gateway/watch.rs
@@ -173,6 +173,7 @@
             (CONFIG_PREFIX, Box::new(ConfigSink(shared.clone()))),
             (servers::PREFIX, Box::new(RosterSink(shared.clone()))),
             (quarantine::PREFIX, Box::new(quarantine::ProofSink(shared.clone()))),
+            (quarantine::SUSPECTS, Box::new(quarantine::ProofSink(shared.clone()))),
             (register::PREFIX, Box::new(register::FleetSink(shared.clone()))),
         ])
     }
--- a/crates/router/src/quarantine.rs
+++ b/crates/router/src/quarantine.rs
@@ -196,6 +196,12 @@
         self.rows.get(content).map_or(&[], |row| &row.endings)
     }
 
+    /// Would one more server that ends at once prove a content? Then it is worth being kept by others too.
+    pub fn is_close(&self, content: &Content) -> bool {
+        let close = |row: &Row| row.proved_at.is_none() && row.points() + EARLY_POINTS >= PROOF;
+        self.rows.get(content).is_some_and(close)
+    }
+
     /// Is anything known of a content?
     pub fn is_known(&self, content: &Content) -> bool {
         self.rows.contains_key(content)
--- a/crates/router/tests/quarantine.rs
+++ b/crates/router/tests/quarantine.rs
@@ -32,6 +32,7 @@
     assert_eq!(all.standing(NOW, &BAD), Standing::Free);
     let changes = told(&mut all, &[ended("a", true), ended("b", true)]);
     assert_eq!(changes, [Change::Suspected, Change::Suspected]);
+    assert!(all.is_close(&BAD));
     assert_eq!(all.standing(NOW, &BAD), Standing::Suspect);
     assert_eq!(told(&mut all, &[ended("c", true)]), [Change::Proved]);
     assert_eq!(all.standing(NOW, &BAD), Standing::Proved(NOW.after(PROVED_LIFE)));
--- a/crates/standins/tests/crashing.rs
+++ b/crates/standins/tests/crashing.rs
@@ -257,6 +257,32 @@
     });
 }
 
+/// All gateways begin anew when two servers have ended: one more proves the content, and no others run it
+/// meanwhile.
+#[test]
+fn two_endings_outlive_the_loss_of_all_gateways() {
+    with_fleet(spec(2), async |fleet| {
+        let body = format!("{ENDS}a");
+        for n in 0..2 {
+            let _ =
+                fleet.caller(n).with_body(ONCE_SUMMARY, &format!("first{n}"), body.clone()).await;
+            compio::time::sleep(PAUSE * 2).await;
+        }
+        assert_eq!(toll(fleet, "a").0, 2);
+        for gateway in 0..2 {
+            fleet.stop(gateway);
+        }
+        compio::time::sleep(Duration::from_secs(4)).await;
+        fleet.gateways.clear();
+        for gateway in 0..2 {
+            fleet.add_gateway();
+            fleet.wait_ready(gateway).await;
+        }
+        repeat(fleet, ONCE_SUMMARY, "a", Duration::from_secs(3), PAUSE / 5).await;
+        assert_eq!(toll(fleet, "a").0, PROVED);
+    });
+}
+
 /// A key that goes missing says nothing: keys lapse while the store is away.
 #[test]
 fn a_proof_outlives_its_key() {
