--- a/crates/router/src/losses.rs
+++ b/crates/router/src/losses.rs
@@ -147,7 +147,7 @@
         asks.map(|case| case.ask_at).min()
     }
 
-    /// A question sent at `sent` found this; true when the server has ended.
+    /// What a question found; true when the server has ended.
     pub fn found(&mut self, id: &ServerId, found: Found) -> bool {
         let Some(case) = self.cases.get_mut(id) else {
             return false;
