gateway: join by peers, registrations without a lease

Cause: LeaderState began by following the store, since a process that knows no list knows no leader; ranks followed from a list that all had to read first.

A gateway now reads the registrations near its own (one stale page), ranks by a list that contains itself, and asks peers for lists. Registrations have no lease: a restart writes nothing, an outage ends none. The first leader of a zone removes those of gateways silent for 10 s (60 s for a zone of which nothing is heard); one that is removed although it runs writes its own again within three seconds. A gateway that takes its lists from a peer exchanges gossip state first, so that it knows quarantined requests and leaving servers before it is ready; where keys are revoked within a bound it is ready once its configuration was confirmed.

--- a/crates/daemon/src/gateway/gossip.rs
+++ b/crates/daemon/src/gateway/gossip.rs
@@ -101,7 +101,8 @@
 pub fn compare_checksum(shared: &Rc<Shared>, peer: &str, from: SocketAddr, peer_checksum: u64) {
     let (now, same) = (shared.now(), peer_checksum == checksum(shared));
     if shared.divergence.borrow_mut().observe(now, peer, same) {
-        compio::runtime::spawn(exchange(shared.clone(), from)).detach();
+        let shared = shared.clone();
+        compio::runtime::spawn(async move { exchange(&shared, from).await }).detach();
     }
 }
 
@@ -123,25 +124,32 @@
         .map(|()| bytes)
 }
 
-fn apply_encoded(shared: &Shared, bytes: &[u8], peer: &str) {
+/// Applies encoded gossip state; false if it can't be decoded.
+fn apply_encoded(shared: &Shared, bytes: &[u8], peer: &str) -> bool {
     match ciborium::from_reader::<GossipState, _>(bytes) {
         Ok(state) => apply(shared, &state, peer),
-        Err(e) => tracing::warn!(peer, error = %e, "can't decode gossip state of peer"),
+        Err(e) => {
+            tracing::warn!(peer, error = %e, "can't decode gossip state of peer");
+            return false;
+        }
     }
+    true
 }
 
-async fn exchange(shared: Rc<Shared>, peer: SocketAddr) {
-    let Some(bytes) = encode(&shared) else {
-        return;
+/// Exchanges gossip state with a peer; true if this gateway has the peer's now.
+pub async fn exchange(shared: &Shared, peer: SocketAddr) -> bool {
+    let Some(bytes) = encode(shared) else {
+        return false;
     };
     let mut req = Request::new(Bytes::from(bytes));
     *req.method_mut() = Method::POST;
     *req.uri_mut() = PATH.parse().expect("a fixed path is valid");
     match shared.pool.call(peer, req, EXCHANGE_TIMEOUT).await {
-        Ok((StatusCode::OK, body)) => apply_encoded(&shared, &body, &peer.to_string()),
+        Ok((StatusCode::OK, body)) => return apply_encoded(shared, &body, &peer.to_string()),
         Ok((status, _)) => tracing::debug!(%peer, %status, "peer refused to exchange gossip state"),
         Err(e) => tracing::debug!(%peer, error = %e, "can't exchange gossip state with peer"),
     }
+    false
 }
 
 /// Answers a peer's exchange: applies its state and returns this gateway's.
--- a/crates/daemon/src/gateway/shared.rs
+++ b/crates/daemon/src/gateway/shared.rs
@@ -35,13 +35,14 @@
 use ebonyloft_router::request_digest::RequestDigest;
 use ebonyloft_router::staleness::ConfigStaleness;
 use ebonyloft_router::store_state::StoreState;
-use ebonyloft_router::zone_leader::{LeaderState, StoreLink};
+use ebonyloft_router::zone_leader::{LEADER_TIMEOUT, LeaderState, StoreLink};
 use ebonyloft_router::zones::{self, Memory, Scope, ZoneSummaries};
 use futures_channel::{mpsc, oneshot};
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 
 use super::digest::Digester;
+use super::keys;
 use super::pool::Pool;
 use super::store::StoreClient;
 use super::stream::incoming::IncomingReservations;
@@ -127,6 +128,8 @@
     pub fleet: RefCell<Fleet>,
     /// Whether this gateway follows the store as a zone leader, and whether as the first one.
     pub role: RefCell<LeaderState>,
+    /// When this gateway had joined the fleet, from when on it has a rank.
+    joined_at: Cell<Option<Timestamp>>,
     /// Fetches of state from peers that are under way.
     pub fetches: RefCell<Fetches>,
     /// Configuration transfers to peers that are under way.
@@ -211,7 +214,8 @@
             incoming: RefCell::default(),
             budgets: RefCell::default(),
             fleet: RefCell::default(),
-            role: RefCell::new(LeaderState::new(clock.now())),
+            role: RefCell::new(LeaderState::unranked()),
+            joined_at: Cell::default(),
             fetches: RefCell::default(),
             uploads: Uploads::default(),
             back_offs: RefCell::default(),
@@ -285,10 +289,14 @@
         self.outbox_receiver.take()
     }
 
-    /// True if requests of callers can be served.
+    /// True if requests of callers can be served: the lists are known, and where keys are revoked
+    /// within a bound, the configuration was the newest at some time.
     pub fn is_ready(&self) -> bool {
+        let confirmed_at = self.config_staleness.borrow().confirmed_at();
+        let is_confirmed = confirmed_at > Timestamp::default();
         !self.is_stopping()
             && self.config.borrow().is_some()
+            && (is_confirmed || keys::revoke_bound(self).is_none())
             && self.registry.borrow().is_complete()
     }
 
@@ -349,9 +357,23 @@
         self.engine_memory.borrow_mut().observe(self.now(), memory.sum());
     }
 
+    /// Takes a first role: this gateway has joined the fleet.
+    pub fn on_joined(&self) {
+        let (now, ahead) = (self.now(), self.rank().unwrap_or(0));
+        self.joined_at.set(Some(now));
+        *self.role.borrow_mut() = LeaderState::new(now, ahead);
+        let complete = self.registry.borrow().is_complete();
+        let ms = now.since(self.started_at).as_millis() as u64;
+        tracing::info!(ms, ahead, complete, "joined the fleet");
+        self.request_report();
+    }
+
     /// Decides anew whether this gateway follows the store. A gateway that does not follow the
     /// store relies on the store access of those that do.
     pub fn update_role(&self) {
+        let Some(joined_at) = self.joined_at.get() else {
+            return;
+        };
         let (now, node) = (self.now(), self.node());
         let (fleet, load_reports) = (self.fleet.borrow(), self.load_reports.borrow());
         let reaches_store =
@@ -361,11 +383,14 @@
         let (ahead_count, reaching) =
             (ahead.len(), ahead.iter().filter(|n| reaches_store(n)).count());
         // A gateway without a complete server registry reads it from the store, which is faster
-        // than to wait for peers.
-        let reaching = if self.registry.borrow().is_complete() { reaching } else { 0 };
+        // than to wait for peers. One that got it from a peer has yet to hear from its leaders.
+        let complete = self.registry.borrow().is_complete();
+        let reaching = if complete { reaching } else { 0 };
         let mut role = self.role.borrow_mut();
         let before = role.follows();
-        role.update(now, ahead_count, reaching);
+        if !complete || before || now >= joined_at.after(LEADER_TIMEOUT) {
+            role.update(now, ahead_count, reaching);
+        }
         if role.follows() != before {
             tracing::info!(
                 follows = role.follows(),
--- a/crates/daemon/src/gateway/state_sync.rs
+++ b/crates/daemon/src/gateway/state_sync.rs
@@ -15,6 +15,7 @@
 use hyper::{Request, Response, StatusCode};
 use serde::{Deserialize, Serialize};
 
+use super::gossip;
 use super::keys;
 use super::shared::Shared;
 use super::watch::apply_effect;
@@ -83,9 +84,25 @@
     }
 }
 
+/// Fetches lists and configuration from a peer, unless such a fetch is under way.
+pub async fn fetch_from(shared: &Rc<Shared>, from: SocketAddr) {
+    for part in [FetchKind::Lists, FetchKind::Config] {
+        if shared.fetches.borrow_mut().begin(shared.now(), part, from) {
+            fetch_part(shared.clone(), from, part, versions(shared)).await;
+        }
+    }
+}
+
 async fn fetch_part(shared: Rc<Shared>, from: SocketAddr, part: FetchKind, own: Versions) {
     let sent_at = shared.now();
-    let update = request_state(&shared, from, own.asking(part)).await;
+    let mut update = request_state(&shared, from, own.asking(part)).await;
+    // A gateway that has just started must not serve before it knows which requests are
+    // quarantined and which backend servers are leaving.
+    let is_first = update.as_ref().is_some_and(|u| u.roster.is_some())
+        && !shared.registry.borrow().is_complete();
+    if is_first && !gossip::exchange(&shared, from).await {
+        update = None;
+    }
     shared.fetches.borrow_mut().end(shared.now(), part, update.is_some());
     if let Some(update) = update {
         let theirs =
--- a/crates/daemon/src/gateway/store.rs
+++ b/crates/daemon/src/gateway/store.rs
@@ -55,15 +55,36 @@
     /// Reads all items of a prefix. The revision is that of the first page, so that a watch from
     /// there also returns what changed between the pages, and whatever is newer than a stale list.
     pub async fn list(&self, prefix: &str, age: Consistency) -> Result<Page, StoreError> {
+        self.list_pages(prefix, "", age, |_| false).await
+    }
+
+    /// Reads the items of a prefix in whole pages, from after `start` to the page with `end`.
+    pub async fn list_until(
+        &self,
+        prefix: &str,
+        start: &str,
+        end: &str,
+        age: Consistency,
+    ) -> Result<Page, StoreError> {
+        self.list_pages(prefix, start, age, |last| last >= end).await
+    }
+
+    async fn list_pages(
+        &self,
+        prefix: &str,
+        start: &str,
+        age: Consistency,
+        is_enough: impl Fn(&str) -> bool,
+    ) -> Result<Page, StoreError> {
         let mut all = Page { items: Vec::new(), has_more: true, revision: u64::MAX };
         for _ in 0..PAGES_MAX {
-            let after = all.items.last().map(|i| i.key.clone()).unwrap_or_default();
+            let after = all.items.last().map_or_else(|| start.to_owned(), |i| i.key.clone());
             let req = store::range(prefix, &after, age);
             let page = self.call(req, CALL_TIMEOUT, store::parse_page).await?;
             all.revision = all.revision.min(page.revision);
             all.has_more = page.has_more && !page.items.is_empty();
             all.items.extend(page.items);
-            if !all.has_more {
+            if !all.has_more || all.items.last().is_some_and(|i| is_enough(&i.key)) {
                 break;
             }
         }
@@ -129,6 +150,11 @@
         self.call(store::txn(expected, writes), CALL_TIMEOUT, store::parse_commit).await
     }
 
+    /// Removes keys; returns the revision of the removal.
+    pub async fn remove(&self, keys: &[&str]) -> Result<u64, StoreError> {
+        self.call(store::remove(keys), CALL_TIMEOUT, store::parse_commit).await
+    }
+
     async fn call<T>(
         &self,
         req: Request<Bytes>,
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -25,9 +25,8 @@
     pub power: u32,
 }
 
-/// How long a gateway whose registration is gone still gets gossip messages and counts.
-/// Registrations lapse when the store fails, and a running gateway registers again within seconds
-/// of its return.
+/// How long a gateway whose registration is gone still gets gossip messages and counts. One that
+/// runs although it was silent to its zone leaders registers again within seconds.
 pub const LAPSE_GRACE: Duration = Duration::from_secs(10);
 
 /// All gateways that count, and the store revision up to which they are known.
@@ -84,6 +83,21 @@
         self.lapsed.retain(|_, until| *until > now);
     }
 
+    /// Adds gateways from an incomplete list of unknown revision; any complete list replaces them.
+    pub fn add(&mut self, list: BTreeMap<String, Gateway>) {
+        if self.revision > 0 {
+            return;
+        }
+        for (name, gateway) in list {
+            self.insert(&name, gateway);
+        }
+    }
+
+    /// Returns the registration of a gateway, if it is registered now.
+    pub fn registration(&self, name: &str) -> Option<&Gateway> {
+        self.gateways.get(name).filter(|_| !self.lapsed.contains_key(name))
+    }
+
     /// Returns the gateways that are registered now, to be passed to another gateway.
     pub fn registered(&self) -> BTreeMap<String, Gateway> {
         let is_registered = |(name, _): &(&String, &Gateway)| !self.lapsed.contains_key(*name);
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod limits;
 pub mod load_report;
 pub mod lost_attempts;
+pub mod membership;
 pub mod node;
 pub mod outcome;
 pub mod plain_servers;
--- a/crates/router/src/load_report.rs
+++ b/crates/router/src/load_report.rs
@@ -236,10 +236,20 @@
 
     /// Returns the number of live peers.
     pub fn live(&self, now: Timestamp) -> usize {
-        let timeout = PEER_TIMEOUT.max(report_interval(self.peers.len()) * 2 * LOAD_ROUNDS);
+        let timeout = self.peer_timeout();
         self.peers.values().filter(|p| now.since(p.received_at) < timeout).count()
     }
 
+    /// Was a report of this peer received lately?
+    pub fn is_live(&self, now: Timestamp, name: &str) -> bool {
+        let timeout = self.peer_timeout();
+        self.peers.get(name).is_some_and(|p| now.since(p.received_at) < timeout)
+    }
+
+    fn peer_timeout(&self) -> Duration {
+        PEER_TIMEOUT.max(report_interval(self.peers.len()) * 2 * LOAD_ROUNDS)
+    }
+
     /// Returns how a peer learns of changes in the store; `None` when it is silent.
     pub fn link(&self, now: Timestamp, name: &str) -> Option<StoreLink> {
         let peer = self.peers.get(name)?;
--- a/crates/router/src/zone_leader.rs
+++ b/crates/router/src/zone_leader.rs
@@ -62,9 +62,21 @@
 }
 
 impl LeaderState {
-    /// Starts by following the store, because no leader is known yet.
-    pub fn new(now: Timestamp) -> Self {
-        LeaderState { follows: true, is_primary: true, last_needed: now, missed_since: None }
+    /// State before the rank is known: it does not follow the store.
+    pub fn unranked() -> Self {
+        LeaderState {
+            follows: false,
+            is_primary: false,
+            last_needed: Timestamp::default(),
+            missed_since: None,
+        }
+    }
+
+    /// First state of a gateway below `higher_ranked` others of its zone: it follows the store at
+    /// once if it is to be a leader, and else gives those time to report.
+    pub fn new(now: Timestamp, higher_ranked: usize) -> Self {
+        let follows = higher_ranked < LEADERS_PER_ZONE;
+        LeaderState { follows, is_primary: follows, last_needed: now, missed_since: None }
     }
 
     /// Decides again whether to follow the store: of `higher_ranked` gateways, `connected` report
--- a/crates/router/tests/delegate.rs
+++ b/crates/router/tests/delegate.rs
@@ -54,7 +54,7 @@
 #[test]
 fn an_unregistered_gateway_follows_the_store() {
     assert!(fleet().higher_ranked("front-c-0").is_none());
-    assert!(LeaderState::new(NOW).follows());
+    assert!(LeaderState::new(NOW, 0).follows());
 }
 
 #[test]
@@ -85,7 +85,7 @@
 /// A gateway stops following the store only after a delay.
 #[test]
 fn a_gateway_follows_the_store_unless_two_higher_ranked_ones_do() {
-    let mut role = LeaderState::new(NOW);
+    let mut role = LeaderState::new(NOW, 0);
     role.update(NOW.after(STEP_DOWN_DELAY), 2, 2);
     assert!(role.follows());
     let later = NOW.after(STEP_DOWN_DELAY + Duration::from_millis(1));
@@ -104,14 +104,14 @@
 fn gateways_of_a_zone_take_over_one_after_the_other() {
     let missed = NOW.after(STEP_DOWN_DELAY * 2);
     let follows_after = |ahead: usize, after: Duration| {
-        let mut role = LeaderState::new(NOW);
+        let mut role = LeaderState::new(NOW, 0);
         role.update(missed, ahead, 2);
         role.update(missed, ahead, 1);
         role.update(missed.after(after), ahead, 1);
         role.follows()
     };
     let leads = |heard: usize| {
-        let mut role = LeaderState::new(NOW);
+        let mut role = LeaderState::new(NOW, 0);
         role.update(NOW, 3, heard);
         role.leads()
     };
@@ -120,7 +120,7 @@
     assert!(!follows_after(5, TAKEOVER_STEP * 3) && follows_after(5, TAKEOVER_STEP * 4));
     assert!(follows_after(50, TAKEOVER_STEP * TAKEOVER_STEPS_MAX));
     assert!(leads(0) && !leads(1));
-    let mut role = LeaderState::new(NOW);
+    let mut role = LeaderState::new(NOW, 0);
     role.update(missed, 5, 2);
     role.update(missed, 5, 1);
     role.update(missed.after(TAKEOVER_STEP), 5, 2);
--- a/crates/standins/src/fleet/store.rs
+++ b/crates/standins/src/fleet/store.rs
@@ -65,6 +65,8 @@
     /// Bytes a second at which bodies of answers are sent; unlimited if `None`.
     rate: Cell<Option<usize>>,
     calls: Cell<u64>,
+    /// Price of all calls, in tenths of a usual one's.
+    price: Cell<u64>,
 }
 
 impl Store {
@@ -94,6 +96,18 @@
         self.calls.get()
     }
 
+    /// Returns the price of the calls so far, in usual calls.
+    pub fn price(&self) -> f64 {
+        self.price.get() as f64 / 10.0
+    }
+
+    /// Returns the number of leases in force.
+    pub fn lease_count(&self) -> usize {
+        let mut state = self.state.borrow_mut();
+        state.expire_leases();
+        state.leases.len()
+    }
+
     /// Returns the value of a key.
     pub fn value(&self, key: &str) -> Option<Bytes> {
         self.state.borrow().items.get(key).and_then(|(i, _)| i.value.clone())
@@ -150,6 +164,7 @@
         let Some(call) = simulation::parse_store_call(&Request::from_parts(parts, body)) else {
             return answer(400, Vec::new());
         };
+        self.price.set(self.price.get() + call.price());
         match self.fault.get() {
             Fault::None => {}
             Fault::Busy => return answer(503, Vec::new()),
@@ -170,7 +185,7 @@
         self.state.borrow_mut().expire_leases();
         match call {
             StoreCall::Get { key } => self.state.borrow().get(&key),
-            StoreCall::Range { prefix, after } => self.state.borrow().range(&prefix, &after),
+            StoreCall::Range { prefix, after, .. } => self.state.borrow().range(&prefix, &after),
             StoreCall::Watch { prefix, after, wait } => self.watch(&prefix, after, wait).await,
             StoreCall::GrantLease { ttl } => {
                 let id = self.state.borrow_mut().grant_lease(ttl);
--- a/crates/standins/tests/zones.rs
+++ b/crates/standins/tests/zones.rs
@@ -12,6 +12,10 @@
 /// Time after which gateways that are not zone leaders have stopped following the store.
 const SETTLE_TIME: Duration = Duration::from_secs(4);
 
+/// Most calls a second of a gateway that follows the store while nothing but gateways change: a
+/// watch ends after the staleness bound of 1.1 s at the latest.
+const FOLLOWER_CALLS_PER_SECOND: f64 = 2.0;
+
 fn six_gateways() -> FleetSpec {
     FleetSpec { gateways: 6, ..FleetSpec::default() }
 }
@@ -48,6 +52,76 @@
     });
 }
 
+/// What was seen: each of 468 gateways made some ten calls when it started, and priced calls were
+/// most of what the fleet lost. A start may cost two calls, of a new gateway as of one that was
+/// registered before; twelve others start beside the two that follow the store.
+#[test]
+fn gateways_that_start_make_two_calls_each() {
+    with_fleet(FleetSpec { gateways: 14, ..FleetSpec::default() }, async |fleet| {
+        compio::time::sleep(SETTLE_TIME).await;
+        let followers = 2.0 * (SETTLE_TIME.as_secs_f64() + 1.0) * FOLLOWER_CALLS_PER_SECOND;
+        let price = fleet.store.price();
+        assert!(price <= 14.0 * 2.0 + followers, "{price} calls for the first start of all");
+        let before = fleet.store.price();
+        for _ in 0..6 {
+            fleet.add_gateway();
+        }
+        for i in 14..20 {
+            fleet.wait_ready(i).await;
+        }
+        compio::time::sleep(2 * SECOND).await;
+        let price = fleet.store.price() - before;
+        let followers = 2.0 * 3.0 * FOLLOWER_CALLS_PER_SECOND;
+        assert!(price <= 6.0 * 2.0 + followers, "{price} calls for six that joined");
+    });
+}
+
+/// In calm only gateways that follow the store call it: no registration needs to be renewed. The
+/// one lease is that of the gateway that orders engines.
+#[test]
+fn registrations_are_not_renewed() {
+    with_fleet(FleetSpec { gateways: 14, ..FleetSpec::default() }, async |fleet| {
+        compio::time::sleep(SETTLE_TIME).await;
+        assert_eq!(fleet.store.keys("ebonyloft/gateways/").len(), 14);
+        let leases = fleet.store.lease_count();
+        assert!(leases <= 1, "{leases} leases");
+    });
+}
+
+/// What was seen: registrations under leases ended in an outage of the store, and all gateways
+/// wrote theirs again at its return.
+#[test]
+fn registrations_outlive_an_outage_and_need_no_call() {
+    with_fleet(six_gateways(), async |fleet| {
+        compio::time::sleep(SETTLE_TIME).await;
+        let before = fleet.store.keys("ebonyloft/gateways/");
+        assert_eq!(before.len(), 6);
+        fleet.store.set_fault(store::Fault::Busy);
+        compio::time::sleep(12 * SECOND).await;
+        fleet.store.set_fault(store::Fault::None);
+        compio::time::sleep(SECOND).await;
+        assert_eq!(fleet.store.keys("ebonyloft/gateways/"), before);
+    });
+}
+
+/// The zone leader removes the registration of a gateway that is gone and of no other; one that
+/// was removed although it runs writes it again.
+#[test]
+fn only_silent_gateways_are_removed_and_living_ones_register_again() {
+    with_fleet(six_gateways(), async |fleet| {
+        let registration = br#"{"addr":"127.0.0.1:9","zone":"a","power":90}"#;
+        fleet.store.put("ebonyloft/gateways/gone", registration, 0);
+        let names = || fleet.store.keys("ebonyloft/gateways/");
+        let gone = || !names().contains(&"ebonyloft/gateways/gone".to_owned());
+        assert!(eventually(20 * SECOND, gone).await);
+        assert_eq!(names().len(), 6);
+        let living = names()[3].clone();
+        fleet.store.remove(&living);
+        assert!(eventually(8 * SECOND, || names().contains(&living)).await);
+        assert_eq!(statuses(fleet, "c1").await, [200; 6]);
+    });
+}
+
 #[test]
 fn a_configuration_change_reaches_gateways_that_do_not_follow_the_store() {
     with_fleet(six_gateways(), async |fleet| {
