gateway: two followers of the store for all gateways that decide together

Callers of a small fleet paid as much for calls as those of a large one: 18 gateways in six zones had twelve followers, two for each zone, though all of them report to each other and share all engines. Cause: ranks were always those of the own zone. Where all zones decide together, ranks are now those of the fleet, the first of each zone before the second, so that the two followers stand in different zones; where zones decide for themselves nothing changes. A lost follower is replaced as before, within a second and a tenth of a second a rank. The list of those ranked above is kept for one edition of the gateway list; it was computed for each report received.

--- a/crates/daemon/src/gateway/shared.rs
+++ b/crates/daemon/src/gateway/shared.rs
@@ -116,6 +116,8 @@
     /// The scope, with the edition of the gateway list and the engine memory that it was
     /// computed from.
     scope: Cell<((u64, u64), Scope)>,
+    /// The gateways that rank before this one.
+    ranked_above: RefCell<RankedAbove>,
     /// Memory of all engines, in tokens.
     pub engine_memory: RefCell<Memory>,
     /// Summaries of other availability zones.
@@ -169,6 +171,14 @@
     outbox_receiver: Cell<Option<mpsc::UnboundedReceiver<Message>>>,
 }
 
+/// The gateways that rank before this one; none if it is not known to be registered.
+#[derive(Default)]
+struct RankedAbove {
+    /// Edition of the gateway list, and the scope.
+    computed_from: Option<(u64, Scope)>,
+    names: Option<Rc<[String]>>,
+}
+
 /// A message for one peer.
 pub type Message = (SocketAddr, GossipMessage);
 
@@ -209,6 +219,7 @@
             traffic_stats: RefCell::default(),
             load_reports: RefCell::default(),
             scope: Cell::new(((0, 0), Scope::All)),
+            ranked_above: RefCell::default(),
             engine_memory: RefCell::default(),
             zone_summaries: RefCell::default(),
             incoming: RefCell::default(),
@@ -337,11 +348,29 @@
         }
     }
 
-    /// Number of gateways of this availability zone that rank before this one; none if this
-    /// gateway is not known to be registered.
+    /// Names of the gateways that rank before this one among those that exchange load reports;
+    /// none if this gateway is not known to be registered.
+    fn higher_ranked(&self) -> Option<Rc<[String]>> {
+        let (scope, node, fleet) = (self.scope(), self.node(), self.fleet.borrow());
+        let key = (fleet.edition(), scope);
+        let mut cached = self.ranked_above.borrow_mut();
+        if cached.computed_from != Some(key) {
+            let names = match scope {
+                Scope::All => fleet
+                    .higher_ranked_of_all(&node.name)
+                    .map(|names| names.map(str::to_owned).collect()),
+                Scope::Zone => {
+                    fleet.higher_ranked(&node.name).map(|names| names.map(str::to_owned).collect())
+                }
+            };
+            *cached = RankedAbove { computed_from: Some(key), names };
+        }
+        cached.names.clone()
+    }
+
+    /// Number of those gateways.
     pub fn rank(&self) -> Option<usize> {
-        let (node, fleet) = (self.node(), self.fleet.borrow());
-        fleet.higher_ranked(&node.name).map(Iterator::count)
+        self.higher_ranked().map(|names| names.len())
     }
 
     /// Records how much memory all engines have.
@@ -374,12 +403,11 @@
         let Some(joined_at) = self.joined_at.get() else {
             return;
         };
-        let (now, node) = (self.now(), self.node());
-        let (fleet, load_reports) = (self.fleet.borrow(), self.load_reports.borrow());
+        let (now, load_reports) = (self.now(), self.load_reports.borrow());
         let reaches_store =
             |name: &str| matches!(load_reports.link(now, name), Some(StoreLink::Heard { .. }));
-        let ahead: Vec<&str> =
-            fleet.higher_ranked(&node.name).map_or_else(Vec::new, Iterator::collect);
+        let ahead = self.higher_ranked();
+        let ahead = ahead.as_deref().unwrap_or_default();
         let (ahead_count, reaching) =
             (ahead.len(), ahead.iter().filter(|n| reaches_store(n)).count());
         // A gateway without a complete server registry reads it from the store, which is faster
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -134,12 +134,42 @@
     /// on every VM.
     pub fn higher_ranked<'a>(&'a self, name: &'a str) -> Option<impl Iterator<Item = &'a str>> {
         let own = self.gateways.get(name)?;
-        let ranks_above =
-            move |n: &str, g: &Gateway| g.power > own.power || g.power == own.power && n < name;
-        let before = self.of_zone(&own.zone).filter(move |(n, g)| ranks_above(n, g));
+        let before = self.of_zone(&own.zone).filter(move |other| ranks_above(*other, (name, own)));
         Some(before.map(|(n, _)| n.as_str()))
     }
 
+    /// Returns the gateways that rank above `name` where all zones decide together, or `None` when
+    /// it is not registered: those that come earlier in their own zone than it does in its zone,
+    /// then those with more CPU. The first two are of different zones, if there are two.
+    pub fn higher_ranked_of_all<'a>(
+        &'a self,
+        name: &'a str,
+    ) -> Option<impl Iterator<Item = &'a str>> {
+        let own = self.gateways.get(name)?;
+        let places = self.places();
+        let place = places.get(name).copied()?;
+        let before = self.gateways.iter().filter(move |(n, g)| {
+            let other = places.get(n.as_str()).copied().unwrap_or(usize::MAX);
+            other < place || other == place && ranks_above((n, g), (name, own))
+        });
+        Some(before.map(|(n, _)| n.as_str()))
+    }
+
+    /// Returns the number of gateways that rank above each one in its own zone.
+    fn places(&self) -> BTreeMap<&str, usize> {
+        let mut ranked: Vec<(&String, &Gateway)> = self.gateways.iter().collect();
+        ranked.sort_by(|a, b| b.1.power.cmp(&a.1.power).then_with(|| a.0.cmp(b.0)));
+        let mut in_zone: BTreeMap<&str, usize> = BTreeMap::new();
+        ranked
+            .into_iter()
+            .map(|(name, gateway)| {
+                let count = in_zone.entry(gateway.zone.as_str()).or_default();
+                *count += 1;
+                (name.as_str(), *count - 1)
+            })
+            .collect()
+    }
+
     /// Returns the highest-ranked gateways of each zone, whether they are running or not.
     pub fn zone_leaders(&self) -> impl Iterator<Item = &Gateway> {
         let ranks_first = |name: &str| {
@@ -148,3 +178,11 @@
         self.gateways.iter().filter(move |(name, _)| ranks_first(name)).map(|(_, g)| g)
     }
 }
+
+/// Does a gateway rank above another one, by CPU and then by name?
+fn ranks_above<'a>(
+    (name, gateway): (&'a String, &'a Gateway),
+    (other_name, other): (&str, &Gateway),
+) -> bool {
+    gateway.power > other.power || gateway.power == other.power && name.as_str() < other_name
+}
--- a/crates/router/tests/delegate.rs
+++ b/crates/router/tests/delegate.rs
@@ -51,6 +51,20 @@
     assert!(fleet.zone_leaders().all(|g| g.power == 500));
 }
 
+/// What was seen: where all zones decide together, each of six zones had two followers of its own,
+/// and a fleet of 18 gateways made as many calls as one of 468.
+#[test]
+fn two_followers_of_different_zones_serve_a_fleet_that_decides_together() {
+    let fleet = fleet();
+    let count = |name| fleet.higher_ranked_of_all(name).expect("a registered gateway").count();
+    let mut names: Vec<&str> = fleet.all().keys().map(String::as_str).collect();
+    names.sort_by_key(|name| count(name));
+    let counts: Vec<usize> = names.iter().map(|name| count(name)).collect();
+    assert_eq!(counts, (0..12).collect::<Vec<_>>(), "each has a rank of its own");
+    assert_eq!(names[..LEADERS_PER_ZONE], ["front-a-4", "front-b-4"]);
+    assert!(fleet.higher_ranked_of_all("front-c-0").is_none());
+}
+
 #[test]
 fn an_unregistered_gateway_follows_the_store() {
     assert!(fleet().higher_ranked("front-c-0").is_none());
--- a/crates/standins/src/fleet/store.rs
+++ b/crates/standins/src/fleet/store.rs
@@ -67,6 +67,8 @@
     calls: Cell<u64>,
     /// Price of all calls, in tenths of a usual one's.
     price: Cell<u64>,
+    /// Watches that wait for changes now.
+    open_watches: Rc<Cell<usize>>,
 }
 
 impl Store {
@@ -101,6 +103,11 @@
         self.price.get() as f64 / 10.0
     }
 
+    /// Returns the number of watches that wait for changes now.
+    pub fn open_watches(&self) -> usize {
+        self.open_watches.get()
+    }
+
     /// Returns the number of leases in force.
     pub fn lease_count(&self) -> usize {
         let mut state = self.state.borrow_mut();
@@ -207,6 +214,7 @@
 
     async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> (u16, Vec<u8>) {
         let end = Instant::now() + wait;
+        let _open = OpenWatch::count(&self.open_watches);
         loop {
             match self.fault.get() {
                 Fault::None => {}
@@ -229,6 +237,22 @@
     }
 }
 
+/// Counts a watch until it is answered or its caller is gone.
+struct OpenWatch(Rc<Cell<usize>>);
+
+impl OpenWatch {
+    fn count(open: &Rc<Cell<usize>>) -> OpenWatch {
+        open.set(open.get() + 1);
+        OpenWatch(open.clone())
+    }
+}
+
+impl Drop for OpenWatch {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 impl State {
     fn write(&mut self, key: &str, value: Option<Bytes>, lease: u64) {
         self.revision += 1;
--- a/crates/standins/tests/zones.rs
+++ b/crates/standins/tests/zones.rs
@@ -181,6 +181,31 @@
     });
 }
 
+/// Gateways that report to each other need two followers together, not two for each zone: the calls
+/// of twelve gateways in six zones are those of two.
+#[test]
+fn a_fleet_that_decides_together_has_two_followers() {
+    with_fleet(FleetSpec { gateways: 0, ..FleetSpec::default() }, async |fleet| {
+        for zone in ["a", "b", "c", "d", "e", "f"] {
+            fleet.add_gateway_in(zone);
+            fleet.add_gateway_in(zone);
+        }
+        for i in 0..12 {
+            fleet.wait_ready(i).await;
+        }
+        compio::time::sleep(SETTLE_TIME).await;
+        let mut followers = 0;
+        for _ in 0..100 {
+            followers = followers.max(fleet.store.open_watches());
+            compio::time::sleep(SECOND / 50).await;
+        }
+        assert_eq!(followers, 2);
+        fleet.configure(&config_without_checks(2));
+        compio::time::sleep(SECOND).await;
+        assert_eq!(statuses(fleet, "c1").await, [404; 12]);
+    });
+}
+
 /// Starts a gateway in zone `a`, which has no engines, and one in zone `b` with a prefill and a decode engine.
 /// Fifty gateways registered in zone `c` are enough for zones to decide on their own.
 async fn two_zones(fleet: &mut Fleet, spec: &BackendSpec) {
