gateway: changes of the store are gathered by the shortest bound

Cause: changes were gathered for 0.15 s, 0.5 s at the second follower, figures of a deployment whose changes must take effect within 2 s; this one has 5 s. They are gathered for a tenth and a quarter of the shortest bound now (0.2 and 0.5 s there, 0.5 and 1.25 s here).

--- a/crates/daemon/src/gateway/watch.rs
+++ b/crates/daemon/src/gateway/watch.rs
@@ -25,15 +25,6 @@
 /// Longest back-off: the store's return is noticed within a quarter of the time in which a change
 /// must be in force.
 const BACKOFF_MAX: Duration = Duration::from_millis(400);
-/// Delay between an answer with changes and the next watch, so that changes which come together
-/// are fetched by one call: a third fewer calls while backend servers come and go. It is a tenth
-/// of the shortest time in which a change must be in force, and a leaving server is known within
-/// 0.2 s.
-const BATCH_DELAY: Duration = Duration::from_millis(150);
-/// The same delay for a zone leader that is not the first one. It gets changes from the first
-/// leader and follows the store only in case that the first one is cut from it, when changes
-/// arrive that much later. A quarter of the shortest time in which a change must be in force.
-const STANDBY_BATCH_DELAY: Duration = Duration::from_millis(500);
 /// Interval at which a gateway that does not follow the store checks whether it has to.
 const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(150);
 /// Number of higher-ranked gateways per step of the back-off factor. Of a zone's gateways that all
@@ -94,7 +85,7 @@
 }
 
 fn batch_delay(shared: &Shared) -> Duration {
-    if shared.role.borrow().leads() { BATCH_DELAY } else { STANDBY_BATCH_DELAY }
+    shared.role.borrow().batch_delay(&shared.node().bounds)
 }
 
 /// Factor of the longest back-off: 1 for the highest-ranked gateways of a zone, more for the
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -71,11 +71,16 @@
 }
 
 impl Bounds {
+    /// Shortest time in which a change must take effect.
+    pub fn shortest(&self) -> Duration {
+        self.contact.min(self.drain).min(self.apply)
+    }
+
     /// Longest time for which state may be used without a confirmation. Beyond it, silence no longer means
     /// "no change". It is the shortest time in which a change must take effect, less the time for relaying
     /// it.
     pub fn staleness_bound(&self) -> Duration {
-        let shortest = self.contact.min(self.drain).min(self.apply);
+        let shortest = self.shortest();
         shortest.saturating_sub(RELAY_TIME).max(shortest / 2)
     }
 }
--- a/crates/router/src/zone_leader.rs
+++ b/crates/router/src/zone_leader.rs
@@ -12,6 +12,8 @@
 use ebonyloft_core::time::Timestamp;
 use serde::{Deserialize, Serialize};
 
+use crate::node::Bounds;
+
 /// Zone leaders per availability zone. With two, changes still arrive when one leader is lost or
 /// cut off from the store without having noticed yet.
 pub const LEADERS_PER_ZONE: usize = 2;
@@ -30,6 +32,13 @@
 /// the store after one second.
 pub const TAKEOVER_STEPS_MAX: u32 = 10;
 
+/// Delay between an answer with changes and the next watch, so that changes which come together are
+/// fetched by one call, as a fraction of the shortest time in which a change must take effect.
+const BATCH_FRACTION: f64 = 0.1;
+/// The same for a leader that is not the first one. It gets changes from the first one and follows
+/// the store only in case that the first one is cut from it, when changes arrive that much later.
+const STANDBY_BATCH_FRACTION: f64 = 0.25;
+
 /// How a gateway learns of changes in the store.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub enum StoreLink {
@@ -104,6 +113,12 @@
         self.is_primary
     }
 
+    /// How long changes are gathered before the next watch.
+    pub fn batch_delay(&self, bounds: &Bounds) -> Duration {
+        let fraction = if self.is_primary { BATCH_FRACTION } else { STANDBY_BATCH_FRACTION };
+        bounds.shortest().mul_f64(fraction)
+    }
+
     /// Does this gateway follow the store?
     pub fn follows(&self) -> bool {
         self.follows
--- a/crates/router/tests/delegate.rs
+++ b/crates/router/tests/delegate.rs
@@ -6,6 +6,7 @@
 use ebonyloft_core::time::Timestamp;
 use ebonyloft_router::fleet::{Fleet, Gateway, LAPSE_GRACE};
 use ebonyloft_router::load_report::{LoadReport, LoadReports};
+use ebonyloft_router::node::{Bounds, Excess};
 use ebonyloft_router::store_state::StoreState;
 use ebonyloft_router::zone_leader::{
     LEADER_TIMEOUT, LEADERS_PER_ZONE, LeaderState, STEP_DOWN_DELAY, StoreLink, TAKEOVER_STEP,
@@ -13,9 +14,26 @@
 };
 
 const NOW: Timestamp = Timestamp::from_millis(100_000);
+const SECOND: Duration = Duration::from_secs(1);
 const HEARD: StoreLink = StoreLink::Heard { settles: 0, age: 0 };
 const SILENCE: Duration = Duration::from_millis(1_200);
 
+/// Bounds by which changes must take effect within `shortest`.
+fn bounds(shortest: Duration) -> Bounds {
+    Bounds {
+        budget_ratio: 0.2,
+        budget_extra: 54.0,
+        budget_window: 10 * SECOND,
+        grace: 8 * SECOND,
+        order_gap: 3 * SECOND,
+        contact: shortest + SECOND,
+        drain: shortest,
+        apply: shortest,
+        revoke: None,
+        excess: Excess::default(),
+    }
+}
+
 fn gateway(n: usize, zone: &str, power: u32) -> (String, Gateway) {
     let addr = ([127, 0, 0, 1], 7_000 + n as u16).into();
     (format!("front-{zone}-{n}"), Gateway { addr, zone: zone.into(), power })
@@ -172,6 +190,23 @@
     }
 }
 
+/// What was seen: changes were gathered for 0.15 s where the shortest bound was 2 s and where it was
+/// 5 s, and followers made three calls a second while backend servers came and went.
+#[test]
+fn changes_are_gathered_by_the_shortest_bound() {
+    let first = LeaderState::new(NOW, 0);
+    let mut standby = first;
+    standby.update(NOW, 1, 1);
+    for seconds in [2, 5] {
+        let bounds = bounds(Duration::from_secs(seconds));
+        let gathered = (first.batch_delay(&bounds), standby.batch_delay(&bounds));
+        assert!(gathered.0 < gathered.1, "{gathered:?}");
+        // From the standby a change takes at most as long and a second more.
+        assert!(gathered.1 + SECOND < bounds.shortest(), "{gathered:?}");
+        assert!(gathered.0 * 10 >= bounds.shortest(), "{gathered:?}");
+    }
+}
+
 #[test]
 fn a_silent_zone_leader_does_not_count() {
     let mut load_reports = LoadReports::default();
