gateway: followers of the store report three times a second at any size

Cause: the pause between load reports grows with the zone, an idle gateway with 77 peers reports every 1.4 s, one with 333 every 7 s, and a leader counts for one second without a message. A gateway that follows the store now reports every 0.3 s whatever the number of its peers; the others as before.

The test fails on the old pauses from 48 peers on.

--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -13,7 +13,7 @@
 use compio::net::{TcpListener, UdpSocket};
 use ebonyloft_core::time::Timestamp;
 use ebonyloft_router::fetches::Versions;
-use ebonyloft_router::load_report::{self, GossipMessage, LoadReport};
+use ebonyloft_router::load_report::{self, GossipMessage, LoadReport, Pauses};
 use ebonyloft_router::zone_leader::StoreLink;
 use ebonyloft_router::zones::{SUMMARY_INTERVAL, Scope, ServiceCapacity, ZoneSummary};
 use futures_util::StreamExt;
@@ -31,13 +31,6 @@
 
 /// An idle gateway sends only each second load report, which is often enough to count as live.
 const IDLE_ROUNDS: u64 = 2;
-/// Shortest pause between two load reports, as a factor of the usual interval. A change is
-/// reported at once unless a report was sent just before; without that, two gateways reserve an
-/// engine's last memory, and one of both callers waits or is refused.
-const MIN_PAUSE_FACTOR: f64 = 0.2;
-/// Longest pause beyond that without changes, as a factor of the usual interval: answers grow by
-/// some fifty tokens each in that time.
-const IDLE_PAUSE_FACTOR: f64 = 1.6;
 /// Largest datagram.
 const DATAGRAM_MAX: usize = 8 << 10;
 
@@ -48,9 +41,10 @@
     let mut summaries_sent_at = Timestamp::default();
     loop {
         let recipients = report_recipients(&shared);
-        let pause = load_report::report_interval(recipients.len());
-        compio::time::sleep(pause.mul_f64(MIN_PAUSE_FACTOR)).await;
-        let idle_pause = std::pin::pin!(compio::time::sleep(pause.mul_f64(IDLE_PAUSE_FACTOR)));
+        let follows = shared.role.borrow().follows();
+        let Pauses { shortest, idle } = load_report::pauses(recipients.len(), follows);
+        compio::time::sleep(shortest).await;
+        let idle_pause = std::pin::pin!(compio::time::sleep(idle));
         select(shared.report_requested(), idle_pause).await;
         shared.clear_report_request();
         seq += 1;
@@ -63,7 +57,7 @@
         }
         let idle =
             report.engine_loads.is_empty() && report.waiting == 0 && report.changing.is_empty();
-        if idle && !seq.is_multiple_of(IDLE_ROUNDS) {
+        if idle && !follows && !seq.is_multiple_of(IDLE_ROUNDS) {
             continue;
         }
         let mut bytes = Vec::new();
--- a/crates/router/src/load_report.rs
+++ b/crates/router/src/load_report.rs
@@ -46,6 +46,40 @@
     REPORT_INTERVAL + REPORT_INTERVAL.mul_f64(more as f64 / INTERVAL_PEERS_STEP as f64)
 }
 
+/// Shortest pause between two load reports, as a factor of the usual interval. A change is
+/// reported at once unless a report was sent just before; without that, two gateways reserve an
+/// engine's last memory, and one of both callers waits or is refused.
+const MIN_PAUSE_FACTOR: f64 = 0.2;
+/// Longest pause beyond that without changes, as a factor of the usual interval: answers grow by
+/// some fifty tokens each in that time.
+const IDLE_PAUSE_FACTOR: f64 = 1.6;
+/// Longest time between two reports of a gateway that follows the store: two may be lost before
+/// the others take it for gone, however many they are.
+pub const FOLLOWER_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Pauses between two load reports.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Pauses {
+    /// Pause after each report.
+    pub shortest: Duration,
+    /// Longest pause beyond it while nothing changes.
+    pub idle: Duration,
+}
+
+/// Returns the pauses of a gateway with so many peers that `follows` the store or not.
+pub fn pauses(peers: usize, follows: bool) -> Pauses {
+    let interval = report_interval(peers);
+    let shortest = interval.mul_f64(MIN_PAUSE_FACTOR);
+    let idle = interval.mul_f64(IDLE_PAUSE_FACTOR);
+    match follows {
+        true => {
+            let shortest = shortest.min(FOLLOWER_INTERVAL / 2);
+            Pauses { shortest, idle: idle.min(FOLLOWER_INTERVAL - shortest) }
+        }
+        false => Pauses { shortest, idle },
+    }
+}
+
 /// Load at one engine, encoded in few bytes because traffic between availability zones is
 /// expensive.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
--- a/crates/router/tests/delegate.rs
+++ b/crates/router/tests/delegate.rs
@@ -5,7 +5,7 @@
 
 use ebonyloft_core::time::Timestamp;
 use ebonyloft_router::fleet::{Fleet, Gateway, LAPSE_GRACE};
-use ebonyloft_router::load_report::{LoadReport, LoadReports};
+use ebonyloft_router::load_report::{LoadReport, LoadReports, Pauses, pauses};
 use ebonyloft_router::node::{Bounds, Excess};
 use ebonyloft_router::store_state::StoreState;
 use ebonyloft_router::zone_leader::{
@@ -207,6 +207,18 @@
     }
 }
 
+/// What was seen: idle gateways with 77 peers reported every 1.4 s, zone leaders too, and others
+/// took them for gone after one second. Three reports fit in that time at any size.
+#[test]
+fn zone_leaders_report_often_enough_at_any_size() {
+    for peers in [1, 11, 32, 77, 333, 1_000, 2_000] {
+        let Pauses { shortest, idle } = pauses(peers, true);
+        assert!((shortest + idle) * 3 < LEADER_TIMEOUT, "{peers} peers: {shortest:?} {idle:?}");
+    }
+    let others = |peers| pauses(peers, false);
+    assert!(others(333).shortest > others(77).shortest, "the others report more rarely");
+}
+
 #[test]
 fn a_silent_zone_leader_does_not_count() {
     let mut load_reports = LoadReports::default();
