gateway: leaders of other zones pass on which engines change their stage

While any engine changed its stage, the gateway that orders them sent its whole load report to all 467 others, at a pause that grows with their number to five seconds, longer than the 0.7 s for which a report keeps gateways away from such an engine. It reports to its own zone and to the leaders of the others now; a leader passes on in its own reports what comes from another zone, for as long as gateways stay away from such an engine: three datagrams a second to ten leaders, at any size.

--- a/crates/daemon/src/gateway/orders.rs
+++ b/crates/daemon/src/gateway/orders.rs
@@ -103,7 +103,7 @@
 /// Renews leadership and sends orders until leadership is lost.
 async fn lead(shared: &Shared, planner: &mut Planner, leadership: Leadership) {
     renew_and_order(shared, planner, leadership).await;
-    shared.changing_engines.borrow_mut().clear();
+    shared.stage_changes.borrow_mut().set_ordered(Vec::new());
 }
 
 async fn renew_and_order(shared: &Shared, planner: &mut Planner, mut leadership: Leadership) {
@@ -132,7 +132,7 @@
         if leadership.lapsed(now) {
             return tracing::info!(fence = leadership.fence, "leadership lease may have expired");
         }
-        shared.back_off(&shared.changing_engines.borrow());
+        shared.back_off(shared.stage_changes.borrow().ordered());
         if leadership.may_order(now)
             && let Some((order, server)) = next_order(shared, planner, &leadership)
         {
@@ -177,13 +177,13 @@
         };
         if let Some((to, stage)) = planner.next(shared.now(), &context) {
             planner.on_ordered(shared.now(), &to, stage, spec);
-            shared.changing_engines.replace(planner.changing());
+            shared.stage_changes.borrow_mut().set_ordered(planner.changing());
             let server = registry.get(&to)?.clone();
             let holder = shared.node().name.clone();
             return Some((Order { to, stage, holder, fence: leadership.fence }, server));
         }
     }
-    shared.changing_engines.replace(planner.changing());
+    shared.stage_changes.borrow_mut().set_ordered(planner.changing());
     None
 }
 
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -102,13 +102,20 @@
     }
 }
 
-/// Addresses that load reports go to: the gateways that use the same engines, or all gateways
-/// while engines that may be theirs are changing their stage.
+/// Addresses that load reports go to: the gateways that use the same engines, and the leaders of
+/// other zones while engines that may be theirs are changing their stage.
 fn report_recipients(shared: &Shared) -> Vec<SocketAddr> {
-    let (node, fleet) = (shared.node(), shared.fleet.borrow());
-    let all = shared.scope() == Scope::All || !shared.changing_engines.borrow().is_empty();
-    let others = fleet.all().iter().filter(|(name, _)| **name != node.name);
-    others.filter(|(_, g)| all || g.zone == node.zone).map(|(_, g)| g.addr).collect()
+    let node = shared.node();
+    let all = shared.scope() == Scope::All;
+    let mut recipients: Vec<SocketAddr> = {
+        let fleet = shared.fleet.borrow();
+        let others = fleet.all().iter().filter(|(name, _)| **name != node.name);
+        others.filter(|(_, g)| all || g.zone == node.zone).map(|(_, g)| g.addr).collect()
+    };
+    if !all && !shared.stage_changes.borrow().ordered().is_empty() {
+        recipients.extend(leaders_of_other_zones(shared));
+    }
+    recipients
 }
 
 /// Sends summaries of this zone to other zones while this gateway is a zone leader.
@@ -180,7 +187,10 @@
         fleet,
         link: store_link(shared),
         waiting: engines.waiting() as u32,
-        changing: shared.changing_engines.borrow().clone(),
+        changing: shared
+            .stage_changes
+            .borrow_mut()
+            .announced(shared.now(), shared.role.borrow().follows()),
         engine_loads: engines.engine_loads(),
         gossip_checksum: gossip::checksum(shared),
         unreachable: quota::unreachable_gateways(shared),
@@ -245,6 +255,11 @@
     gossip::compare_checksum(shared, &report.name, from, report.gossip_checksum);
     shared.back_off(&report.changing);
     let zone = shared.fleet.borrow().all().get(&report.name).map(|g| g.zone.clone());
+    let is_abroad = zone.as_ref().is_some_and(|zone| *zone != shared.node().zone);
+    if is_abroad && shared.scope() == Scope::Zone {
+        let mut changes = shared.stage_changes.borrow_mut();
+        changes.on_report_from_abroad(shared.now(), &report.changing);
+    }
     let mut report = report;
     for summary in report.zone_summaries.drain(..).filter(|d| d.zone != shared.node().zone) {
         shared.zone_summaries.borrow_mut().on_summary(shared.now(), summary);
--- a/crates/daemon/src/gateway/shared.rs
+++ b/crates/daemon/src/gateway/shared.rs
@@ -7,7 +7,6 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 
 use ebonyloft_core::time::Timestamp;
 use ebonyloft_router::admission_queue::AdmissionQueue;
@@ -33,6 +32,7 @@
 use ebonyloft_router::quota::ownership::Owners;
 use ebonyloft_router::registry::ServerRegistry;
 use ebonyloft_router::request_digest::RequestDigest;
+use ebonyloft_router::stage_changes::{STAGE_CHANGE_BACKOFF, StageChanges};
 use ebonyloft_router::staleness::ConfigStaleness;
 use ebonyloft_router::store_state::StoreState;
 use ebonyloft_router::zone_leader::{LEADER_TIMEOUT, LeaderState, StoreLink};
@@ -50,10 +50,6 @@
 use crate::clock::Clock;
 use crate::metrics::Metrics;
 
-/// How long an engine that is reported to be changing its stage gets no requests: several rounds
-/// of the datagrams that report it.
-const STAGE_CHANGE_BACKOFF: Duration = Duration::from_millis(700);
-
 /// Versions and age of the state that a decision used.
 #[derive(Clone, Copy, Debug)]
 pub struct SnapshotVersion {
@@ -154,8 +150,8 @@
     pub divergence: RefCell<DivergenceDetector>,
     /// True while no gateway is known to be the leader that orders engines.
     pub lock_available: Cell<bool>,
-    /// Engines that this gateway ordered to change their stage and that have not done so yet.
-    pub changing_engines: RefCell<Vec<ServerId>>,
+    /// Engines that are changing their stage.
+    pub stage_changes: RefCell<StageChanges>,
     /// When the process was told to stop.
     pub stopping: Cell<Option<Timestamp>>,
     /// Number of requests in progress.
@@ -238,7 +234,7 @@
             unsaved_confirmations: RefCell::default(),
             divergence: RefCell::default(),
             lock_available: Cell::new(true),
-            changing_engines: RefCell::default(),
+            stage_changes: RefCell::default(),
             stopping: Cell::default(),
             open_requests: Cell::new(0),
             metrics,
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod request_digest;
 pub mod retry_after;
 pub mod routes;
+pub mod stage_changes;
 pub mod stages;
 pub mod staleness;
 pub mod store_state;
