router: an unreachable store is called by some ten gateways of a zone

Eight above that say that they can't reach it are no reason to wait, as a store may turn a third of the VMs away. With more, each gateway waits a second longer than the one that ranks before it, and one that followed steps down, so that all try in turn. A gateway reports at once when it begins or stops to follow.

--- a/crates/check/src/gateways/simulation.rs
+++ b/crates/check/src/gateways/simulation.rs
@@ -14,7 +14,7 @@
 use ebonyloft_router::membership::{self, JoinStep, Joining, SilenceTracker};
 use ebonyloft_router::node::{Bounds, Excess};
 use ebonyloft_router::registry::{Change, Registration};
-use ebonyloft_router::zone_leader::{LEADER_TIMEOUT, LeaderState, StoreLink};
+use ebonyloft_router::zone_leader::{HigherRanked, LEADER_TIMEOUT, LeaderState, StoreLink};
 use ebonyloft_router::zones::{self, Scope};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -40,7 +40,7 @@
 const PEER_CALL: Duration = Duration::from_millis(2);
 /// Bytes a second of a weak VM's link.
 const LINK_RATE: f64 = 2.5e6;
-/// Longest pause between two calls to a store that does not answer.
+/// Pause between two calls to a store that does not answer.
 const STORE_RETRY: Duration = Duration::from_millis(400);
 /// Fraction of the rounds in which a gateway has load to report, at half a request a second.
 const BUSY: f64 = 0.4;
@@ -475,12 +475,26 @@
         };
         let ahead = self.ahead(i);
         let host = &mut self.hosts[i];
-        let reaches =
-            |name: &str| matches!(host.reports.link(now, name), Some(StoreLink::Heard { .. }));
+        let mut higher_ranked = HigherRanked { count: ahead.len(), ..HigherRanked::default() };
+        for link in ahead.iter().filter_map(|name| host.reports.link(now, name)) {
+            match link {
+                StoreLink::Heard { .. } => higher_ranked.connected += 1,
+                StoreLink::Away => higher_ranked.away += 1,
+                StoreLink::Indirect => {}
+            }
+        }
         let complete = host.complete_at.is_some();
-        let reaching = if complete { ahead.iter().filter(|n| reaches(n)).count() } else { 0 };
-        if !complete || host.role.follows() || now >= joined_at.after(LEADER_TIMEOUT) {
-            host.role.update(now, ahead.len(), reaching);
+        if !complete {
+            higher_ranked.connected = 0;
+        }
+        let before = host.role.follows();
+        if !complete || before || now >= joined_at.after(LEADER_TIMEOUT) {
+            host.role.update(now, higher_ranked);
+        }
+        if host.role.follows() != before {
+            // A gateway that begins to follow has adopted what its leaders say of the store.
+            host.store_away |= higher_ranked.away > 0;
+            self.request_report(i);
         }
         self.keep_following(i);
     }
--- a/crates/check/tests/gateways.rs
+++ b/crates/check/tests/gateways.rs
@@ -64,10 +64,16 @@
     assert!(report.known_ms <= 2_500, "{report:?}");
 }
 
-/// No registration ends while the store is away, and none is written at its return.
+/// No registration ends while the store is away, none is written at its return, and a zone calls
+/// the store meanwhile as some ten gateways do.
 #[test]
-fn an_outage_of_the_store_costs_no_writes() {
-    let report = run(96, Phase::StoreAway);
-    assert!(!report.rows.contains_key(&Kind::Write), "{report:?}");
-    assert!(report.followers <= 96 / 2, "{report:?}");
+fn an_outage_of_the_store_costs_no_writes_and_few_calls() {
+    let reports: Vec<FleetReport> =
+        [96, 192, 384].into_iter().map(|n| run(n, Phase::StoreAway)).collect();
+    for r in &reports {
+        assert!(!r.rows.contains_key(&Kind::Write), "{r:?}");
+        assert!(r.followers <= 6 * 20, "{r:?}");
+    }
+    let whole = |r: &FleetReport| r.price * r.gateways as f64;
+    assert!(growth(&reports, whole) <= 0.5, "{reports:?}");
 }
--- a/crates/daemon/src/gateway/shared.rs
+++ b/crates/daemon/src/gateway/shared.rs
@@ -35,7 +35,7 @@
 use ebonyloft_router::stage_changes::{STAGE_CHANGE_BACKOFF, StageChanges};
 use ebonyloft_router::staleness::ConfigStaleness;
 use ebonyloft_router::store_state::StoreState;
-use ebonyloft_router::zone_leader::{LEADER_TIMEOUT, LeaderState, StoreLink};
+use ebonyloft_router::zone_leader::{HigherRanked, LEADER_TIMEOUT, LeaderState, StoreLink};
 use ebonyloft_router::zones::{self, Memory, Scope, ZoneSummaries};
 use futures_channel::{mpsc, oneshot};
 use rand::Rng;
@@ -406,29 +406,37 @@
             return;
         };
         let (now, load_reports) = (self.now(), self.load_reports.borrow());
-        let reaches_store =
-            |name: &str| matches!(load_reports.link(now, name), Some(StoreLink::Heard { .. }));
         let ahead = self.higher_ranked();
         let ahead = ahead.as_deref().unwrap_or_default();
-        let (ahead_count, reaching) =
-            (ahead.len(), ahead.iter().filter(|n| reaches_store(n)).count());
+        let mut higher_ranked = HigherRanked { count: ahead.len(), ..HigherRanked::default() };
+        for link in ahead.iter().filter_map(|name| load_reports.link(now, name)) {
+            match link {
+                StoreLink::Heard { .. } => higher_ranked.connected += 1,
+                StoreLink::Away => higher_ranked.away += 1,
+                StoreLink::Indirect => {}
+            }
+        }
         // A gateway without a complete server registry reads it from the store, which is faster
         // than to wait for peers. One that got it from a peer has yet to hear from its leaders.
         let complete = self.registry.borrow().is_complete();
-        let reaching = if complete { reaching } else { 0 };
+        if !complete {
+            higher_ranked.connected = 0;
+        }
         let mut role = self.role.borrow_mut();
         let before = role.follows();
         if !complete || before || now >= joined_at.after(LEADER_TIMEOUT) {
-            role.update(now, ahead_count, reaching);
+            role.update(now, higher_ranked);
         }
         if role.follows() != before {
             tracing::info!(
                 follows = role.follows(),
-                ahead = ahead_count,
-                heard = reaching,
+                ahead = higher_ranked.count,
+                heard = higher_ranked.connected,
+                away = higher_ranked.away,
                 "role in following the store changed"
             );
             self.metrics.gauge("gateway.follows", u64::from(role.follows()));
+            self.request_report();
         }
         if !role.follows() {
             let link = load_reports.best_link(now);
--- a/crates/router/src/zone_leader.rs
+++ b/crates/router/src/zone_leader.rs
@@ -31,6 +31,13 @@
 /// Highest number of steps: when a zone loses all its leaders, its lowest-ranked gateway follows
 /// the store after one second.
 pub const TAKEOVER_STEPS_MAX: u32 = 10;
+/// Higher-ranked gateways that find the store unreachable, up to which this is no reason to wait: it
+/// rejects at most some of the VMs, and one of so many others reaches it then.
+pub const TRIED_MAX: usize = 8;
+/// How much longer each gateway waits than the next higher-ranked one when more have tried. In an
+/// outage of the store a zone calls it as some ten gateways do, whatever its size, and all its VMs
+/// try in turn.
+pub const TRIED_STEP: Duration = Duration::from_secs(1);
 
 /// Delay between an answer with changes and the next watch, so that changes which come together are
 /// fetched by one call, as a fraction of the shortest time in which a change must take effect.
@@ -57,6 +64,17 @@
     Away,
 }
 
+/// Gateways that rank above one, by what they report.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct HigherRanked {
+    /// All of them.
+    pub count: usize,
+    /// Those that follow the store and reach it.
+    pub connected: usize,
+    /// Those that follow the store and can't reach it.
+    pub away: usize,
+}
+
 /// Whether one gateway follows the store as a zone leader.
 #[derive(Clone, Copy, Debug)]
 pub struct LeaderState {
@@ -88,9 +106,9 @@
         LeaderState { follows, is_primary: follows, last_needed: now, missed_since: None }
     }
 
-    /// Decides again whether to follow the store: of `higher_ranked` gateways, `connected` report
-    /// that they reach it.
-    pub fn update(&mut self, now: Timestamp, higher_ranked: usize, connected: usize) {
+    /// Decides again whether to follow the store, by what higher-ranked gateways report.
+    pub fn update(&mut self, now: Timestamp, higher_ranked: HigherRanked) {
+        let HigherRanked { count, connected, away } = higher_ranked;
         self.is_primary = self.follows && connected == 0;
         if connected >= LEADERS_PER_ZONE {
             self.missed_since = None;
@@ -98,9 +116,18 @@
             return;
         }
         let since = *self.missed_since.get_or_insert(now);
+        if self.follows && away > TRIED_MAX {
+            self.follows = now.since(self.last_needed) <= STEP_DOWN_DELAY;
+            self.is_primary &= self.follows;
+            if !self.follows {
+                self.missed_since = Some(now);
+            }
+            return;
+        }
         let steps =
-            (higher_ranked + 1).saturating_sub(LEADERS_PER_ZONE).min(TAKEOVER_STEPS_MAX as usize);
-        if self.follows || now.since(since) >= TAKEOVER_STEP * steps as u32 {
+            (count + 1).saturating_sub(LEADERS_PER_ZONE).min(TAKEOVER_STEPS_MAX as usize) as u32;
+        let turns = if away > TRIED_MAX { count.saturating_sub(TRIED_MAX) as u32 } else { 0 };
+        if self.follows || now.since(since) >= TAKEOVER_STEP * steps + TRIED_STEP * turns {
             self.follows = true;
             self.is_primary = connected == 0;
             self.last_needed = now;
--- a/crates/router/tests/delegate.rs
+++ b/crates/router/tests/delegate.rs
@@ -9,8 +9,8 @@
 use ebonyloft_router::node::{Bounds, Excess};
 use ebonyloft_router::store_state::StoreState;
 use ebonyloft_router::zone_leader::{
-    LEADER_TIMEOUT, LEADERS_PER_ZONE, LeaderState, STEP_DOWN_DELAY, StoreLink, TAKEOVER_STEP,
-    TAKEOVER_STEPS_MAX,
+    HigherRanked, LEADER_TIMEOUT, LEADERS_PER_ZONE, LeaderState, STEP_DOWN_DELAY, StoreLink,
+    TAKEOVER_STEP, TAKEOVER_STEPS_MAX, TRIED_MAX, TRIED_STEP,
 };
 
 const NOW: Timestamp = Timestamp::from_millis(100_000);
@@ -18,6 +18,11 @@
 const HEARD: StoreLink = StoreLink::Heard { settles: 0, age: 0 };
 const SILENCE: Duration = Duration::from_millis(1_200);
 
+/// So many gateways rank above, of which `connected` reach the store and none says that it can't.
+fn above(count: usize, connected: usize) -> HigherRanked {
+    HigherRanked { count, connected, away: 0 }
+}
+
 /// Bounds by which changes must take effect within `shortest`.
 fn bounds(shortest: Duration) -> Bounds {
     Bounds {
@@ -118,15 +123,15 @@
 #[test]
 fn a_gateway_follows_the_store_unless_two_higher_ranked_ones_do() {
     let mut role = LeaderState::new(NOW, 0);
-    role.update(NOW.after(STEP_DOWN_DELAY), 2, 2);
+    role.update(NOW.after(STEP_DOWN_DELAY), above(2, 2));
     assert!(role.follows());
     let later = NOW.after(STEP_DOWN_DELAY + Duration::from_millis(1));
-    role.update(later, 2, 2);
+    role.update(later, above(2, 2));
     assert!(!role.follows());
-    role.update(later, 2, 1);
-    role.update(later.after(TAKEOVER_STEP), 2, 1);
+    role.update(later, above(2, 1));
+    role.update(later.after(TAKEOVER_STEP), above(2, 1));
     assert!(role.follows());
-    role.update(later.after(STEP_DOWN_DELAY), 2, 2);
+    role.update(later.after(STEP_DOWN_DELAY), above(2, 2));
     assert!(role.follows(), "it keeps following for a while");
 }
 
@@ -137,14 +142,14 @@
     let missed = NOW.after(STEP_DOWN_DELAY * 2);
     let follows_after = |ahead: usize, after: Duration| {
         let mut role = LeaderState::new(NOW, 0);
-        role.update(missed, ahead, 2);
-        role.update(missed, ahead, 1);
-        role.update(missed.after(after), ahead, 1);
+        role.update(missed, above(ahead, 2));
+        role.update(missed, above(ahead, 1));
+        role.update(missed.after(after), above(ahead, 1));
         role.follows()
     };
     let leads = |heard: usize| {
         let mut role = LeaderState::new(NOW, 0);
-        role.update(NOW, 3, heard);
+        role.update(NOW, above(3, heard));
         role.leads()
     };
     assert!(follows_after(1, Duration::ZERO));
@@ -153,10 +158,10 @@
     assert!(follows_after(50, TAKEOVER_STEP * TAKEOVER_STEPS_MAX));
     assert!(leads(0) && !leads(1));
     let mut role = LeaderState::new(NOW, 0);
-    role.update(missed, 5, 2);
-    role.update(missed, 5, 1);
-    role.update(missed.after(TAKEOVER_STEP), 5, 2);
-    role.update(missed.after(TAKEOVER_STEP * 4), 5, 1);
+    role.update(missed, above(5, 2));
+    role.update(missed, above(5, 1));
+    role.update(missed.after(TAKEOVER_STEP), above(5, 2));
+    role.update(missed.after(TAKEOVER_STEP * 4), above(5, 1));
     assert!(!role.follows(), "another gateway took over meanwhile");
 }
 
@@ -190,13 +195,46 @@
     }
 }
 
+/// What was seen in a simulated outage of the store: all gateways of a zone followed it, 28 calls
+/// each in 12 s at any size. Once eight that rank above say that it is unreachable, each further
+/// one is a reason to wait, and a gateway that followed it stops.
+#[test]
+fn a_zone_calls_an_unreachable_store_as_ten_gateways_do() {
+    let report = |count: usize, away: usize| HigherRanked { count, connected: 0, away };
+    let mut zone = vec![LeaderState::new(NOW, 9); 333];
+    let mut following = Vec::new();
+    for tick in 0..200 {
+        let now = NOW.after(Duration::from_millis(100) * tick);
+        let follows: Vec<bool> = zone.iter().map(LeaderState::follows).collect();
+        for (rank, role) in zone.iter_mut().enumerate() {
+            let away = follows[..rank].iter().filter(|f| **f).count();
+            role.update(now, report(rank, away));
+        }
+        following.push(zone.iter().filter(|role| role.follows()).count());
+    }
+    let (most, last) = (following.iter().max(), following.last());
+    assert!(most.is_some_and(|n| *n <= 20), "{following:?}");
+    assert!(last.is_some_and(|n| (TRIED_MAX..=16).contains(n)), "{following:?}");
+    // Some of the first are turned away: the next ones try as before.
+    let mut ninth = LeaderState::new(NOW, 8);
+    ninth.update(NOW, report(8, TRIED_MAX));
+    ninth.update(NOW.after(TAKEOVER_STEP * 7), report(8, TRIED_MAX));
+    assert!(ninth.follows());
+    let mut tenth = LeaderState::new(NOW, 9);
+    tenth.update(NOW, report(9, TRIED_MAX + 1));
+    tenth.update(NOW.after(TAKEOVER_STEP * 8), report(9, TRIED_MAX + 1));
+    assert!(!tenth.follows());
+    tenth.update(NOW.after(TAKEOVER_STEP * 8 + TRIED_STEP), report(9, TRIED_MAX + 1));
+    assert!(tenth.follows());
+}
+
 /// What was seen: changes were gathered for 0.15 s where the shortest bound was 2 s and where it was
 /// 5 s, and followers made three calls a second while backend servers came and went.
 #[test]
 fn changes_are_gathered_by_the_shortest_bound() {
     let first = LeaderState::new(NOW, 0);
     let mut standby = first;
-    standby.update(NOW, 1, 1);
+    standby.update(NOW, above(1, 1));
     for seconds in [2, 5] {
         let bounds = bounds(Duration::from_secs(seconds));
         let gathered = (first.batch_delay(&bounds), standby.batch_delay(&bounds));
