router: a gateway that started after its clock was set back is heard

Its peers took the reports of the new process for old ones of the last, for half a minute: it counted as gone, others took over its duties, and now its registration would be removed. Cause: incarnations are start times by the time of day, which may jump back between two processes, and a lower one was never newer. After 0.3 s without a report any other incarnation is a later one: a datagram travels for milliseconds, and a restart takes longer. The test fails on the old order (run with that condition).

--- a/crates/router/src/load_report.rs
+++ b/crates/router/src/load_report.rs
@@ -36,6 +36,9 @@
 pub const LOAD_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Time without a message after which a peer no longer counts as live.
 pub const PEER_TIMEOUT: Duration = Duration::from_millis(3_000);
+/// Shortest time from the last report of a process to the first one of the next: far longer than a
+/// datagram travels.
+pub const RESTART_MIN: Duration = Duration::from_millis(300);
 /// Number of rounds for which a report is kept at least when rounds are long: one datagram in a
 /// hundred is lost.
 const LOAD_ROUNDS: u32 = 4;
@@ -239,6 +242,18 @@
     report: LoadReport,
 }
 
+impl Peer {
+    /// Is the known report newer? Incarnations are start times, and the clock of a VM may have been
+    /// set back between two of them, so after a pause any other incarnation is a later one.
+    fn is_newer_than(&self, now: Timestamp, report: &LoadReport) -> bool {
+        let known = &self.report;
+        if known.incarnation == report.incarnation {
+            return known.seq >= report.seq;
+        }
+        known.incarnation > report.incarnation && now.since(self.received_at) < RESTART_MIN
+    }
+}
+
 /// The latest load report of each peer.
 #[derive(Clone, Debug, Default)]
 pub struct LoadReports {
@@ -249,7 +264,7 @@
     /// Stores a load report; false when it is older than the one known.
     pub fn on_report(&mut self, now: Timestamp, report: LoadReport) -> bool {
         if let Some(peer) = self.peers.get(&report.name)
-            && (peer.report.incarnation, peer.report.seq) >= (report.incarnation, report.seq)
+            && peer.is_newer_than(now, &report)
         {
             return false;
         }
--- a/crates/router/tests/share.rs
+++ b/crates/router/tests/share.rs
@@ -7,8 +7,8 @@
 use ebonyloft_router::catalog::ServerId;
 use ebonyloft_router::forecast::MemoryForecast;
 use ebonyloft_router::load_report::{
-    EngineLoad, LOAD_TIMEOUT, LoadReport, LoadReports, REPORT_INTERVAL, report_interval,
-    sample_size,
+    EngineLoad, LOAD_TIMEOUT, LoadReport, LoadReports, REPORT_INTERVAL, RESTART_MIN,
+    report_interval, sample_size,
 };
 use ebonyloft_router::varint;
 use proptest::prelude::*;
@@ -52,6 +52,7 @@
     assert!(!load_reports.on_report(NOW, share("a", 1, 5, 999)));
     assert_eq!(load_reports.peer_load(NOW, &id()).memory.now(), 100);
     assert!(load_reports.on_report(NOW, share("a", 2, 1, 7)), "a new incarnation starts over");
+    assert!(!load_reports.on_report(NOW, share("a", 1, 9, 7)), "a late datagram of the old one");
     assert_eq!(load_reports.peer_load(NOW, &id()).memory.now(), 7);
 }
 
@@ -159,3 +160,15 @@
 fn serde_bytes(bytes: &[u8]) -> ciborium::Value {
     ciborium::Value::Bytes(bytes.to_vec())
 }
+
+/// The time of day jumps back by seconds between two processes of a VM: its peers took the new one's
+/// reports for old ones, and it counted as gone for half a minute.
+#[test]
+fn a_process_that_started_after_its_clock_was_set_back_is_heard() {
+    let mut load_reports = LoadReports::default();
+    assert!(load_reports.on_report(NOW, share("a", 5_000_000, 40, 7)));
+    let restarted = NOW.after(RESTART_MIN);
+    assert!(load_reports.on_report(restarted, share("a", 3_000_000, 1, 9)));
+    assert!(load_reports.on_report(restarted, share("a", 3_000_000, 2, 9)));
+    assert!(load_reports.is_live(restarted.after(RESTART_MIN), "a"));
+}
