--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -262,10 +262,10 @@
     gossip::compare_checksum(shared, &report.name, from, report.gossip_checksum);
     shared.back_off(&report.changing);
     let zone = shared.fleet.borrow().all().get(&report.name).map(|g| g.zone.clone());
-    let is_abroad = zone.as_ref().is_some_and(|zone| *zone != shared.node().zone);
-    if is_abroad && shared.scope() == Scope::Zone {
+    let is_other_zone = zone.as_ref().is_some_and(|zone| *zone != shared.node().zone);
+    if is_other_zone && shared.scope() == Scope::Zone {
         let mut changes = shared.stage_changes.borrow_mut();
-        changes.on_report_from_abroad(shared.now(), &report.changing);
+        changes.on_report_of_other_zone(shared.now(), &report.changing);
     }
     let mut report = report;
     for summary in report.zone_summaries.drain(..).filter(|d| d.zone != shared.node().zone) {
--- a/crates/daemon/src/gateway/state_sync.rs
+++ b/crates/daemon/src/gateway/state_sync.rs
@@ -66,10 +66,10 @@
 /// not get them from the store. `zone` is the peer's zone, if known.
 pub fn fetch_newer(shared: &Rc<Shared>, from: SocketAddr, zone: Option<&str>, theirs: Versions) {
     let own = versions(shared);
-    let is_abroad = zone.is_some_and(|zone| zone != shared.node().zone);
+    let is_other_zone = zone.is_some_and(|zone| zone != shared.node().zone);
     let may_fetch = |part| {
         let mut fetches = shared.fetches.borrow_mut();
-        !is_abroad || fetches.may_cross_zones(shared.now(), part, own, shared.rank_in_zone())
+        !is_other_zone || fetches.may_cross_zones(shared.now(), part, own, shared.rank_in_zone())
     };
     // The first leader of a zone gets its lists from the store. It still fetches them from a
     // peer that has been ahead for a while: the store may be silent to this gateway alone, which
--- a/crates/router/src/fetches.rs
+++ b/crates/router/src/fetches.rs
@@ -87,7 +87,7 @@
     started: HashMap<SocketAddr, Timestamp>,
     backoff_until: Timestamp,
     /// Since when other zones have had something newer than these versions.
-    newer_abroad: Option<(Versions, Timestamp)>,
+    newer_in_others: Option<(Versions, Timestamp)>,
 }
 
 impl Fetches {
@@ -113,7 +113,7 @@
         own: Versions,
         ahead: usize,
     ) -> bool {
-        let known = &mut self.calls(part).newer_abroad;
+        let known = &mut self.calls(part).newer_in_others;
         let since = match known {
             Some((versions, since)) if *versions == own => *since,
             _ => known.insert((own, now)).1,
--- a/crates/router/src/stage_changes.rs
+++ b/crates/router/src/stage_changes.rs
@@ -35,7 +35,7 @@
     }
 
     /// Records what a gateway of another zone reports.
-    pub fn on_report_from_abroad(&mut self, now: Timestamp, changing: &[ServerId]) {
+    pub fn on_report_of_other_zone(&mut self, now: Timestamp, changing: &[ServerId]) {
         let until = now.after(STAGE_CHANGE_BACKOFF);
         self.relayed.extend(changing.iter().map(|id| (id.clone(), until)));
     }
--- a/crates/router/tests/stage_changes.rs
+++ b/crates/router/tests/stage_changes.rs
@@ -20,7 +20,7 @@
     let told = orders.announced(NOW, true);
     assert_eq!(told, ids(&["e1", "e2"]));
     let mut leader = StageChanges::default();
-    leader.on_report_from_abroad(NOW, &told);
+    leader.on_report_of_other_zone(NOW, &told);
     assert_eq!(leader.announced(NOW, true), told);
     assert!(leader.announced(NOW, false).is_empty(), "not a leader any more");
     assert!(leader.ordered().is_empty());
@@ -32,6 +32,6 @@
 fn an_engine_is_reported_once() {
     let mut changes = StageChanges::default();
     changes.set_ordered(ids(&["e1"]));
-    changes.on_report_from_abroad(NOW, &ids(&["e1", "e3"]));
+    changes.on_report_of_other_zone(NOW, &ids(&["e1", "e3"]));
     assert_eq!(changes.announced(NOW, true), ids(&["e1", "e3"]));
 }
