router, check, daemon: one piece of code for ranks, reports and addresses

Behaviour as before. The list of gateways that rank above one, by scope, and the count of what they report stood in the daemon and in the simulation; both call zones::ranked_above and LoadReports::higher_ranked. The order by rank stood three times (fleet::by_rank). A peer's last shapes are kept in its report, not beside it; whether a peer is of another zone is compared once and without a copy; Joining::missing followed from its other fields; the simulated store kept a revision that nothing read, and the simulations share their addresses. Two comments named figures from before.

--- a/crates/check/src/gateways/simulation.rs
+++ b/crates/check/src/gateways/simulation.rs
@@ -2,7 +2,7 @@
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashMap};
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -14,13 +14,14 @@
 use ebonyloft_router::membership::{self, JoinStep, Joining, SilenceTracker};
 use ebonyloft_router::node::{Bounds, Excess};
 use ebonyloft_router::registry::{Change, Registration};
-use ebonyloft_router::zone_leader::{HigherRanked, LEADER_TIMEOUT, LeaderState, StoreLink};
+use ebonyloft_router::zone_leader::{LEADER_TIMEOUT, LeaderState, StoreLink};
 use ebonyloft_router::zones::{self, Scope};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
 use super::store::{ITEM_BYTES, PAGE_ITEMS, Store};
 use super::{FleetReport, FleetSpec, Kind, Phase, Row, ZONE_DELAY};
+use crate::fleet::{addr as address, member_index as index};
 
 const START: Timestamp = Timestamp(1_800_000_000_000_000);
 /// Time from the start of the fleet to the measured window of all phases but `Start`.
@@ -140,18 +141,6 @@
     simulation.report()
 }
 
-fn address(i: usize) -> SocketAddr {
-    let ip = Ipv4Addr::new(10, (i >> 16) as u8, (i >> 8) as u8, i as u8);
-    SocketAddr::new(IpAddr::V4(ip), 7_660)
-}
-
-fn index(addr: SocketAddr) -> usize {
-    match addr.ip() {
-        IpAddr::V4(ip) => u32::from(ip) as usize & 0xff_ffff,
-        IpAddr::V6(_) => unreachable!("all addresses are of version 4"),
-    }
-}
-
 fn encoded_size(value: &impl serde::Serialize) -> u64 {
     let mut bytes = Vec::new();
     ciborium::into_writer(value, &mut bytes).expect("plain values encode");
@@ -453,16 +442,7 @@
         let host = &mut self.hosts[i];
         let edition = host.fleet.edition();
         if host.ahead.0 != edition {
-            let names: Option<Rc<[String]>> = match scope {
-                Scope::All => {
-                    let names = host.fleet.higher_ranked_of_all(&host.name);
-                    names.map(|names| names.map(str::to_owned).collect())
-                }
-                Scope::Zone => {
-                    let names = host.fleet.higher_ranked(&host.name);
-                    names.map(|names| names.map(str::to_owned).collect())
-                }
-            };
+            let names = zones::ranked_above(&host.fleet, scope, &host.name);
             host.ahead = (edition, names.unwrap_or_else(|| Rc::from([])));
         }
         host.ahead.1.clone()
@@ -475,14 +455,7 @@
         };
         let ahead = self.ahead(i);
         let host = &mut self.hosts[i];
-        let mut higher_ranked = HigherRanked { count: ahead.len(), ..HigherRanked::default() };
-        for link in ahead.iter().filter_map(|name| host.reports.link(now, name)) {
-            match link {
-                StoreLink::Heard { .. } => higher_ranked.connected += 1,
-                StoreLink::Away => higher_ranked.away += 1,
-                StoreLink::Indirect => {}
-            }
-        }
+        let mut higher_ranked = host.reports.higher_ranked(now, &ahead);
         let complete = host.complete_at.is_some();
         if !complete {
             higher_ranked.connected = 0;
--- a/crates/check/src/gateways/store.rs
+++ b/crates/check/src/gateways/store.rs
@@ -18,7 +18,7 @@
 /// State of the store.
 #[derive(Default)]
 pub struct Store {
-    gateways: BTreeMap<String, (Gateway, u64)>,
+    gateways: BTreeMap<String, Gateway>,
     revision: u64,
     /// Revision of the last change of a gateway's registration.
     pub fleet_revision: u64,
@@ -41,7 +41,7 @@
     pub fn register(&mut self, name: &str, gateway: Gateway) -> u64 {
         self.revision += 1;
         self.fleet_revision = self.revision;
-        self.gateways.insert(name.to_owned(), (gateway, self.revision));
+        self.gateways.insert(name.to_owned(), gateway);
         self.revision
     }
 
@@ -60,14 +60,14 @@
 
     /// All registrations of gateways.
     pub fn list(&self) -> BTreeMap<String, Gateway> {
-        self.gateways.iter().map(|(name, (g, _))| (name.clone(), g.clone())).collect()
+        self.gateways.clone()
     }
 
     /// The registrations in whole pages from after `start` to the page with `end`, and the number
     /// of pages.
     pub fn list_until(&self, start: &str, end: &str) -> (BTreeMap<String, Gateway>, usize) {
-        let from = self.gateways.iter().filter(|(name, _)| name.as_str() > start);
-        let all: Vec<(&String, &Gateway)> = from.map(|(name, (g, _))| (name, g)).collect();
+        let all: Vec<(&String, &Gateway)> =
+            self.gateways.iter().filter(|(name, _)| name.as_str() > start).collect();
         let covered = all.iter().position(|(name, _)| name.as_str() >= end).unwrap_or(all.len());
         let pages = covered / PAGE_ITEMS + 1;
         let read = all.into_iter().take(pages * PAGE_ITEMS);
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -237,10 +237,10 @@
             Ok(GossipMessage::Digest(summary)) => {
                 let ZoneSummary { config, roster, fleet, .. } = summary;
                 gossip::compare_checksum(&shared, &summary.name, from, summary.gossip_checksum);
-                let zone = summary.zone.clone();
+                let is_other_zone = summary.zone != shared.node().zone;
                 shared.zone_summaries.borrow_mut().on_summary(shared.now(), summary);
                 let theirs = Versions { config, roster, fleet };
-                state_sync::fetch_newer(&shared, from, Some(&zone), theirs);
+                state_sync::fetch_newer(&shared, from, is_other_zone, theirs);
             }
             Ok(GossipMessage::Ask(ask)) => quota::serve(&shared, from, &ask),
             Ok(GossipMessage::Answer(answer)) => quota::on_answer(&shared, answer),
@@ -261,8 +261,10 @@
     let LoadReport { config, roster, fleet, .. } = report;
     gossip::compare_checksum(shared, &report.name, from, report.gossip_checksum);
     shared.back_off(&report.changing);
-    let zone = shared.fleet.borrow().all().get(&report.name).map(|g| g.zone.clone());
-    let is_other_zone = zone.as_ref().is_some_and(|zone| *zone != shared.node().zone);
+    let is_other_zone = {
+        let (node, fleet) = (shared.node(), shared.fleet.borrow());
+        fleet.all().get(&report.name).is_some_and(|peer| peer.zone != node.zone)
+    };
     if is_other_zone && shared.scope() == Scope::Zone {
         let mut changes = shared.stage_changes.borrow_mut();
         changes.on_report_of_other_zone(shared.now(), &report.changing);
@@ -273,7 +275,7 @@
     }
     shared.load_reports.borrow_mut().on_report(shared.now(), report);
     shared.update_role();
-    state_sync::fetch_newer(shared, from, zone.as_deref(), Versions { config, roster, fleet });
+    state_sync::fetch_newer(shared, from, is_other_zone, Versions { config, roster, fleet });
 }
 
 /// Serves HTTP requests of peers.
--- a/crates/daemon/src/gateway/shared.rs
+++ b/crates/daemon/src/gateway/shared.rs
@@ -35,7 +35,7 @@
 use ebonyloft_router::stage_changes::{STAGE_CHANGE_BACKOFF, StageChanges};
 use ebonyloft_router::staleness::ConfigStaleness;
 use ebonyloft_router::store_state::StoreState;
-use ebonyloft_router::zone_leader::{HigherRanked, LEADER_TIMEOUT, LeaderState, StoreLink};
+use ebonyloft_router::zone_leader::{LEADER_TIMEOUT, LeaderState};
 use ebonyloft_router::zones::{self, Memory, Scope, ZoneSummaries};
 use futures_channel::{mpsc, oneshot};
 use rand::Rng;
@@ -351,14 +351,7 @@
         let key = (fleet.edition(), scope);
         let mut cached = self.ranked_above.borrow_mut();
         if cached.computed_from != Some(key) {
-            let names = match scope {
-                Scope::All => fleet
-                    .higher_ranked_of_all(&node.name)
-                    .map(|names| names.map(str::to_owned).collect()),
-                Scope::Zone => {
-                    fleet.higher_ranked(&node.name).map(|names| names.map(str::to_owned).collect())
-                }
-            };
+            let names = zones::ranked_above(&fleet, scope, &node.name);
             *cached = RankedAbove { computed_from: Some(key), names };
         }
         cached.names.clone()
@@ -408,14 +401,7 @@
         let (now, load_reports) = (self.now(), self.load_reports.borrow());
         let ahead = self.higher_ranked();
         let ahead = ahead.as_deref().unwrap_or_default();
-        let mut higher_ranked = HigherRanked { count: ahead.len(), ..HigherRanked::default() };
-        for link in ahead.iter().filter_map(|name| load_reports.link(now, name)) {
-            match link {
-                StoreLink::Heard { .. } => higher_ranked.connected += 1,
-                StoreLink::Away => higher_ranked.away += 1,
-                StoreLink::Indirect => {}
-            }
-        }
+        let mut higher_ranked = load_reports.higher_ranked(now, ahead);
         // A gateway without a complete server registry reads it from the store, which is faster
         // than to wait for peers. One that got it from a peer has yet to hear from its leaders.
         let complete = self.registry.borrow().is_complete();
--- a/crates/daemon/src/gateway/state_sync.rs
+++ b/crates/daemon/src/gateway/state_sync.rs
@@ -63,10 +63,9 @@
 
 /// Compares a peer's versions with this gateway's and fetches what is newer there, from another
 /// zone only if this gateway is to do so for its own. Lists are fetched only if this gateway does
-/// not get them from the store. `zone` is the peer's zone, if known.
-pub fn fetch_newer(shared: &Rc<Shared>, from: SocketAddr, zone: Option<&str>, theirs: Versions) {
+/// not get them from the store.
+pub fn fetch_newer(shared: &Rc<Shared>, from: SocketAddr, is_other_zone: bool, theirs: Versions) {
     let own = versions(shared);
-    let is_other_zone = zone.is_some_and(|zone| zone != shared.node().zone);
     let may_fetch = |part| {
         let mut fetches = shared.fetches.borrow_mut();
         !is_other_zone || fetches.may_cross_zones(shared.now(), part, own, shared.rank_in_zone())
--- a/crates/router/src/fetches.rs
+++ b/crates/router/src/fetches.rs
@@ -19,7 +19,8 @@
 const BACKOFF: Duration = Duration::from_millis(50);
 
 /// How long a gateway that reaches the store waits for the store's own update when peers have newer
-/// lists: it gathers changes for 0.15 s, and a slow store answers within 0.3 s.
+/// lists: with the shortest of the usual bounds, 2 s, it gathers changes for 0.2 s, and a slow store
+/// answers within 0.3 s.
 const STORE_WAIT: Duration = Duration::from_millis(500);
 
 /// How much longer each gateway of an availability zone waits than the next higher-ranked one before
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -3,6 +3,7 @@
 //! Holds the address, zone and power of each gateway. The rank of the gateways within an
 //! availability zone follows from this alone, so all gateways agree on it without a message.
 
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -134,7 +135,8 @@
     /// on every VM.
     pub fn higher_ranked<'a>(&'a self, name: &'a str) -> Option<impl Iterator<Item = &'a str>> {
         let own = self.gateways.get(name)?;
-        let before = self.of_zone(&own.zone).filter(move |other| ranks_above(*other, (name, own)));
+        let before =
+            self.of_zone(&own.zone).filter(move |(n, g)| by_rank((n, g), (name, own)).is_lt());
         Some(before.map(|(n, _)| n.as_str()))
     }
 
@@ -150,22 +152,23 @@
         let place = places.get(name).copied()?;
         let before = self.gateways.iter().filter(move |(n, g)| {
             let other = places.get(n.as_str()).copied().unwrap_or(usize::MAX);
-            other < place || other == place && ranks_above((n, g), (name, own))
+            other.cmp(&place).then_with(|| by_rank((n, g), (name, own))).is_lt()
         });
         Some(before.map(|(n, _)| n.as_str()))
     }
 
     /// Returns the number of gateways that rank above each one in its own zone.
     fn places(&self) -> BTreeMap<&str, usize> {
-        let mut ranked: Vec<(&String, &Gateway)> = self.gateways.iter().collect();
-        ranked.sort_by(|a, b| b.1.power.cmp(&a.1.power).then_with(|| a.0.cmp(b.0)));
+        let mut ranked: Vec<(&str, &Gateway)> =
+            self.gateways.iter().map(|(name, gateway)| (name.as_str(), gateway)).collect();
+        ranked.sort_by(|a, b| by_rank(*a, *b));
         let mut in_zone: BTreeMap<&str, usize> = BTreeMap::new();
         ranked
             .into_iter()
             .map(|(name, gateway)| {
                 let count = in_zone.entry(gateway.zone.as_str()).or_default();
                 *count += 1;
-                (name.as_str(), *count - 1)
+                (name, *count - 1)
             })
             .collect()
     }
@@ -179,10 +182,7 @@
     }
 }
 
-/// Does a gateway rank above another one, by CPU and then by name?
-fn ranks_above<'a>(
-    (name, gateway): (&'a String, &'a Gateway),
-    (other_name, other): (&str, &Gateway),
-) -> bool {
-    gateway.power > other.power || gateway.power == other.power && name.as_str() < other_name
+/// Order of gateways by rank: the one with the most CPU first, then by name.
+pub fn by_rank(a: (&str, &Gateway), b: (&str, &Gateway)) -> Ordering {
+    b.1.power.cmp(&a.1.power).then_with(|| a.0.cmp(b.0))
 }
--- a/crates/router/src/load_report.rs
+++ b/crates/router/src/load_report.rs
@@ -20,7 +20,7 @@
 use crate::quota::{LeaseRequest, LeaseResponse, LimitKey};
 use crate::stages::ShapeReport;
 use crate::varint;
-use crate::zone_leader::{LEADER_TIMEOUT, StoreLink};
+use crate::zone_leader::{HigherRanked, LEADER_TIMEOUT, StoreLink};
 use crate::zones::ZoneSummary;
 
 /// Interval between two load reports to each peer while there is load: a tenth of the delay of the
@@ -244,8 +244,6 @@
 struct Peer {
     received_at: Timestamp,
     report: LoadReport,
-    /// The latest shapes reported.
-    shapes: BTreeMap<String, ShapeReport>,
 }
 
 impl Peer {
@@ -268,15 +266,19 @@
 
 impl LoadReports {
     /// Stores a load report; false when it is older than the one known.
-    pub fn on_report(&mut self, now: Timestamp, report: LoadReport) -> bool {
+    pub fn on_report(&mut self, now: Timestamp, mut report: LoadReport) -> bool {
         if let Some(peer) = self.peers.get(&report.name)
             && peer.is_newer_than(now, &report)
         {
             return false;
         }
-        let known = self.peers.remove(&report.name).map(|peer| peer.shapes).unwrap_or_default();
-        let shapes = if report.shapes.is_empty() { known } else { report.shapes.clone() };
-        self.peers.insert(report.name.clone(), Peer { received_at: now, report, shapes });
+        // Shapes are sent when they have changed; until then the last ones hold.
+        if let Some(before) = self.peers.remove(&report.name)
+            && report.shapes.is_empty()
+        {
+            report.shapes = before.report.shapes;
+        }
+        self.peers.insert(report.name.clone(), Peer { received_at: now, report });
         true
     }
 
@@ -293,7 +295,7 @@
 
     /// Returns the shape of a service's requests as each peer reported it last.
     pub fn shapes<'a>(&'a self, service: &'a str) -> impl Iterator<Item = ShapeReport> + 'a {
-        self.peers.values().filter_map(move |p| p.shapes.get(service).copied())
+        self.peers.values().filter_map(move |p| p.report.shapes.get(service).copied())
     }
 
     /// Returns the number of live peers.
@@ -318,6 +320,19 @@
         (now.since(peer.received_at) < LEADER_TIMEOUT).then_some(peer.report.link)
     }
 
+    /// Counts what higher-ranked gateways of these names report of the store.
+    pub fn higher_ranked(&self, now: Timestamp, names: &[String]) -> HigherRanked {
+        let mut counts = HigherRanked { count: names.len(), ..HigherRanked::default() };
+        for link in names.iter().filter_map(|name| self.link(now, name)) {
+            match link {
+                StoreLink::Heard { .. } => counts.connected += 1,
+                StoreLink::Away => counts.away += 1,
+                StoreLink::Indirect => {}
+            }
+        }
+        counts
+    }
+
     /// Returns the gateways from which this one, named `own`, receives nothing.
     pub fn unreachable(&self, now: Timestamp, fleet: &Fleet, own: &str) -> UnreachableGateways {
         let others = fleet.all().keys().filter(|name| *name != own);
--- a/crates/router/src/membership.rs
+++ b/crates/router/src/membership.rs
@@ -13,7 +13,7 @@
 
 use ebonyloft_core::time::Timestamp;
 
-use crate::fleet::{Fleet, Gateway};
+use crate::fleet::{Fleet, Gateway, by_rank};
 use crate::zone_leader::LEADERS_PER_ZONE;
 
 /// Longest time, from the first list on, to wait for one with the own registration. After it the
@@ -61,8 +61,6 @@
     registered: bool,
     /// A list contained its registration.
     listed: bool,
-    /// A list was read and its registration was not in it.
-    missing: bool,
     next_call: Timestamp,
     failures: u32,
 }
@@ -70,14 +68,7 @@
 impl Joining {
     /// Begins to join.
     pub fn new(now: Timestamp) -> Self {
-        Joining {
-            deadline: None,
-            registered: false,
-            listed: false,
-            missing: false,
-            next_call: now,
-            failures: 0,
-        }
+        Joining { deadline: None, registered: false, listed: false, next_call: now, failures: 0 }
     }
 
     /// Records a list; `current` when it contains this gateway's registration as it should be.
@@ -89,7 +80,6 @@
         }
         self.listed = current;
         self.registered |= current;
-        self.missing = !current;
     }
 
     /// Records that the registration was written; `draw` is uniform in 0..1.
@@ -115,7 +105,8 @@
         if now < self.next_call {
             return JoinStep::Wait(self.next_call);
         }
-        match self.missing && !self.registered {
+        let was_read = self.deadline.is_some();
+        match was_read && !self.registered {
             true => JoinStep::Register,
             false => JoinStep::List,
         }
@@ -148,7 +139,7 @@
     let mut drawn: Vec<(f64, &String, &Gateway)> = usable.map(|(n, g)| (draw(), n, g)).collect();
     drawn.sort_by(|a, b| a.0.total_cmp(&b.0));
     let random: Vec<SocketAddr> = drawn.iter().take(RANDOM_PEERS).map(|(_, _, g)| g.addr).collect();
-    drawn.sort_by(|a, b| b.2.power.cmp(&a.2.power).then_with(|| a.1.cmp(b.1)));
+    drawn.sort_by(|a, b| by_rank((a.1, a.2), (b.1, b.2)));
     let leaders = drawn.iter().take(LEADERS_PER_ZONE).map(|(_, _, g)| g.addr);
     let leaders: Vec<SocketAddr> = leaders.filter(|addr| !random.contains(addr)).collect();
     random.into_iter().chain(leaders).collect()
--- a/crates/router/src/zone_leader.rs
+++ b/crates/router/src/zone_leader.rs
@@ -2,10 +2,11 @@
 //!
 //! Each gateway that follows the store costs it one to three calls a second for the same changes,
 //! too much for a fleet of hundreds. So only two gateways per availability zone follow it, the zone
-//! leaders; they announce changes to the others, which fetch them there. There is no election: a
-//! gateway follows the store unless two higher-ranked gateways of its zone report that they reach
-//! it. So a zone whose leaders crash, hang or lose the store gets new ones as soon as this is
-//! noticed, and a gateway that hears from no leader follows the store itself.
+//! leaders, or two in all where zones decide together; they announce changes to the others, which
+//! fetch them there. There is no election: a gateway follows the store unless two higher-ranked
+//! ones report that they reach it. So a zone whose leaders crash, hang or lose the store gets new
+//! ones as soon as this is noticed, and a gateway that hears from no leader follows the store
+//! itself.
 
 use std::time::Duration;
 
--- a/crates/router/src/zones.rs
+++ b/crates/router/src/zones.rs
@@ -9,6 +9,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use ebonyloft_core::time::Timestamp;
@@ -60,6 +61,15 @@
     }
 }
 
+/// Returns the names of the gateways that rank above `name` among those that exchange load reports;
+/// `None` when it is not registered.
+pub fn ranked_above(fleet: &Fleet, scope: Scope, name: &str) -> Option<Rc<[String]>> {
+    match scope {
+        Scope::All => Some(fleet.higher_ranked_of_all(name)?.map(str::to_owned).collect()),
+        Scope::Zone => Some(fleet.higher_ranked(name)?.map(str::to_owned).collect()),
+    }
+}
+
 /// Highest total memory of a fleet's engines within the last minute, in tokens.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Memory {
