gateway: requests that end servers in silence are suspected, and bystanders refuted

Cause: a run on such a server is given up 1.5 s after its last event, when the registration is gone already, and a server that is not registered counted as one that had left. The registry now remembers who announced that.

The soak writes logs if asked.

--- a/crates/check/src/answers/gateway.rs
+++ b/crates/check/src/answers/gateway.rs
@@ -126,7 +126,7 @@
     /// An attempt broke off.
     pub fn on_attempt_lost(&mut self, server: &Server, loss: LostAttempt) {
         let now = loss.at;
-        if self.registry.has_left(&server.id.name) || self.quarantine.is_healthy(now, &loss.digest)
+        if self.registry.has_announced(&server.id) || self.quarantine.is_healthy(now, &loss.digest)
         {
             return;
         }
--- a/crates/check/src/answers/simulation.rs
+++ b/crates/check/src/answers/simulation.rs
@@ -7,7 +7,9 @@
 use ebonyloft_router::catalog::{Server, ServerId, Stage};
 use ebonyloft_router::load_report::{GossipMessage, GossipState};
 use ebonyloft_router::lost_attempts::{LostAttempt, ProbeResult};
-use ebonyloft_router::quarantine::{Crash, Fact, QuarantineState, QuarantineUpdate};
+use ebonyloft_router::quarantine::{
+    Change as QuarantineChange, Crash, Fact, QuarantineState, QuarantineUpdate,
+};
 use ebonyloft_router::registry::{Change, Registration};
 use ebonyloft_router::request_digest::RequestDigest;
 use rand::{Rng, SeedableRng};
@@ -771,14 +773,21 @@
         if gateway.incarnation != incarnation || !gateway.is_reachable(now) {
             return;
         }
-        for update in &notes.quarantine_updates {
-            gateway.quarantine.apply(now, update);
+        let changes = gateway.quarantine.apply_all(now, &notes.quarantine_updates);
+        for (update, change) in notes.quarantine_updates.iter().zip(changes) {
+            let refutation = gateway.quarantine.refutation(now, update);
+            if change == QuarantineChange::Suspected
+                && let Some(refutation) = refutation
+            {
+                gateway.record(now, refutation.digest, ms(refutation.age), refutation.fact);
+            }
         }
         for id in &notes.leaving {
             gateway.registry.on_leaving(id);
         }
         let (suspects, confirmed) = gateway.quarantine.counts();
         self.tally.rows_max = self.tally.rows_max.max(suspects + confirmed);
+        self.publish_updates(to);
     }
 
     /// Each gateway sends some peers the checksum of its quarantine; peers that differ for long exchange tables.
@@ -808,12 +817,8 @@
         let now = self.queue.now();
         let (from_a, from_b) =
             (self.gateways[a].quarantine.updates(now), self.gateways[b].quarantine.updates(now));
-        from_a.iter().for_each(|update| {
-            self.gateways[b].quarantine.apply(now, update);
-        });
-        from_b.iter().for_each(|update| {
-            self.gateways[a].quarantine.apply(now, update);
-        });
+        self.gateways[b].quarantine.apply_all(now, &from_a);
+        self.gateways[a].quarantine.apply_all(now, &from_b);
     }
 }
 
--- a/crates/daemon/src/gateway/call.rs
+++ b/crates/daemon/src/gateway/call.rs
@@ -45,7 +45,7 @@
         if let Some((server, sent)) = self.send {
             shared.plain_servers.borrow_mut().on_abandoned(&server.id, sent);
             shared.admission_queue(service).on_abandoned(sent);
-            let sent = Sent { server: &server, run: RunStage::Call, at: sent };
+            let sent = Sent { server: &server, run: RunStage::Call, at: sent, stalled: false };
             quarantine::on_abandoned(shared, intake, sent);
         }
         if let Some(ticket) = self.ticket {
@@ -172,7 +172,8 @@
         progress.begin();
         let (outcome, answer) = send_to(shared, intake, &server, limit, flight).await;
         progress.record(outcome);
-        let sent = Sent { server: &server, run: RunStage::Call, at: now };
+        let stalled = answer.is_none() && shared.now() >= now.after(limit);
+        let sent = Sent { server: &server, run: RunStage::Call, at: now, stalled };
         quarantine::on_outcome(shared, intake, sent, outcome);
         tried.push(server.id.clone());
         match outcome {
--- a/crates/daemon/src/gateway/gossip.rs
+++ b/crates/daemon/src/gateway/gossip.rs
@@ -39,24 +39,25 @@
             continue;
         }
         for part in split(state) {
-            let mut bytes = Vec::new();
-            if let Err(e) = ciborium::into_writer(&GossipMessage::Notes(part), &mut bytes) {
-                tracing::error!(error = %e, "can't encode gossip state");
-                continue;
-            }
-            let bytes = Bytes::from(bytes);
-            send(&shared, &socket, bytes.clone()).await;
+            send(&shared, &socket, &part).await;
             let (socket, shared) = (socket.clone(), shared.clone());
+            let sent_at = shared.now();
             compio::runtime::spawn(async move {
                 compio::time::sleep(RESEND_DELAY).await;
-                send(&shared, &socket, bytes).await;
+                let part = part.aged(shared.now().since(sent_at));
+                send(&shared, &socket, &part).await;
             })
             .detach();
         }
     }
 }
 
-async fn send(shared: &Shared, socket: &UdpSocket, bytes: Bytes) {
+async fn send(shared: &Shared, socket: &UdpSocket, part: &GossipState) {
+    let mut bytes = Vec::new();
+    if let Err(e) = ciborium::into_writer(&GossipMessage::Notes(part.clone()), &mut bytes) {
+        return tracing::error!(error = %e, "can't encode gossip state");
+    }
+    let bytes = Bytes::from(bytes);
     peers::send_datagram(shared, socket, "gateway.bytes.notes", bytes, &all_peers(shared)).await;
 }
 
@@ -81,10 +82,7 @@
 
 /// Applies gossip state received from a peer.
 pub fn apply(shared: &Shared, state: &GossipState, peer: &str) {
-    state
-        .quarantine_updates
-        .iter()
-        .for_each(|word| quarantine::apply_report(shared, word, Some(peer)));
+    quarantine::apply_reports(shared, &state.quarantine_updates, Some(peer));
     state.leaving.iter().for_each(|id| announcements::on_leaving(shared, id, peer));
     state.limits.iter().for_each(|word| limits::on_report(shared, word, peer));
 }
--- a/crates/daemon/src/gateway/quarantine.rs
+++ b/crates/daemon/src/gateway/quarantine.rs
@@ -54,6 +54,8 @@
 const WRITE_BACKOFF: Duration = Duration::from_millis(500);
 /// Longest such back-off: once the store is back, it stays for a few seconds at least.
 const WRITE_BACKOFF_MAX: Duration = Duration::from_secs(4);
+/// Gateways that refute a reported crash, on average, if all of them can.
+const REFUTATIONS: f64 = 8.0;
 /// A run that broke off this soon after its first event counts as only just begun.
 pub const EARLY_WINDOW: Duration = Duration::from_millis(1_000);
 
@@ -160,24 +162,37 @@
     pub run: RunStage,
     /// When it was sent.
     pub at: Timestamp,
+    /// It was given up because nothing came any more, while its connection stayed open.
+    pub stalled: bool,
 }
 
 /// Starts an inquiry into a lost attempt: did its server crash?
 pub fn on_lost(shared: &Shared, intake: &Intake, sent: Sent<'_>) {
     let (now, server) = (shared.now(), sent.server);
     // A server that announced its leaving was not crashed by the request.
-    let is_leaving = shared.registry.borrow().has_left(&server.id.name);
-    if is_leaving || shared.quarantine.borrow().is_healthy(now, &intake.digest) {
+    let was_leaving = shared.registry.borrow().has_announced(&server.id);
+    if was_leaving || shared.quarantine.borrow().is_healthy(now, &intake.digest) {
         return;
     }
+    let heard_at = shared.lost_attempts.borrow().heard_since(sent.at, &server.id);
+    let is_gone = shared.registry.borrow().get(&server.id).is_none();
+    if is_gone && sent.stalled && heard_at.is_none() {
+        // The server may have been down already when this was sent.
+        return;
+    }
+    let at = heard_at.filter(|_| sent.stalled).unwrap_or(now);
     let early = sent.run != RunStage::Advanced;
     let wait = if sent.run == RunStage::Call { CALL_PROBE_DELAY } else { STREAM_PROBE_DELAY };
     let number = shared.random_id();
-    let attempt = LostAttempt { digest: intake.digest, early, sent: sent.at, at: now, number };
+    let attempt = LostAttempt { digest: intake.digest, early, sent: sent.at, at, number };
     shared.lost_attempts.borrow_mut().add(server, attempt, wait);
     if sent.run == RunStage::Begun {
         publish_fact(shared, intake.digest, Fact::Lost(number));
     }
+    if is_gone {
+        // A run that stalls is given up later than the registration of its server expires.
+        on_ended(shared, &server.id, "registration");
+    }
     shared.background_waiters.wake_all();
 }
 
@@ -221,11 +236,17 @@
 
 /// Handles an answer to what was sent at `sent`, which shows that the server was alive.
 pub fn on_alive(shared: &Shared, id: &ServerId, sent: Timestamp) {
+    on_heard(shared, id);
     let cleared = shared.lost_attempts.borrow_mut().on_answer(id, sent);
     let early = cleared.iter().filter(|attempt| attempt.early);
     early.for_each(|attempt| publish_fact(shared, attempt.digest, Fact::Over(attempt.number)));
 }
 
+/// Handles an event of a stream that is running at a server.
+pub fn on_heard(shared: &Shared, id: &ServerId) {
+    shared.lost_attempts.borrow_mut().on_heard(shared.now(), id);
+}
+
 /// Handles the end of a server's incarnation that did not announce its leaving.
 pub fn on_ended(shared: &Shared, id: &ServerId, how: &'static str) {
     let attempts = shared.lost_attempts.borrow_mut().on_crash(id);
@@ -249,6 +270,7 @@
 }
 
 fn record_crashes(shared: &Shared, id: &ServerId, attempts: Vec<LostAttempt>, how: &'static str) {
+    let mut reports = Vec::new();
     for attempt in attempts {
         if shared.quarantine.borrow().is_healthy(attempt.at, &attempt.digest) {
             continue;
@@ -258,32 +280,44 @@
             content = %attempt.digest, server = %id, early = attempt.early, how, age,
             "backend server crashed under a request"
         );
-        let fact = Fact::Ended(id.clone(), attempt.early);
-        publish(shared, QuarantineUpdate { digest: attempt.digest, age, fact });
-        if attempt.early {
-            publish_fact(shared, attempt.digest, Fact::Over(attempt.number));
+        let LostAttempt { digest, early, number, .. } = attempt;
+        let fact = Fact::Ended(id.clone(), early);
+        reports.push(QuarantineUpdate { digest, age, fact });
+        if early {
+            reports.push(QuarantineUpdate { digest, age: 0, fact: Fact::Over(number) });
         }
     }
+    publish(shared, reports);
 }
 
 fn publish_fact(shared: &Shared, digest: RequestDigest, fact: Fact) {
-    publish(shared, QuarantineUpdate { digest, age: 0, fact });
+    publish(shared, vec![QuarantineUpdate { digest, age: 0, fact }]);
 }
 
-/// Applies an observation made here and publishes it to all gateways.
-fn publish(shared: &Shared, report: QuarantineUpdate) {
-    apply_report(shared, &report, None);
-    shared.outgoing_gossip.borrow_mut().quarantine_updates.push(report);
+/// Applies observations made here and publishes them to all gateways.
+fn publish(shared: &Shared, reports: Vec<QuarantineUpdate>) {
+    apply_reports(shared, &reports, None);
+    shared.outgoing_gossip.borrow_mut().quarantine_updates.extend(reports);
     shared.background_waiters.wake_all();
 }
 
-/// Applies an observation made here, or reported by a peer or the store.
-pub fn apply_report(shared: &Shared, report: &QuarantineUpdate, peer: Option<&str>) {
-    let change = shared.quarantine.borrow_mut().apply(shared.now(), report);
+/// Applies observations made here, or reported by a peer or the store; one of a peer is refuted if
+/// a complete answer here contradicts it.
+pub fn apply_reports(shared: &Shared, reports: &[QuarantineUpdate], peer: Option<&str>) {
+    let changes = shared.quarantine.borrow_mut().apply_all(shared.now(), reports);
+    for (report, change) in reports.iter().zip(changes) {
+        on_change(shared, report, change, peer);
+    }
+}
+
+fn on_change(shared: &Shared, report: &QuarantineUpdate, change: Change, peer: Option<&str>) {
     let (digest, fact, age) = (report.digest, &report.fact, report.age);
     match change {
         Change::Nothing => {}
         Change::Suspected => {
+            if peer.is_some() {
+                refute(shared, report);
+            }
             let crashes = shared.quarantine.borrow().crashes(&digest).len();
             tracing::info!(
                 content = %digest, ?fact, age, peer, endings = crashes, "request suspected of crashing servers"
@@ -311,6 +345,16 @@
     }
 }
 
+/// Publishes a complete answer received here that contradicts a crash reported by a peer. In a
+/// large fleet only some of the gateways that could do so do.
+fn refute(shared: &Shared, report: &QuarantineUpdate) {
+    let refutation = shared.quarantine.borrow().refutation(shared.now(), report);
+    let share = REFUTATIONS / shared.gateway_count() as f64;
+    if let Some(refutation) = refutation.filter(|_| shared.random_fraction() < share) {
+        publish(shared, vec![refutation]);
+    }
+}
+
 /// Is this gateway the first by name? The first one writes what was confirmed only by reports of
 /// several others.
 fn is_first_gateway(shared: &Shared) -> bool {
@@ -455,7 +499,7 @@
         if fact == Fact::Proved && is_confirmed(&self.0, &digest) {
             return;
         }
-        apply_report(&self.0, &QuarantineUpdate { digest, age: 0, fact }, Some("store"));
+        apply_reports(&self.0, &[QuarantineUpdate { digest, age: 0, fact }], Some("store"));
     }
 }
 
@@ -464,11 +508,12 @@
         let Ok(record) = serde_json::from_slice::<Record>(value) else {
             return tracing::warn!(content = %digest, "invalid record of a suspected request");
         };
-        for (server, early, at) in record.endings {
+        let report = |(server, early, at)| {
             let age = self.0.now().since(at).as_millis() as u64;
-            let report = QuarantineUpdate { digest, age, fact: Fact::Ended(server, early) };
-            apply_report(&self.0, &report, Some("store"));
-        }
+            QuarantineUpdate { digest, age, fact: Fact::Ended(server, early) }
+        };
+        let reports: Vec<QuarantineUpdate> = record.endings.into_iter().map(report).collect();
+        apply_reports(&self.0, &reports, Some("store"));
     }
 }
 
--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -81,8 +81,9 @@
     let result = answer::unless_disconnected(gone, compio::time::timeout(left, work)).await;
     let events = out.batches();
     if let Some((server, at)) = state.open_attempt.take() {
-        let run = state.run_phase(shared.now());
-        quarantine::on_abandoned(shared, intake, Sent { server: &server, run, at });
+        let now = shared.now();
+        let (run, stalled) = (state.run_phase(now, at), state.is_stalled(now, at));
+        quarantine::on_abandoned(shared, intake, Sent { server: &server, run, at, stalled });
     }
     let ending = send_result(shared, intake, &state, out, result);
     if ending == COMPLETE {
@@ -188,7 +189,7 @@
         state.progress.begin();
         let mut is_continued = false;
         let (outcome, answer, started_at) = loop {
-            state.first_event_at = None;
+            (state.first_event_at, state.heard_at) = (None, None);
             let started_at = shared.now();
             state.open_attempt = Some((server.clone(), started_at));
             match attempt(shared, intake, &server, state, out, &mut splitter).await {
@@ -205,14 +206,11 @@
         } else {
             outcome
         });
-        let run = state.run_phase(now);
+        let run = state.run_phase(now, started_at);
+        let stalled = state.is_stalled(now, started_at);
         state.open_attempt = None;
-        quarantine::on_outcome(
-            shared,
-            intake,
-            Sent { server: &server, run, at: started_at },
-            outcome,
-        );
+        let sent = Sent { server: &server, run, at: started_at, stalled };
+        quarantine::on_outcome(shared, intake, sent, outcome);
         tracing::info!(
             id = intake.id(), content = %intake.digest, server = %server.id, fate = ?outcome,
             events = splitter.count(), last = splitter.last_id(), "stream attempt ended"
@@ -405,6 +403,7 @@
     if outcome != AttemptOutcome::Answered(200) {
         return AttemptEnd::Outcome(outcome, read_failure(shared, head, outcome).await);
     }
+    state.heard_at = Some(shared.now());
     state.mark_used();
     shared.engines.borrow_mut().on_accepted(&server.id);
     let end = relay::relay(shared, intake, head, state, out, splitter).await;
--- a/crates/daemon/src/gateway/stream/prefill.rs
+++ b/crates/daemon/src/gateway/stream/prefill.rs
@@ -232,7 +232,8 @@
     drop(engines);
     if outcome == AttemptOutcome::Lost {
         wasted_prefill::count(shared, intake.id(), WastedPrefill::Engine, prompt);
-        let sent = Sent { server, run: RunStage::Begun, at: now };
+        let stalled = answer.is_none() && done >= now.after(limit);
+        let sent = Sent { server, run: RunStage::Begun, at: now, stalled };
         quarantine::on_lost(shared, intake, sent);
     }
     if outcome == AttemptOutcome::Moved {
--- a/crates/daemon/src/gateway/stream/relay.rs
+++ b/crates/daemon/src/gateway/stream/relay.rs
@@ -18,6 +18,7 @@
 use super::state::StreamState;
 use super::{prefill, tokens_per_event, wasted_prefill, with_stall_timeout};
 use crate::gateway::intake::Intake;
+use crate::gateway::quarantine;
 use crate::gateway::send::Head;
 use crate::gateway::shared::Shared;
 
@@ -154,6 +155,10 @@
         let (shared, now) = (self.shared, self.shared.now());
         let is_first = self.state.first_event_at.is_none();
         self.state.first_event_at.get_or_insert(now);
+        self.state.heard_at = Some(now);
+        if let Some((server, _)) = &self.state.open_attempt {
+            quarantine::on_heard(shared, &server.id);
+        }
         let gap = now.since(self.last_event_at);
         self.state.longest_gap = self.state.longest_gap.max(gap);
         self.last_event_at = now;
--- a/crates/daemon/src/gateway/stream/state.rs
+++ b/crates/daemon/src/gateway/stream/state.rs
@@ -17,7 +17,7 @@
 
 use super::migration::{self, Migration, MovableRun};
 use super::overflow::RemoteReservation;
-use super::wasted_prefill;
+use super::{STALL_TIMEOUT, wasted_prefill};
 use crate::gateway::announcements;
 use crate::gateway::quarantine::{EARLY_WINDOW, RunStage};
 use crate::gateway::shared::Shared;
@@ -88,6 +88,8 @@
     pub generated: u64,
     /// When the first event of the current attempt came.
     pub first_event_at: Option<Timestamp>,
+    /// When the head or the last event of the current attempt came.
+    pub heard_at: Option<Timestamp>,
     /// Longest gap before an event, including the gap between the response head and the first
     /// event.
     pub longest_gap: Duration,
@@ -111,14 +113,29 @@
             moves: 0,
             generated: 0,
             first_event_at: None,
+            heard_at: None,
             longest_gap: Duration::ZERO,
         }
     }
 
-    /// How far the current attempt has come.
-    pub fn run_phase(&self, now: Timestamp) -> RunStage {
-        match self.first_event_at {
-            Some(at) if now >= at.after(EARLY_WINDOW) => RunStage::Advanced,
+    /// Whether nothing has come of the current attempt, sent at `sent`, for as long as the stall
+    /// timeout.
+    pub fn is_stalled(&self, now: Timestamp, sent: Timestamp) -> bool {
+        now >= self.heard_since(sent).after(STALL_TIMEOUT)
+    }
+
+    fn heard_since(&self, sent: Timestamp) -> Timestamp {
+        self.heard_at.unwrap_or(sent).max(sent)
+    }
+
+    /// How far the current attempt has come; one that stalled got no further than its last event.
+    pub fn run_phase(&self, now: Timestamp, sent: Timestamp) -> RunStage {
+        let until = match self.is_stalled(now, sent) {
+            true => self.heard_since(sent),
+            false => now,
+        };
+        match self.first_event_at.filter(|at| *at >= sent) {
+            Some(at) if until >= at.after(EARLY_WINDOW) => RunStage::Advanced,
             _ => RunStage::Begun,
         }
     }
--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -5,7 +5,8 @@
 //!     EBONYLOFT_SOAK_SEEDS=50 cargo nextest run -p ebonyloftd --test soak --run-ignored only
 //!
 //! `EBONYLOFT_SOAK_FROM` is the first seed (default: the current time), `EBONYLOFT_SOAK_SECS` the
-//! duration of fault injection per run, `EBONYLOFT_SOAK_GATEWAYS` the number of gateways.
+//! duration of fault injection per run, `EBONYLOFT_SOAK_GATEWAYS` the number of gateways. The gateways write
+//! their logs into the folder `EBONYLOFT_SOAK_LOGS`, if it is set.
 
 #[path = "soak/callers.rs"]
 mod callers;
--- a/crates/daemon/tests/soak/cluster.rs
+++ b/crates/daemon/tests/soak/cluster.rs
@@ -3,8 +3,9 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, HashSet};
+use std::fs::File;
 use std::net::{Ipv4Addr, SocketAddr};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -367,17 +368,28 @@
     }
 }
 
-fn spawn(file: &PathBuf) -> Child {
+fn spawn(file: &Path) -> Child {
+    let (level, output) = match std::env::var("EBONYLOFT_SOAK_LOGS") {
+        Ok(folder) => ("info", Stdio::from(open_log(&folder, file))),
+        Err(_) => ("warn", Stdio::null()),
+    };
     Command::new(env!("CARGO_BIN_EXE_ebonyloftd"))
         .arg("gateway")
         .arg("--file")
         .arg(file)
-        .args(["--log", "warn"])
-        .stdout(Stdio::null())
+        .args(["--log", level])
+        .stdout(output)
         .spawn()
         .expect("a gateway process")
 }
 
+/// Opens the log of the gateway with this settings file; its lives append to the same log.
+fn open_log(folder: &str, settings: &Path) -> File {
+    let name = format!("{}.log", settings.file_stem().expect("a file name").display());
+    let path = Path::new(folder).join(name);
+    File::options().append(true).create(true).open(path).expect("a log file")
+}
+
 /// Starts a relay that listens at `front` and forwards to `target`.
 async fn start_relay(front: SocketAddr, target: SocketAddr) -> RelaySwitch {
     let listener = TcpListener::bind(front).await.expect("a free address");
--- a/crates/router/src/load_report.rs
+++ b/crates/router/src/load_report.rs
@@ -158,6 +158,14 @@
     pub fn is_empty(&self) -> bool {
         self.quarantine_updates.is_empty() && self.leaving.is_empty() && self.limits.is_empty()
     }
+
+    /// The same state after some time: its facts are that much older.
+    pub fn aged(mut self, by: Duration) -> Self {
+        for update in &mut self.quarantine_updates {
+            update.age += by.as_millis() as u64;
+        }
+        self
+    }
 }
 
 /// A datagram between gateways.
--- a/crates/router/src/lost_attempts.rs
+++ b/crates/router/src/lost_attempts.rs
@@ -5,8 +5,12 @@
 //! requests. It has crashed if its registration is gone, if another incarnation answers at its address, or if
 //! connections to its port are refused. An attempt for which none of this is learned in time is not counted
 //! as a crash.
+//!
+//! A crash may also leave connections open and silent, as that of a whole VM does. The attempt is then given up
+//! only after the stall timeout, often when the registration is gone already, and so are the attempts that were
+//! sent meanwhile. Only those are attributed to the crash whose server was heard from after they were sent.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -30,6 +34,9 @@
 pub const INVESTIGATION_TIMEOUT: Duration = Duration::from_millis(6_000);
 /// Probes of one server in one investigation, spread over `INVESTIGATION_TIMEOUT`.
 const PROBES_MAX: u32 = 10;
+/// How long it is remembered when a server was last heard from, and that it crashed: longer than the usual
+/// timeout of a request that gets no answer.
+const MEMORY: Duration = Duration::from_secs(60);
 
 /// An attempt that broke off.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -40,7 +47,7 @@
     pub early: bool,
     /// When it was sent.
     pub sent: Timestamp,
-    /// When it was lost.
+    /// When it was lost; for one that stalled, when its server was last heard from.
     pub at: Timestamp,
     /// Identifies the investigation.
     pub number: u64,
@@ -72,6 +79,10 @@
 #[derive(Clone, Debug, Default)]
 pub struct LostAttempts {
     investigations: BTreeMap<ServerId, Investigation>,
+    /// When each server was last heard from.
+    heard: HashMap<ServerId, Timestamp>,
+    /// Incarnations that crashed, each with the time of the first loss there.
+    crashed: HashMap<ServerId, Timestamp>,
 }
 
 impl LostAttempts {
@@ -90,9 +101,23 @@
         investigation.attempts.push(attempt);
     }
 
+    /// Something arrived from the server.
+    pub fn on_heard(&mut self, now: Timestamp, id: &ServerId) {
+        match self.heard.get_mut(id) {
+            Some(at) => *at = now,
+            None => drop(self.heard.insert(id.clone(), now)),
+        }
+    }
+
+    /// When the server was last heard from, if that was after `sent`.
+    pub fn heard_since(&self, sent: Timestamp, id: &ServerId) -> Option<Timestamp> {
+        self.heard.get(id).copied().filter(|at| *at >= sent)
+    }
+
     /// The server answered a request that was sent at `sent`: attempts lost before then did not crash it.
     /// Returns them.
     pub fn on_answer(&mut self, id: &ServerId, sent: Timestamp) -> Vec<LostAttempt> {
+        self.crashed.remove(id);
         let Some(investigation) = self.investigations.get_mut(id) else {
             return Vec::new();
         };
@@ -113,7 +138,11 @@
             .investigations
             .remove(id)
             .map_or_else(Vec::new, |investigation| investigation.attempts);
-        let first = attempts.iter().map(|attempt| attempt.at).min().unwrap_or_default();
+        let losses = attempts.iter().map(|attempt| attempt.at);
+        let Some(first) = losses.chain(self.crashed.get(id).copied()).min() else {
+            return attempts;
+        };
+        self.crashed.insert(id.clone(), first);
         attempts.retain(|attempt| attempt.sent <= first);
         attempts
     }
@@ -176,6 +205,8 @@
 
     /// Removes and returns lost attempts whose cause was not found in time.
     pub fn expire(&mut self, now: Timestamp) -> Vec<(ServerId, LostAttempt)> {
+        self.heard.retain(|_, at| at.after(MEMORY) > now);
+        self.crashed.retain(|_, at| at.after(MEMORY) > now);
         let mut expired = Vec::new();
         for (id, investigation) in &mut self.investigations {
             let (old, left) = investigation
--- a/crates/router/src/quarantine.rs
+++ b/crates/router/src/quarantine.rs
@@ -7,7 +7,8 @@
 //!
 //! A crashing server takes all its requests down. One that had run for a while is hardly the cause. One that
 //! had just started is a suspect: one gateway at a time sends it again as a probe, and one complete answer
-//! clears it.
+//! clears it. Where two suspects have several crashes in common, either may be the cause, and these count less
+//! for both.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -23,8 +24,11 @@
 pub const CONFIRM_POINTS: u32 = 5;
 /// Points of a crash soon after the start of the request.
 const EARLY_POINTS: u32 = 2;
-/// Points of a later crash.
+/// Points of a later crash, or of one that another suspect may have caused.
 const LATE_POINTS: u32 = 1;
+/// Early crashes that two requests must have in common to be disputed: one alone is a coincidence wherever a
+/// server runs many requests.
+const DISPUTED_MIN: usize = 2;
 /// How long a crash counts: longer than callers repeat a request, and short enough to forget a busy day.
 pub const SUSPECT_TTL: Duration = Duration::from_secs(600);
 /// How long a confirmed request is refused; by then an operator has looked at it, or no caller sends it any
@@ -39,9 +43,10 @@
 /// Most confirmed digests kept; a flood of suspects does not evict them.
 pub const CONFIRMED_MAX: usize = 4_096;
 /// How long a complete answer counts as evidence that a request is healthy: a request that many callers send
-/// is in flight at any server that crashes.
-pub const HEALTHY_TTL: Duration = Duration::from_secs(10);
-/// Most healthy digests kept; more than a single gateway serves within `HEALTHY_TTL`.
+/// is in flight at any server that crashes, and no answer to it is complete while servers crash one after the
+/// other.
+pub const HEALTHY_TTL: Duration = Duration::from_secs(60);
+/// Most healthy digests kept.
 const HEALTHY_MAX: usize = 16_384;
 /// New rows between two checks of the table size.
 const CHECK_ROWS: usize = 512;
@@ -145,6 +150,11 @@
         self.crashes.iter().map(points).sum()
     }
 
+    /// Whether the request crashed this server soon after its start.
+    fn has_early_crash(&self, server: &ServerId) -> bool {
+        self.crashes.iter().any(|e| e.early && e.server == *server)
+    }
+
     fn held_until(&self) -> Timestamp {
         self.holds.iter().map(|(_, until)| *until).max().unwrap_or_default()
     }
@@ -215,22 +225,63 @@
     /// Records a complete answer at this gateway; true if other gateways need the update.
     pub fn on_served(&mut self, now: Timestamp, digest: RequestDigest) -> bool {
         if self.healthy.len() >= HEALTHY_MAX {
-            self.healthy.retain(|_, at| at.after(HEALTHY_TTL) > now);
-        }
-        if self.healthy.len() >= HEALTHY_MAX {
-            self.healthy.clear();
+            self.evict_healthy(now);
         }
         self.healthy.insert(digest, now);
         self.is_known(&digest)
     }
 
+    /// Drops healthy digests that have expired, and the older half if that is not enough.
+    fn evict_healthy(&mut self, now: Timestamp) {
+        self.healthy.retain(|_, at| at.after(HEALTHY_TTL) > now);
+        if self.healthy.len() < HEALTHY_MAX {
+            return;
+        }
+        let mut by_age: Vec<(Timestamp, RequestDigest)> =
+            self.healthy.iter().map(|(digest, at)| (*at, *digest)).collect();
+        by_age.select_nth_unstable(HEALTHY_MAX / 2);
+        for (_, digest) in &by_age[..HEALTHY_MAX / 2] {
+            self.healthy.remove(digest);
+        }
+    }
+
     /// Whether the request was answered completely at this gateway after, or shortly before, the given time.
     pub fn is_healthy(&self, at: Timestamp, digest: &RequestDigest) -> bool {
         self.healthy.get(digest).is_some_and(|served| served.after(HEALTHY_TTL) > at)
     }
 
+    /// The update that voids a crash reported by a peer, if the request was answered completely at this gateway
+    /// shortly before: the peer may have been started since.
+    pub fn refutation(
+        &self,
+        now: Timestamp,
+        report: &QuarantineUpdate,
+    ) -> Option<QuarantineUpdate> {
+        let QuarantineUpdate { digest, age, ref fact } = *report;
+        let at = now.before(Duration::from_millis(age));
+        let is_refuted = matches!(fact, Fact::Ended(..)) && self.is_healthy(at, &digest);
+        is_refuted.then_some(QuarantineUpdate { digest, age, fact: Fact::Served })
+    }
+
     /// Applies an update of this gateway or of a peer.
     pub fn apply(&mut self, now: Timestamp, update: &QuarantineUpdate) -> Change {
+        self.apply_all(now, std::slice::from_ref(update)).pop().unwrap_or(Change::Nothing)
+    }
+
+    /// Applies updates that were received together, and returns their effects in the same order. Nothing is
+    /// confirmed before all of them are applied: each may dispute the crashes of another.
+    pub fn apply_all(&mut self, now: Timestamp, updates: &[QuarantineUpdate]) -> Vec<Change> {
+        let mut changes: Vec<Change> =
+            updates.iter().map(|update| self.apply_unconfirmed(now, update)).collect();
+        for (change, update) in changes.iter_mut().zip(updates) {
+            if *change == Change::Suspected && self.confirm(&update.digest) {
+                *change = Change::Confirmed;
+            }
+        }
+        changes
+    }
+
+    fn apply_unconfirmed(&mut self, now: Timestamp, update: &QuarantineUpdate) -> Change {
         let (digest, at) = (update.digest, now.before(Duration::from_millis(update.age)));
         match &update.fact {
             Fact::Lost(number) => self.hold(now, digest, *number, at.after(INVESTIGATION_HOLD)),
@@ -240,7 +291,7 @@
                 let crash = Crash { server: server.clone(), early: *early, at };
                 return self.record_crash(now, digest, crash);
             }
-            Fact::Served => return self.record_served(digest, at),
+            Fact::Served => return self.record_served(now, digest, at),
             Fact::Proved => return self.record_confirmed(now, digest, at),
             Fact::Released => return self.record_released(digest, at),
         }
@@ -275,25 +326,56 @@
             return Change::Nothing;
         }
         row.crashes.push(crash);
-        let confirmed = row.confirmed_at.is_none() && row.points() >= CONFIRM_POINTS;
-        if confirmed {
+        self.evict();
+        Change::Suspected
+    }
+
+    /// Confirms a request that has enough points; true if it was not confirmed before.
+    fn confirm(&mut self, digest: &RequestDigest) -> bool {
+        let is_due = |row: &&Row| row.confirmed_at.is_none() && row.points() >= CONFIRM_POINTS;
+        if self.rows.get(digest).filter(is_due).is_none()
+            || self.undisputed_points(digest) < CONFIRM_POINTS
+        {
+            return false;
+        }
+        if let Some(row) = self.rows.get_mut(digest) {
             row.confirmed_at = row.crashes.iter().map(|e| e.at).max();
         }
-        let change = if confirmed { Change::Confirmed } else { Change::Suspected };
-        self.evict();
-        change
+        true
     }
 
-    /// A confirmed request stays confirmed, since the answer may have begun before.
-    fn record_served(&mut self, digest: RequestDigest, at: Timestamp) -> Change {
-        let Some(row) = self.rows.get_mut(&digest).filter(|row| row.confirmed_at.is_none()) else {
-            return Change::Nothing;
+    /// Points of a request, less those of crashes that one other request may have caused as well. Walks all
+    /// rows.
+    fn undisputed_points(&self, digest: &RequestDigest) -> u32 {
+        let Some(row) = self.rows.get(digest) else {
+            return 0;
         };
+        let shared_with = |other: &Row| {
+            row.crashes.iter().filter(|e| e.early && other.has_early_crash(&e.server)).count()
+        };
+        let others = self.rows.iter().filter(|(other, _)| *other != digest);
+        let shared = others.map(|(_, other)| shared_with(other)).max().unwrap_or_default();
+        let disputed = if shared >= DISPUTED_MIN { shared as u32 } else { 0 };
+        row.points() - disputed * (EARLY_POINTS - LATE_POINTS)
+    }
+
+    /// A confirmed request stays confirmed, since the answer may have begun before. The answer is remembered also
+    /// if no crash is known yet: an older one may still be reported.
+    fn record_served(&mut self, now: Timestamp, digest: RequestDigest, at: Timestamp) -> Change {
+        if at.after(SUSPECT_TTL) <= now {
+            return Change::Nothing;
+        }
+        let row = self.rows.entry(digest).or_default();
+        if row.confirmed_at.is_some() {
+            return Change::Nothing;
+        }
         let before = row.crashes.len();
         row.served_at = row.served_at.max(at);
         row.crashes.retain(|e| e.at > at);
         row.holds.clear();
-        if row.crashes.len() < before { Change::Cleared } else { Change::Nothing }
+        let change = if row.crashes.len() < before { Change::Cleared } else { Change::Nothing };
+        self.evict();
+        change
     }
 
     fn record_confirmed(&mut self, now: Timestamp, digest: RequestDigest, at: Timestamp) -> Change {
--- a/crates/router/src/registry.rs
+++ b/crates/router/src/registry.rs
@@ -77,6 +77,8 @@
     dropped_revision: u64,
     /// Incarnations that announced themselves that they are leaving.
     leaving: BTreeSet<ServerId>,
+    /// Incarnations that are gone and had announced that they leave.
+    departed: BTreeSet<ServerId>,
     revision: u64,
     complete: bool,
     changed_at: Timestamp,
@@ -87,6 +89,8 @@
 const REMOVED_MAX: usize = 4_096;
 /// Number of leaving announcements after which those of unregistered incarnations are dropped.
 const LEAVING_MAX: usize = 4_096;
+/// Highest number of departures remembered: work on a server is given up within seconds of its end.
+const DEPARTED_MAX: usize = 4_096;
 
 impl ServerRegistry {
     /// Applies one change; `settled` when a removal means that the backend server is gone.
@@ -165,6 +169,7 @@
             .map(|(name, _)| name.clone())
             .collect();
         for name in &gone {
+            self.remember_departure(name);
             let revision = self.known.remove(name).map_or(0, |k| k.revision);
             self.remember_removal(name, revision);
         }
@@ -177,6 +182,7 @@
         if self.get(id).is_none() {
             return false;
         }
+        self.remember_departure(&id.name);
         let revision = self.known.remove(&id.name).map_or(0, |k| k.revision);
         self.remember_removal(&id.name, revision);
         true
@@ -184,7 +190,12 @@
 
     /// Records that an incarnation announced that it is leaving; true when this was not known.
     pub fn on_leaving(&mut self, id: &ServerId) -> bool {
-        if self.removed.contains_key(&id.name) || self.get(id).is_some_and(|s| s.draining) {
+        if self.removed.contains_key(&id.name) {
+            // The announcement arrived after the removal.
+            self.insert_departure(id.clone());
+            return false;
+        }
+        if self.get(id).is_some_and(|s| s.draining) {
             return false;
         }
         if self.leaving.len() >= LEAVING_MAX {
@@ -242,6 +253,14 @@
         }
     }
 
+    /// Did this incarnation announce that it leaves, be it still registered or gone? If so, its end
+    /// was to be expected, and nothing that ran there caused it.
+    pub fn has_announced(&self, id: &ServerId) -> bool {
+        self.get(id).is_some_and(|s| s.draining)
+            || self.leaving.contains(id)
+            || self.departed.contains(id)
+    }
+
     /// Returns the backend server that is registered under this name.
     pub fn named(&self, name: &str) -> Option<&Server> {
         self.known.get(name).map(|k| &k.server)
@@ -289,6 +308,10 @@
             None => Effect::Joined,
         };
         self.removed.remove(&name);
+        if matches!(effect, Effect::Reborn) {
+            self.remember_departure(&name);
+        }
+        self.departed.remove(&server.id);
         // Drops only what other incarnations of this name announced.
         self.leaving.retain(|id| id.name != name || *id == server.id);
         self.known.insert(name, Registered { server, revision, unconfirmed: false });
@@ -317,11 +340,27 @@
             known.unconfirmed = true;
             return Effect::Unheard;
         }
+        self.remember_departure(name);
         self.known.remove(name);
         self.remember_removal(name, revision);
         Effect::Gone
     }
 
+    /// Remembers that the registered incarnation of this name ends now, if it announced that.
+    fn remember_departure(&mut self, name: &str) {
+        let id = self.named(name).map(|s| s.id.clone());
+        if let Some(id) = id.filter(|id| self.has_announced(id)) {
+            self.insert_departure(id);
+        }
+    }
+
+    fn insert_departure(&mut self, id: ServerId) {
+        if self.departed.len() >= DEPARTED_MAX {
+            self.departed.clear();
+        }
+        self.departed.insert(id);
+    }
+
     fn remember_removal(&mut self, name: &str, revision: u64) {
         if self.removed.len() >= REMOVED_MAX {
             self.removed.clear();
--- a/crates/router/tests/losses.rs
+++ b/crates/router/tests/losses.rs
@@ -108,6 +108,25 @@
     );
 }
 
+/// Guards against attributing a silent crash to what was sent to the server while it was down: such attempts are
+/// given up one by one, after its registration is gone.
+#[test]
+fn attempts_given_up_after_a_crash_count_only_if_sent_before_it() {
+    let mut lost_attempts = LostAttempts::default();
+    let (id, stall) = (ServerId::new("a", 0), RUN * 50);
+    let given_up = |content, sent: Timestamp, at| LostAttempt { sent, ..lost_attempt(content, at) };
+    lost_attempts.on_heard(NOW, &id);
+    assert_eq!(lost_attempts.heard_since(NOW.before(RUN), &id), Some(NOW));
+    assert_eq!(lost_attempts.heard_since(NOW.after(RUN), &id), None, "sent when it was down");
+    lost_attempts.add(&server("a"), given_up(1, NOW.before(RUN), NOW), STREAM_PROBE_DELAY);
+    assert_eq!(lost_attempts.on_crash(&id).len(), 1);
+    lost_attempts.add(&server("a"), given_up(2, NOW.before(RUN), NOW), STREAM_PROBE_DELAY);
+    assert_eq!(lost_attempts.on_crash(&id).len(), 1, "given up later than the first");
+    let sent = NOW.after(RUN);
+    lost_attempts.add(&server("a"), given_up(3, sent, sent.after(stall)), STREAM_PROBE_DELAY);
+    assert_eq!(lost_attempts.on_crash(&id), [], "sent after the first loss");
+}
+
 #[test]
 fn a_new_incarnation_ends_only_the_previous_one() {
     let mut lost_attempts = LostAttempts::default();
--- a/crates/router/tests/quarantine.rs
+++ b/crates/router/tests/quarantine.rs
@@ -4,6 +4,7 @@
 
 use ebonyloft_core::time::Timestamp;
 use ebonyloft_router::catalog::ServerId;
+use ebonyloft_router::load_report::GossipState;
 use ebonyloft_router::quarantine::{
     CONFIRMED_MAX, CONFIRMED_TTL, Change, Fact, HEALTHY_TTL, PROBE_TIMEOUT, Quarantine,
     QuarantineState, QuarantineUpdate, SUSPECT_TTL, SUSPECTS_MAX,
@@ -191,6 +192,91 @@
     ]
 }
 
+/// Guards against refusing a request that all callers send: it is on every server that another request crashes,
+/// and no answer to it is complete in between.
+#[test]
+fn a_request_beside_another_suspect_is_not_confirmed_with_it() {
+    let (mut all, other) = (Quarantine::default(), RequestDigest(8, 8));
+    for server in ["a", "b"] {
+        all.apply(NOW, &update(other, crash(server, true)));
+    }
+    let changes = apply(&mut all, &[crash("a", true), crash("x", true), crash("b", true)]);
+    assert_eq!(changes, [Change::Suspected; 3], "two of three crashes may be due to the other");
+    // The other crashes servers alone, too.
+    assert_eq!(all.apply(NOW, &update(other, crash("c", true))), Change::Suspected);
+    assert_eq!(all.apply(NOW, &update(other, crash("d", true))), Change::Confirmed);
+    assert_eq!(all.apply(NOW, &update(BAD, Fact::Served)), Change::Cleared);
+}
+
+/// Guards against a gateway that confirms a request while it reads the table of a peer, before it knows which
+/// crashes are disputed.
+#[test]
+fn updates_received_together_confirm_nothing_that_one_of_them_disputes() {
+    let other = RequestDigest(8, 8);
+    let own = ["a", "b", "x"].map(|s| update(BAD, crash(s, true)));
+    let updates: Vec<QuarantineUpdate> =
+        own.into_iter().chain(["a", "b"].map(|s| update(other, crash(s, true)))).collect();
+    let mut all = Quarantine::default();
+    assert_eq!(all.apply_all(NOW, &updates), [Change::Suspected; 5]);
+}
+
+/// Guards against a suspect that is never confirmed because it has company at every crash.
+#[test]
+fn five_disputed_crashes_confirm_a_request() {
+    let (mut all, other) = (Quarantine::default(), RequestDigest(8, 8));
+    let servers = ["a", "b", "c", "d", "e"];
+    for server in servers {
+        all.apply(NOW, &update(other, crash(server, true)));
+    }
+    let changes = apply(&mut all, &servers.map(|s| crash(s, true)));
+    assert_eq!(changes.last(), Some(&Change::Confirmed));
+    assert!(changes[..4].iter().all(|change| *change == Change::Suspected));
+}
+
+/// Guards against blame by a gateway that has just started and received no answers yet.
+#[test]
+fn a_complete_answer_refutes_a_crash_reported_by_a_peer() {
+    let (mut all, mut peer) = (Quarantine::default(), Quarantine::default());
+    all.on_served(NOW, BAD);
+    let at = NOW.after(HEALTHY_TTL / 2);
+    let report = QuarantineUpdate { digest: BAD, age: 1_500, fact: crash("a", true) };
+    for quarantine in [&mut all, &mut peer] {
+        assert_eq!(quarantine.apply(at, &report), Change::Suspected);
+    }
+    assert_eq!(peer.refutation(at, &report), None, "nothing was answered there");
+    let refutation = all.refutation(at, &report).expect("a refutation");
+    for quarantine in [&mut all, &mut peer] {
+        assert_eq!(quarantine.apply(at, &refutation), Change::Cleared);
+    }
+    let later = QuarantineUpdate { age: 0, ..report };
+    assert_eq!(all.refutation(NOW.after(HEALTHY_TTL), &later), None);
+}
+
+/// Guards against a crash that was voided long ago and counts at a gateway that has just started: it read the crash
+/// from the store after the answer from a peer.
+#[test]
+fn a_complete_answer_voids_older_crashes_that_are_reported_later() {
+    let mut all = Quarantine::default();
+    assert_eq!(apply(&mut all, &[Fact::Served]), [Change::Nothing]);
+    let old = QuarantineUpdate { digest: BAD, age: 1_000, fact: crash("a", true) };
+    assert_eq!(all.apply(NOW, &old), Change::Nothing);
+    assert_eq!(all.state(NOW, &BAD), QuarantineState::Free);
+}
+
+/// Guards against a crash that seems younger than the answer that voided it, as the datagram is sent twice.
+#[test]
+fn facts_that_are_sent_again_are_older() {
+    let delay = Duration::from_millis(120);
+    let report = QuarantineUpdate { digest: BAD, age: 1_500, fact: crash("a", true) };
+    let state = GossipState { quarantine_updates: vec![report.clone()], ..GossipState::default() };
+    let mut all = Quarantine::default();
+    all.apply(NOW, &report);
+    let served = QuarantineUpdate { digest: BAD, age: 1_500, fact: Fact::Served };
+    assert_eq!(all.apply(NOW, &served), Change::Cleared);
+    let again = state.aged(delay).quarantine_updates;
+    assert_eq!(all.apply_all(NOW.after(delay), &again), [Change::Nothing]);
+}
+
 proptest! {
     /// Whatever updates two gateways received, and in which order: after exchanging their full state both
     /// ways they confirm the same requests, and their checksums are equal.
--- a/crates/router/tests/roster.rs
+++ b/crates/router/tests/roster.rs
@@ -314,3 +314,26 @@
     assert!(peer.remove_missing().is_empty());
     assert_eq!(ready(&peer), 2);
 }
+
+/// Guards against taking the end of a server without an announcement for a departure: what ran there was never
+/// suspected.
+#[test]
+fn a_server_that_vanishes_has_announced_nothing() {
+    let mut registry = ServerRegistry::default();
+    for n in 1..=5 {
+        registry.apply(registered(n, u64::from(n)), true);
+    }
+    registry.apply(leaving(2, 10), true);
+    registry.on_leaving(&id(3));
+    registry.on_leaving(&id(5));
+    for n in 1..=4 {
+        registry.apply(removed(n, 10 + u64::from(n)), true);
+    }
+    // The news of a peer arrives after the removal.
+    registry.on_leaving(&id(4));
+    registry.apply(restarted(5, 20), true);
+    let announced: Vec<bool> = (1..=5).map(|n| registry.has_announced(&id(n))).collect();
+    assert_eq!(announced, [false, true, true, true, true]);
+    assert!(registry.has_left(&name(1)), "it is gone all the same");
+    assert!(!registry.has_announced(&ServerId::new(name(5), 9)), "the new incarnation stays");
+}
