--- a/crates/standins/src/fleet/backend.rs
+++ b/crates/standins/src/fleet/backend.rs
@@ -164,6 +164,8 @@
     pub crashes: Vec<(String, Instant)>,
     /// Times of all calls but releases of reservations and handles.
     pub call_times: Vec<Instant>,
+    /// Times of answers that announced that the server is leaving.
+    pub leaving_answers: Vec<Instant>,
     /// Times at which reservations and handles were released.
     pub release_times: Vec<Instant>,
 }
@@ -375,10 +377,19 @@
         let marker = CrashMarker::of(&body);
         let (leaving, me) = (self.leaving.get(), self.clone());
         let limit = self.limit.borrow().clone();
+        let expected = simulation::expected_instance(&parts.headers).map(str::to_owned);
         let call = simulation::parse_backend_call(&Request::from_parts(parts, body));
-        let mut response = me.dispatch(call, marker).await;
+        let is_work = matches!(call, Some(BackendCall::Work(_)));
+        let mut response = match expected {
+            // Work for another incarnation is recorded before it is rejected.
+            Some(id) if !is_work && id != self.server.borrow().id.name => {
+                response(simulation::WRONG_INSTANCE.as_u16(), HeaderMap::new(), Vec::new())
+            }
+            _ => me.dispatch(call, marker).await,
+        };
         if leaving {
             simulation::set_leaving(response.headers_mut());
+            self.observed.borrow_mut().leaving_answers.push(Instant::now());
         }
         if let Some(limit) = limit {
             simulation::set_limit(response.headers_mut(), &limit);
