account shares: an account that is ahead by one request is not over its share

Cause: a peer's figures were taken between a request and its admission, and compared with own use that was 98 to 100 ms younger: one admitted request against none.

Why it works: a request counts as over the share only if the account is ahead by more than that request. The new test of the decision fails before.

--- a/crates/daemon/src/gateway/stream/shares.rs
+++ b/crates/daemon/src/gateway/stream/shares.rs
@@ -36,12 +36,12 @@
 
     /// Records that the request waits for admission.
     pub fn set_ticket(&self, shared: &Shared, ticket: Ticket) {
-        shared.engines.borrow_mut().set_account(ticket, self.key);
+        shared.engines.borrow_mut().set_claim(ticket, self.key, self.cost);
     }
 
-    /// Is its account over its share now?
+    /// Is its account over its share now, by more than this request?
     pub fn is_over(&self, shared: &Shared) -> bool {
-        shared.fair_shares.borrow().is_over(self.key)
+        shared.fair_shares.borrow().is_over_by(self.key, self.cost)
     }
 }
 
@@ -68,6 +68,9 @@
 pub fn evaluate(shared: &Shared, now: Timestamp) {
     let mut shares = shared.fair_shares.borrow_mut();
     if shares.evaluate(now) {
-        shared.engines.borrow_mut().update_over_share(|account| shares.is_over(account));
+        shared
+            .engines
+            .borrow_mut()
+            .update_over_share_by(|account, cost| shares.is_over_by(account, cost));
     }
 }
--- a/crates/router/src/engines.rs
+++ b/crates/router/src/engines.rs
@@ -71,8 +71,8 @@
     prefill_in_time: bool,
     /// When it is refused.
     until: Timestamp,
-    /// Its account, if shares of accounts are enabled.
-    account: Option<ShareKey>,
+    /// Its account and its cost, if shares of accounts are enabled.
+    claim: Option<(ShareKey, f64)>,
 }
 
 impl Waiter {
@@ -156,8 +156,8 @@
         };
         let prefill_in_time = demand.in_time(read_at);
         let until = until.max(now);
-        let account = None;
-        let waiter = Waiter { demand, late, too_long, prefill_in_time, until, account };
+        let claim = None;
+        let waiter = Waiter { demand, late, too_long, prefill_in_time, until, claim };
         self.waiting.insert(ticket, waiter);
         ticket
     }
--- a/crates/router/src/fair_share.rs
+++ b/crates/router/src/fair_share.rs
@@ -10,7 +10,7 @@
 mod usage;
 mod weights;
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
 use ebonyloft_core::time::Timestamp;
@@ -80,7 +80,8 @@
     weights: Option<AccountWeights>,
     services: BTreeMap<u32, UsageTable>,
     peers: HashMap<String, PeerUses>,
-    over: HashSet<ShareKey>,
+    /// Accounts over their share, and by how much.
+    over: HashMap<ShareKey, f64>,
     /// Whether use has changed since `over` was determined.
     changed: bool,
     /// When `over` may change without new use: figures of a peer expire, or an account no longer
@@ -176,8 +177,8 @@
         true
     }
 
-    /// Returns the accounts of a service that are over their share.
-    fn over_share(&self, now: Timestamp, service: u32) -> Vec<ShareKey> {
+    /// Returns the accounts of a service that are over their share, and by how much.
+    fn over_share(&self, now: Timestamp, service: u32) -> Vec<(ShareKey, f64)> {
         let Some(weights) = &self.weights else {
             return Vec::new();
         };
@@ -193,13 +194,19 @@
         let with_shares = asking.into_iter().zip(shares(capacity, &claims));
         with_shares
             .filter(|((_, used), share)| used.admitted > share * OVER_SHARE)
-            .map(|((account, _), _)| ShareKey { service, account })
+            .map(|((account, used), share)| (ShareKey { service, account }, used.admitted - share))
             .collect()
     }
 
     /// Was the account over its share at the last evaluation?
     pub fn is_over(&self, key: ShareKey) -> bool {
-        self.over.contains(&key)
+        self.over.contains_key(&key)
+    }
+
+    /// Was the account over its share by more than this cost? Figures of peers lag behind by a
+    /// request, and requests are not divisible: an account that is ahead by one is not ahead.
+    pub fn is_over_by(&self, key: ShareKey, cost: f64) -> bool {
+        self.over.get(&key).is_some_and(|excess| *excess > cost)
     }
 
     /// Returns the use of each account of a service over all gateways in scope, by account.
--- a/crates/router/tests/fair_share.rs
+++ b/crates/router/tests/fair_share.rs
@@ -383,6 +383,22 @@
     assert_eq!(over(&mut own, after(10), 2), [] as [usize; 0]);
 }
 
+/// Guards against an account that seems to be over its share because its peer's figures were taken between a
+/// request and its admission.
+#[test]
+fn an_account_ahead_by_one_request_is_not_over_its_share() {
+    let (mut own, mut peer) = (with_quotas(&[1.0; 2]), with_quotas(&[1.0; 2]));
+    use_up(&mut peer, NOW, "a1", 4.0, 0.0);
+    send(&mut peer, "g1", &mut own, NOW);
+    use_up(&mut own, NOW, "a0", 1.0, 1.0);
+    own.on_requested(after(90), key("a0"), COST);
+    assert_eq!(over(&mut own, after(90), 2), [0]);
+    assert!(!own.is_over_by(key("a0"), COST));
+    use_up(&mut own, after(90), "a0", 3.0, 3.0);
+    assert_eq!(over(&mut own, after(90), 2), [0]);
+    assert!(own.is_over_by(key("a0"), COST), "it is ahead by more than that");
+}
+
 proptest! {
     /// Bytes of any length from a peer must neither stop a gateway nor make its sums infinite.
     #[test]
