membership: a new gateway waits for leaders that join later

Cause: gateways join after pauses that they draw; one of rank three that joined first took the place of leaders that had registered but not joined.

Why it works: after its own registration a gateway counts leaders as missing only once they can have joined. The new test of the decision fails before.

--- a/crates/daemon/src/gateway/registration.rs
+++ b/crates/daemon/src/gateway/registration.rs
@@ -127,7 +127,7 @@
 /// Joins the fleet; returns the revision as of which this gateway is known to be registered.
 async fn join(shared: &Rc<Shared>) -> Option<u64> {
     let mut joining = Joining::new(shared.now());
-    let mut seen_at = None;
+    let (mut seen_at, mut is_new) = (None, false);
     loop {
         let own = own_registration(shared);
         let complete = shared.registry.borrow().is_complete();
@@ -147,7 +147,7 @@
             },
             JoinStep::Register => match register(shared, &own).await {
                 Ok(revision) => {
-                    seen_at = Some(revision);
+                    (seen_at, is_new) = (Some(revision), true);
                     joining.on_registered(shared.now(), shared.random_fraction());
                 }
                 Err(e) => on_join_failure(shared, &mut joining, &e),
@@ -157,7 +157,7 @@
                 compio::time::sleep(pause).await;
             }
             JoinStep::Joined => {
-                shared.on_joined();
+                shared.on_joined(is_new);
                 return seen_at;
             }
         }
--- a/crates/daemon/src/gateway/shared.rs
+++ b/crates/daemon/src/gateway/shared.rs
@@ -425,11 +425,15 @@
         self.engine_memory.borrow_mut().observe(self.now(), memory.sum());
     }
 
-    /// Takes a first role: this gateway has joined the fleet.
-    pub fn on_joined(&self) {
+    /// Takes a first role: this gateway has joined the fleet, `is_new` if it was not registered
+    /// before.
+    pub fn on_joined(&self, is_new: bool) {
         let (now, ahead) = (self.now(), self.rank().unwrap_or(0));
         self.joined_at.set(Some(now));
-        *self.role.borrow_mut() = LeaderState::new(now, ahead);
+        *self.role.borrow_mut() = match is_new {
+            true => LeaderState::registered(now, ahead),
+            false => LeaderState::new(now, ahead),
+        };
         let complete = self.registry.borrow().is_complete();
         let ms = now.since(self.started_at).as_millis() as u64;
         tracing::info!(ms, ahead, complete, "joined the fleet");
--- a/crates/router/src/zone_leader.rs
+++ b/crates/router/src/zone_leader.rs
@@ -13,6 +13,7 @@
 use ebonyloft_core::time::Timestamp;
 use serde::{Deserialize, Serialize};
 
+use crate::membership::JOIN_SPREAD;
 use crate::node::Bounds;
 
 /// Zone leaders per availability zone. With two, changes still arrive when one leader is lost or
@@ -107,6 +108,13 @@
         LeaderState { follows, is_primary: follows, last_needed: now, missed_since: None }
     }
 
+    /// The same for a gateway that has just registered, with others that may rank higher but have yet
+    /// to join: no leader is missing before they can have.
+    pub fn registered(now: Timestamp, higher_ranked: usize) -> Self {
+        let state = LeaderState::new(now, higher_ranked);
+        LeaderState { missed_since: Some(now.after(JOIN_SPREAD)), ..state }
+    }
+
     /// Decides again whether to follow the store, by what higher-ranked gateways report.
     pub fn update(&mut self, now: Timestamp, higher_ranked: HigherRanked) {
         let HigherRanked { count, connected, away } = higher_ranked;
--- a/crates/router/tests/delegate.rs
+++ b/crates/router/tests/delegate.rs
@@ -6,6 +6,7 @@
 use ebonyloft_core::time::Timestamp;
 use ebonyloft_router::fleet::{Fleet, Gateway, LAPSE_GRACE};
 use ebonyloft_router::load_report::{LoadReport, LoadReports, Pauses, pauses};
+use ebonyloft_router::membership::JOIN_SPREAD;
 use ebonyloft_router::node::{Bounds, Excess};
 use ebonyloft_router::store_state::StoreState;
 use ebonyloft_router::zone_leader::{
@@ -340,3 +341,20 @@
     assert_eq!(load_reports.known_at(NOW, 7), None);
     assert_eq!(load_reports.known_at(NOW.after(LEADER_TIMEOUT), 9), None);
 }
+
+/// Guards against third and fourth leaders at the first start of a fleet: those that read the list of gateways first
+/// took the place of higher-ranked ones that had registered but not joined yet.
+#[test]
+fn a_new_gateway_waits_for_leaders_that_join_later() {
+    let mut third = LeaderState::registered(NOW, 2);
+    assert!(!third.follows());
+    third.update(NOW, above(2, 0));
+    third.update(NOW.after(JOIN_SPREAD), above(2, 0));
+    assert!(!third.follows(), "they may just have joined");
+    third.update(NOW.after(JOIN_SPREAD).after(TAKEOVER_STEP), above(2, 0));
+    assert!(third.follows(), "they are missing");
+    let mut second = LeaderState::registered(NOW, 1);
+    assert!(second.follows());
+    second.update(NOW, above(1, 0));
+    assert!(second.follows());
+}
