--- a/crates/router/src/lost_attempts.rs
+++ b/crates/router/src/lost_attempts.rs
@@ -36,7 +36,7 @@
 const PROBES_MAX: u32 = 10;
 /// How long it is remembered when a server was last heard from, and that it crashed: longer than the usual
 /// timeout of a request that gets no answer.
-const MEMORY: Duration = Duration::from_secs(60);
+const LIVENESS_TTL: Duration = Duration::from_secs(60);
 
 /// An attempt that broke off.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -205,8 +205,8 @@
 
     /// Removes and returns lost attempts whose cause was not found in time.
     pub fn expire(&mut self, now: Timestamp) -> Vec<(ServerId, LostAttempt)> {
-        self.heard.retain(|_, at| at.after(MEMORY) > now);
-        self.crashed.retain(|_, at| at.after(MEMORY) > now);
+        self.heard.retain(|_, at| at.after(LIVENESS_TTL) > now);
+        self.crashed.retain(|_, at| at.after(LIVENESS_TTL) > now);
         let mut expired = Vec::new();
         for (id, investigation) in &mut self.investigations {
             let (old, left) = investigation
--- a/crates/router/src/membership.rs
+++ b/crates/router/src/membership.rs
@@ -22,9 +22,6 @@
 /// Pause between the own write and the next read of the list. VMs of a fleet start within 0.3 s of
 /// each other, and by then all of them have written theirs.
 pub const RELIST_PAUSE: Duration = Duration::from_millis(600);
-/// How much later than one gateway another can join that registered at the same start: its VM started later,
-/// drew a longer pause, and notices that it is a leader.
-pub const JOIN_SPREAD: Duration = Duration::from_millis(750);
 /// First pause after a failed call; doubled with each further one.
 const RETRY_MIN: Duration = Duration::from_millis(60);
 /// Longest pause after a failed call: a fleet that lost all its processes notices the store's
--- a/crates/router/src/zone_leader.rs
+++ b/crates/router/src/zone_leader.rs
@@ -13,7 +13,6 @@
 use ebonyloft_core::time::Timestamp;
 use serde::{Deserialize, Serialize};
 
-use crate::membership::JOIN_SPREAD;
 use crate::node::Bounds;
 
 /// Zone leaders per availability zone. With two, changes still arrive when one leader is lost or
@@ -26,6 +25,9 @@
 /// that come and go then cost a few calls rather than a full list each time.
 pub const STEP_DOWN_DELAY: Duration = Duration::from_millis(1_500);
 
+/// How much later than one gateway another can join that registered at the same start: its VM started later,
+/// drew a longer pause, and notices that it is a leader.
+pub const JOIN_SPREAD: Duration = Duration::from_millis(750);
 /// How much longer each gateway waits than the next higher-ranked one before it replaces a missing
 /// leader. A new leader is known to the others within two steps, so a zone does not list the store
 /// all at once.
--- a/crates/router/tests/delegate.rs
+++ b/crates/router/tests/delegate.rs
@@ -6,12 +6,11 @@
 use ebonyloft_core::time::Timestamp;
 use ebonyloft_router::fleet::{Fleet, Gateway, LAPSE_GRACE};
 use ebonyloft_router::load_report::{LoadReport, LoadReports, Pauses, pauses};
-use ebonyloft_router::membership::JOIN_SPREAD;
 use ebonyloft_router::node::{Bounds, Excess};
 use ebonyloft_router::store_state::StoreState;
 use ebonyloft_router::zone_leader::{
-    HigherRanked, LEADER_TIMEOUT, LEADERS_PER_ZONE, LeaderState, STEP_DOWN_DELAY, StoreLink,
-    TAKEOVER_STEP, TAKEOVER_STEPS_MAX, TRIED_MAX, TRIED_STEP,
+    HigherRanked, JOIN_SPREAD, LEADER_TIMEOUT, LEADERS_PER_ZONE, LeaderState, STEP_DOWN_DELAY,
+    StoreLink, TAKEOVER_STEP, TAKEOVER_STEPS_MAX, TRIED_MAX, TRIED_STEP,
 };
 
 const NOW: Timestamp = Timestamp::from_millis(100_000);
