gateway: one encoder of datagrams, one description of a lost run, one end of a registration

Behaviour is unchanged but for the text of an error that plain data can't cause. Four senders encoded their message and logged a failure by themselves, the one of gossip state with a copy more since facts age between its two sends; send_datagram does it now. A stream says itself how far its attempt has come and whether it stalled, which two callers put together. Three places removed a registration in the same three steps.

--- a/crates/check/src/answers/simulation.rs
+++ b/crates/check/src/answers/simulation.rs
@@ -775,9 +775,8 @@
         }
         let changes = gateway.quarantine.apply_all(now, &notes.quarantine_updates);
         for (update, change) in notes.quarantine_updates.iter().zip(changes) {
-            let refutation = gateway.quarantine.refutation(now, update);
             if change == QuarantineChange::Suspected
-                && let Some(refutation) = refutation
+                && let Some(refutation) = gateway.quarantine.refutation(now, update)
             {
                 gateway.record(now, refutation.digest, ms(refutation.age), refutation.fact);
             }
--- a/crates/daemon/src/gateway/gossip.rs
+++ b/crates/daemon/src/gateway/gossip.rs
@@ -39,26 +39,22 @@
             continue;
         }
         for part in split(state) {
-            send(&shared, &socket, &part).await;
+            send(&shared, &socket, part.clone()).await;
             let (socket, shared) = (socket.clone(), shared.clone());
             let sent_at = shared.now();
             compio::runtime::spawn(async move {
                 compio::time::sleep(RESEND_DELAY).await;
                 let part = part.aged(shared.now().since(sent_at));
-                send(&shared, &socket, &part).await;
+                send(&shared, &socket, part).await;
             })
             .detach();
         }
     }
 }
 
-async fn send(shared: &Shared, socket: &UdpSocket, part: &GossipState) {
-    let mut bytes = Vec::new();
-    if let Err(e) = ciborium::into_writer(&GossipMessage::Notes(part.clone()), &mut bytes) {
-        return tracing::error!(error = %e, "can't encode gossip state");
-    }
-    let bytes = Bytes::from(bytes);
-    peers::send_datagram(shared, socket, "gateway.bytes.notes", bytes, &all_peers(shared)).await;
+async fn send(shared: &Shared, socket: &UdpSocket, part: GossipState) {
+    let message = GossipMessage::Notes(part);
+    peers::send_datagram(shared, socket, "gateway.bytes.notes", &message, &all_peers(shared)).await;
 }
 
 /// Splits gossip state into parts that fit one datagram each.
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -74,13 +74,8 @@
         if !report.speeds.is_empty() {
             shared.metrics.count("gateway.speeds.sent", report.speeds.rows.len() as u64);
         }
-        let mut bytes = Vec::new();
-        if let Err(e) = ciborium::into_writer(&GossipMessage::Share(report), &mut bytes) {
-            tracing::error!(error = %e, "can't encode load report");
-            continue;
-        }
-        send_datagram(&shared, &socket, "gateway.bytes.work", Bytes::from(bytes), &recipients)
-            .await;
+        let message = GossipMessage::Share(report);
+        send_datagram(&shared, &socket, "gateway.bytes.work", &message, &recipients).await;
     }
 }
 
@@ -90,23 +85,23 @@
         return;
     };
     while let Some((to, message)) = messages.next().await {
-        let mut bytes = Vec::new();
-        if let Err(e) = ciborium::into_writer(&message, &mut bytes) {
-            tracing::error!(error = %e, "can't encode message to peer");
-            continue;
-        }
-        send_datagram(&shared, &socket, "gateway.bytes.letters", Bytes::from(bytes), &[to]).await;
+        send_datagram(&shared, &socket, "gateway.bytes.letters", &message, &[to]).await;
     }
 }
 
-/// Sends a datagram to each address in `to`; `counter` counts its bytes.
+/// Sends a message to each address in `to`, as one datagram; `counter` counts its bytes.
 pub async fn send_datagram(
     shared: &Shared,
     socket: &UdpSocket,
     counter: &'static str,
-    bytes: Bytes,
+    message: &GossipMessage,
     to: &[SocketAddr],
 ) {
+    let mut bytes = Vec::new();
+    if let Err(e) = ciborium::into_writer(message, &mut bytes) {
+        return tracing::error!(error = %e, counter, "can't encode datagram");
+    }
+    let bytes = Bytes::from(bytes);
     shared.metrics.count(counter, (bytes.len() * to.len()) as u64);
     for addr in to {
         let compio::BufResult(sent, _) = socket.send_to(bytes.clone(), *addr).await;
@@ -143,13 +138,9 @@
         }
         seq += 1;
         let summary = own_summary(&shared, incarnation, seq);
-        let mut bytes = Vec::new();
-        if let Err(e) = ciborium::into_writer(&GossipMessage::Digest(summary), &mut bytes) {
-            tracing::error!(error = %e, "can't encode zone summary");
-            continue;
-        }
+        let message = GossipMessage::Digest(summary);
         let to = leaders_of_other_zones(&shared);
-        send_datagram(&shared, &socket, "gateway.bytes.digests", Bytes::from(bytes), &to).await;
+        send_datagram(&shared, &socket, "gateway.bytes.digests", &message, &to).await;
     }
 }
 
--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -48,7 +48,7 @@
 use super::intake::Intake;
 use super::keys;
 use super::limits;
-use super::quarantine::{self, RunStage, Sent};
+use super::quarantine::{self, RunStage};
 use super::retries;
 use super::send::{self, Expect, Head};
 use super::shared::{Shared, SnapshotVersion};
@@ -81,9 +81,7 @@
     let result = answer::unless_disconnected(gone, compio::time::timeout(left, work)).await;
     let events = out.batches();
     if let Some((server, at)) = state.open_attempt.take() {
-        let now = shared.now();
-        let (run, stalled) = (state.run_phase(now, at), state.is_stalled(now, at));
-        quarantine::on_abandoned(shared, intake, Sent { server: &server, run, at, stalled });
+        quarantine::on_abandoned(shared, intake, state.sent(&server, at, shared.now()));
     }
     let ending = send_result(shared, intake, &state, out, result);
     if ending == COMPLETE {
@@ -206,10 +204,9 @@
         } else {
             outcome
         });
-        let run = state.run_phase(now, started_at);
-        let stalled = state.is_stalled(now, started_at);
         state.open_attempt = None;
-        let sent = Sent { server: &server, run, at: started_at, stalled };
+        let sent = state.sent(&server, started_at, now);
+        let run = sent.run;
         quarantine::on_outcome(shared, intake, sent, outcome);
         tracing::info!(
             id = intake.id(), content = %intake.digest, server = %server.id, fate = ?outcome,
--- a/crates/daemon/src/gateway/stream/state.rs
+++ b/crates/daemon/src/gateway/stream/state.rs
@@ -19,7 +19,7 @@
 use super::overflow::RemoteReservation;
 use super::{STALL_TIMEOUT, wasted_prefill};
 use crate::gateway::announcements;
-use crate::gateway::quarantine::{EARLY_WINDOW, RunStage};
+use crate::gateway::quarantine::{EARLY_WINDOW, RunStage, Sent};
 use crate::gateway::shared::Shared;
 
 /// Timeout of releasing a reservation or a prompt handle; both also expire by themselves.
@@ -118,26 +118,17 @@
         }
     }
 
-    /// Whether nothing has come of the current attempt, sent at `sent`, for as long as the stall
-    /// timeout.
-    pub fn is_stalled(&self, now: Timestamp, sent: Timestamp) -> bool {
-        now >= self.heard_since(sent).after(STALL_TIMEOUT)
-    }
-
-    fn heard_since(&self, sent: Timestamp) -> Timestamp {
-        self.heard_at.unwrap_or(sent).max(sent)
-    }
-
-    /// How far the current attempt has come; one that stalled got no further than its last event.
-    pub fn run_phase(&self, now: Timestamp, sent: Timestamp) -> RunStage {
-        let until = match self.is_stalled(now, sent) {
-            true => self.heard_since(sent),
-            false => now,
-        };
-        match self.first_event_at.filter(|at| *at >= sent) {
-            Some(at) if until >= at.after(EARLY_WINDOW) => RunStage::Advanced,
+    /// The current attempt, sent at `at`, as it stands now. One that stalled got no further than its
+    /// last event.
+    pub fn sent<'a>(&self, server: &'a Server, at: Timestamp, now: Timestamp) -> Sent<'a> {
+        let heard_at = self.heard_at.unwrap_or(at).max(at);
+        let stalled = now >= heard_at.after(STALL_TIMEOUT);
+        let until = if stalled { heard_at } else { now };
+        let run = match self.first_event_at.filter(|first| *first >= at) {
+            Some(first) if until >= first.after(EARLY_WINDOW) => RunStage::Advanced,
             _ => RunStage::Begun,
-        }
+        };
+        Sent { server, run, at, stalled }
     }
 
     /// Sets the headers that name the reservation and the prompt handle.
--- a/crates/router/src/registry.rs
+++ b/crates/router/src/registry.rs
@@ -169,9 +169,7 @@
             .map(|(name, _)| name.clone())
             .collect();
         for name in &gone {
-            self.remember_departure(name);
-            let revision = self.known.remove(name).map_or(0, |k| k.revision);
-            self.remember_removal(name, revision);
+            self.end(name);
         }
         gone
     }
@@ -182,9 +180,7 @@
         if self.get(id).is_none() {
             return false;
         }
-        self.remember_departure(&id.name);
-        let revision = self.known.remove(&id.name).map_or(0, |k| k.revision);
-        self.remember_removal(&id.name, revision);
+        self.end(&id.name);
         true
     }
 
@@ -308,7 +304,7 @@
             None => Effect::Joined,
         };
         self.removed.remove(&name);
-        if matches!(effect, Effect::Reborn) {
+        if effect == Effect::Reborn {
             self.remember_departure(&name);
         }
         self.departed.remove(&server.id);
@@ -340,10 +336,15 @@
             known.unconfirmed = true;
             return Effect::Unheard;
         }
+        self.end(name);
+        Effect::Gone
+    }
+
+    /// Removes the registered incarnation of this name as of its revision.
+    fn end(&mut self, name: &str) {
         self.remember_departure(name);
-        self.known.remove(name);
+        let revision = self.known.remove(name).map_or(0, |k| k.revision);
         self.remember_removal(name, revision);
-        Effect::Gone
     }
 
     /// Remembers that the registered incarnation of this name ends now, if it announced that.
