account shares: a waiting request has one claim; the models decide as the gateway does

set_account and the verdict by account alone were left to tests once gateways went by account and cost. The models of load and of reports used them, so they tested a decision that no gateway takes any more; they now use the claim and its cost. The product's behaviour is unchanged.

--- a/crates/check/tests/fair_share.rs
+++ b/crates/check/tests/fair_share.rs
@@ -156,7 +156,7 @@
         let Gateway { engines, shares, .. } = &mut self.gateways[gateway];
         shares.on_requested(now, key(account), cost);
         let ticket = engines.join(now, demand, now);
-        engines.set_account(ticket, key(account));
+        engines.set_claim(ticket, key(account), cost);
         let fate = Fate::Waiting(ticket);
         self.requests.push(Request { gateway, account, cost, at: now, fate, runs: 0 });
     }
@@ -210,7 +210,7 @@
             let Fate::Waiting(ticket) = request.fate else { continue };
             let Gateway { engines, reports, shares, .. } = &mut self.gateways[request.gateway];
             if shares.evaluate(now) {
-                engines.update_over_share(|key| shares.is_over(key));
+                engines.update_over_share(|key, cost| shares.is_over_by(key, cost));
             }
             let urgency = UrgencyContext::default();
             let (read_at, gateways) = (now, GATEWAYS);
--- a/crates/daemon/src/gateway/stream/shares.rs
+++ b/crates/daemon/src/gateway/stream/shares.rs
@@ -71,6 +71,6 @@
         shared
             .engines
             .borrow_mut()
-            .update_over_share_by(|account, cost| shares.is_over_by(account, cost));
+            .update_over_share(|account, cost| shares.is_over_by(account, cost));
     }
 }
--- a/crates/router/src/engines/account_shares.rs
+++ b/crates/router/src/engines/account_shares.rs
@@ -4,11 +4,6 @@
 use crate::fair_share::ShareKey;
 
 impl EngineAdmission {
-    /// Records the account of a waiting request.
-    pub fn set_account(&mut self, ticket: Ticket, account: ShareKey) {
-        self.set_claim(ticket, account, 0.0);
-    }
-
     /// Records the account of a waiting request, and the request's cost.
     pub fn set_claim(&mut self, ticket: Ticket, account: ShareKey, cost: f64) {
         if let Some(waiter) = self.waiting.get_mut(&ticket) {
@@ -16,13 +11,8 @@
         }
     }
 
-    /// Updates the precedence of all waiting requests whose account is known.
-    pub fn update_over_share(&mut self, is_over: impl Fn(ShareKey) -> bool) {
-        self.update_over_share_by(|account, _| is_over(account));
-    }
-
-    /// Does the same by account and cost.
-    pub fn update_over_share_by(&mut self, is_over: impl Fn(ShareKey, f64) -> bool) {
+    /// Updates the precedence of all waiting requests whose account is known, by account and cost.
+    pub fn update_over_share(&mut self, is_over: impl Fn(ShareKey, f64) -> bool) {
         for waiter in self.waiting.values_mut() {
             if let Some((account, cost)) = waiter.claim {
                 waiter.demand.precedence.over_share = is_over(account, cost);
--- a/crates/router/tests/engines.rs
+++ b/crates/router/tests/engines.rs
@@ -208,16 +208,16 @@
     let mut engines = EngineAdmission::default();
     let account = |name| ShareKey::new("llm", Some(name));
     let large = engines.join(NOW, Demand { first_by: after(500), ..need() }, after(100));
-    engines.set_account(large, account("large"));
+    engines.set_claim(large, account("large"), 1.0);
     let small = engines.join(NOW, need(), after(100));
-    engines.set_account(small, account("small"));
+    engines.set_claim(small, account("small"), 1.0);
     let asks = |engines: &EngineAdmission, ticket| {
         matches!(advise(engines, NOW, ticket, &servers), AdmissionDecision::Ask(_))
     };
     assert!(asks(&engines, large) && !asks(&engines, small));
-    engines.update_over_share(|key| key == account("large"));
+    engines.update_over_share(|key, _| key == account("large"));
     assert!(asks(&engines, small) && !asks(&engines, large));
-    engines.update_over_share(|_| false);
+    engines.update_over_share(|_, _| false);
     assert!(asks(&engines, large) && !asks(&engines, small));
 }
 
--- a/crates/router/tests/load/world.rs
+++ b/crates/router/tests/load/world.rs
@@ -283,7 +283,7 @@
     fn update_shares(&mut self, entry: usize) {
         let Entry { engines, fair, .. } = &mut self.entries[entry];
         if fair.evaluate(self.now) {
-            engines.update_over_share(|account| fair.is_over(account));
+            engines.update_over_share(|account, cost| fair.is_over_by(account, cost));
         }
     }
 
@@ -310,7 +310,7 @@
         let urgent = self.plan.urgent > 0.0 && self.load.random_bool(self.plan.urgent);
         self.entries[entry].fair.on_requested(self.now, accounts::key(account), cost(prompt));
         self.update_shares(entry);
-        let over_share = self.entries[entry].fair.is_over(accounts::key(account));
+        let over_share = self.entries[entry].fair.is_over_by(accounts::key(account), cost(prompt));
         let (_, read_at) = self.prefill_engine(entry, self.prompt(prompt, urgent));
         let first_by = self.now.after(self.goal(urgent));
         let precedence = Precedence { over_share, ..self.precedence(urgent) };
@@ -321,7 +321,7 @@
         let need =
             Demand { memory, read_time, first_by, ends_at, value: gives, begun: false, precedence };
         let ticket = self.entries[entry].engines.join(self.now, need, read_at);
-        self.entries[entry].engines.set_account(ticket, accounts::key(account));
+        self.entries[entry].engines.set_claim(ticket, accounts::key(account), cost(prompt));
         self.tallies[account].asked += u32::from(burst);
         let state = State::Waiting(ticket);
         self.outcome.asked += 1;
