--- a/crates/standins/src/fleet/backend.rs
+++ b/crates/standins/src/fleet/backend.rs
@@ -379,14 +379,7 @@
         let limit = self.limit.borrow().clone();
         let expected = simulation::expected_instance(&parts.headers).map(str::to_owned);
         let call = simulation::parse_backend_call(&Request::from_parts(parts, body));
-        let is_work = matches!(call, Some(BackendCall::Work(_)));
-        let mut response = match expected {
-            // Work for another incarnation is recorded before it is rejected.
-            Some(id) if !is_work && id != self.server.borrow().id.name => {
-                response(simulation::WRONG_INSTANCE.as_u16(), HeaderMap::new(), Vec::new())
-            }
-            _ => me.dispatch(call, marker).await,
-        };
+        let mut response = me.dispatch(call, expected, marker).await;
         if leaving {
             simulation::set_leaving(response.headers_mut());
             self.observed.borrow_mut().leaving_answers.push(Instant::now());
@@ -400,6 +393,7 @@
     async fn dispatch(
         self: Rc<Self>,
         call: Option<BackendCall>,
+        expected: Option<String>,
         marker: Option<CrashMarker>,
     ) -> Response<Body> {
         if let Some(call) = &call
@@ -410,6 +404,9 @@
         {
             self.observed.borrow_mut().call_times.push(Instant::now());
         }
+        if expected.is_some_and(|name| name != self.server.borrow().id.name) {
+            return self.reject_other_instance(call);
+        }
         match call {
             None => response(400, HeaderMap::new(), Vec::new()),
             Some(BackendCall::Reserve { tokens, ttl }) => self.reserve(tokens, ttl),
@@ -436,20 +433,23 @@
         }
     }
 
+    /// Answers a call that is for another incarnation.
+    fn reject_other_instance(&self, call: Option<BackendCall>) -> Response<Body> {
+        let headers = match call {
+            Some(BackendCall::Work(work)) => {
+                self.record_lost_prefill(&work);
+                simulation::rejection_headers(&work.attempt)
+            }
+            _ => HeaderMap::new(),
+        };
+        response(simulation::WRONG_INSTANCE.as_u16(), headers, Vec::new())
+    }
+
     async fn admit(
         self: Rc<Self>,
         work: BackendRequest,
         marker: Option<CrashMarker>,
     ) -> Response<Body> {
-        if work.expected_instance.as_ref().is_some_and(|id| id.name != self.server.borrow().id.name)
-        {
-            self.record_lost_prefill(&work);
-            return response(
-                simulation::WRONG_INSTANCE.as_u16(),
-                simulation::rejection_headers(&work.attempt),
-                Vec::new(),
-            );
-        }
         self.record_accounts(&work);
         if !work.prefill {
             let mut seen = self.observed.borrow_mut();
