registry: the software version of a server is kept; log lines name it and the attempt that a request resumes

Two log lines could not tell whether a stream that went on did so at another version, for a caller that took it up or inside one answer: placement and the end of an attempt now name the version of the engine and the attempt in Resumes.

The stand-ins serve several versions: a server has one in its registration and in each event it writes.

--- a/crates/check/src/answers/simulation.rs
+++ b/crates/check/src/answers/simulation.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use ebonyloft_core::time::Timestamp;
-use ebonyloft_router::catalog::{Server, ServerId, Stage};
+use ebonyloft_router::catalog::{Server, ServerId, SoftwareVersion, Stage};
 use ebonyloft_router::load_report::{GossipMessage, GossipState};
 use ebonyloft_router::lost_attempts::{LostAttempt, ProbeResult};
 use ebonyloft_router::quarantine::{
@@ -192,6 +192,7 @@
                 slots: 12,
                 draining: false,
                 stage: Some(stage),
+                version: SoftwareVersion::new("v1"),
             };
             let up_at = START;
             simulation.backends.push(Backend {
--- a/crates/check/src/gateways/simulation.rs
+++ b/crates/check/src/gateways/simulation.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use ebonyloft_core::time::Timestamp;
-use ebonyloft_router::catalog::{Server, ServerId};
+use ebonyloft_router::catalog::{Server, ServerId, SoftwareVersion};
 use ebonyloft_router::engine_load::EngineLoad;
 use ebonyloft_router::fetches::{FetchKind, Fetches, Versions};
 use ebonyloft_router::fleet::{Fleet, Gateway};
@@ -157,6 +157,7 @@
         slots: 12,
         draining: false,
         stage: None,
+        version: SoftwareVersion::new("v1.1"),
     };
     let name = server.id.name.clone();
     Change { name, entry: Registration::Server(server), revision: 1_218 }
--- a/crates/check/tests/fair_share.rs
+++ b/crates/check/tests/fair_share.rs
@@ -323,6 +323,7 @@
         slots: SLOTS,
         draining: false,
         stage: Some(Stage::Decode),
+        version: None,
     }
 }
 
--- a/crates/daemon/src/gateway/intake.rs
+++ b/crates/daemon/src/gateway/intake.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use ebonyloft_core::ids::Account;
 use ebonyloft_core::time::Timestamp;
-use ebonyloft_platform::headers::{self, CallerHeaders};
+use ebonyloft_platform::headers::{self, CallerHeaders, Resumes};
 use ebonyloft_router::budget::Arrivals;
 use ebonyloft_router::catalog::{Config, Kind, Route, ServerId};
 use ebonyloft_router::request_digest::RequestDigest;
@@ -79,6 +79,14 @@
         self.caller.attempt.as_deref().unwrap_or("-")
     }
 
+    /// The attempt whose answer it continues, if it names one.
+    pub fn resumed_attempt(&self) -> Option<&str> {
+        match &self.caller.resumes {
+            Resumes::Attempt(id) => Some(id),
+            Resumes::Malformed | Resumes::Unstated => None,
+        }
+    }
+
     /// Can it safely run more than once?
     pub fn is_repeatable(&self) -> bool {
         let route = self.route();
--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -25,7 +25,7 @@
 use ebonyloft_core::verdict::Verdict;
 use ebonyloft_platform::headers;
 use ebonyloft_router::budget::NextSend;
-use ebonyloft_router::catalog::{Engine, Server, ServerId};
+use ebonyloft_router::catalog::{Engine, Server, ServerId, SoftwareVersion};
 use ebonyloft_router::engine_load::Prompt;
 use ebonyloft_router::engines;
 use ebonyloft_router::events::Splitter;
@@ -209,8 +209,10 @@
         let run = sent.run;
         quarantine::on_outcome(shared, intake, sent, outcome);
         tracing::info!(
-            id = intake.id(), content = %intake.digest, server = %server.id, fate = ?outcome,
-            events = splitter.count(), last = splitter.last_id(), "stream attempt ended"
+            id = intake.id(), content = %intake.digest, server = %server.id,
+            version = server.version.as_ref().map(SoftwareVersion::as_str),
+            resumes = intake.resumed_attempt(), fate = ?outcome, events = splitter.count(),
+            last = splitter.last_id(), "stream attempt ended"
         );
         if matches!(outcome, AttemptOutcome::Answered(200)) {
             return Ok(());
--- a/crates/daemon/src/gateway/stream/admission.rs
+++ b/crates/daemon/src/gateway/stream/admission.rs
@@ -6,7 +6,7 @@
 use ebonyloft_core::time::Timestamp;
 use ebonyloft_platform::engine;
 use ebonyloft_router::answer_length::LengthForecast;
-use ebonyloft_router::catalog::{Engine, Server, ServerId, Stage};
+use ebonyloft_router::catalog::{Engine, Server, ServerId, SoftwareVersion, Stage};
 use ebonyloft_router::demand::Demand;
 use ebonyloft_router::engine_load::EngineLoad;
 use ebonyloft_router::engines::{AdmissionContext, AdmissionDecision, Shortage};
@@ -397,6 +397,8 @@
         output = intake.caller.max_output, hint = intake.caller.hint, tokens = work.memory.now(),
         peak = work.memory.peak(),
         count = work.count, ms, gives = demand.value, free, factor, factor_age,
+        version = server.version.as_ref().map(SoftwareVersion::as_str),
+        resumes = intake.resumed_attempt(),
         account = intake.account.as_ref().map(Account::as_str), config, roster, age, "placed"
     );
     shared.metrics.time("gateway.place_ms", ms);
--- a/crates/daemon/tests/soak/cluster.rs
+++ b/crates/daemon/tests/soak/cluster.rs
@@ -13,7 +13,7 @@
 use compio::net::TcpListener;
 use ebonyloft_platform::simulation::{self, AccountSpec};
 use ebonyloft_platform::store::CONFIG_KEY;
-use ebonyloft_router::catalog::{Server, ServerId, Stage};
+use ebonyloft_router::catalog::{Server, ServerId, SoftwareVersion, Stage};
 use ebonyloft_standins::fleet::backend::{self, BackendServer, BackendSpec};
 use ebonyloft_standins::fleet::caller::Caller;
 use ebonyloft_standins::fleet::store::{self, Store};
@@ -184,6 +184,7 @@
                 slots: 12,
                 draining: false,
                 stage,
+                version: SoftwareVersion::new("v1"),
             };
             let runner = BackendServer::start(server, BackendSpec::default()).await;
             let front: SocketAddr = (ip(host + 20), 8_147).into();
--- a/crates/router/src/catalog.rs
+++ b/crates/router/src/catalog.rs
@@ -200,6 +200,49 @@
     }
 }
 
+/// Version of a backend server's software.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct SoftwareVersion(String);
+
+/// Longest version, in bytes.
+const VERSION_MAX: usize = 128;
+
+impl SoftwareVersion {
+    /// Returns the version with this text; `None` if it is empty, too long or not printable ASCII.
+    pub fn new(text: impl Into<String>) -> Option<Self> {
+        let text = text.into();
+        let is_valid =
+            (1..=VERSION_MAX).contains(&text.len()) && text.bytes().all(|b| b.is_ascii_graphic());
+        is_valid.then_some(SoftwareVersion(text))
+    }
+
+    /// Returns its text.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl TryFrom<String> for SoftwareVersion {
+    type Error = &'static str;
+
+    fn try_from(text: String) -> Result<Self, Self::Error> {
+        Self::new(text).ok_or("a version is 1 to 128 printable characters")
+    }
+}
+
+impl From<SoftwareVersion> for String {
+    fn from(version: SoftwareVersion) -> String {
+        version.0
+    }
+}
+
+impl fmt::Display for SoftwareVersion {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
 /// One incarnation of a backend server, as registered.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Server {
@@ -217,6 +260,10 @@
     pub draining: bool,
     /// Current stage; set for model engines.
     pub stage: Option<Stage>,
+    /// Version of its software, if a valid one is registered. Gateways of an older release do not
+    /// pass it on.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub version: Option<SoftwareVersion>,
 }
 
 /// Role of a model engine.
--- a/crates/router/tests/losses.rs
+++ b/crates/router/tests/losses.rs
@@ -24,6 +24,7 @@
         slots: 4,
         draining: false,
         stage: None,
+        version: None,
     }
 }
 
--- a/crates/router/tests/roster.rs
+++ b/crates/router/tests/roster.rs
@@ -24,6 +24,7 @@
         slots: 4,
         draining,
         stage: Some(Stage::Decode),
+        version: None,
     }
 }
 
--- a/crates/router/tests/support/fleet.rs
+++ b/crates/router/tests/support/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use ebonyloft_router::catalog::{Engine, Server, ServerId, Stage};
+use ebonyloft_router::catalog::{Engine, Server, ServerId, SoftwareVersion, Stage};
 
 /// Returns the backend server `i-N`, a model engine if it has a stage.
 pub fn server(n: usize, slots: u32, stage: Option<Stage>) -> Server {
@@ -15,6 +15,7 @@
         slots,
         draining: false,
         stage,
+        version: SoftwareVersion::new("v1"),
     }
 }
 
--- a/crates/standins/src/fleet/backend.rs
+++ b/crates/standins/src/fleet/backend.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use ebonyloft_platform::engine;
 use ebonyloft_platform::simulation::{self, BackendCall, BackendRequest, ResponseHead};
-use ebonyloft_router::catalog::{Server, ServerId, Stage};
+use ebonyloft_router::catalog::{Server, ServerId, SoftwareVersion, Stage};
 use ebonyloft_router::outcome::Load;
 use ebonyloftd::clock::Clock;
 use ebonyloftd::gateway::answer::{Body, BodyAborted, full};
@@ -48,6 +48,8 @@
 const LATE_COPY: Duration = Duration::from_millis(400);
 /// Time from the answer to a copy until the crash after it.
 const CRASH_DELAY: Duration = Duration::from_millis(10);
+/// Time that a restart under the same name takes.
+const RESTART_TIME: Duration = Duration::from_millis(50);
 /// Time from a crash until the registration expires.
 const REGISTRATION_TTL: Duration = Duration::from_millis(1_000);
 
@@ -74,6 +76,9 @@
     pub downtime: Duration,
     /// How long it states that work takes now, in percent of the usual time.
     pub slowness: Option<u32>,
+    /// Version of its software, as registered and as part of each event; registrations with an empty
+    /// version name none.
+    pub version: String,
 }
 
 impl Default for BackendSpec {
@@ -89,6 +94,7 @@
             crash_after: Duration::from_millis(70),
             downtime: Duration::from_millis(1_500),
             slowness: None,
+            version: "v1".to_owned(),
         }
     }
 }
@@ -333,6 +339,21 @@
         }
     }
 
+    /// Starts a new incarnation of this version under the same name; the connections of the previous
+    /// one close at once.
+    pub async fn restart_as(self: &Rc<Self>, version: &str) {
+        // Dropped in another task, because the listener may own the task that runs now.
+        let listener = self.listener.take();
+        compio::runtime::spawn(async move { drop(listener) }).detach();
+        compio::time::sleep(RESTART_TIME).await;
+        self.restart();
+        self.server.borrow_mut().version = SoftwareVersion::new(version);
+        self.listen().await;
+        if let Some(store) = &*self.store.borrow() {
+            store.register(&self.server.borrow());
+        }
+    }
+
     /// Sets the fault of all later requests.
     pub fn set_fault(&self, fault: Fault) {
         self.fault.set(fault);
@@ -690,7 +711,9 @@
             // A run that is stopped completes its next event and ends in the middle of the one after.
             let is_stopped = stream.is_stopped();
             compio::time::sleep(self.spec.event_interval).await;
-            let event = format!("id: {id}\ndata: {} tokens {id}\n\n", work.attempt);
+            let server = self.server.borrow().version.clone();
+            let version = server.as_ref().map_or("", SoftwareVersion::as_str);
+            let event = format!("id: {id}\ndata: {} tokens {id} {version}\n\n", work.attempt);
             stream.on_event(id);
             let past_half = id * 2 > self.spec.event_count + 1;
             let is_broken = self.fault.get() == Fault::Breaks && past_half || is_stopped;
--- a/crates/standins/src/fleet/caller.rs
+++ b/crates/standins/src/fleet/caller.rs
@@ -1,5 +1,6 @@
 //! A caller of a gateway, which can also disconnect before the answer has ended.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -11,7 +12,7 @@
 use hyper::body::Incoming;
 use hyper::{HeaderMap, Request, Response};
 
-use super::HOST;
+use super::{HOST, SUMMARY};
 
 /// The answer as the caller received it.
 #[derive(Clone, Debug)]
@@ -36,6 +37,13 @@
         self.headers.get(name).and_then(|v| v.to_str().ok())
     }
 
+    /// Returns the versions of the backend servers that wrote the events in the body.
+    pub fn versions(&self) -> BTreeSet<String> {
+        let text = String::from_utf8_lossy(&self.body);
+        let events = text.lines().filter_map(|line| line.strip_prefix("data: "));
+        events.filter_map(|data| Some(data.rsplit_once(' ')?.1.to_owned())).collect()
+    }
+
     /// Returns the ids of the events in the body.
     pub fn events(&self) -> Vec<u64> {
         let text = String::from_utf8_lossy(&self.body);
@@ -135,6 +143,14 @@
         })
     }
 
+    /// Returns a request for the rest of a summary after the event `last`; `resumes` are the values
+    /// of the header that names the attempt which brought its first event.
+    pub fn take_up_request(&self, attempt: &str, resumes: &[&str], last: u64) -> Request<Bytes> {
+        let mut req = self.summary_request(SUMMARY, attempt);
+        simulation::set_take_up(&mut req, resumes, last);
+        req
+    }
+
     /// Sends a request and reads the answer until it ends or breaks off.
     pub async fn send(&self, req: Request<Bytes>) -> Result<Answer, ExchangeError> {
         let sent = Instant::now();
