streams: only the software version that began a stream continues it

Cause: the version of a server was not looked at where a stream goes on, neither inside one answer nor for a caller that takes it up, whose request names the attempt in Resumes.

One rule for every choice of a server, router::stream_origin::Origin::admits: engines for a reservation, plain servers, the target of a migration and its kept copy, grants of other zones, and once more just before a request is sent. The software of a stream is learned at its first event. Gateways report it to those that follow the store, which answer the others; while several versions serve, the first of them writes it to the store once a second, and whenever a version joins or leaves, which versions a service has had, so that a stream of the only one goes on after the loss of all gateways. Where nobody knows, the request is refused at once as not run.

A stream that goes on may not be left without an engine because few have its version: it keeps the precedence of a stream that has begun when a caller takes it up, goes to an engine that has failed 200 ms ago where no other is left, and back to one that failed in this answer.

--- a/crates/daemon/src/gateway/answer.rs
+++ b/crates/daemon/src/gateway/answer.rs
@@ -47,6 +47,10 @@
     Stopping,
     /// No backend server of the service can be reached.
     NoServer,
+    /// No backend server has the software version that began the stream.
+    NoVersion,
+    /// It is not known which software version began the stream.
+    OriginUnknown,
     /// All backend servers stay full for longer than the caller waits.
     Overload,
     /// Backend servers rejected the request, and the retry budget is used up.
--- a/crates/daemon/src/gateway/call.rs
+++ b/crates/daemon/src/gateway/call.rs
@@ -8,6 +8,7 @@
 use ebonyloft_router::budget::NextSend;
 use ebonyloft_router::catalog::{Server, ServerId};
 use ebonyloft_router::outcome::{AttemptOutcome, Progress};
+use ebonyloft_router::stream_origin::Origin;
 use futures_channel::oneshot;
 use futures_util::future::select;
 use hyper::Response;
@@ -161,7 +162,7 @@
             break;
         }
         let now = shared.now();
-        let Some(server) = pick(shared, intake, now, &tried) else {
+        let Some(server) = pick(shared, intake, now, Origin::Unstarted, &tried) else {
             break;
         };
         if !limits::acquire(shared, &server.id, 1).await {
@@ -208,11 +209,13 @@
     shared: &Shared,
     intake: &Intake,
     now: Timestamp,
+    origin: Origin,
     tried: &[ServerId],
 ) -> Option<Server> {
     let (node, registry) = (shared.node(), shared.registry.borrow());
-    let servers =
-        registry.ready(&intake.service).filter(|s| !announcements::is_unavailable(shared, &s.id));
+    let servers = registry
+        .ready(&intake.service)
+        .filter(|s| origin.admits(s) && !announcements::is_unavailable(shared, &s.id));
     let plain = shared.plain_servers.borrow();
     plain.pick(now, &node.zone, servers, tried, || shared.random_fraction()).cloned()
 }
--- a/crates/daemon/src/gateway/gossip.rs
+++ b/crates/daemon/src/gateway/gossip.rs
@@ -15,7 +15,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 
 use super::shared::Shared;
-use super::{announcements, limits, peers, quarantine};
+use super::{announcements, limits, origins, peers, quarantine};
 use crate::http;
 
 /// Path at which gateways exchange their gossip state.
@@ -81,6 +81,7 @@
     quarantine::apply_reports(shared, &state.quarantine_updates, Some(peer));
     state.leaving.iter().for_each(|id| announcements::on_leaving(shared, id, peer));
     state.limits.iter().for_each(|word| limits::on_report(shared, word, peer));
+    origins::on_records(shared, &state.origins);
 }
 
 /// Checksum of the gossip state; zero if the state is empty.
@@ -107,6 +108,7 @@
         quarantine_updates: words,
         leaving: shared.registry.borrow().announced_leaving().cloned().collect(),
         limits,
+        origins: Vec::new(),
     }
 }
 
--- a/crates/daemon/src/gateway/ingress.rs
+++ b/crates/daemon/src/gateway/ingress.rs
@@ -11,10 +11,11 @@
 use ebonyloft_core::ids::Account;
 use ebonyloft_core::time::Timestamp;
 use ebonyloft_core::verdict::Verdict;
-use ebonyloft_platform::headers;
+use ebonyloft_platform::headers::{self, Resumes};
 use ebonyloft_router::accounts::Credential;
 use ebonyloft_router::catalog::{Config, Kind, Limits, Route};
 use ebonyloft_router::request_digest::RequestDigest;
+use ebonyloft_router::stream_origin::Origin;
 use ebonyloft_router::{retry_after, routes};
 use futures_channel::oneshot;
 use futures_util::future::{Either, Shared as SharedFuture, select};
@@ -28,7 +29,7 @@
 use super::answer::{self, Body, Cause};
 use super::intake::Intake;
 use super::shared::{Shared, SnapshotVersion};
-use super::{call, keys, quarantine, quota, stream};
+use super::{call, keys, origins, quarantine, quota, stream};
 use crate::http;
 
 /// Hex digits of a key's digest in the log: enough to find the key, too few to confirm a guess.
@@ -160,6 +161,9 @@
         Ok(identified) => identified,
         Err(cause) => return Err(refuse(cause)),
     };
+    if config.routes[route].kind == Kind::Stream && caller.resumes == Resumes::Malformed {
+        return Err(refuse(Cause::Malformed));
+    }
     if let Some(stopped_at) = shared.stopping.get()
         && !can_finish(shared, stopped_at, came_at, config.routes[route].kind)
     {
@@ -298,6 +302,7 @@
         body,
         config,
         route,
+        origin: Origin::default(),
         service,
         came_at,
         ends_at,
@@ -323,7 +328,8 @@
 }
 
 /// Runs a request in its own task, which outlives the caller until its state is cleaned up.
-async fn process(shared: &Rc<Shared>, intake: Intake) -> Response<Body> {
+async fn process(shared: &Rc<Shared>, mut intake: Intake) -> Response<Body> {
+    origins::resolve(shared, &mut intake).await;
     let probe = match quarantine::admit(shared, &intake).await {
         Ok(probe) => probe,
         Err(refused) => return refused.response(shared.now()),
--- a/crates/daemon/src/gateway/intake.rs
+++ b/crates/daemon/src/gateway/intake.rs
@@ -11,6 +11,7 @@
 use ebonyloft_router::budget::Arrivals;
 use ebonyloft_router::catalog::{Config, Kind, Route, ServerId};
 use ebonyloft_router::request_digest::RequestDigest;
+use ebonyloft_router::stream_origin::Origin;
 use ebonyloft_router::urgency::{SendState, UrgencyLevels};
 use http::HeaderMap;
 use hyper::{Method, Request, Uri};
@@ -49,6 +50,8 @@
     pub config: Rc<Config>,
     /// Index of its route in that configuration.
     pub route: usize,
+    /// The software that its stream must be continued with, as far as its caller has events.
+    pub origin: Origin,
     /// Name of the service that handles it.
     pub service: String,
     /// When its head was read.
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -25,6 +25,7 @@
 
 use super::gossip;
 use super::keys;
+use super::origins;
 use super::quota;
 use super::shared::Shared;
 use super::speeds;
@@ -146,7 +147,7 @@
 
 /// Addresses of the leaders of other zones: those that rank first, and those that sent a summary
 /// lately.
-fn leaders_of_other_zones(shared: &Shared) -> Vec<SocketAddr> {
+pub fn leaders_of_other_zones(shared: &Shared) -> Vec<SocketAddr> {
     let (node, fleet, summaries) =
         (shared.node(), shared.fleet.borrow(), shared.zone_summaries.borrow());
     let senders = summaries.relayed(shared.now()).map(|d| d.addr);
@@ -302,6 +303,7 @@
     }
     match path {
         gossip::PATH => gossip::handle_exchange(shared, req).await,
+        origins::PATH => origins::serve(shared, req).await,
         state_sync::PATH => state_sync::handle_request(&shared, req.uri().query()),
         _ => http::response(StatusCode::NOT_FOUND, "text/plain", http::full_body("not here\n")),
     }
--- a/crates/daemon/src/gateway/shared.rs
+++ b/crates/daemon/src/gateway/shared.rs
@@ -38,6 +38,7 @@
 use ebonyloft_router::stage_changes::{STAGE_CHANGE_BACKOFF, StageChanges};
 use ebonyloft_router::staleness::ConfigStaleness;
 use ebonyloft_router::store_state::StoreState;
+use ebonyloft_router::stream_origin::table::OriginTable;
 use ebonyloft_router::urgency::share::URGENT_SHARE;
 use ebonyloft_router::urgency::{ServiceUrgency, UrgencyLevels};
 use ebonyloft_router::zone_leader::{LEADER_TIMEOUT, LeaderState};
@@ -48,6 +49,7 @@
 
 use super::digest::Digester;
 use super::keys;
+use super::origins::Histories;
 use super::pool::Pool;
 use super::store::StoreClient;
 use super::stream::incoming::IncomingReservations;
@@ -168,6 +170,12 @@
     pub outgoing_gossip: RefCell<GossipState>,
     /// Requests confirmed here to crash servers that are not written to the store yet.
     pub unsaved_confirmations: RefCell<Vec<RequestDigest>>,
+    /// The software that began recent streams.
+    pub origins: RefCell<OriginTable>,
+    /// The softwares of services that stream, while this gateway follows the store.
+    pub histories: RefCell<Histories>,
+    /// Questions to peers about the software that began a stream, under way.
+    pub origin_questions: Cell<usize>,
     /// Peers whose gossip state differs from this gateway's, and since when.
     pub divergence: RefCell<DivergenceDetector>,
     /// True while no gateway is known to be the leader that orders engines.
@@ -262,6 +270,9 @@
             background_waiters: Waiters::default(),
             outgoing_gossip: RefCell::default(),
             unsaved_confirmations: RefCell::default(),
+            origins: RefCell::default(),
+            histories: RefCell::default(),
+            origin_questions: Cell::new(0),
             divergence: RefCell::default(),
             lock_available: Cell::new(true),
             stage_changes: RefCell::default(),
--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -32,6 +32,7 @@
 use ebonyloft_router::forecast::{MARGIN_SIGMAS, URGENT_MARGIN_SIGMAS};
 use ebonyloft_router::outcome::{AttemptOutcome, Progress};
 use ebonyloft_router::precedence::Precedence;
+use ebonyloft_router::stream_origin::Origin;
 use ebonyloft_router::wasted_prefill::WastedPrefill;
 use ebonyloft_router::zones::{ServiceCapacity, UrgentCapacity};
 use futures_channel::oneshot;
@@ -74,7 +75,7 @@
 ) {
     retries::begin(shared, intake);
     let progress = Progress::new(intake.is_repeatable(), intake.route().attempts);
-    let mut state = StreamState::new(progress, intake.id());
+    let mut state = StreamState::new(progress, intake.id(), intake.origin);
     let mut out = ResponseStream::new(reply);
     let left = intake.ends_at.since(shared.now());
     let work = deliver(shared, intake, &mut state, &mut out);
@@ -159,6 +160,14 @@
     // A run was lost whose prompt is to be processed again.
     let mut lost_run = false;
     while state.progress.may_send() {
+        if let Err(refused) = admission::check_origin(shared, intake, state.origin) {
+            cause = refused;
+            break;
+        }
+        if !admission::has_untried(shared, intake, state.origin, &tried) {
+            // The servers that failed are all that can continue the stream.
+            tried.clear();
+        }
         if quarantine::is_confirmed(shared, &intake.digest) {
             cause = Cause::Quarantined;
             break;
@@ -171,12 +180,10 @@
             cause = Cause::Budget;
             break;
         }
-        state.begun = out.has_begun();
+        state.begun = out.has_begun() || state.origin != Origin::Unstarted;
         let mut server = match &engine {
-            Some(engine) => {
-                reserve_and_prefill(shared, intake, engine, state, &tried, out.has_begun()).await?
-            }
-            None => pick_plain_server(shared, intake, &tried)
+            Some(engine) => reserve_and_prefill(shared, intake, engine, state, &tried).await?,
+            None => pick_plain_server(shared, intake, state.origin, &tried)
                 .await
                 .ok_or(StreamError::Refused(cause, None))?,
         };
@@ -327,13 +334,12 @@
     engine: &Engine,
     state: &mut StreamState,
     tried: &[ServerId],
-    resumed: bool,
 ) -> Result<Server, StreamError> {
     if let Some(server) = migration::resume_from_copy(shared, state) {
         return Ok(server);
     }
     loop {
-        let server = admission::admit(shared, intake, engine, state, tried, resumed).await?;
+        let server = admission::admit(shared, intake, engine, state, tried).await?;
         if state.prefill_handle.as_ref().is_some_and(|handle| handle.until <= shared.now()) {
             state.drop_prefill_handle(shared, WastedPrefill::Expired);
         }
@@ -353,9 +359,14 @@
 }
 
 /// Picks a plain backend server, as for a call.
-async fn pick_plain_server(shared: &Shared, intake: &Intake, tried: &[ServerId]) -> Option<Server> {
+async fn pick_plain_server(
+    shared: &Shared,
+    intake: &Intake,
+    origin: Origin,
+    tried: &[ServerId],
+) -> Option<Server> {
     loop {
-        let server = call::pick(shared, intake, shared.now(), tried)?;
+        let server = call::pick(shared, intake, shared.now(), origin, tried)?;
         if limits::acquire(shared, &server.id, 1).await {
             return Some(server);
         }
@@ -380,10 +391,16 @@
     splitter: &mut Splitter,
 ) -> AttemptEnd {
     let now = shared.now();
+    if !admission::is_admitted_now(shared, state.origin, server) {
+        tracing::info!(
+            id = intake.id(), server = %server.id, "not sent: another version has started there"
+        );
+        return AttemptEnd::Outcome(AttemptOutcome::Unsent, None);
+    }
     let mut req = intake.request(now, &server.id);
     let headers = req.headers_mut();
     state.set_headers(headers);
-    let send_state = intake.send_state(now, out.has_begun());
+    let send_state = intake.send_state(now, state.begun);
     if let Some(priority) = intake.levels.engine_priority(intake.level, send_state) {
         headers::set_priority(headers, priority);
     }
--- a/crates/daemon/src/gateway/stream/admission.rs
+++ b/crates/daemon/src/gateway/stream/admission.rs
@@ -13,6 +13,7 @@
 use ebonyloft_router::forecast::MemoryForecast;
 use ebonyloft_router::precedence::Precedence;
 use ebonyloft_router::registry::ServerRegistry;
+use ebonyloft_router::stream_origin::Origin;
 use futures_util::future::select;
 
 use super::shares::{self, ShareClaim};
@@ -41,7 +42,6 @@
     spec: &Engine,
     state: &mut StreamState,
     tried: &[ServerId],
-    resumed: bool,
 ) -> Result<Server, StreamError> {
     let joined_at = shared.now();
     let length_forecast = forecast_length(shared, intake);
@@ -51,7 +51,7 @@
         shares::evaluate(shared, now);
         claim.is_some_and(|claim| claim.is_over(shared))
     };
-    let mut demand = demand(shared, intake, state, length_forecast, joined_at, resumed);
+    let mut demand = demand(shared, intake, state, length_forecast, joined_at);
     demand.precedence.over_share = is_over_share(joined_at);
     urgency::on_arrival(shared, &intake.service, joined_at, demand.precedence);
     let read_at = prefill::predicted_ready_at(shared, intake, state, joined_at);
@@ -63,8 +63,8 @@
     loop {
         let now = shared.now();
         demand.precedence.over_share = is_over_share(now);
-        if let Some(at) =
-            all_backed_off_until(shared, intake, tried).filter(|at| *at >= demand.first_by)
+        if let Some(at) = all_backed_off_until(shared, intake, state.origin, tried)
+            .filter(|at| *at >= demand.first_by)
         {
             leave_queue(shared, state);
             shares::on_refused(shared, &demand);
@@ -115,10 +115,15 @@
 
 /// When the first decode engine accepts requests again, if all that could be asked have asked for
 /// a back-off. Engines of other zones count too, since this zone's gateways may ask those zones.
-fn all_backed_off_until(shared: &Shared, intake: &Intake, tried: &[ServerId]) -> Option<Timestamp> {
+fn all_backed_off_until(
+    shared: &Shared,
+    intake: &Intake,
+    origin: Origin,
+    tried: &[ServerId],
+) -> Option<Timestamp> {
     let registry = shared.registry.borrow();
     let engines = registry.ready(&intake.service).filter(|s| s.stage == Some(Stage::Decode));
-    let left = engines.filter(|s| !tried.contains(&s.id));
+    let left = engines.filter(|s| origin.admits(s) && !tried.contains(&s.id));
     announcements::available_at(shared, left)
 }
 
@@ -139,8 +144,8 @@
     state: &StreamState,
     length_forecast: LengthForecast,
     now: Timestamp,
-    resumed: bool,
 ) -> Demand {
+    let resumed = state.begun;
     let first_by = if resumed { now.after(RESUME_WITHIN) } else { intake.goal_at };
     let prompt = intake.caller.prompt_tokens;
     let read_time = prefill::idle_read_time(shared, &intake.service, prompt);
@@ -166,8 +171,8 @@
     let read_at = prefill::predicted_ready_at(shared, intake, state, now);
     let gateways = shared.gateways_in_scope();
     let registry = shared.registry.borrow();
-    let servers =
-        decode_engines(shared, &registry, &intake.service).filter(|s| !tried.contains(&s.id));
+    let servers = decode_engines(shared, &registry, &intake.service, state.origin)
+        .filter(|s| !tried.contains(&s.id));
     let load_reports = shared.load_reports.borrow();
     let ticket = state.ticket.expect("a queued request has a ticket");
     let peer_load = |id: &ServerId| load_reports.peer_load(now, id);
@@ -195,21 +200,54 @@
     let demand_now = UrgencySnapshot::new(shared, &intake.service, &intake.levels);
     let urgency = demand_now.context();
     let context = AdmissionContext { engine: spec, read_at, gateways, urgency };
-    let servers = decode_engines(shared, &registry, &intake.service);
+    let servers = decode_engines(shared, &registry, &intake.service, state.origin);
     let peer_load = |id: &ServerId| load_reports.peer_load(now, id);
     shared.engines.borrow().is_short(now, demand, &context, servers, peer_load)
 }
 
-/// A service's decode engines that this gateway uses, without those that asked for a back-off.
+/// Checks that a server may write the next events of a stream: one that is ready, be it full, and at
+/// an engine service one that decodes.
+pub fn check_origin(shared: &Shared, intake: &Intake, origin: Origin) -> Result<(), Cause> {
+    let registry = shared.registry.borrow();
+    let mut servers = registry.ready(&intake.service).filter(|s| s.stage != Some(Stage::Prefill));
+    match origin {
+        Origin::Unstarted => Ok(()),
+        Origin::Unknown => Err(Cause::OriginUnknown),
+        Origin::Software(_) if servers.any(|s| origin.admits(s)) => Ok(()),
+        Origin::Software(_) => Err(Cause::NoVersion),
+    }
+}
+
+/// Is there a server that may write the next events and has not failed to?
+pub fn has_untried(shared: &Shared, intake: &Intake, origin: Origin, tried: &[ServerId]) -> bool {
+    let registry = shared.registry.borrow();
+    let mut servers = registry.ready(&intake.service).filter(|s| s.stage != Some(Stage::Prefill));
+    origin == Origin::Unstarted || servers.any(|s| origin.admits(s) && !tried.contains(&s.id))
+}
+
+/// May a server that was chosen before still write the next events? Another version may have started
+/// under its name meanwhile.
+pub fn is_admitted_now(shared: &Shared, origin: Origin, server: &Server) -> bool {
+    let registry = shared.registry.borrow();
+    origin.admits(server) && registry.named(&server.id.name).is_none_or(|now| origin.admits(now))
+}
+
+/// A service's decode engines that this gateway uses and that may write the next events of a stream,
+/// without those that asked for a back-off.
 pub fn decode_engines<'a>(
     shared: &'a Shared,
     registry: &'a ServerRegistry,
     service: &'a str,
+    origin: Origin,
 ) -> impl Iterator<Item = &'a Server> {
     let zone = shared.zone();
     let here = move |s: &&Server| zone.as_ref().is_none_or(|zone| s.zone == *zone);
     let open = |s: &&Server| !announcements::is_unavailable(shared, &s.id);
-    registry.ready(service).filter(|s| s.stage == Some(Stage::Decode)).filter(here).filter(open)
+    registry
+        .ready(service)
+        .filter(move |s| s.stage == Some(Stage::Decode) && origin.admits(s))
+        .filter(here)
+        .filter(open)
 }
 
 /// Free memory in percent, for the log.
@@ -221,7 +259,8 @@
 pub fn free_fraction(shared: &Shared, service: &str, spec: &Engine) -> f64 {
     let (now, registry) = (shared.now(), shared.registry.borrow());
     let load_reports = shared.load_reports.borrow();
-    let servers: Vec<&Server> = decode_engines(shared, &registry, service).collect();
+    let servers: Vec<&Server> =
+        decode_engines(shared, &registry, service, Origin::Unstarted).collect();
     let engines = shared.engines.borrow();
     engines.free_fraction(now, &servers, spec, |id| load_reports.peer_load(now, id))
 }
@@ -232,7 +271,8 @@
     let typical_memory = shared.service_estimates(service).shape.memory();
     let (now, registry) = (shared.now(), shared.registry.borrow());
     let load_reports = shared.load_reports.borrow();
-    let servers: Vec<&Server> = decode_engines(shared, &registry, service).collect();
+    let servers: Vec<&Server> =
+        decode_engines(shared, &registry, service, Origin::Unstarted).collect();
     let engines = shared.engines.borrow();
     let typical = (typical_memory, margin);
     engines.free_capacity(now, &servers, spec, typical, |id| load_reports.peer_load(now, id))
--- a/crates/daemon/src/gateway/stream/incoming.rs
+++ b/crates/daemon/src/gateway/stream/incoming.rs
@@ -13,6 +13,7 @@
 use ebonyloft_router::engines::AdmissionContext;
 use ebonyloft_router::forecast::MemoryForecast;
 use ebonyloft_router::precedence::Precedence;
+use ebonyloft_router::stream_origin::Origin;
 use futures_channel::oneshot;
 use futures_util::future::{Either, select};
 use http_body_util::BodyExt;
@@ -118,7 +119,7 @@
     let demand_now = UrgencySnapshot::new(&shared, &request.service, &levels);
     let context =
         AdmissionContext { engine: &spec, read_at, gateways, urgency: demand_now.context() };
-    let Some(server) = choose_engine(&shared, &request.service, &demand, &context) else {
+    let Some(server) = choose_engine(&shared, &request, &demand, &context) else {
         return log_result(&shared, &request, &context, None);
     };
     let Some(hold) = admission::reserve(&shared, &spec, &server, memory).await else {
@@ -170,13 +171,14 @@
 
 fn choose_engine(
     shared: &Shared,
-    service: &str,
+    request: &ReservationRequest,
     demand: &Demand,
     context: &AdmissionContext<'_>,
 ) -> Option<Server> {
     let (now, registry, load_reports) =
         (shared.now(), shared.registry.borrow(), shared.load_reports.borrow());
-    let servers = admission::decode_engines(shared, &registry, service);
+    let origin = request.software.map_or(Origin::Unstarted, Origin::Software);
+    let servers = admission::decode_engines(shared, &registry, &request.service, origin);
     let peer_load = |id: &ServerId| load_reports.peer_load(now, id);
     let engines = shared.engines.borrow();
     let id =
--- a/crates/daemon/src/gateway/stream/migration.rs
+++ b/crates/daemon/src/gateway/stream/migration.rs
@@ -130,7 +130,9 @@
     let migration = state.migration.as_ref()?;
     // Without the last call the run goes on.
     let ends = [&migration.source.id, &migration.target.id];
-    if !complete || !ends.iter().all(|id| announcements::accepts_requests(shared, id)) {
+    let is_admitted = admission::is_admitted_now(shared, state.origin, &migration.target);
+    let accepts = ends.iter().all(|id| announcements::accepts_requests(shared, id));
+    if !complete || !accepts || !is_admitted {
         abandon(shared, state, true);
         retries::release_unused(shared, intake);
         return None;
@@ -193,7 +195,7 @@
         let engines = shared.engines.borrow();
         // Calls count against the limit that a server announces, and a migration can't wait for it.
         let limits = shared.limits.borrow();
-        let servers = admission::decode_engines(shared, &registry, &intake.service)
+        let servers = admission::decode_engines(shared, &registry, &intake.service, state.origin)
             .filter(|s| limits.of(&s.id).is_none());
         let peer_load = |id: &ServerId| load_reports.peer_load(now, id);
         let memory = reservation.memory;
@@ -330,7 +332,9 @@
     let target = migration.target.clone();
     match &migration.copy {
         Copy::Complete { handle, until }
-            if *until > shared.now() && announcements::accepts_requests(shared, &target.id) =>
+            if *until > shared.now()
+                && announcements::accepts_requests(shared, &target.id)
+                && admission::is_admitted_now(shared, state.origin, &target) =>
         {
             let (handle, until) = (handle.clone(), *until);
             shared.metrics.count("gateway.migration.resumed", 1);
--- a/crates/daemon/src/gateway/stream/overflow.rs
+++ b/crates/daemon/src/gateway/stream/overflow.rs
@@ -9,15 +9,18 @@
 
 use bytes::Bytes;
 use ebonyloft_core::time::Timestamp;
+use ebonyloft_platform::engine;
 use ebonyloft_router::answer_length::LengthForecast;
 use ebonyloft_router::catalog::Server;
 use ebonyloft_router::demand::{Demand, FIRST_EVENT, LATE_PREFILL_MAX};
 use ebonyloft_router::precedence::Precedence;
+use ebonyloft_router::stream_origin::{Origin, SoftwareId};
 use ebonyloft_router::zones::Scope;
 use hyper::{Method, Request, StatusCode};
 use serde::{Deserialize, Serialize};
 
-use super::state::{Reservation, StreamState};
+use super::admission;
+use super::state::{Reservation, StreamState, send_release};
 use crate::gateway::intake::Intake;
 use crate::gateway::shared::{Shared, SnapshotVersion};
 
@@ -51,6 +54,9 @@
     /// Order in which the request is admitted; if absent, it has the least urgent level.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub precedence: Option<Precedence>,
+    /// The software that must write the next events, if the caller has some.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub software: Option<SoftwareId>,
 }
 
 /// A reservation granted by a gateway of another zone.
@@ -151,6 +157,10 @@
         first: left.as_millis() as u64,
         precedence: (intake.levels.is_enabled() || demand.precedence.over_share)
             .then_some(demand.precedence),
+        software: match state.origin {
+            Origin::Software(software) => Some(software),
+            Origin::Unstarted | Origin::Unknown => None,
+        },
     };
     let grant = request_grant(shared, addr, &request).await;
     let ms = shared.now().since(now).as_millis() as u64;
@@ -166,6 +176,23 @@
         shared.zone_summaries.borrow_mut().on_refused(shared.now(), &zone, urgent);
     }
     let Grant { id, server, hold, reader } = grant?;
+    // A gateway of an older release grants any engine, and does not name its version.
+    let server = shared.registry.borrow().get(&server.id).cloned().unwrap_or(server);
+    if !admission::is_admitted_now(shared, state.origin, &server) {
+        tracing::info!(
+            id = intake.id(), zone = zone.as_str(), server = %server.id,
+            "reservation not used: the engine has another version than the one that began the stream"
+        );
+        shared.metrics.count("gateway.origin.grants_unused", 1);
+        send_release(
+            shared,
+            &server.id,
+            server.addr,
+            engine::release_reservation(&server.id, &hold),
+        );
+        RemoteReservation { addr, id, prefill_engine: None }.close(shared);
+        return None;
+    }
     let prefill_engine = reader.map(|(s, ms)| (s, shared.now().after(Duration::from_millis(ms))));
     let memory = demand.memory;
     shared.engines.borrow_mut().on_reserved(&server.id, memory);
--- a/crates/daemon/src/gateway/stream/relay.rs
+++ b/crates/daemon/src/gateway/stream/relay.rs
@@ -7,6 +7,7 @@
 use ebonyloft_platform::headers;
 use ebonyloft_router::events::Splitter;
 use ebonyloft_router::outcome::AttemptOutcome;
+use ebonyloft_router::stream_origin::{Origin, SoftwareId};
 use ebonyloft_router::wasted_prefill::{WastedPrefill, is_preemption};
 use futures_channel::oneshot;
 use futures_util::future::{Either, select};
@@ -18,6 +19,7 @@
 use super::state::StreamState;
 use super::{prefill, tokens_per_event, wasted_prefill, with_stall_timeout};
 use crate::gateway::intake::Intake;
+use crate::gateway::origins;
 use crate::gateway::quarantine;
 use crate::gateway::send::Head;
 use crate::gateway::shared::Shared;
@@ -183,6 +185,14 @@
         if !is_first {
             self.count_preemption(now.since(self.waiting_since));
         }
+        if let Some((server, _)) = &self.state.open_attempt
+            && is_first
+        {
+            self.state.origin = Origin::Software(SoftwareId::of(server));
+            if self.splitter.count() == 1 {
+                origins::on_first_event(shared, self.intake, server);
+            }
+        }
         self.out.send_events(events).await;
         self.waiting_since = shared.now();
         if is_first {
--- a/crates/daemon/src/gateway/stream/state.rs
+++ b/crates/daemon/src/gateway/stream/state.rs
@@ -12,6 +12,7 @@
 use ebonyloft_router::engines::Ticket;
 use ebonyloft_router::forecast::MemoryForecast;
 use ebonyloft_router::outcome::Progress;
+use ebonyloft_router::stream_origin::Origin;
 use ebonyloft_router::wasted_prefill::WastedPrefill;
 use hyper::{HeaderMap, Request};
 
@@ -76,6 +77,8 @@
     pub prefilling: Option<(ServerId, Prompt)>,
     /// The prompt read by a prefill engine.
     pub prefill_handle: Option<PrefillHandle>,
+    /// The software that must write the next events.
+    pub origin: Origin,
     /// Whether the caller has part of the answer, as of the current attempt.
     pub begun: bool,
     /// The run in progress, if it may be moved to another engine.
@@ -97,7 +100,7 @@
 
 impl StreamState {
     /// State of a stream that holds nothing yet.
-    pub fn new(progress: Progress, id: &str) -> Self {
+    pub fn new(progress: Progress, id: &str, origin: Origin) -> Self {
         StreamState {
             id: id.to_owned(),
             progress,
@@ -107,6 +110,7 @@
             zones_asked: Vec::new(),
             prefilling: None,
             prefill_handle: None,
+            origin,
             begun: false,
             movable: None,
             migration: None,
--- a/crates/daemon/src/gateway/watch.rs
+++ b/crates/daemon/src/gateway/watch.rs
@@ -18,7 +18,7 @@
 
 use super::shared::Shared;
 use super::store::WatchReply;
-use super::{keys, quarantine, registration};
+use super::{keys, origins, quarantine, registration};
 
 /// First back-off after a failed call; doubled with each further failure.
 const BACKOFF_MIN: Duration = Duration::from_millis(60);
@@ -186,6 +186,8 @@
             (servers::PREFIX, Box::new(RosterSink(shared.clone()))),
             (quarantine::CONFIRMED_PREFIX, Box::new(quarantine::QuarantineSink(shared.clone()))),
             (quarantine::SUSPECT_PREFIX, Box::new(quarantine::QuarantineSink(shared.clone()))),
+            (origins::RECORD_PREFIX, Box::new(origins::RecordSink(shared.clone()))),
+            (origins::HISTORY_PREFIX, Box::new(origins::HistorySink(shared.clone()))),
             (registration::PREFIX, Box::new(registration::FleetSink(shared.clone()))),
         ])
     }
--- a/crates/router/src/engines.rs
+++ b/crates/router/src/engines.rs
@@ -28,6 +28,8 @@
 pub const FULL_BACKOFF: Duration = Duration::from_millis(60);
 /// Back-off after an engine could not be reached.
 pub const FAULT_BACKOFF: Duration = Duration::from_millis(1_500);
+/// Time after a failure for which an engine is not asked even by a stream that no other can continue.
+pub const FAULT_PAUSE: Duration = Duration::from_millis(200);
 /// First back-off after an engine rejected a request despite its reservation, doubled with each
 /// further rejection. Such an engine is about to change its stage, which takes six seconds.
 pub const REJECT_BACKOFF: Duration = Duration::from_millis(400);
--- a/crates/router/src/engines/selection.rs
+++ b/crates/router/src/engines/selection.rs
@@ -2,7 +2,7 @@
 
 use ebonyloft_core::time::Timestamp;
 
-use super::{AdmissionContext, EngineAdmission};
+use super::{AdmissionContext, EngineAdmission, FAULT_BACKOFF, FAULT_PAUSE};
 use crate::catalog::{Engine, Server, ServerId};
 use crate::demand::Demand;
 use crate::engine_load::EngineLoad;
@@ -64,11 +64,12 @@
         demand: &Demand,
         draw: &mut impl FnMut() -> f64,
     ) -> Option<ServerId> {
+        let servers = &self.askable(now, servers, demand)[..];
         let usual = (demand.memory, MARGIN_SIGMAS);
-        let found = self.most_free(now, servers, context, peer_load, usual, draw);
+        let found = self.most_free(servers, context, peer_load, usual, draw);
         if found.is_none() && context.urgency.reduces_margin(demand.precedence) {
             let reduced = (demand.memory, URGENT_MARGIN_SIGMAS);
-            return self.most_free(now, servers, context, peer_load, reduced, draw);
+            return self.most_free(servers, context, peer_load, reduced, draw);
         }
         let id = found?;
         let headroom = context.urgency.headroom(demand.precedence);
@@ -87,11 +88,31 @@
         (left >= headroom).then_some(id)
     }
 
+    /// Returns the engines that may be asked for a reservation. A stream that has begun may also go
+    /// to one that failed, if no other is left: a few engines may be all that can continue it.
+    fn askable<'a>(
+        &self,
+        now: Timestamp,
+        servers: &[&'a Server],
+        demand: &Demand,
+    ) -> Vec<&'a Server> {
+        let usable: Vec<&Server> =
+            servers.iter().copied().filter(|s| self.may_take(now, &s.id)).collect();
+        if !usable.is_empty() || !demand.begun {
+            return usable;
+        }
+        let later = now.after(FAULT_BACKOFF - FAULT_PAUSE);
+        let is_paused = |s: &&Server| {
+            let record = self.records.get(&s.id);
+            record.is_none_or(|r| r.full_until <= now && r.fault_until <= later)
+        };
+        servers.iter().copied().filter(is_paused).collect()
+    }
+
     /// Returns the engine with the most free memory among a random sample of those that are
     /// expected to have enough, with `margin` standard deviations kept free.
     fn most_free(
         &self,
-        now: Timestamp,
         servers: &[&Server],
         context: &AdmissionContext<'_>,
         peer_load: &impl Fn(&ServerId) -> EngineLoad,
@@ -105,9 +126,8 @@
             let idle_fit = all.count == 0 && memory.reserved() <= context.engine.tokens;
             ((free >= 0 || idle_fit) && all.count < context.engine.slots).then_some(free)
         };
-        let servers = servers.iter().filter(|s| self.may_take(now, &s.id));
         let mut candidates: Vec<(f64, i64, &Server)> =
-            servers.filter_map(|s| Some((draw(), free(s)?, *s))).collect();
+            servers.iter().filter_map(|s| Some((draw(), free(s)?, *s))).collect();
         candidates.sort_by(|a, b| a.0.total_cmp(&b.0));
         let sample_len = sample_size(candidates.len(), context.gateways).min(candidates.len());
         candidates[..sample_len]
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod stages;
 pub mod staleness;
 pub mod store_state;
+pub mod stream_origin;
 pub mod urgency;
 pub mod varint;
 pub mod wasted_prefill;
--- a/crates/router/src/load_report.rs
+++ b/crates/router/src/load_report.rs
@@ -22,6 +22,7 @@
 use crate::quota::{LeaseRequest, LeaseResponse, LimitKey};
 use crate::report_timing::{LOAD_TIMEOUT, REPORT_INTERVAL};
 use crate::stages::ShapeReport;
+use crate::stream_origin::table::OriginRecord;
 use crate::urgency::arrivals::ArrivalRates;
 use crate::varint::is_zero;
 use crate::zone_leader::{HigherRanked, LEADER_TIMEOUT, StoreLink};
@@ -151,12 +152,18 @@
     /// Rate limits that backend servers announced.
     #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
     pub limits: Vec<LimitUpdate>,
+    /// The software that began streams, for the gateways that follow the store.
+    #[serde(rename = "o", default, skip_serializing_if = "Vec::is_empty")]
+    pub origins: Vec<OriginRecord>,
 }
 
 impl GossipState {
     /// Is the gossip state empty?
     pub fn is_empty(&self) -> bool {
-        self.quarantine_updates.is_empty() && self.leaving.is_empty() && self.limits.is_empty()
+        self.quarantine_updates.is_empty()
+            && self.leaving.is_empty()
+            && self.limits.is_empty()
+            && self.origins.is_empty()
     }
 
     /// The same state after some time: its facts are that much older.
@@ -297,6 +304,13 @@
         (now.since(peer.received_at) < LEADER_TIMEOUT).then_some(peer.report.link)
     }
 
+    /// Returns the peers that report that they follow the store, with their incarnations.
+    pub fn followers(&self, now: Timestamp) -> impl Iterator<Item = (&str, u64)> {
+        let recent = self.peers.values().filter(move |p| now.since(p.received_at) < LEADER_TIMEOUT);
+        let follows = |p: &&Peer| p.report.link != StoreLink::Indirect;
+        recent.filter(follows).map(|p| (&*p.report.name, p.report.incarnation))
+    }
+
     /// Counts what higher-ranked gateways of these names report of the store.
     pub fn higher_ranked(&self, now: Timestamp, names: &[String]) -> HigherRanked {
         let mut counts = HigherRanked { count: names.len(), ..HigherRanked::default() };
--- a/crates/router/src/registry.rs
+++ b/crates/router/src/registry.rs
@@ -233,6 +233,11 @@
         self.known.values().map(|k| &k.server).filter(move |s| s.service == service).filter(usable)
     }
 
+    /// Returns all registered backend servers.
+    pub fn all(&self) -> impl Iterator<Item = &Server> {
+        self.known.values().map(|k| &k.server)
+    }
+
     /// Returns the backend server of this incarnation, if it is registered.
     pub fn get(&self, id: &ServerId) -> Option<&Server> {
         self.named(&id.name).filter(|s| s.id == *id)
--- a/crates/standins/src/fleet/backend.rs
+++ b/crates/standins/src/fleet/backend.rs
@@ -339,6 +339,20 @@
         }
     }
 
+    /// Ends, and starts an incarnation of this version under another name at the same address, which
+    /// it registers.
+    pub async fn replace_with(self: &Rc<Self>, version: &str) {
+        let listener = self.listener.take();
+        compio::runtime::spawn(async move { drop(listener) }).detach();
+        compio::time::sleep(RESTART_TIME).await;
+        let previous = self.server.borrow().clone();
+        if let Some(store) = &*self.store.borrow() {
+            store.unregister(&previous);
+        }
+        self.server.borrow_mut().version = SoftwareVersion::new(version);
+        self.start_incarnation(&previous).await;
+    }
+
     /// Starts a new incarnation of this version under the same name; the connections of the previous
     /// one close at once.
     pub async fn restart_as(self: &Rc<Self>, version: &str) {
--- a/crates/standins/tests/migration.rs
+++ b/crates/standins/tests/migration.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use compio::runtime::JoinHandle;
+use ebonyloft_router::catalog::Stage;
 use ebonyloft_router::engine_load::EngineLoad;
 use ebonyloft_router::forecast::MemoryForecast;
 use ebonyloft_standins::fleet::backend::{BackendServer, BackendSpec, Fault};
@@ -289,3 +290,39 @@
         });
     }
 }
+
+/// Starts decode engines of these versions and a run at the first of them, which is about to run out of
+/// memory.
+async fn begin_at_first(fleet: &mut Fleet, versions: &[&str]) -> (Rc<BackendServer>, Task) {
+    let spec = spec(MigrationSetting::On).runner;
+    for version in versions {
+        let spec = BackendSpec { version: (*version).to_owned(), ..spec.clone() };
+        let engine = fleet.add_backend(Some(Stage::Decode), &spec).await;
+        engine.set_fault(Fault::Full);
+    }
+    fleet.backends[1].set_fault(Fault::None);
+    compio::time::sleep(SECOND).await;
+    let (peer, task) = send(fleet, SUMMARY).await;
+    let source = fleet.backends[1].clone();
+    assert!(eventually(SECOND, || source.run_count(ATTEMPT) > 0).await, "the request does not run");
+    fleet.backends.iter().for_each(|engine| engine.set_fault(Fault::None));
+    fill(&peer, &source);
+    (source, task)
+}
+
+/// Guards against a run being moved to an engine of another version, whose copy would be continued.
+#[test]
+fn a_run_is_moved_only_to_an_engine_of_its_version() {
+    let spec = FleetSpec { decode_engines: 0, ..spec(MigrationSetting::On) };
+    with_fleet(spec.clone(), async |fleet| {
+        let (source, task) = begin_at_first(fleet, &["v1", "v2"]).await;
+        assert_complete(fleet, task).await;
+        assert_eq!(moves(&source, false), 0);
+    });
+    with_fleet(spec, async |fleet| {
+        let (source, task) = begin_at_first(fleet, &["v1", "v2", "v2", "v1"]).await;
+        assert_complete(fleet, task).await;
+        assert_eq!(moves(&source, true), 1);
+        assert_eq!(continued(&fleet.backends[4]), 1);
+    });
+}
