--- a/crates/daemon/src/gateway/origins.rs
+++ b/crates/daemon/src/gateway/origins.rs
@@ -70,6 +70,8 @@
 const QUESTIONS_MAX: usize = 64;
 /// Largest body of a question.
 const BODY_MAX: usize = 4 << 10;
+/// How long a server that has left may still serve a gateway that does not know: until it exits.
+const SERVES_ON: Duration = Duration::from_secs(60);
 /// Streams of a service may be continued for at least so many times the timeout of its routes.
 const TIMEOUTS: u32 = 2;
 
@@ -410,9 +412,12 @@
     let longest = shared.origins.borrow().longest_lifetime();
     let mut histories = shared.histories.borrow_mut();
     for (service, timeout) in streaming_services(&config) {
-        let lifetime = longest.max(timeout * TIMEOUTS);
+        let lifetime = longest.max(timeout * TIMEOUTS) + SERVES_ON;
         let servers = registry.all().filter(|server| server.service == service);
         let history = histories.entry(stable_hash(service)).or_default();
+        if shared.node().first_start && history.saved.is_none() {
+            history.own.begin();
+        }
         history.own.observe(now, lifetime, servers.map(SoftwareId::of));
     }
 }
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -24,6 +24,8 @@
     pub peer_port: u16,
     /// The platform's metadata store.
     pub store: SocketAddr,
+    /// Whether the whole system starts for the first time, so that no stream was served before.
+    pub first_start: bool,
     /// Bounds of the deployment.
     pub bounds: Bounds,
 }
--- a/crates/router/src/stream_origin/history.rs
+++ b/crates/router/src/stream_origin/history.rs
@@ -30,8 +30,13 @@
 }
 
 impl SoftwareHistory {
-    /// Observes the softwares that are registered now, while streams may be continued for `lifetime`.
-    /// Forgets the softwares whose streams have all ended.
+    /// Marks the history as complete: the whole system starts for the first time.
+    pub fn begin(&mut self) {
+        self.since = Some(Timestamp::default());
+    }
+
+    /// Observes the softwares that are registered now. Forgets those that left `lifetime` ago, so that
+    /// all their streams have ended.
     pub fn observe(
         &mut self,
         now: Timestamp,
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -415,6 +415,7 @@
             ready: Some((ip, READY_PORT).into()),
             peer_port: PEER_PORT,
             store: address(self.net, 1, STORE_PORT),
+            first_start: true,
             bounds: Bounds {
                 budget_ratio: 0.2,
                 budget_extra: 54.0,
