soak: engines of five versions that replace each other, callers that take up streams

What a caller's stream holds is checked by version, in one answer and over four attempts, while engines are replaced, gateways are killed one by one and all at once, and the store and paths fail.

--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -19,7 +19,7 @@
 
 use self::cluster::{
     ACCOUNT_KINDS, BASIC_KINDS, CRASH_KINDS, DRAINING_KINDS, GENERAL_KINDS, Plan, RATE_LIMIT_KINDS,
-    REGISTRATION_KINDS, RESPONSE_KINDS, run_plan,
+    REGISTRATION_KINDS, RESPONSE_KINDS, VERSION_KINDS, run_plan,
 };
 
 /// Seeds that failed once, each with the fault that it found.
@@ -64,6 +64,13 @@
     run_plan(Plan { seed: 9, gateways: 4, ..plan });
 }
 
+#[test]
+fn versions_in_a_short_run() {
+    let plan = Plan { seed: 10, faults: Duration::from_secs(8), gateways: 3, kinds: VERSION_KINDS };
+    run_plan(plan);
+    run_plan(Plan { seed: 11, gateways: 5, ..plan });
+}
+
 #[test]
 fn seeds_that_failed_keep_the_promises() {
     for (seed, found) in REGRESSION_SEEDS {
@@ -87,5 +94,6 @@
         run_plan(Plan { seed, faults, gateways, kinds: CRASH_KINDS });
         run_plan(Plan { seed, faults, gateways, kinds: RATE_LIMIT_KINDS });
         run_plan(Plan { seed, faults, gateways, kinds: ACCOUNT_KINDS });
+        run_plan(Plan { seed, faults, gateways, kinds: VERSION_KINDS });
     }
 }
--- a/crates/daemon/tests/soak/callers.rs
+++ b/crates/daemon/tests/soak/callers.rs
@@ -11,6 +11,8 @@
 
 use crate::cluster::Cluster;
 
+/// Most attempts to take up one stream.
+const TAKE_UPS_MAX: usize = 3;
 /// Time after which a caller gives up an answer; longer than the timeout of any route.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(16);
 
@@ -25,6 +27,8 @@
     served: usize,
     /// Requests sent while a backend server could serve them.
     counted: usize,
+    /// Streams that callers took up, and how many of these attempts went on.
+    taken_up: (usize, usize),
 }
 
 impl Expectations {
@@ -48,9 +52,10 @@
             cluster.account_checks.get(),
         );
         let (served, counted) = (self.served, self.counted);
+        let (taken_up, continued) = self.taken_up;
         println!(
-            "seed {seed}: {served} of {counted} served; checked {drains} drains, \
-             {crashes} crashing requests, {accounts} keys and quotas"
+            "seed {seed}: {served} of {counted} served, {continued} of {taken_up} take-ups went on; \
+             checked {drains} drains, {crashes} crashing requests, {accounts} keys and quotas"
         );
     }
 }
@@ -82,6 +87,10 @@
                 let is_counted = servable && cluster.is_servable(path);
                 cluster.expectations.borrow_mut().counted += usize::from(is_counted);
                 check_answer(&cluster, path, &attempt, &answer, is_counted);
+                let breaks_off = answer.status == 200 && !answer.complete;
+                if cluster.plan.has_versions() && path == SUMMARY && breaks_off {
+                    take_up(&cluster, &mut rng, &attempt, answer).await;
+                }
             }
             // The process was down, so that the connection failed; not counted.
             Ok(Err(ExchangeError::Unsent)) => {}
@@ -94,6 +103,41 @@
     }
 }
 
+/// Takes up a stream that broke off, at gateways drawn at random, and checks that all its events come
+/// from one version, each of them once.
+async fn take_up(cluster: &Cluster, rng: &mut ChaCha8Rng, attempt: &str, begun: Answer) {
+    let seed = cluster.plan.seed;
+    let (mut versions, mut events) = (begun.versions(), begun.events());
+    for n in 0..TAKE_UPS_MAX {
+        let Some(last) = events.last().copied() else {
+            return;
+        };
+        compio::time::sleep(Duration::from_millis(rng.random_range(0..400))).await;
+        let caller = cluster.caller(rng.random_range(0..cluster.gateways.len()));
+        let again = format!("{attempt}-{n}");
+        let request = caller.take_up_request(&again, &[attempt], last);
+        let Ok(Ok(answer)) = compio::time::timeout(ANSWER_TIMEOUT, caller.send(request)).await
+        else {
+            continue;
+        };
+        let mut expectations = cluster.expectations.borrow_mut();
+        expectations.taken_up.0 += 1;
+        if answer.status == 503 {
+            expectations.not_run.push(again);
+            continue;
+        }
+        expectations.taken_up.1 += usize::from(!answer.events().is_empty());
+        versions.extend(answer.versions());
+        events.extend(answer.events());
+        assert!(versions.len() <= 1, "seed {seed}: {attempt} holds events of {versions:?}");
+        let expected: Vec<u64> = (1..=events.len() as u64).collect();
+        assert_eq!(events, expected, "seed {seed}: {attempt} has a gap");
+        if answer.complete && answer.status == 200 {
+            return;
+        }
+    }
+}
+
 fn check_answer(cluster: &Cluster, path: &str, attempt: &str, answer: &Answer, is_counted: bool) {
     let seed = cluster.plan.seed;
     match answer.status {
@@ -106,12 +150,20 @@
             assert!(body.contains(attempt), "seed {seed}: {attempt} got {body}");
             assert!(cluster.runs(attempt) > 0, "seed {seed}: {attempt} never ran");
             if path == SUMMARY || path == ONCE_SUMMARY {
+                let versions = answer.versions();
+                assert_eq!(
+                    versions.len(),
+                    1,
+                    "seed {seed}: {attempt} holds events of {versions:?}"
+                );
                 let all: Vec<u64> = (1..=20).collect();
                 assert_eq!(answer.events(), all, "seed {seed}: {attempt} misses events");
             }
             cluster.expectations.borrow_mut().served += usize::from(is_counted);
         }
         200 => {
+            let versions = answer.versions();
+            assert!(versions.len() <= 1, "seed {seed}: {attempt} holds events of {versions:?}");
             let events = answer.events();
             let expected: Vec<u64> = (1..=events.len() as u64).collect();
             assert_eq!(events, expected, "seed {seed}: {attempt} has a gap");
--- a/crates/daemon/tests/soak/cluster.rs
+++ b/crates/daemon/tests/soak/cluster.rs
@@ -66,6 +66,12 @@
 /// network paths.
 pub const ACCOUNT_KINDS: &[u32] = &[0, 1, 2, 3, 4, 5, 6, 8, 10, 12, 18, 18, 18, 19, 19];
 
+/// Engines that are replaced by ones of other versions, and gateways that are killed all at once,
+/// with faults of gateways, of the store and of network paths.
+pub const VERSION_KINDS: &[u32] = &[0, 1, 2, 3, 4, 6, 8, 9, 10, 20, 20, 20, 20, 21];
+/// Versions that engines are replaced by.
+pub const VERSIONS: [&str; 5] = ["v1", "v2", "v3", "v4", "v5"];
+
 /// Key of an account without a quota.
 pub const UNLIMITED_KEY: &str = "steady";
 /// Key of an account with a quota.
@@ -120,6 +126,11 @@
     pub fn needs_keys(&self) -> bool {
         self.kinds.contains(&18)
     }
+
+    /// Are engines of several versions side by side, and do callers take up streams that break off?
+    pub fn has_versions(&self) -> bool {
+        self.kinds.contains(&20)
+    }
 }
 
 /// A configuration as an operator writes it, with the given revocable keys.
@@ -173,7 +184,11 @@
         let store_relay = start_relay((ip(2), 8_142).into(), (ip(1), 8_142).into()).await;
         let second_relay = start_relay((ip(3), 8_142).into(), (ip(2), 8_142).into()).await;
         let mut runners = Vec::new();
-        let stages = [Some(Stage::Prefill), Some(Stage::Decode), Some(Stage::Decode), None, None];
+        let mut stages =
+            vec![Some(Stage::Prefill), Some(Stage::Decode), Some(Stage::Decode), None, None];
+        if plan.has_versions() {
+            stages.extend([Some(Stage::Decode); 4]);
+        }
         for (i, stage) in stages.into_iter().enumerate() {
             let host = 10 + i as u8;
             let server = Server {
@@ -184,7 +199,8 @@
                 slots: 12,
                 draining: false,
                 stage,
-                version: SoftwareVersion::new("v1"),
+                // The engines that are added for several versions come in pairs.
+                version: SoftwareVersion::new(VERSIONS[i.saturating_sub(3) / 2]),
             };
             let runner = BackendServer::start(server, BackendSpec::default()).await;
             let front: SocketAddr = (ip(host + 20), 8_147).into();
--- a/crates/daemon/tests/soak/faults.rs
+++ b/crates/daemon/tests/soak/faults.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
+use ebonyloft_router::catalog::Stage;
 use ebonyloft_standins::fleet::backend::{self, BackendServer, CRASH_PREFIX};
 use ebonyloft_standins::fleet::caller::Caller;
 use ebonyloft_standins::fleet::store;
@@ -14,7 +15,8 @@
 use rustix::process::Signal;
 
 use crate::cluster::{
-    Cluster, QUOTA, QUOTA_KEY, REVOKE_BOUND, RUNNER_FAULTS, STORE_FAULTS, TOKENS_PER_CALL,
+    Cluster, Gateway, QUOTA, QUOTA_KEY, REVOKE_BOUND, RUNNER_FAULTS, STORE_FAULTS, TOKENS_PER_CALL,
+    VERSIONS,
 };
 
 /// Invalid values of a server registration in the store.
@@ -66,6 +68,14 @@
     }
 }
 
+/// Replaces a decode engine by one of another version, unless that is under way.
+async fn replace_engine(runner: &Rc<BackendServer>, version: usize) {
+    let decodes = runner.server.borrow().stage == Some(Stage::Decode);
+    if decodes && runner.is_up() {
+        runner.replace_with(VERSIONS[version]).await;
+    }
+}
+
 async fn inject_fault(cluster: &Cluster, seed: u64) {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let duration = ms(rng.random_range(100..2_500));
@@ -130,6 +140,13 @@
         }
         18 => check_key_revocation(cluster, &format!("{seed:x}")).await,
         19 => check_quota(cluster, &format!("{seed:x}")).await,
+        20 => replace_engine(runner, rng.random_range(0..VERSIONS.len())).await,
+        21 => {
+            cluster.mark_stale(duration);
+            cluster.gateways.iter().for_each(|gateway| gateway.signal(Signal::KILL));
+            compio::time::sleep(duration / 3).await;
+            cluster.gateways.iter().for_each(Gateway::restart_if_ended);
+        }
         17 => check_rate_limit(cluster, runner, rng.random_range(2..9)).await,
         _ => {
             let name = runner.server.borrow().id.name.clone();
