--- a/crates/core/tests/request.rs
+++ b/crates/core/tests/request.rs
@@ -59,6 +59,7 @@
         remote_prefill: false,
         work,
         avoid: Vec::new(),
+        begun_by: None,
     })
 }
 
--- a/crates/core/tests/route.rs
+++ b/crates/core/tests/route.rs
@@ -44,6 +44,7 @@
         remote_prefill: false,
         work: Work::Plain(call),
         avoid: Vec::new(),
+        begun_by: None,
     }
 }
 
