streams: the store is polled rather than awaited, and in its outage the other gateways confirm

A poll beside the watch, one in 200 ms for all questions, confirms that no server has joined; in an outage the reports of all other gateways since the question do. A gateway that has just started asks again until one that follows the store answers.

--- a/crates/daemon/src/gateway/origins.rs
+++ b/crates/daemon/src/gateway/origins.rs
@@ -32,7 +32,7 @@
 
 use super::intake::Intake;
 use super::shared::{Shared, SnapshotVersion};
-use super::watch::Sink;
+use super::watch::{ALL_KEYS, Sink};
 use crate::http;
 
 /// Path at which a gateway answers questions.
@@ -58,6 +58,10 @@
 const SLOTS: u64 = 32;
 /// Longest wait for the store to confirm that no other version has joined: as long as a watch.
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Shortest interval between two polls of the store for that.
+const POLL_INTERVAL: Duration = Duration::from_millis(200);
+/// Pause before peers are asked again.
+const ASK_AGAIN: Duration = Duration::from_millis(100);
 /// Interval between checks of that.
 const CONFIRM_POLL: Duration = Duration::from_millis(20);
 /// Timeout of a question to a gateway that follows the store.
@@ -155,29 +159,40 @@
     software.version(shared.registry.borrow().all()).map(str::to_owned)
 }
 
-/// Concludes which software began a stream from what this gateway and its peers know.
+/// Concludes which software began a stream from what this gateway and its peers know. While no gateway
+/// that follows the store answers, as after a loss of them, it asks again.
 async fn lookup(shared: &Rc<Shared>, key: Option<StreamKey>, service: &str) -> Origin {
-    let own = recorded(shared, key);
-    if own != Testimony::Nothing {
-        return conclude([own].into_iter());
-    }
     if shared.origin_questions.get() >= QUESTIONS_MAX {
         return Origin::Unknown;
     }
     let _open = OpenQuestion::new(shared.clone());
+    let asked_at = shared.now();
     let question = Question { key, service: service.to_owned() };
-    let followers = followers(shared);
-    let asked = ask(shared, &followers, &question, QUESTION_TIMEOUT);
-    let (own, mut known) = join(sole_software(shared, service), asked).await;
-    known.push(own);
-    let origin = conclude(known.iter().copied());
-    if origin != Origin::Unknown || key.is_none() {
-        return origin;
+    loop {
+        let own = recorded(shared, key);
+        if own != Testimony::Nothing {
+            return conclude([own].into_iter());
+        }
+        let followers = followers(shared);
+        let asked = ask(shared, &followers, &question, QUESTION_TIMEOUT);
+        let (own, mut known) = join(sole_software(shared, service), asked).await;
+        known.extend(own);
+        let is_answered = !known.is_empty();
+        let mut origin = conclude(known.iter().copied());
+        if origin == Origin::Unknown && key.is_some() {
+            // A gateway that is cut off from those that follow the store may still be reached.
+            let others = other_peers(shared, &followers);
+            known.extend(ask(shared, &others, &question, PEER_TIMEOUT).await);
+            origin = conclude(known.into_iter());
+        }
+        if origin != Origin::Unknown
+            || is_answered
+            || shared.now() >= asked_at.after(CONFIRM_TIMEOUT)
+        {
+            return origin;
+        }
+        compio::time::sleep(ASK_AGAIN).await;
     }
-    // A gateway that is cut off from those that follow the store may still be reached.
-    let others = other_peers(shared, &followers);
-    known.extend(ask(shared, &others, &question, PEER_TIMEOUT).await);
-    conclude(known.into_iter())
 }
 
 /// Counts a request that asks peers until it is dropped, which it also is if its caller disconnects.
@@ -201,27 +216,64 @@
     key.map_or(Testimony::Nothing, |key| shared.origins.borrow().testimony(now, key))
 }
 
-/// The only software that a service has had, as far as this gateway can tell. It waits until the store
-/// has confirmed that no other one has joined before the question.
-async fn sole_software(shared: &Shared, service: &str) -> Testimony {
+/// The only software that a service has had, as far as a gateway can tell that follows the store; none
+/// if it can't tell. It must have been confirmed since the question that no other one has joined.
+async fn sole_software(shared: &Shared, service: &str) -> Option<Testimony> {
     let asked_at = shared.now();
-    let id = stable_hash(service);
-    let sole = || match shared.histories.borrow().get(&id) {
-        Some(history) => history.own.testimony(shared.now()),
-        None => Testimony::Nothing,
-    };
-    let is_useful = || shared.role.borrow().follows() && !shared.store_state.borrow().is_away();
-    while is_useful() && sole() != Testimony::Nothing {
-        if shared.store_state.borrow().known_at() >= asked_at {
+    while shared.role.borrow().follows() && shared.now() < asked_at.after(CONFIRM_TIMEOUT) {
+        if is_confirmed_since(shared, asked_at) {
             observe(shared);
-            return sole();
-        }
-        if shared.now() >= asked_at.after(CONFIRM_TIMEOUT) {
-            break;
+            let histories = shared.histories.borrow();
+            let history = histories.get(&stable_hash(service));
+            return history.map(|history| history.own.testimony(shared.now()));
         }
+        poll_store(shared).await;
         compio::time::sleep(CONFIRM_POLL).await;
     }
-    Testimony::Nothing
+    None
+}
+
+/// Has it been confirmed since `at` that no server has joined which this gateway does not know, by the
+/// store, or while that is unreachable by all other gateways?
+fn is_confirmed_since(shared: &Shared, at: Timestamp) -> bool {
+    let state = shared.store_state.borrow();
+    if !state.is_away() {
+        return state.known_at() >= at || shared.polls.get().confirmed_at >= at;
+    }
+    let (node, fleet, revision) =
+        (shared.node(), shared.fleet.borrow(), shared.registry.borrow().revision());
+    let mut others = fleet.all().keys().filter(|name| **name != node.name);
+    let load_reports = shared.load_reports.borrow();
+    shared.scope() == Scope::All
+        && load_reports.newest_roster() <= revision
+        && others.all(|name| load_reports.received_at(name).is_some_and(|received| received >= at))
+}
+
+/// Polls of the store for changes that the watch has not brought yet, for all questions together.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Polls {
+    /// When the last one began.
+    begun_at: Timestamp,
+    /// When the last one began that found no change.
+    confirmed_at: Timestamp,
+}
+
+/// Asks the store whether anything has changed since the last answer to the watch, unless it was asked
+/// just before. The watch itself may stay open for a second.
+async fn poll_store(shared: &Shared) {
+    let (now, polls) = (shared.now(), shared.polls.get());
+    let Some(revision) = shared.watched_revision.get() else {
+        return;
+    };
+    if now < polls.begun_at.after(POLL_INTERVAL) || shared.store_state.borrow().is_away() {
+        return;
+    }
+    shared.polls.set(Polls { begun_at: now, ..polls });
+    let changes = shared.store.poll_changes(ALL_KEYS, revision).await;
+    let is_same = shared.watched_revision.get() == Some(revision);
+    if changes.is_ok_and(|page| page.items.is_empty()) && is_same {
+        shared.polls.set(Polls { confirmed_at: now, ..shared.polls.get() });
+    }
 }
 
 /// Asks gateways at once; returns early with the first record.
@@ -241,6 +293,9 @@
         to.iter().map(|addr| ask_one(shared, *addr, bytes.clone(), limit)).collect();
     let mut known = Vec::new();
     while let Some(testimony) = answers.next().await {
+        let Some(testimony) = testimony else {
+            continue;
+        };
         known.push(testimony);
         if matches!(testimony, Testimony::Recorded(_) | Testimony::Contradictory) {
             break;
@@ -249,22 +304,28 @@
     known
 }
 
-async fn ask_one(shared: &Shared, to: SocketAddr, body: Bytes, limit: Duration) -> Testimony {
+/// Asks one gateway; none if it does not answer.
+async fn ask_one(
+    shared: &Shared,
+    to: SocketAddr,
+    body: Bytes,
+    limit: Duration,
+) -> Option<Testimony> {
     let mut req = Request::new(body);
     *req.method_mut() = Method::POST;
     *req.uri_mut() = PATH.parse().expect("a fixed path is valid");
     match shared.pool.call(to, req, limit).await {
         Ok((StatusCode::OK, body)) => ciborium::from_reader(&body[..])
             .inspect_err(|e| tracing::warn!(%to, error = %e, "can't decode answer about a stream"))
-            .unwrap_or(Testimony::Nothing),
+            .ok(),
         // A gateway of an older release does not know the path.
         Ok((status, _)) => {
             tracing::debug!(%to, %status, "peer knows nothing of streams");
-            Testimony::Nothing
+            Some(Testimony::Nothing)
         }
         Err(e) => {
             tracing::info!(%to, error = %e, "can't ask peer about a stream");
-            Testimony::Nothing
+            None
         }
     }
 }
@@ -279,7 +340,7 @@
         return reply(StatusCode::BAD_REQUEST, Vec::new());
     };
     let testimony = match recorded(&shared, key) {
-        Testimony::Nothing => sole_software(&shared, &service).await,
+        Testimony::Nothing => sole_software(&shared, &service).await.unwrap_or(Testimony::Nothing),
         recorded => recorded,
     };
     let mut bytes = Vec::new();
--- a/crates/daemon/src/gateway/shared.rs
+++ b/crates/daemon/src/gateway/shared.rs
@@ -49,7 +49,7 @@
 
 use super::digest::Digester;
 use super::keys;
-use super::origins::Histories;
+use super::origins::{Histories, Polls};
 use super::pool::Pool;
 use super::store::StoreClient;
 use super::stream::incoming::IncomingReservations;
@@ -174,6 +174,10 @@
     pub origins: RefCell<OriginTable>,
     /// The softwares of services that stream, while this gateway follows the store.
     pub histories: RefCell<Histories>,
+    /// Revision up to which the watch of the store has brought all changes.
+    pub watched_revision: Cell<Option<u64>>,
+    /// Polls of the store beside the watch.
+    pub polls: Cell<Polls>,
     /// Questions to peers about the software that began a stream, under way.
     pub origin_questions: Cell<usize>,
     /// Peers whose gossip state differs from this gateway's, and since when.
@@ -272,6 +276,8 @@
             unsaved_confirmations: RefCell::default(),
             origins: RefCell::default(),
             histories: RefCell::default(),
+            watched_revision: Cell::default(),
+            polls: Cell::default(),
             origin_questions: Cell::new(0),
             divergence: RefCell::default(),
             lock_available: Cell::new(true),
--- a/crates/daemon/src/gateway/watch.rs
+++ b/crates/daemon/src/gateway/watch.rs
@@ -55,6 +55,7 @@
     loop {
         if !shared.role.borrow().follows() {
             from = None;
+            shared.watched_revision.set(None);
             compio::time::sleep(ROLE_CHECK_INTERVAL).await;
             continue;
         }
@@ -64,6 +65,7 @@
         };
         match step {
             Ok(revision) => {
+                shared.watched_revision.set(Some(revision));
                 age = Consistency::Current;
                 let changed = from.replace(revision).is_some_and(|before| before != revision);
                 backoff = BACKOFF_MIN;
@@ -74,6 +76,7 @@
             Err(StoreError::Compacted) => {
                 tracing::info!(prefix, after = from, "history was compacted, listing again");
                 from = None;
+                shared.watched_revision.set(None);
             }
             Err(e) => {
                 on_store_failure(&shared, prefix, &e);
--- a/crates/router/src/load_report.rs
+++ b/crates/router/src/load_report.rs
@@ -219,6 +219,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct LoadReports {
     peers: HashMap<String, Peer>,
+    /// Highest revision of the server registry that any peer has reported.
+    newest_roster: u64,
 }
 
 impl LoadReports {
@@ -229,6 +231,7 @@
         {
             return false;
         }
+        self.newest_roster = self.newest_roster.max(report.roster);
         // Shapes are sent when they have changed; until then the last ones hold.
         if let Some(before) = self.peers.remove(&report.name)
             && report.shapes.is_empty()
@@ -239,6 +242,16 @@
         true
     }
 
+    /// Returns the highest revision of the server registry that any peer has reported.
+    pub fn newest_roster(&self) -> u64 {
+        self.newest_roster
+    }
+
+    /// Returns when the last report of a peer was received.
+    pub fn received_at(&self, name: &str) -> Option<Timestamp> {
+        self.peers.get(name).map(|peer| peer.received_at)
+    }
+
     /// Is this incarnation of a peer unknown yet?
     pub fn is_new(&self, name: &str, incarnation: u64) -> bool {
         self.peers.get(name).is_none_or(|peer| peer.report.incarnation != incarnation)
--- a/crates/standins/tests/versions.rs
+++ b/crates/standins/tests/versions.rs
@@ -185,6 +185,8 @@
         let caller = fleet.caller(0);
         let rest = caller.send(caller.take_up_request("s2", &[], 5)).await.expect("an answer");
         assert_eq!((rest.status, rest.complete), (200, true));
+        // The store is asked whether another one has joined; the answer to the watch is not awaited.
+        assert!(rest.first_byte < SECOND / 2, "{:?}", rest.first_byte);
     });
 }
 
@@ -421,3 +423,23 @@
         assert_eq!(fleet.backends[4].run_count("s9-again"), 1);
     });
 }
+
+/// Guards against streams of the only version being refused while the store is down, where the attempt
+/// that began them is not stated or its record is lost.
+#[test]
+fn streams_of_the_only_version_are_continued_while_the_store_is_down() {
+    for fault in [store::Fault::Busy, store::Fault::Silent] {
+        with_fleet(spec(3), async |fleet| {
+            add_engines(fleet, &["v1", "v1", "v1"]).await;
+            fleet.store.set_fault(fault);
+            compio::time::sleep(3 * SECOND).await;
+            for gateway in 0..3 {
+                let caller = fleet.caller(gateway);
+                let request = caller.take_up_request(&format!("s{gateway}"), &[], 5);
+                let rest = caller.send(request).await.expect("an answer");
+                assert_eq!((rest.status, rest.complete), (200, true), "{gateway}: {rest:?}");
+                assert!(rest.first_byte < SECOND, "{:?}", rest.first_byte);
+            }
+        });
+    }
+}
