--- a/crates/cli/src/cmd/trace.rs
+++ b/crates/cli/src/cmd/trace.rs
@@ -60,6 +60,9 @@
     for line in &lines {
         writeln!(out, "{}", format_line(line))?;
     }
+    if let Some(explanation) = lines.iter().rev().find_map(explain_version) {
+        writeln!(out, "{explanation}")?;
+    }
     if let Some(explanation) = lines.iter().rev().find_map(explain_end) {
         writeln!(out, "{explanation}")?;
     }
@@ -106,6 +109,24 @@
     format!("{}  {:<18} {}", field(line, "timestamp"), field(line, "message"), fields.join(" "))
 }
 
+/// Explains which software version a request that resumed a stream had to go to, and why.
+fn explain_version(line: &Map<String, Value>) -> Option<String> {
+    if field(line, "message") != "stream resumed" {
+        return None;
+    }
+    let attempt = match field(line, "resumes") {
+        "" => "an attempt that it does not name".to_owned(),
+        id => format!("attempt {id}"),
+    };
+    Some(match (field(line, "origin"), field(line, "version")) {
+        ("Unknown", _) => {
+            format!("It resumes {attempt}; no gateway knows which version of the servers began it.")
+        }
+        (_, "") => format!("It resumes {attempt}; no server of the version that began it is left."),
+        (_, version) => format!("It resumes {attempt}, which version {version} began."),
+    })
+}
+
 /// Explains how a request ended; `None` for lines that do not end one.
 fn explain_end(line: &Map<String, Value>) -> Option<&'static str> {
     let cause = match (field(line, "message"), field(line, "cause")) {
@@ -145,6 +166,12 @@
         "Suspect" => {
             "Refused: the same request may have crashed a server, which is being checked. It did not run."
         }
+        "NoVersion" => {
+            "Refused: no server has the software version that began its stream. It did not run."
+        }
+        "OriginUnknown" => {
+            "Refused: it is not known which software version began its stream. It did not run."
+        }
         "Lost" => "Failed: it was sent and no whole answer came; it may have run.",
         _ => return None,
     })
--- a/crates/cli/tests/trace.rs
+++ b/crates/cli/tests/trace.rs
@@ -94,3 +94,24 @@
         assert!(text.contains(explanation), "{cause}: {text}");
     }
 }
+
+/// Guards against a trace that does not tell which software version a resumed stream had to go to.
+#[test]
+fn the_version_of_a_resumed_stream_is_explained() {
+    let explained = |fields: &str, cause: &str| {
+        let resumed = format!(r#"{{"message":"stream resumed","id":"g7",{fields}}}"#);
+        let refused = format!(r#"{{"message":"request refused","id":"g7","cause":"{cause}"}}"#);
+        let out = trace(&["g7"], &format!("{resumed}\n{refused}\n"));
+        String::from_utf8_lossy(&out.stdout).into_owned()
+    };
+    let text = explained(
+        r#""resumes":"a1","origin":"Software(SoftwareId(7))","version":"v1.1""#,
+        "Overload",
+    );
+    assert!(text.contains("It resumes attempt a1, which version v1.1 began."), "{text}");
+    let text = explained(r#""resumes":"a1","origin":"Software(SoftwareId(7))""#, "NoVersion");
+    assert!(text.contains("no server of the version that began it is left"), "{text}");
+    assert!(text.contains("no server has the software version that began its stream"), "{text}");
+    let text = explained(r#""origin":"Unknown""#, "OriginUnknown");
+    assert!(text.contains("an attempt that it does not name; no gateway knows"), "{text}");
+}
--- a/crates/daemon/src/gateway/origins.rs
+++ b/crates/daemon/src/gateway/origins.rs
@@ -123,18 +123,17 @@
     }
     let ms = shared.now().since(asked_at).as_millis() as u64;
     let SnapshotVersion { config, roster, age } = shared.snapshot_version();
+    let version = version_name(shared, intake.origin);
     tracing::info!(
         id = intake.id(), resumes = intake.resumed_attempt(), last = intake.caller.last_event,
         service = %intake.service, origin = ?intake.origin,
-        version = version_name(shared, intake.origin), ms, config, roster, age, "stream resumed"
-    );
-    shared.metrics.count(
-        match intake.origin {
-            Origin::Unknown => "gateway.origin.unknown",
-            _ => "gateway.origin.known",
-        },
-        1,
+        version, ms, config, roster, age, "stream resumed"
     );
+    match (intake.origin, version) {
+        (Origin::Unknown, _) => shared.metrics.count("gateway.origin.unknown", 1),
+        (_, Some(version)) => shared.metrics.count_version("gateway.origin.version", &version),
+        (_, None) => shared.metrics.count("gateway.origin.version_gone", 1),
+    }
 }
 
 /// Changes the service of a request to the one of its route that has the software.
@@ -152,7 +151,7 @@
 }
 
 /// Name of the version that a stream must be continued with, if a known server has it.
-pub fn version_name(shared: &Shared, origin: Origin) -> Option<String> {
+fn version_name(shared: &Shared, origin: Origin) -> Option<String> {
     let Origin::Software(software) = origin else {
         return None;
     };
--- a/crates/standins/tests/versions.rs
+++ b/crates/standins/tests/versions.rs
@@ -102,6 +102,9 @@
             let begun = begin(fleet, 0, &attempt).await;
             let rest = take_up(fleet, n % 2, &attempt, &begun).await;
             assert_continued(&begun, &rest);
+            let counter = format!("ebonyloft_gateway_origin_version_{}", version_of(&begun));
+            let page = fleet.metrics(n % 2).await;
+            assert!(page.contains(&counter), "{page}");
             compio::time::sleep(FAULT_BACKOFF).await;
         }
     });
@@ -248,6 +251,8 @@
         compio::time::sleep(SECOND).await;
         let rest = take_up(fleet, 0, "s1", &begun).await;
         assert_refused(fleet, &rest, "s1-again", "no-version", SECOND / 5);
+        let page = fleet.metrics(0).await;
+        assert!(page.contains("ebonyloft_gateway_origin_version_v1 1"), "{page}");
         // A new stream is served by the new version.
         let answer = fleet.caller(0).summary(SUMMARY, "s2").await.expect("an answer");
         assert_eq!((version_of(&answer), answer.complete), ("v2".to_owned(), true));
