--- a/crates/standins/tests/accounts.rs
+++ b/crates/standins/tests/accounts.rs
@@ -317,3 +317,20 @@
         assert_eq!(call(fleet, 3, "k1", "c1").await, 200);
     });
 }
+
+/// The same where the processes of the lost gateways are gone, so that no server of theirs answers.
+#[test]
+fn a_quota_owner_whose_process_is_gone_is_replaced() {
+    let accounts = vec![account("one", &["k1"], Some((8_000, 8_000)))];
+    with_fleet(FleetSpec { threads: true, ..spec(4, accounts) }, async |fleet| {
+        compio::time::sleep(SECOND).await;
+        assert_eq!(call(fleet, 3, "k1", "c0").await, 200);
+        for gateway in 0..3 {
+            fleet.stop(gateway);
+        }
+        let ended = eventually(10 * SECOND, || fleet.has_stopped(0)).await;
+        assert!(ended);
+        compio::time::sleep(2 * SECOND).await;
+        assert_eq!(call(fleet, 3, "k1", "c1").await, 200);
+    });
+}
