--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -152,8 +152,8 @@
     spawn(peers::send_load_reports(shared.clone(), socket.clone()));
     spawn(peers::send_zone_summaries(shared.clone(), socket.clone()));
     spawn(gossip::broadcast(shared.clone(), socket.clone()));
-    spawn(origins::report(shared.clone()));
-    spawn(origins::keep_history(shared.clone()));
+    spawn(origins::records::report(shared.clone()));
+    spawn(origins::histories::keep(shared.clone()));
     spawn(peers::send_messages(shared.clone(), socket.clone()));
     spawn(keys::keep_fresh(shared.clone()));
     spawn(peers::receive(shared.clone(), socket));
--- a/crates/daemon/src/gateway/gossip.rs
+++ b/crates/daemon/src/gateway/gossip.rs
@@ -81,7 +81,7 @@
     quarantine::apply_reports(shared, &state.quarantine_updates, Some(peer));
     state.leaving.iter().for_each(|id| announcements::on_leaving(shared, id, peer));
     state.limits.iter().for_each(|word| limits::on_report(shared, word, peer));
-    origins::on_records(shared, &state.origins);
+    origins::records::on_records(shared, &state.origins);
 }
 
 /// Checksum of the gossip state; zero if the state is empty.
--- a/crates/daemon/src/gateway/origins.rs
+++ b/crates/daemon/src/gateway/origins.rs
@@ -6,6 +6,9 @@
 //! leaves, which versions a service has had: so much outlives the loss of all gateways. What follows from
 //! it is decided in `ebonyloft_router::stream_origin`.
 
+pub mod histories;
+pub mod records;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -13,14 +16,8 @@
 
 use bytes::Bytes;
 use ebonyloft_core::ids::Account;
-use ebonyloft_core::time::Timestamp;
 use ebonyloft_platform::headers::Resumes;
-use ebonyloft_platform::store::{Item, StoreError, Write};
-use ebonyloft_router::catalog::{Config, Kind, Server};
-use ebonyloft_router::divergence::stable_hash;
-use ebonyloft_router::load_report::{GossipMessage, GossipState};
-use ebonyloft_router::stream_origin::history::SoftwareHistory;
-use ebonyloft_router::stream_origin::table::OriginRecord;
+use ebonyloft_router::catalog::Kind;
 use ebonyloft_router::stream_origin::{Origin, SoftwareId, StreamKey, Testimony, conclude};
 use ebonyloft_router::zones::Scope;
 use futures_util::StreamExt;
@@ -30,40 +27,16 @@
 use hyper::{Method, Request, Response, StatusCode};
 use serde::{Deserialize, Serialize};
 
+use self::histories::{CONFIRM_TIMEOUT, sole_software};
 use super::intake::Intake;
 use super::shared::{Shared, SnapshotVersion};
-use super::watch::{ALL_KEYS, Sink};
 use crate::http;
 
 /// Path at which a gateway answers questions.
 pub const PATH: &str = "/stream-origin";
-/// Prefix of the store's records of streams, by zone and slot.
-pub const RECORD_PREFIX: &str = "ebonyloft/origins/";
-/// Prefix of the store's histories, by hash of the service's name.
-pub const HISTORY_PREFIX: &str = "ebonyloft/software/";
 
-/// Interval at which new records are reported.
-const REPORT_INTERVAL: Duration = Duration::from_millis(30);
-/// Most records in a datagram.
-const RECORDS_MAX: usize = 128;
-/// Interval at which histories are observed, and records written to the store.
-const SAVE_INTERVAL: Duration = Duration::from_millis(500);
-/// Rounds of that interval between two writes of records.
-const RECORD_ROUNDS: u64 = 2;
-/// Rounds after which the second gateway that follows the store writes what the first one did not.
-const STANDBY_ROUNDS: u32 = 6;
-/// Most records of one write.
-const SAVED_MAX: usize = 4_096;
-/// Slots that records are written to in turn: half a minute of streams.
-const SLOTS: u64 = 32;
-/// Longest wait for the store to confirm that no other version has joined: as long as a watch.
-const CONFIRM_TIMEOUT: Duration = Duration::from_millis(1_200);
-/// Shortest interval between two polls of the store for that.
-const POLL_INTERVAL: Duration = Duration::from_millis(200);
 /// Pause before peers are asked again.
 const ASK_AGAIN: Duration = Duration::from_millis(100);
-/// Interval between checks of that.
-const CONFIRM_POLL: Duration = Duration::from_millis(20);
 /// Timeout of a question to a gateway that follows the store.
 const QUESTION_TIMEOUT: Duration = Duration::from_millis(1_400);
 /// Timeout of a question to any other gateway, which only looks into its table.
@@ -74,10 +47,6 @@
 const QUESTIONS_MAX: usize = 64;
 /// Largest body of a question.
 const BODY_MAX: usize = 4 << 10;
-/// How long a server that has left may still serve a gateway that does not know: until it exits.
-const SERVES_ON: Duration = Duration::from_secs(60);
-/// Streams of a service may be continued for at least so many times the timeout of its routes.
-const TIMEOUTS: u32 = 2;
 
 /// Asks which software began a stream.
 #[derive(Debug, Deserialize, Serialize)]
@@ -88,23 +57,6 @@
     service: String,
 }
 
-/// The softwares of services, by hash of the service's name.
-pub type Histories = BTreeMap<u64, ServiceHistory>;
-
-/// The softwares of one service.
-#[derive(Debug, Default)]
-pub struct ServiceHistory {
-    own: SoftwareHistory,
-    /// As read from the store, with its revision.
-    saved: Option<(SoftwareHistory, u64)>,
-    /// Rounds for which the store has been without what this gateway knows.
-    unsaved_rounds: u32,
-}
-
-/// A record in the store.
-#[derive(Debug, Deserialize, Serialize)]
-struct SavedRecord(StreamKey, SoftwareId, Timestamp);
-
 /// The software that a request's stream must be continued with, and the route's service that has it.
 pub async fn resolve(shared: &Rc<Shared>, intake: &mut Intake) {
     if intake.route().kind != Kind::Stream {
@@ -215,66 +167,6 @@
     key.map_or(Testimony::Nothing, |key| shared.origins.borrow().testimony(now, key))
 }
 
-/// The only software that a service has had, as far as a gateway can tell that follows the store; none
-/// if it can't tell. It must have been confirmed since the question that no other one has joined.
-async fn sole_software(shared: &Shared, service: &str) -> Option<Testimony> {
-    let asked_at = shared.now();
-    while shared.role.borrow().follows() && shared.now() < asked_at.after(CONFIRM_TIMEOUT) {
-        if is_confirmed_since(shared, asked_at) {
-            observe(shared);
-            let histories = shared.histories.borrow();
-            let history = histories.get(&stable_hash(service));
-            return history.map(|history| history.own.testimony(shared.now()));
-        }
-        poll_store(shared).await;
-        compio::time::sleep(CONFIRM_POLL).await;
-    }
-    None
-}
-
-/// Has it been confirmed since `at` that no server has joined which this gateway does not know, by the
-/// store, or while that is unreachable by all other gateways?
-fn is_confirmed_since(shared: &Shared, at: Timestamp) -> bool {
-    let state = shared.store_state.borrow();
-    if !state.is_away() {
-        return state.known_at() >= at || shared.polls.get().confirmed_at >= at;
-    }
-    let (node, fleet, revision) =
-        (shared.node(), shared.fleet.borrow(), shared.registry.borrow().revision());
-    let mut others = fleet.all().keys().filter(|name| **name != node.name);
-    let load_reports = shared.load_reports.borrow();
-    shared.scope() == Scope::All
-        && load_reports.newest_roster() <= revision
-        && others.all(|name| load_reports.received_at(name).is_some_and(|received| received >= at))
-}
-
-/// Polls of the store for changes that the watch has not brought yet, for all questions together.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Polls {
-    /// When the last one began.
-    begun_at: Timestamp,
-    /// When the last one began that found no change.
-    confirmed_at: Timestamp,
-}
-
-/// Asks the store whether anything has changed since the last answer to the watch, unless it was asked
-/// just before. The watch itself may stay open for a second.
-async fn poll_store(shared: &Shared) {
-    let (now, polls) = (shared.now(), shared.polls.get());
-    let Some(revision) = shared.watched_revision.get() else {
-        return;
-    };
-    if now < polls.begun_at.after(POLL_INTERVAL) || shared.store_state.borrow().is_away() {
-        return;
-    }
-    shared.polls.set(Polls { begun_at: now, ..polls });
-    let changes = shared.store.poll_changes(ALL_KEYS, revision).await;
-    let is_same = shared.watched_revision.get() == Some(revision);
-    if changes.is_ok_and(|page| page.items.is_empty()) && is_same {
-        shared.polls.set(Polls { confirmed_at: now, ..shared.polls.get() });
-    }
-}
-
 /// Asks gateways at once; returns early with the first record.
 async fn ask(
     shared: &Shared,
@@ -376,235 +268,3 @@
     let others = others.map(|(_, g)| g.addr).filter(|addr| !followers.contains(addr));
     others.take(PEERS_MAX).collect()
 }
-
-/// Records which server wrote the first event of a request's answer.
-pub fn on_first_event(shared: &Shared, intake: &Intake, server: &Server) {
-    let Some(attempt) = &intake.caller.attempt else {
-        return;
-    };
-    let account = intake.account.as_ref().map_or("", Account::as_str);
-    let key = StreamKey::new(account, attempt);
-    let now = shared.now();
-    let ends_at = intake.caller.time_left.map_or(intake.ends_at, |left| intake.came_at.after(left));
-    shared.origins.borrow_mut().begin(now, key, SoftwareId::of(server), ends_at);
-}
-
-/// Applies records of a peer.
-pub fn on_records(shared: &Shared, records: &[OriginRecord]) {
-    let now = shared.now();
-    let mut origins = shared.origins.borrow_mut();
-    records.iter().for_each(|record| origins.on_record(now, *record));
-}
-
-/// Reports this gateway's records to the gateways that follow the store, and all of them to one that
-/// is new.
-pub async fn report(shared: Rc<Shared>) {
-    let mut known = BTreeMap::new();
-    loop {
-        compio::time::sleep(REPORT_INTERVAL).await;
-        let followers = followers_in_scope(&shared);
-        let now = shared.now();
-        for (addr, life) in &followers {
-            if known.get(addr) != Some(life) {
-                let own = shared.origins.borrow().own_records(now);
-                own.chunks(RECORDS_MAX).for_each(|records| send(&shared, *addr, records.to_vec()));
-            }
-        }
-        known = followers;
-        while shared.origins.borrow().has_outgoing() {
-            let records = shared.origins.borrow_mut().take_outgoing(now, RECORDS_MAX);
-            known.keys().for_each(|addr| send(&shared, *addr, records.clone()));
-            if records.len() < RECORDS_MAX {
-                break;
-            }
-        }
-    }
-}
-
-fn send(shared: &Shared, to: SocketAddr, origins: Vec<OriginRecord>) {
-    if !origins.is_empty() {
-        let state = GossipState { origins, ..GossipState::default() };
-        shared.queue_message(to, GossipMessage::Notes(state));
-    }
-}
-
-/// Observes the softwares of services and keeps in the store what outlives this process.
-pub async fn keep_history(shared: Rc<Shared>) {
-    let mut round = 0_u64;
-    loop {
-        compio::time::sleep(SAVE_INTERVAL).await;
-        round += 1;
-        shared.origins.borrow_mut().expire(shared.now());
-        shared.metrics.gauge("gateway.origin.records", shared.origins.borrow().len() as u64);
-        if !shared.role.borrow().follows() {
-            // What was missed meanwhile is in the store, and is read when this gateway follows it again.
-            shared.histories.borrow_mut().clear();
-            continue;
-        }
-        observe(&shared);
-        let work = async {
-            save_histories(&shared).await;
-            if round.is_multiple_of(RECORD_ROUNDS) {
-                save_records(&shared, round / RECORD_ROUNDS).await;
-            }
-        };
-        work.await;
-    }
-}
-
-/// The services that stream under a configuration, each with the longest timeout of its routes.
-fn streaming_services(config: &Config) -> BTreeMap<&str, Duration> {
-    let mut services = BTreeMap::new();
-    for route in config.routes.iter().filter(|route| route.kind == Kind::Stream) {
-        for split in &route.split {
-            let longest: &mut Duration = services.entry(&*split.service).or_default();
-            *longest = route.timeout.max(*longest);
-        }
-    }
-    services
-}
-
-fn observe(shared: &Shared) {
-    let Some(config) = shared.config().filter(|_| shared.registry.borrow().is_complete()) else {
-        return;
-    };
-    let (now, registry) = (shared.now(), shared.registry.borrow());
-    let longest = shared.origins.borrow().longest_lifetime();
-    let mut histories = shared.histories.borrow_mut();
-    for (service, timeout) in streaming_services(&config) {
-        let lifetime = longest.max(timeout * TIMEOUTS) + SERVES_ON;
-        let servers = registry.all().filter(|server| server.service == service);
-        let history = histories.entry(stable_hash(service)).or_default();
-        if shared.node().first_start && history.saved.is_none() {
-            history.own.begin();
-        }
-        history.own.observe(now, lifetime, servers.map(SoftwareId::of));
-    }
-}
-
-/// Writes the histories that the store does not have. The second gateway that follows the store does
-/// so only if the first one did not.
-async fn save_histories(shared: &Shared) {
-    let leads = shared.role.borrow().leads();
-    let due: Vec<(u64, SoftwareHistory, u64)> = {
-        let mut histories = shared.histories.borrow_mut();
-        let due = histories.iter_mut().filter_map(|(id, history)| {
-            let saved = history.saved.as_ref();
-            if saved.is_some_and(|(saved, _)| history.own.is_covered_by(saved)) {
-                history.unsaved_rounds = 0;
-                return None;
-            }
-            history.unsaved_rounds += 1;
-            let is_due = leads || history.unsaved_rounds > STANDBY_ROUNDS;
-            is_due.then(|| (*id, history.own.clone(), saved.map_or(0, |(_, revision)| *revision)))
-        });
-        due.collect()
-    };
-    for (id, history, revision) in due {
-        let key = format!("{HISTORY_PREFIX}{id:016x}");
-        let Ok(value) = serde_json::to_vec(&history) else {
-            continue;
-        };
-        let write = Write { key: &key, value: &value, lease: 0 };
-        match shared.store.txn(&[(&key, revision)], &[write]).await {
-            Ok(revision) => {
-                let mut histories = shared.histories.borrow_mut();
-                histories.entry(id).or_default().saved = Some((history, revision));
-            }
-            // Another gateway has written it; the watch brings what it wrote.
-            Err(StoreError::Conflict) => {}
-            Err(e) => tracing::info!(error = %e, "can't write the versions of a service"),
-        }
-    }
-}
-
-/// Writes new records while a service has had several softwares.
-async fn save_records(shared: &Shared, round: u64) {
-    let is_mixed = shared.histories.borrow().values().any(|history| history.own.is_mixed());
-    if !is_mixed || !shared.role.borrow().leads() {
-        return;
-    }
-    let now = shared.now();
-    let records = shared.origins.borrow_mut().take_unsaved(now, SAVED_MAX);
-    if records.is_empty() {
-        return;
-    }
-    let saved: Vec<SavedRecord> = records.iter().map(|record| saved_record(now, record)).collect();
-    let mut value = Vec::new();
-    if let Err(e) = ciborium::into_writer(&saved, &mut value) {
-        return tracing::error!(error = %e, "can't encode records of streams");
-    }
-    let key = format!("{RECORD_PREFIX}{}/{}", shared.node().zone, round % SLOTS);
-    let write = Write { key: &key, value: &value, lease: 0 };
-    if let Err(e) = shared.store.txn(&[], &[write]).await {
-        tracing::info!(error = %e, count = records.len(), "can't write records of streams");
-        shared.origins.borrow_mut().restore_unsaved(&records);
-    }
-}
-
-fn saved_record(now: Timestamp, record: &OriginRecord) -> SavedRecord {
-    let until = now.after(Duration::from_millis(record.ttl.into()));
-    SavedRecord(record.key, record.software, until)
-}
-
-/// Receives the store's records of streams.
-pub struct RecordSink(pub Rc<Shared>);
-
-impl Sink for RecordSink {
-    fn replace(&self, items: Vec<Item>, _revision: u64) {
-        items.into_iter().for_each(|item| self.apply(item));
-    }
-
-    fn apply(&self, item: Item) {
-        let Some(value) = item.value else {
-            return;
-        };
-        let records = match ciborium::from_reader::<Vec<SavedRecord>, _>(&value[..]) {
-            Ok(records) => records,
-            Err(e) => {
-                let revision = item.revision;
-                return tracing::warn!(key = item.key, revision, error = %e, "invalid records of streams");
-            }
-        };
-        let now = self.0.now();
-        let mut origins = self.0.origins.borrow_mut();
-        for SavedRecord(key, software, until) in records.into_iter().filter(|r| r.2 > now) {
-            let ttl = u32::try_from(until.since(now).as_millis()).unwrap_or(u32::MAX);
-            origins.on_record(now, OriginRecord { key, software, ttl });
-            origins.on_saved(key);
-        }
-    }
-}
-
-/// Receives the store's histories.
-pub struct HistorySink(pub Rc<Shared>);
-
-impl Sink for HistorySink {
-    fn replace(&self, items: Vec<Item>, _revision: u64) {
-        items.into_iter().for_each(|item| self.apply(item));
-    }
-
-    fn apply(&self, item: Item) {
-        let id =
-            item.key.strip_prefix(HISTORY_PREFIX).and_then(|id| u64::from_str_radix(id, 16).ok());
-        let (Some(id), Some(value)) = (id, item.value) else {
-            return;
-        };
-        match serde_json::from_slice::<SoftwareHistory>(&value) {
-            Ok(saved) => {
-                let mut histories = self.0.histories.borrow_mut();
-                let history = histories.entry(id).or_default();
-                history.own.merge(&saved);
-                history.saved = Some((saved, item.revision));
-            }
-            Err(e) => {
-                let revision = item.revision;
-                tracing::warn!(key = item.key, revision, error = %e, "invalid versions of a service");
-                // Overwritten by what this gateway observes.
-                let mut histories = self.0.histories.borrow_mut();
-                let history = histories.entry(id).or_default();
-                history.saved = Some((SoftwareHistory::default(), revision));
-            }
-        }
-    }
-}
--- a/crates/daemon/src/gateway/shared.rs
+++ b/crates/daemon/src/gateway/shared.rs
@@ -49,7 +49,7 @@
 
 use super::digest::Digester;
 use super::keys;
-use super::origins::{Histories, Polls};
+use super::origins::histories::{Histories, Polls};
 use super::pool::Pool;
 use super::store::StoreClient;
 use super::stream::incoming::IncomingReservations;
--- a/crates/daemon/src/gateway/stream/relay.rs
+++ b/crates/daemon/src/gateway/stream/relay.rs
@@ -19,7 +19,7 @@
 use super::state::StreamState;
 use super::{prefill, tokens_per_event, wasted_prefill, with_stall_timeout};
 use crate::gateway::intake::Intake;
-use crate::gateway::origins;
+use crate::gateway::origins::records;
 use crate::gateway::quarantine;
 use crate::gateway::send::Head;
 use crate::gateway::shared::Shared;
@@ -190,7 +190,7 @@
         {
             self.state.origin = Origin::Software(SoftwareId::of(server));
             if self.splitter.count() == 1 {
-                origins::on_first_event(shared, self.intake, server);
+                records::on_first_event(shared, self.intake, server);
             }
         }
         self.out.send_events(events).await;
--- a/crates/daemon/src/gateway/watch.rs
+++ b/crates/daemon/src/gateway/watch.rs
@@ -16,9 +16,10 @@
 use ebonyloft_router::registry::{Change, Effect, Registration};
 use ebonyloft_router::staleness::ConfigStaleness;
 
+use super::origins::{histories, records};
 use super::shared::Shared;
 use super::store::WatchReply;
-use super::{keys, origins, quarantine, registration};
+use super::{keys, quarantine, registration};
 
 /// First back-off after a failed call; doubled with each further failure.
 const BACKOFF_MIN: Duration = Duration::from_millis(60);
@@ -189,8 +190,8 @@
             (servers::PREFIX, Box::new(RosterSink(shared.clone()))),
             (quarantine::CONFIRMED_PREFIX, Box::new(quarantine::QuarantineSink(shared.clone()))),
             (quarantine::SUSPECT_PREFIX, Box::new(quarantine::QuarantineSink(shared.clone()))),
-            (origins::RECORD_PREFIX, Box::new(origins::RecordSink(shared.clone()))),
-            (origins::HISTORY_PREFIX, Box::new(origins::HistorySink(shared.clone()))),
+            (records::RECORD_PREFIX, Box::new(records::RecordSink(shared.clone()))),
+            (histories::HISTORY_PREFIX, Box::new(histories::HistorySink(shared.clone()))),
             (registration::PREFIX, Box::new(registration::FleetSink(shared.clone()))),
         ])
     }
