streams: a plain server that fails is not asked again at once by a stream that only its version continues

Found by reading: where no server of the version was left untried, all were tried again. Admission waits 200 ms before it asks an engine that failed; nothing waits before a plain server, and an attempt that was not sent costs no budget.

--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -164,8 +164,9 @@
             cause = refused;
             break;
         }
-        if !admission::has_untried(shared, intake, state.origin, &tried) {
-            // The servers that failed are all that can continue the stream.
+        if engine.is_some() && !admission::has_untried(shared, intake, state.origin, &tried) {
+            // The engines that failed are all that can continue the stream. Admission waits before it
+            // asks one of them again; nothing does at a plain server.
             tried.clear();
         }
         if quarantine::is_confirmed(shared, &intake.digest) {
