streams: a stream whose first chunk holds several events is recorded as well

Found by reading the change again: the record was made only where the first chunk held exactly one event, and a take-up of any other stream was refused as of unknown version. The test failed before (503, origin-unknown) and passes now.

--- a/crates/daemon/src/gateway/stream/relay.rs
+++ b/crates/daemon/src/gateway/stream/relay.rs
@@ -189,9 +189,7 @@
             && is_first
         {
             self.state.origin = Origin::Software(SoftwareId::of(server));
-            if self.splitter.count() == 1 {
-                records::on_first_event(shared, self.intake, server);
-            }
+            records::on_first_event(shared, self.intake, server);
         }
         self.out.send_events(events).await;
         self.waiting_since = shared.now();
--- a/crates/standins/src/fleet/backend.rs
+++ b/crates/standins/src/fleet/backend.rs
@@ -76,6 +76,8 @@
     pub downtime: Duration,
     /// How long it states that work takes now, in percent of the usual time.
     pub slowness: Option<u32>,
+    /// Number of events in one chunk of a stream.
+    pub batch: u64,
     /// Version of its software, as registered and as part of each event; registrations with an empty
     /// version name none.
     pub version: String,
@@ -94,6 +96,7 @@
             crash_after: Duration::from_millis(70),
             downtime: Duration::from_millis(1_500),
             slowness: None,
+            batch: 1,
             version: "v1".to_owned(),
         }
     }
@@ -721,6 +724,7 @@
         if work.kv_source.is_none() {
             compio::time::sleep(self.spec.prefill_time * 2).await;
         }
+        let mut batched = String::new();
         for id in first..=self.spec.event_count {
             // A run that is stopped completes its next event and ends in the middle of the one after.
             let is_stopped = stream.is_stopped();
@@ -729,6 +733,11 @@
             let version = server.as_ref().map_or("", SoftwareVersion::as_str);
             let event = format!("id: {id}\ndata: {} tokens {id} {version}\n\n", work.attempt);
             stream.on_event(id);
+            batched.push_str(&event);
+            if id % self.spec.batch != 0 && id < self.spec.event_count {
+                continue;
+            }
+            let event = std::mem::take(&mut batched);
             let past_half = id * 2 > self.spec.event_count + 1;
             let is_broken = self.fault.get() == Fault::Breaks && past_half || is_stopped;
             let (data, is_break) = match is_broken {
--- a/crates/standins/tests/versions.rs
+++ b/crates/standins/tests/versions.rs
@@ -448,3 +448,22 @@
         });
     }
 }
+
+/// Guards against a stream not being recorded whose first chunk holds more than one event.
+#[test]
+fn a_stream_that_begins_with_several_events_is_continued_by_its_version() {
+    with_fleet(spec(2), async |fleet| {
+        for version in ["v1", "v2"] {
+            let spec = BackendSpec { batch: 4, ..engine(version) };
+            fleet.add_backend(Some(Stage::Decode), &spec).await;
+        }
+        compio::time::sleep(SECOND).await;
+        for n in 0..4 {
+            let attempt = format!("s{n}");
+            let begun = fleet.caller(0).summary(SUMMARY, &attempt).await.expect("an answer");
+            let rest = take_up_from(fleet, n % 2, &attempt, 8).await;
+            assert_eq!((rest.status, rest.complete), (200, true), "{rest:?}");
+            assert_eq!(rest.versions(), begun.versions());
+        }
+    });
+}
