Quarantine: a gateway that starts learns from a peer which requests were answered

The full exchange that a gateway makes before it serves now carries the requests that were answered more than once within a minute, the 1,024 latest, under 32 KB.

--- a/crates/check/src/answers/simulation.rs
+++ b/crates/check/src/answers/simulation.rs
@@ -817,6 +817,11 @@
         let now = self.queue.now();
         let (from_a, from_b) =
             (self.gateways[a].quarantine.updates(now), self.gateways[b].quarantine.updates(now));
+        let healthy_at = |i: usize| self.gateways[i].quarantine.health_reports(now);
+        for (to, healthy) in [(b, healthy_at(a)), (a, healthy_at(b))] {
+            let quarantine = &mut self.gateways[to].quarantine;
+            healthy.iter().for_each(|report| quarantine.on_health_report(now, report));
+        }
         self.gateways[b].quarantine.apply_all(now, &from_a);
         self.gateways[a].quarantine.apply_all(now, &from_b);
     }
--- a/crates/daemon/src/gateway/gossip.rs
+++ b/crates/daemon/src/gateway/gossip.rs
@@ -78,6 +78,7 @@
 
 /// Applies gossip state received from a peer.
 pub fn apply(shared: &Shared, state: &GossipState, peer: &str) {
+    quarantine::apply_health_reports(shared, &state.healthy);
     quarantine::apply_reports(shared, &state.quarantine_updates, Some(peer));
     state.leaving.iter().for_each(|id| announcements::on_leaving(shared, id, peer));
     state.limits.iter().for_each(|word| limits::on_report(shared, word, peer));
@@ -102,12 +103,16 @@
 }
 
 fn full_state(shared: &Shared) -> GossipState {
-    let words = shared.quarantine.borrow().updates(shared.now());
+    let (words, healthy) = {
+        let (now, quarantine) = (shared.now(), shared.quarantine.borrow());
+        (quarantine.updates(now), quarantine.health_reports(now))
+    };
     let limits = shared.limits.borrow().updates();
     GossipState {
         quarantine_updates: words,
         leaving: shared.registry.borrow().announced_leaving().cloned().collect(),
         limits,
+        healthy,
         origins: Vec::new(),
     }
 }
--- a/crates/daemon/src/gateway/quarantine.rs
+++ b/crates/daemon/src/gateway/quarantine.rs
@@ -21,7 +21,7 @@
 };
 use ebonyloft_router::outcome::AttemptOutcome;
 use ebonyloft_router::quarantine::{
-    CONFIRMED_TTL, Change, Fact, QuarantineState, QuarantineUpdate, SUSPECT_TTL,
+    CONFIRMED_TTL, Change, Fact, HealthReport, QuarantineState, QuarantineUpdate, SUSPECT_TTL,
 };
 use ebonyloft_router::request_digest::RequestDigest;
 use futures_util::future::{Either, select};
@@ -301,6 +301,12 @@
     shared.background_waiters.wake_all();
 }
 
+/// Applies what a peer knows of complete answers.
+pub fn apply_health_reports(shared: &Shared, reports: &[HealthReport]) {
+    let (now, mut quarantine) = (shared.now(), shared.quarantine.borrow_mut());
+    reports.iter().for_each(|report| quarantine.on_health_report(now, report));
+}
+
 /// Applies observations made here, or reported by a peer or the store; one of a peer is refuted if
 /// a complete answer here contradicts it.
 pub fn apply_reports(shared: &Shared, reports: &[QuarantineUpdate], peer: Option<&str>) {
--- a/crates/router/src/load_report.rs
+++ b/crates/router/src/load_report.rs
@@ -17,7 +17,7 @@
 use crate::fleet::Fleet;
 use crate::limits::LimitUpdate;
 use crate::precedence::Precedence;
-use crate::quarantine::QuarantineUpdate;
+use crate::quarantine::{HealthReport, QuarantineUpdate};
 use crate::quota::ownership::{UnreachableGateways, gateway_number};
 use crate::quota::{LeaseRequest, LeaseResponse, LimitKey};
 use crate::report_timing::{LOAD_TIMEOUT, REPORT_INTERVAL};
@@ -152,6 +152,9 @@
     /// Rate limits that backend servers announced.
     #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
     pub limits: Vec<LimitUpdate>,
+    /// Requests that were answered completely, in full exchanges.
+    #[serde(rename = "h", default, skip_serializing_if = "Vec::is_empty")]
+    pub healthy: Vec<HealthReport>,
     /// The software that began streams, for the gateways that follow the store.
     #[serde(rename = "o", default, skip_serializing_if = "Vec::is_empty")]
     pub origins: Vec<OriginRecord>,
@@ -163,6 +166,7 @@
         self.quarantine_updates.is_empty()
             && self.leaving.is_empty()
             && self.limits.is_empty()
+            && self.healthy.is_empty()
             && self.origins.is_empty()
     }
 
--- a/crates/router/src/quarantine.rs
+++ b/crates/router/src/quarantine.rs
@@ -48,6 +48,8 @@
 pub const HEALTHY_TTL: Duration = Duration::from_secs(60);
 /// Most healthy digests kept.
 const HEALTHY_MAX: usize = 16_384;
+/// Most healthy digests in one exchange between gateways; they take less than 32 KB.
+const HEALTHY_SHARED_MAX: usize = 1_024;
 /// New rows between two checks of the table size.
 const CHECK_ROWS: usize = 512;
 /// Most probes and investigations kept per digest; there are never more at a time.
@@ -106,6 +108,17 @@
     Released,
 }
 
+/// Word to another gateway that a request was answered completely, and more than once.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub struct HealthReport {
+    /// Digest of the request.
+    #[serde(rename = "c")]
+    pub digest: RequestDigest,
+    /// Age of the last complete answer in milliseconds.
+    #[serde(rename = "a")]
+    pub age: u64,
+}
+
 /// How a request is treated.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum QuarantineState {
@@ -188,12 +201,21 @@
     }
 }
 
+/// The complete answers of a request.
+#[derive(Clone, Copy, Debug)]
+struct Health {
+    /// When the last one was received.
+    served_at: Timestamp,
+    /// It is not the only one within `HEALTHY_TTL`.
+    repeated: bool,
+}
+
 /// History of all suspect and confirmed requests.
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
     rows: HashMap<RequestDigest, Row>,
-    /// Requests that this gateway received a complete answer for, and when.
-    healthy: HashMap<RequestDigest, Timestamp>,
+    /// Requests that were answered completely, here or at a peer that said so.
+    healthy: HashMap<RequestDigest, Health>,
     /// Row count at which the table size is checked again.
     check_at: usize,
 }
@@ -224,30 +246,64 @@
 
     /// Records a complete answer at this gateway; true if other gateways need the update.
     pub fn on_served(&mut self, now: Timestamp, digest: RequestDigest) -> bool {
+        let repeated = self.is_healthy(now, &digest);
+        self.insert_healthy(now, digest, Health { served_at: now, repeated });
+        self.is_known(&digest)
+    }
+
+    /// Requests that were answered completely more than once, the latest first: for a gateway that has just
+    /// started, whose own answers are lost.
+    pub fn health_reports(&self, now: Timestamp) -> Vec<HealthReport> {
+        let recent = |health: &Health| health.repeated && health.served_at.after(HEALTHY_TTL) > now;
+        let mut reports: Vec<HealthReport> = self
+            .healthy
+            .iter()
+            .filter(|(_, health)| recent(health))
+            .map(|(digest, health)| {
+                let age = now.since(health.served_at).as_millis() as u64;
+                HealthReport { digest: *digest, age }
+            })
+            .collect();
+        reports.sort_unstable_by_key(|report| report.age);
+        reports.truncate(HEALTHY_SHARED_MAX);
+        reports
+    }
+
+    /// Applies a report of a peer.
+    pub fn on_health_report(&mut self, now: Timestamp, report: &HealthReport) {
+        let served_at = now.before(Duration::from_millis(report.age));
+        if served_at.after(HEALTHY_TTL) <= now {
+            return;
+        }
+        let own = self.healthy.get(&report.digest).map(|health| health.served_at);
+        let served_at = own.map_or(served_at, |own| own.max(served_at));
+        self.insert_healthy(now, report.digest, Health { served_at, repeated: true });
+    }
+
+    fn insert_healthy(&mut self, now: Timestamp, digest: RequestDigest, health: Health) {
         if self.healthy.len() >= HEALTHY_MAX {
             self.evict_healthy(now);
         }
-        self.healthy.insert(digest, now);
-        self.is_known(&digest)
+        self.healthy.insert(digest, health);
     }
 
     /// Drops healthy digests that have expired, and the older half if that is not enough.
     fn evict_healthy(&mut self, now: Timestamp) {
-        self.healthy.retain(|_, at| at.after(HEALTHY_TTL) > now);
+        self.healthy.retain(|_, health| health.served_at.after(HEALTHY_TTL) > now);
         if self.healthy.len() < HEALTHY_MAX {
             return;
         }
         let mut by_age: Vec<(Timestamp, RequestDigest)> =
-            self.healthy.iter().map(|(digest, at)| (*at, *digest)).collect();
+            self.healthy.iter().map(|(digest, health)| (health.served_at, *digest)).collect();
         by_age.select_nth_unstable(HEALTHY_MAX / 2);
         for (_, digest) in &by_age[..HEALTHY_MAX / 2] {
             self.healthy.remove(digest);
         }
     }
 
-    /// Whether the request was answered completely at this gateway after, or shortly before, the given time.
+    /// Whether the request is known to have been answered completely after, or shortly before, the given time.
     pub fn is_healthy(&self, at: Timestamp, digest: &RequestDigest) -> bool {
-        self.healthy.get(digest).is_some_and(|served| served.after(HEALTHY_TTL) > at)
+        self.healthy.get(digest).is_some_and(|health| health.served_at.after(HEALTHY_TTL) > at)
     }
 
     /// The update that voids a crash reported by a peer, if the request was answered completely at this gateway
--- a/crates/router/tests/quarantine.rs
+++ b/crates/router/tests/quarantine.rs
@@ -252,6 +252,46 @@
     assert_eq!(all.refutation(NOW.after(HEALTHY_TTL), &later), None);
 }
 
+/// Guards against blame by gateways that have all been started since a request was answered, one after the other.
+#[test]
+fn a_repeated_answer_is_known_to_gateways_that_start_later() {
+    let mut first = Quarantine::default();
+    for seconds in 0..2 {
+        first.on_served(NOW.after(Duration::from_secs(seconds)), BAD);
+    }
+    first.on_served(NOW, RequestDigest(8, 8));
+    let mut last = first.clone();
+    for restart in 1..=3 {
+        let at = NOW.after(HEALTHY_TTL / 6 * restart);
+        let reports = last.health_reports(at);
+        assert_eq!(reports.iter().map(|report| report.digest).collect::<Vec<_>>(), [BAD]);
+        last = Quarantine::default();
+        reports.iter().for_each(|report| last.on_health_report(at, report));
+    }
+    let at = NOW.after(HEALTHY_TTL);
+    assert!(last.is_healthy(at, &BAD));
+    let report = QuarantineUpdate { digest: BAD, age: 0, fact: crash("a", true) };
+    assert!(last.refutation(at, &report).is_some());
+    // What is passed on grows no younger.
+    assert!(!last.is_healthy(at.after(Duration::from_secs(1)), &BAD));
+}
+
+/// Guards against an exchange that grows with the number of requests, and keeps the oldest of them.
+#[test]
+fn the_latest_answers_are_passed_on() {
+    let mut all = Quarantine::default();
+    for n in 0..10_000 {
+        for _ in 0..2 {
+            all.on_served(NOW.after(Duration::from_millis(n)), RequestDigest(n, 2));
+        }
+    }
+    let reports = all.health_reports(NOW.after(Duration::from_secs(10)));
+    assert_eq!(reports.first().map(|report| report.digest), Some(RequestDigest(9_999, 2)));
+    let mut bytes = Vec::new();
+    ciborium::into_writer(&reports, &mut bytes).expect("encodable");
+    assert!(bytes.len() < 32 * 1_024, "{}", bytes.len());
+}
+
 /// Guards against a crash that was voided long ago and counts at a gateway that has just started: it read the crash
 /// from the store after the answer from a peer.
 #[test]
--- a/crates/standins/tests/crashing.rs
+++ b/crates/standins/tests/crashing.rs
@@ -206,6 +206,43 @@
     });
 }
 
+/// Guards against blame by gateways that have all been started since a request was answered.
+#[test]
+fn a_request_of_all_callers_is_not_quarantined_after_restarts() {
+    with_fleet(FleetSpec { threads: true, ..spec(2) }, async |fleet| {
+        let same = || "same".to_owned();
+        for n in 0..6 {
+            let answer = fleet.caller(n % 2).send_body(SUMMARY, &format!("whole{n}"), same()).await;
+            assert_eq!(answer.expect("an answer").status, 200);
+        }
+        for gateway in 0..2 {
+            fleet.kill(gateway);
+            fleet.restart_gateways(&[gateway]).await;
+        }
+        let end = Instant::now() + CONTACT_BOUND;
+        let crashing = async {
+            while Instant::now() < end {
+                let running = fleet.backends.iter().filter(|r| r.running() > 0);
+                running.for_each(|backend| backend.crash("unknown"));
+                compio::time::sleep(SEND_INTERVAL / 5).await;
+            }
+        };
+        let duration = CONTACT_BOUND - SEND_INTERVAL;
+        let sending =
+            send_body_repeatedly(fleet, SUMMARY, "hit", "same", duration, SEND_INTERVAL / 2);
+        futures_util::join!(crashing, sending);
+        let crashes: usize = fleet.backends.iter().map(|r| r.observed.borrow().crashes.len()).sum();
+        assert!(crashes > CRASH_LIMIT, "{crashes} crashed");
+        compio::time::sleep(CONTACT_BOUND).await;
+        for gateway in 0..2 {
+            let answer = fleet.caller(gateway).send_body(SUMMARY, "after", same()).await;
+            let answer = answer.expect("an answer");
+            let text = String::from_utf8_lossy(&answer.body).into_owned();
+            assert!(!text.contains("quarantined"), "{text}");
+        }
+    });
+}
+
 /// A server that loses every answer to a request has not crashed under it.
 #[test]
 fn lost_answers_do_not_count_as_crashes() {
