--- a/crates/router/src/quarantine.rs
+++ b/crates/router/src/quarantine.rs
@@ -8,7 +8,8 @@
 //! A crashing server takes all its requests down. One that had run for a while is hardly the cause. One that
 //! had just started is a suspect: one gateway at a time sends it again as a probe, and one complete answer
 //! clears it. Where two suspects have several crashes in common, either may be the cause, and these count less
-//! for both.
+//! for both. A crash that a confirmed request explains does not count for another, unless that one has had so
+//! many that the company must be a coincidence.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -68,6 +69,12 @@
     pub at: Timestamp,
 }
 
+impl Crash {
+    fn points(&self) -> u32 {
+        if self.early { EARLY_POINTS } else { LATE_POINTS }
+    }
+}
+
 /// Update about a request digest, exchanged between gateways.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct QuarantineUpdate {
@@ -159,8 +166,7 @@
 
 impl Row {
     fn points(&self) -> u32 {
-        let points = |e: &Crash| if e.early { EARLY_POINTS } else { LATE_POINTS };
-        self.crashes.iter().map(points).sum()
+        self.crashes.iter().map(Crash::points).sum()
     }
 
     /// Whether the request crashed this server soon after its start.
@@ -400,19 +406,30 @@
         true
     }
 
-    /// Points of a request, less those of crashes that one other request may have caused as well. Walks all
-    /// rows.
+    /// Points of a request, less those of crashes that another request may have caused as well, or that a
+    /// confirmed one explains. A request with the most crashes that are kept is confirmed in any company. Walks
+    /// all rows.
     fn undisputed_points(&self, digest: &RequestDigest) -> u32 {
         let Some(row) = self.rows.get(digest) else {
             return 0;
         };
-        let shared_with = |other: &Row| {
-            row.crashes.iter().filter(|e| e.early && other.has_early_crash(&e.server)).count()
+        if row.crashes.len() >= CRASHES_MAX {
+            return row.points();
+        }
+        let others: Vec<&Row> =
+            self.rows.iter().filter(|(other, _)| *other != digest).map(|(_, row)| row).collect();
+        let is_explained = |crash: &Crash| {
+            let confirmed = others.iter().filter(|other| other.confirmed_at.is_some());
+            crash.early && confirmed.into_iter().any(|other| other.has_early_crash(&crash.server))
+        };
+        let own: Vec<&Crash> = row.crashes.iter().filter(|crash| !is_explained(crash)).collect();
+        let shared_with = |other: &&Row| {
+            own.iter().filter(|crash| crash.early && other.has_early_crash(&crash.server)).count()
         };
-        let others = self.rows.iter().filter(|(other, _)| *other != digest);
-        let shared = others.map(|(_, other)| shared_with(other)).max().unwrap_or_default();
+        let shared = others.iter().map(shared_with).max().unwrap_or_default();
         let disputed = if shared >= DISPUTED_MIN { shared as u32 } else { 0 };
-        row.points() - disputed * (EARLY_POINTS - LATE_POINTS)
+        own.iter().map(|crash| crash.points()).sum::<u32>()
+            - disputed * (EARLY_POINTS - LATE_POINTS)
     }
 
     /// A confirmed request stays confirmed, since the answer may have begun before. The answer is remembered also
--- a/crates/router/tests/quarantine.rs
+++ b/crates/router/tests/quarantine.rs
@@ -208,6 +208,25 @@
     assert_eq!(all.apply(NOW, &update(BAD, Fact::Served)), Change::Cleared);
 }
 
+/// Guards against refusing a request that all callers send: several others crash servers one after the other, and it
+/// shares one crash with each.
+#[test]
+fn crashes_that_confirmed_requests_explain_confirm_no_other() {
+    let mut all = Quarantine::default();
+    let others = [["a", "d", "e"], ["b", "f", "g"]];
+    for (n, servers) in others.iter().enumerate() {
+        let other = RequestDigest(8, n as u64);
+        let changes = servers.map(|server| all.apply(NOW, &update(other, crash(server, true))));
+        assert_eq!(changes[2], Change::Confirmed);
+    }
+    let changes = apply(&mut all, &["a", "b", "x"].map(|server| crash(server, true)));
+    assert_eq!(changes, [Change::Suspected; 3], "only one crash is its own");
+    assert_eq!(all.state(NOW, &BAD), QuarantineState::Suspect);
+    // Two more of its own make three.
+    assert_eq!(apply(&mut all, &[crash("y", true)]), [Change::Suspected]);
+    assert_eq!(apply(&mut all, &[crash("z", true)]), [Change::Confirmed]);
+}
+
 /// Guards against a gateway that confirms a request while it reads the table of a peer, before it knows which
 /// crashes are disputed.
 #[test]
