--- a/crates/router/src/quarantine.rs
+++ b/crates/router/src/quarantine.rs
@@ -8,8 +8,7 @@
 //! A crashing server takes all its requests down. One that had run for a while is hardly the cause. One that
 //! had just started is a suspect: one gateway at a time sends it again as a probe, and one complete answer
 //! clears it. Where two suspects have several crashes in common, either may be the cause, and these count less
-//! for both. A crash that a confirmed request explains does not count for another, unless that one has had so
-//! many that the company must be a coincidence.
+//! for both. A crash that a confirmed request explains does not count for one that has had only few.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -30,6 +29,9 @@
 /// Early crashes that two requests must have in common to be disputed: one alone is a coincidence wherever a
 /// server runs many requests.
 const DISPUTED_MIN: usize = 2;
+/// Crashes of which none is put down to a confirmed request any more: two that crash servers may do so at the same
+/// ones.
+const UNEXPLAINED_MIN: usize = 4;
 /// How long a crash counts: longer than callers repeat a request, and short enough to forget a busy day.
 pub const SUSPECT_TTL: Duration = Duration::from_secs(600);
 /// How long a confirmed request is refused; by then an operator has looked at it, or no caller sends it any
@@ -406,30 +408,30 @@
         true
     }
 
-    /// Points of a request, less those of crashes that another request may have caused as well, or that a
-    /// confirmed one explains. A request with the most crashes that are kept is confirmed in any company. Walks
-    /// all rows.
+    /// Points of a request, less those of crashes that one other request may have caused as well, and of the first
+    /// few that a confirmed one explains. Walks all rows.
     fn undisputed_points(&self, digest: &RequestDigest) -> u32 {
         let Some(row) = self.rows.get(digest) else {
             return 0;
         };
-        if row.crashes.len() >= CRASHES_MAX {
-            return row.points();
-        }
         let others: Vec<&Row> =
             self.rows.iter().filter(|(other, _)| *other != digest).map(|(_, row)| row).collect();
         let is_explained = |crash: &Crash| {
-            let confirmed = others.iter().filter(|other| other.confirmed_at.is_some());
-            crash.early && confirmed.into_iter().any(|other| other.has_early_crash(&crash.server))
+            let mut confirmed = others.iter().filter(|other| other.confirmed_at.is_some());
+            confirmed.any(|other| other.has_early_crash(&crash.server))
         };
-        let own: Vec<&Crash> = row.crashes.iter().filter(|crash| !is_explained(crash)).collect();
+        let mut crashes: Vec<&Crash> = row.crashes.iter().collect();
+        if crashes.len() < UNEXPLAINED_MIN {
+            crashes.retain(|crash| !crash.early || !is_explained(crash));
+        }
         let shared_with = |other: &&Row| {
-            own.iter().filter(|crash| crash.early && other.has_early_crash(&crash.server)).count()
+            let early = crashes.iter().filter(|crash| crash.early);
+            early.filter(|crash| other.has_early_crash(&crash.server)).count()
         };
         let shared = others.iter().map(shared_with).max().unwrap_or_default();
         let disputed = if shared >= DISPUTED_MIN { shared as u32 } else { 0 };
-        own.iter().map(|crash| crash.points()).sum::<u32>()
-            - disputed * (EARLY_POINTS - LATE_POINTS)
+        let points: u32 = crashes.iter().map(|crash| crash.points()).sum();
+        points - disputed * (EARLY_POINTS - LATE_POINTS)
     }
 
     /// A confirmed request stays confirmed, since the answer may have begun before. The answer is remembered also
--- a/crates/router/tests/quarantine.rs
+++ b/crates/router/tests/quarantine.rs
@@ -222,9 +222,19 @@
     let changes = apply(&mut all, &["a", "b", "x"].map(|server| crash(server, true)));
     assert_eq!(changes, [Change::Suspected; 3], "only one crash is its own");
     assert_eq!(all.state(NOW, &BAD), QuarantineState::Suspect);
-    // Two more of its own make three.
-    assert_eq!(apply(&mut all, &[crash("y", true)]), [Change::Suspected]);
-    assert_eq!(apply(&mut all, &[crash("z", true)]), [Change::Confirmed]);
+}
+
+/// Guards against a request that goes on crashing servers because another one crashes the same: both were sent to the
+/// only two servers, and the other was confirmed first.
+#[test]
+fn a_fourth_crash_confirms_beside_a_confirmed_request() {
+    let (mut all, other) = (Quarantine::default(), RequestDigest(8, 8));
+    for server in ["a", "c", "d"] {
+        all.apply(NOW, &update(other, crash(server, true)));
+    }
+    let changes = apply(&mut all, &["b", "a", "d", "e"].map(|server| crash(server, true)));
+    let expected = [Change::Suspected, Change::Suspected, Change::Suspected, Change::Confirmed];
+    assert_eq!(changes, expected);
 }
 
 /// Guards against a gateway that confirms a request while it reads the table of a peer, before it knows which
