Soak: requests count only while a server can serve them

Traced with the servers' state at each answer: with two plain servers and two engines, five requests that crash them and three kinds of faults, 250 to 292 of the counted requests came while no server of the kind could serve one: each was down, failed every request as injected, or had asked to be left alone (the 503s at i-13+2 ended with its Retry-After of 1.88 s). The check counts requests that a server could serve, and took a server for one that could if it was listening.

Its bound is unchanged.

--- a/crates/daemon/tests/soak/cluster.rs
+++ b/crates/daemon/tests/soak/cluster.rs
@@ -263,11 +263,11 @@
     }
 
     /// Is a backend server available for a request? Requests that crash servers can leave no server
-    /// of one kind for seconds, and no gateway knows an incarnation that started while the store
-    /// was away.
+    /// of one kind for seconds, or only ones that fail all requests or asked to be left alone, and no
+    /// gateway knows an incarnation that started while the store was away.
     pub fn is_servable(&self, path: &str) -> bool {
         let stage = (path == SUMMARY || path == ONCE_SUMMARY).then_some(Stage::Decode);
-        let up = |r: &BackendServer| r.is_up() && r.server.borrow().stage == stage;
+        let up = |r: &BackendServer| r.is_serving() && r.server.borrow().stage == stage;
         self.crash_contents.get() == 0
             || self.stale_until.get() < Instant::now() && self.runners.iter().any(|(r, _)| up(r))
     }
--- a/crates/standins/src/fleet/backend.rs
+++ b/crates/standins/src/fleet/backend.rs
@@ -193,6 +193,8 @@
     leaving: Cell<bool>,
     /// Work is rejected with this retry-after value, in seconds.
     back_off: RefCell<Option<String>>,
+    /// Until when it has asked callers to stay away.
+    away_until: Cell<Option<Instant>>,
     /// It has crashed, but its connections stay open and silent.
     silent_crash: Cell<bool>,
     /// Limit that all its answers announce.
@@ -228,6 +230,7 @@
             fault: Cell::default(),
             leaving: Cell::default(),
             back_off: RefCell::default(),
+            away_until: Cell::default(),
             silent_crash: Cell::default(),
             limit: RefCell::default(),
             listener: RefCell::default(),
@@ -332,6 +335,7 @@
         self.holds.borrow_mut().clear();
         self.handles.borrow_mut().clear();
         self.leaving.set(false);
+        self.away_until.set(None);
         self.restarts.set(self.restarts.get() + 1);
         let base = previous.id.name.split('+').next().unwrap_or_default();
         let name = format!("{base}+{}", self.restarts.get());
@@ -380,6 +384,7 @@
     pub fn restart(&self) {
         self.holds.borrow_mut().clear();
         self.handles.borrow_mut().clear();
+        self.away_until.set(None);
         self.server.borrow_mut().id.born += 1;
     }
 
@@ -393,6 +398,17 @@
         self.listener.borrow().is_some()
     }
 
+    /// Is it up, without a fault that fails all requests, and has it not asked callers to stay away?
+    pub fn is_serving(&self) -> bool {
+        let is_away = self.away_until.get().is_some_and(|until| Instant::now() < until);
+        let fails = match self.fault.get() {
+            Fault::Errors | Fault::Hangs | Fault::Loses | Fault::Sheds | Fault::Changes => true,
+            Fault::Breaks => self.server.borrow().stage.is_some(),
+            _ => false,
+        };
+        self.is_up() && !is_away && !fails
+    }
+
     /// Returns the number of requests in process.
     pub fn running(&self) -> u32 {
         self.running.get()
@@ -503,6 +519,9 @@
             self.record_lost_prefill(&work);
             let mut head = simulation::rejection_headers(&work.attempt);
             simulation::set_retry_after(&mut head, seconds);
+            let pause = seconds.parse().map(Duration::from_secs_f64).unwrap_or_default();
+            let until = Instant::now() + pause;
+            self.away_until.set(self.away_until.get().max(Some(until)));
             return response(503, head, Vec::new());
         }
         let full = self.running.get() >= self.spec.slots;
