Quotas: a standby grants what came in since the owner was lost

Cause: a standby does not know what was granted before, and counted from its first grant, with an empty bucket; its log shows part 0.25 and room in 100 ms. It now counts from when the reports of unreachable gateways, on which the shares depend, last changed.

--- a/crates/check/src/accounts/gateway.rs
+++ b/crates/check/src/accounts/gateway.rs
@@ -10,7 +10,7 @@
 use ebonyloft_router::quota::issuer::{LeaseIssuer, standby_share};
 use ebonyloft_router::quota::leases::TokenLeases;
 use ebonyloft_router::quota::ownership::{
-    Owners, ReachabilityReports, UnreachableGateways, gateway_number,
+    self, Owners, ReachabilityReports, UnreachableGateways, gateway_number,
 };
 use ebonyloft_router::quota::{LeaseDecision, LeaseRequest, LimitKey};
 use ebonyloft_router::staleness::ConfigStaleness;
@@ -92,6 +92,11 @@
         if self.mutant != Some(Mutant::StartsFull) {
             self.issuer.tick(now, fleet.edition());
         }
+        let views = (scope(fleet, 0) == Scope::All).then(|| {
+            let own_unreachable = self.unreachable(now, fleet);
+            ownership::views(fleet, &View { gateway: self, now, own_unreachable: &own_unreachable })
+        });
+        self.issuer.observe(now, views);
         self.silent_owners.retain(|_, until| *until > now);
     }
 
--- a/crates/daemon/src/gateway/quota.rs
+++ b/crates/daemon/src/gateway/quota.rs
@@ -19,7 +19,7 @@
 use ebonyloft_router::node::Excess;
 use ebonyloft_router::quota::issuer::standby_share;
 use ebonyloft_router::quota::ownership::{
-    ReachabilityReports, UnreachableGateways, gateway_number,
+    self, ReachabilityReports, UnreachableGateways, gateway_number,
 };
 use ebonyloft_router::quota::{LeaseDecision, LeaseRequest, LeaseResponse, LimitKey};
 use ebonyloft_router::zones::Scope;
@@ -251,6 +251,7 @@
     };
     let (now, node) = (shared.now(), shared.node());
     let share = granted_share(shared, &ask.key, &rate);
+    observe_views(shared);
     let fleet = shared.fleet.borrow();
     let ranked = shared.quota_owners.borrow_mut().ranked(&fleet, &ask.key);
     let is_first = ranked.first() == Some(&node.name);
@@ -334,6 +335,18 @@
     owners.share(&fleet, key, &node.name, &views)
 }
 
+/// Takes note of which gateways all gateways report as unreachable, on which the shares depend.
+fn observe_views(shared: &Shared) {
+    let (now, node, fleet) = (shared.now(), shared.node(), shared.fleet.borrow());
+    let views = (shared.scope() == Scope::All).then(|| {
+        let (own, load_reports) = (unreachable_gateways(shared), shared.load_reports.borrow());
+        let reports =
+            ObservedViews { now, name: &node.name, own: &own, load_reports: &load_reports };
+        ownership::views(&fleet, &reports)
+    });
+    shared.lease_issuer.borrow_mut().observe(now, views);
+}
+
 /// Gateways that this one receives no messages from.
 pub fn unreachable_gateways(shared: &Shared) -> UnreachableGateways {
     let (node, fleet) = (shared.node(), shared.fleet.borrow());
@@ -350,6 +363,7 @@
     let unused = shared.token_leases.borrow_mut().take_expiring(now, EXPIRY_MARGIN);
     unused.iter().for_each(|(key, tokens)| return_unused(shared, key, *tokens));
     shared.token_leases.borrow_mut().expire(now);
+    observe_views(shared);
     shared.lease_issuer.borrow_mut().tick(now, shared.fleet.borrow().edition());
     let is_granted = |key: &LimitKey| {
         rate_of(shared, key, None).is_some_and(|rate| granted_share(shared, key, &rate) > 0.0)
--- a/crates/router/src/quota/ownership.rs
+++ b/crates/router/src/quota/ownership.rs
@@ -30,6 +30,16 @@
     fn unreachable(&self, name: &str) -> Option<&UnreachableGateways>;
 }
 
+/// Fingerprint of what all gateways report; while it stays the same, so do their shares.
+pub fn views(fleet: &Fleet, reports: &impl ReachabilityReports) -> u64 {
+    let view = |name: &String| {
+        let unreachable = reports.unreachable(name)?.iter();
+        let numbers = unreachable.fold(1, |sum, number| sum ^ mix(u64::from(*number)));
+        Some(mix(stable_hash(name) ^ numbers))
+    };
+    fleet.all().keys().filter_map(view).fold(0, |sum, view| sum ^ view)
+}
+
 /// Cached ranks of gateways for one edition of the gateway list.
 #[derive(Clone, Debug, Default)]
 pub struct Owners {
--- a/crates/router/tests/quota.rs
+++ b/crates/router/tests/quota.rs
@@ -85,6 +85,22 @@
     assert_eq!(granted(issuer.grant(at(60_200), &ask(200, 0), &BOUND, 1.0, false)), 200);
 }
 
+/// Guards against an account that is refused once after the loss of its owner, whenever it calls next.
+#[test]
+fn a_standby_grants_what_came_in_since_the_others_were_lost() {
+    let mut issuer = LeaseIssuer::new(at(0));
+    issuer.observe(at(1_000), Some(7));
+    issuer.observe(at(58_000), Some(8));
+    issuer.observe(at(58_100), Some(8));
+    assert_eq!(granted(issuer.grant(at(58_300), &ask(300, 0), &BOUND, 1.0, false)), 300);
+    assert_eq!(granted(issuer.grant(at(58_300), &ask(1, 0), &BOUND, 1.0, false)), 0);
+    // Where the others are not observed, nothing is known to have come in.
+    let mut issuer = LeaseIssuer::new(at(0));
+    issuer.observe(at(1_000), Some(7));
+    issuer.observe(at(2_000), None);
+    assert_eq!(granted(issuer.grant(at(60_000), &ask(1, 0), &BOUND, 1.0, false)), 0);
+}
+
 #[test]
 fn an_owner_that_was_paused_starts_over() {
     let mut issuer = LeaseIssuer::new(at(0));
