Gateway: the answer to a liveness check may announce, too

The logs: prefill jobs at it were lost, its liveness was checked, and the answers to the checks, with the announcement, arrived 1.5 s to 2 s before the next prefill answer that the gateways learned it from. Of the answer to a check only the status was read.

Its head is now read like any other answer's: a leaving, a pause, a limit.

--- a/crates/daemon/src/gateway/pool.rs
+++ b/crates/daemon/src/gateway/pool.rs
@@ -83,10 +83,10 @@
 }
 
 /// Result of a call that checks whether a server answers at an address.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Reachability {
-    /// A server answered with this status.
-    Answered(StatusCode),
+    /// A server answered with this status and these headers.
+    Answered(StatusCode, HeaderMap),
     /// The connection was refused: no process listens there.
     Refused,
     /// The connection failed or broke.
@@ -217,11 +217,11 @@
         let Ok(response) = conn.exchange(req).await else {
             return Reachability::Broken;
         };
-        let status = response.status();
-        if response.into_body().collect().await.is_ok() {
+        let (parts, body) = response.into_parts();
+        if body.collect().await.is_ok() {
             self.put_back(conn);
         }
-        Reachability::Answered(status)
+        Reachability::Answered(parts.status, parts.headers)
     }
 
     /// Closes idle connections to an address whose server has ended.
--- a/crates/daemon/src/gateway/quarantine.rs
+++ b/crates/daemon/src/gateway/quarantine.rs
@@ -13,8 +13,8 @@
 use compio::time::timeout;
 use ebonyloft_core::time::Timestamp;
 use ebonyloft_core::verdict::Verdict;
-use ebonyloft_platform::engine;
 use ebonyloft_platform::store::{Item, StoreError, Write};
+use ebonyloft_platform::{engine, headers};
 use ebonyloft_router::catalog::{Server, ServerId};
 use ebonyloft_router::lost_attempts::{
     CALL_PROBE_DELAY, LostAttempt, ProbeResult, STREAM_PROBE_DELAY,
@@ -417,8 +417,12 @@
     let result =
         timeout(LIVENESS_TIMEOUT, shared.pool.check_address(addr, engine::probe(&id))).await;
     let result = match result {
-        Ok(Reachability::Answered(StatusCode::MISDIRECTED_REQUEST)) => ProbeResult::Other,
-        Ok(Reachability::Answered(_)) => ProbeResult::Alive,
+        Ok(Reachability::Answered(status, headers)) => {
+            let reply = headers::parse_reply(status, &headers);
+            announcements::on_answer(&shared, &id, sent, &reply);
+            let is_other = status == StatusCode::MISDIRECTED_REQUEST;
+            if is_other { ProbeResult::Other } else { ProbeResult::Alive }
+        }
         Ok(Reachability::Refused) => ProbeResult::Nobody,
         Ok(Reachability::Broken) | Err(_) => ProbeResult::Silence,
     };
--- a/crates/standins/tests/answers.rs
+++ b/crates/standins/tests/answers.rs
@@ -25,6 +25,14 @@
     }
 }
 
+async fn eventually(limit: Duration, mut condition: impl FnMut() -> bool) -> bool {
+    let end = Instant::now() + limit;
+    while !condition() && Instant::now() < end {
+        compio::time::sleep(Duration::from_millis(10)).await;
+    }
+    condition()
+}
+
 /// Requests, prompts and reservations that a server received after the given time.
 fn taken_after(fleet: &Fleet, backend: usize, after: Instant) -> usize {
     let seen = fleet.backends[backend].observed.borrow();
@@ -122,6 +130,35 @@
     });
 }
 
+/// Guards against a gateway that reads from the answer to its own check only that the server is alive.
+#[test]
+fn a_server_that_announces_leaving_in_the_answer_to_a_check_gets_no_more_requests() {
+    let spec = FleetSpec { gateways: 1, plain_servers: 1, ..FleetSpec::default() };
+    with_fleet(spec, async |fleet| {
+        let (index, plain) =
+            fleet.backends.iter().enumerate().last().map(|(i, b)| (i, b.clone())).expect("one");
+        plain.set_fault(Fault::Hangs);
+        plain.announce_leaving();
+        // Callers that leave early make the gateway check whether the server is alive.
+        for n in 0..2 {
+            let caller = fleet.caller(0);
+            let call = async { caller.call(LOOKUP, &format!("left{n}")).await.map(drop) };
+            let _ = compio::time::timeout(Duration::from_millis(90), call).await;
+        }
+        assert!(
+            eventually(LEAVING_BOUND * 2, || {
+                !plain.observed.borrow().leaving_answers.is_empty()
+            })
+            .await
+        );
+        plain.set_fault(Fault::None);
+        compio::time::sleep(LEAVING_BOUND / 8).await;
+        let checked_at = Instant::now();
+        send_all_kinds(fleet, "after", 10).await;
+        assert_eq!(taken_after(fleet, index, checked_at), 0);
+    });
+}
+
 /// The announcement ends with the incarnation that made it: the next one at the same address is used.
 #[test]
 fn the_next_incarnation_of_a_leaving_server_is_used() {
