--- a/crates/check/src/accounts/gateway.rs
+++ b/crates/check/src/accounts/gateway.rs
@@ -92,11 +92,12 @@
         if self.mutant != Some(Mutant::StartsFull) {
             self.issuer.tick(now, fleet.edition());
         }
-        let views = (scope(fleet, 0) == Scope::All).then(|| {
+        let reachability = (scope(fleet, 0) == Scope::All).then(|| {
             let own_unreachable = self.unreachable(now, fleet);
-            ownership::views(fleet, &View { gateway: self, now, own_unreachable: &own_unreachable })
+            let view = View { gateway: self, now, own_unreachable: &own_unreachable };
+            ownership::reachability(fleet, &view)
         });
-        self.issuer.observe(now, views);
+        self.issuer.observe(now, reachability);
         self.silent_owners.retain(|_, until| *until > now);
     }
 
--- a/crates/daemon/src/gateway/quota.rs
+++ b/crates/daemon/src/gateway/quota.rs
@@ -251,7 +251,7 @@
     };
     let (now, node) = (shared.now(), shared.node());
     let share = granted_share(shared, &ask.key, &rate);
-    observe_views(shared);
+    observe_reachability(shared);
     let fleet = shared.fleet.borrow();
     let ranked = shared.quota_owners.borrow_mut().ranked(&fleet, &ask.key);
     let is_first = ranked.first() == Some(&node.name);
@@ -335,16 +335,16 @@
     owners.share(&fleet, key, &node.name, &views)
 }
 
-/// Takes note of which gateways all gateways report as unreachable, on which the shares depend.
-fn observe_views(shared: &Shared) {
+/// Takes note of which gateways each one reports as unreachable: the shares depend on it.
+fn observe_reachability(shared: &Shared) {
     let (now, node, fleet) = (shared.now(), shared.node(), shared.fleet.borrow());
-    let views = (shared.scope() == Scope::All).then(|| {
+    let reachability = (shared.scope() == Scope::All).then(|| {
         let (own, load_reports) = (unreachable_gateways(shared), shared.load_reports.borrow());
         let reports =
             ObservedViews { now, name: &node.name, own: &own, load_reports: &load_reports };
-        ownership::views(&fleet, &reports)
+        ownership::reachability(&fleet, &reports)
     });
-    shared.lease_issuer.borrow_mut().observe(now, views);
+    shared.lease_issuer.borrow_mut().observe(now, reachability);
 }
 
 /// Gateways that this one receives no messages from.
@@ -363,7 +363,7 @@
     let unused = shared.token_leases.borrow_mut().take_expiring(now, EXPIRY_MARGIN);
     unused.iter().for_each(|(key, tokens)| return_unused(shared, key, *tokens));
     shared.token_leases.borrow_mut().expire(now);
-    observe_views(shared);
+    observe_reachability(shared);
     shared.lease_issuer.borrow_mut().tick(now, shared.fleet.borrow().edition());
     let is_granted = |key: &LimitKey| {
         rate_of(shared, key, None).is_some_and(|rate| granted_share(shared, key, &rate) > 0.0)
--- a/crates/router/src/quarantine.rs
+++ b/crates/router/src/quarantine.rs
@@ -29,9 +29,9 @@
 /// Early crashes that two requests must have in common to be disputed: one alone is a coincidence wherever a
 /// server runs many requests.
 const DISPUTED_MIN: usize = 2;
-/// Crashes of which none is put down to a confirmed request any more: two that crash servers may do so at the same
-/// ones.
-const UNEXPLAINED_MIN: usize = 4;
+/// From this many crashes on, a confirmed request no longer explains any of them: another one may crash the same
+/// servers.
+const EXPLAINED_BELOW: usize = 4;
 /// How long a crash counts: longer than callers repeat a request, and short enough to forget a busy day.
 pub const SUSPECT_TTL: Duration = Duration::from_secs(600);
 /// How long a confirmed request is refused; by then an operator has looked at it, or no caller sends it any
@@ -117,7 +117,7 @@
     Released,
 }
 
-/// Word to another gateway that a request was answered completely, and more than once.
+/// Report to another gateway that a request was answered completely more than once.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
 pub struct HealthReport {
     /// Digest of the request.
@@ -214,7 +214,7 @@
 struct Health {
     /// When the last one was received.
     served_at: Timestamp,
-    /// It is not the only one within `HEALTHY_TTL`.
+    /// Another one came within `HEALTHY_TTL` before it.
     repeated: bool,
 }
 
@@ -421,7 +421,7 @@
             confirmed.any(|other| other.has_early_crash(&crash.server))
         };
         let mut crashes: Vec<&Crash> = row.crashes.iter().collect();
-        if crashes.len() < UNEXPLAINED_MIN {
+        if crashes.len() < EXPLAINED_BELOW {
             crashes.retain(|crash| !crash.early || !is_explained(crash));
         }
         let shared_with = |other: &&Row| {
--- a/crates/router/src/quota/issuer.rs
+++ b/crates/router/src/quota/issuer.rs
@@ -48,8 +48,8 @@
     ranked_at: Timestamp,
     edition: u64,
     ticked_at: Timestamp,
-    /// What all gateways report of each other, and since when.
-    views: Option<(u64, Timestamp)>,
+    /// Fingerprint of which gateways each one can't reach, and since when it is the same.
+    reachability: Option<(u64, Timestamp)>,
 }
 
 impl LeaseIssuer {
@@ -61,14 +61,14 @@
             ranked_at: now,
             edition: 0,
             ticked_at: now,
-            views: None,
+            reachability: None,
         }
     }
 
-    /// Takes note of the fingerprint of what all gateways report of each other; `None` where that is not known.
-    pub fn observe(&mut self, now: Timestamp, views: Option<u64>) {
-        if views != self.views.map(|(views, _)| views) {
-            self.views = views.map(|views| (views, now));
+    /// Takes note of the fingerprint of `ownership::reachability`; `None` where other gateways are not observed.
+    pub fn observe(&mut self, now: Timestamp, reachability: Option<u64>) {
+        if reachability != self.reachability.map(|(known, _)| known) {
+            self.reachability = reachability.map(|known| (known, now));
         }
     }
 
@@ -112,7 +112,7 @@
         }
         // A standby does not know which tokens were granted before its share was the one it has now; the first
         // ranked gateway has owned the limit since `ranked_at`.
-        let standby_since = self.views.map_or(now, |(_, at)| at.max(self.ranked_at));
+        let standby_since = self.reachability.map_or(now, |(_, at)| at.max(self.ranked_at));
         let since = if is_first { self.ranked_at } else { standby_since };
         let rate = Rate { rate: bound.rate * part, burst: bound.burst * part };
         let row = self.rows.entry(request.key.clone()).or_insert_with(|| Row {
--- a/crates/router/src/quota/ownership.rs
+++ b/crates/router/src/quota/ownership.rs
@@ -30,14 +30,14 @@
     fn unreachable(&self, name: &str) -> Option<&UnreachableGateways>;
 }
 
-/// Fingerprint of what all gateways report; while it stays the same, so do their shares.
-pub fn views(fleet: &Fleet, reports: &impl ReachabilityReports) -> u64 {
-    let view = |name: &String| {
+/// Fingerprint of which gateways each one can't reach; while it stays the same, so do the shares of all limits.
+pub fn reachability(fleet: &Fleet, reports: &impl ReachabilityReports) -> u64 {
+    let report = |name: &String| {
         let unreachable = reports.unreachable(name)?.iter();
         let numbers = unreachable.fold(1, |sum, number| sum ^ mix(u64::from(*number)));
         Some(mix(stable_hash(name) ^ numbers))
     };
-    fleet.all().keys().filter_map(view).fold(0, |sum, view| sum ^ view)
+    fleet.all().keys().filter_map(report).fold(0, |sum, report| sum ^ report)
 }
 
 /// Cached ranks of gateways for one edition of the gateway list.
--- a/crates/standins/tests/answers.rs
+++ b/crates/standins/tests/answers.rs
@@ -135,8 +135,8 @@
 fn a_server_that_announces_leaving_in_the_answer_to_a_check_gets_no_more_requests() {
     let spec = FleetSpec { gateways: 1, plain_servers: 1, ..FleetSpec::default() };
     with_fleet(spec, async |fleet| {
-        let (index, plain) =
-            fleet.backends.iter().enumerate().last().map(|(i, b)| (i, b.clone())).expect("one");
+        let index = fleet.backends.len() - 1;
+        let plain = fleet.backends[index].clone();
         plain.set_fault(Fault::Hangs);
         plain.announce_leaving();
         // Callers that leave early make the gateway check whether the server is alive.
