--- a/crates/standins/src/fleet/backend.rs
+++ b/crates/standins/src/fleet/backend.rs
@@ -519,9 +519,9 @@
             self.record_lost_prefill(&work);
             let mut head = simulation::rejection_headers(&work.attempt);
             simulation::set_retry_after(&mut head, seconds);
-            let pause = seconds.parse().map(Duration::from_secs_f64).unwrap_or_default();
-            let until = Instant::now() + pause;
-            self.away_until.set(self.away_until.get().max(Some(until)));
+            let pause = seconds.parse().ok().and_then(|s| Duration::try_from_secs_f64(s).ok());
+            let until = pause.and_then(|pause| Instant::now().checked_add(pause));
+            self.away_until.set(self.away_until.get().max(until));
             return response(503, head, Vec::new());
         }
         let full = self.running.get() >= self.spec.slots;
