Stand-ins: waiting for a condition stands once

It stands at the root of the crate now, with the shorter poll of 5 ms; all tests keep their limits and assertions.

--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -139,18 +139,6 @@
     });
 }
 
-/// Waits until `holds` returns true; returns false if `limit` passes first.
-pub async fn eventually(limit: Duration, mut holds: impl FnMut() -> bool) -> bool {
-    let end = std::time::Instant::now() + limit;
-    while !holds() {
-        if std::time::Instant::now() > end {
-            return false;
-        }
-        compio::time::sleep(Duration::from_millis(5)).await;
-    }
-    true
-}
-
 impl Fleet {
     /// Starts all processes and waits until all gateways are ready.
     pub async fn start(spec: &FleetSpec) -> Fleet {
--- a/crates/standins/tests/accounts.rs
+++ b/crates/standins/tests/accounts.rs
@@ -4,10 +4,11 @@
 
 use bytes::Bytes;
 use ebonyloft_platform::simulation::AccountSpec;
+use ebonyloft_standins::eventually;
 use ebonyloft_standins::fleet::caller::Answer;
 use ebonyloft_standins::fleet::store::Fault;
 use ebonyloft_standins::fleet::{
-    CHECK, Fleet, FleetSpec, LOOKUP, OPEN_PREFIX, SUMMARY, eventually, with_fleet,
+    CHECK, Fleet, FleetSpec, LOOKUP, OPEN_PREFIX, SUMMARY, with_fleet,
 };
 use hyper::Request;
 use hyper::header::HeaderValue;
--- a/crates/standins/tests/answers.rs
+++ b/crates/standins/tests/answers.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use ebonyloft_standins::eventually;
 use ebonyloft_standins::fleet::backend::Fault;
 use ebonyloft_standins::fleet::{
     CHECK, Fleet, FleetSpec, LOOKUP, ONCE_SUMMARY, SUMMARY, store, with_fleet,
@@ -25,14 +26,6 @@
     }
 }
 
-async fn eventually(limit: Duration, mut condition: impl FnMut() -> bool) -> bool {
-    let end = Instant::now() + limit;
-    while !condition() && Instant::now() < end {
-        compio::time::sleep(Duration::from_millis(10)).await;
-    }
-    condition()
-}
-
 /// Requests, prompts and reservations that a server received after the given time.
 fn taken_after(fleet: &Fleet, backend: usize, after: Instant) -> usize {
     let seen = fleet.backends[backend].observed.borrow();
--- a/crates/standins/tests/gateway.rs
+++ b/crates/standins/tests/gateway.rs
@@ -8,12 +8,13 @@
 use compio::runtime::JoinHandle;
 use ebonyloft_router::catalog::{Split, Stage};
 use ebonyloft_router::load_report::{GossipMessage, LoadReport};
+use ebonyloft_standins::eventually;
 use ebonyloft_standins::fleet::backend::{BackendSpec, Fault};
 use ebonyloft_standins::fleet::caller::Answer;
 use ebonyloft_standins::fleet::store;
 use ebonyloft_standins::fleet::{
     CHECK, ENGINE_SERVICE, Fleet, FleetSpec, LOOKUP, ONCE_SUMMARY, PLAIN_SERVICE, SUMMARY, config,
-    eventually, with_fleet,
+    with_fleet,
 };
 use ebonyloftd::gateway::pool::ExchangeError;
 use hyper::Request;
--- a/crates/standins/tests/migration.rs
+++ b/crates/standins/tests/migration.rs
@@ -8,12 +8,11 @@
 use ebonyloft_router::catalog::Stage;
 use ebonyloft_router::engine_load::EngineLoad;
 use ebonyloft_router::forecast::MemoryForecast;
+use ebonyloft_standins::eventually;
 use ebonyloft_standins::fleet::backend::{BackendServer, BackendSpec, Fault};
 use ebonyloft_standins::fleet::caller::Answer;
 use ebonyloft_standins::fleet::peer::Peer;
-use ebonyloft_standins::fleet::{
-    Fleet, FleetSpec, ONCE_SUMMARY, SUMMARY, config, eventually, with_fleet,
-};
+use ebonyloft_standins::fleet::{Fleet, FleetSpec, ONCE_SUMMARY, SUMMARY, config, with_fleet};
 use ebonyloftd::gateway::pool::ExchangeError;
 use ebonyloftd::settings::MigrationSetting;
 
--- a/crates/standins/tests/urgency.rs
+++ b/crates/standins/tests/urgency.rs
@@ -6,10 +6,9 @@
 use compio::net::UdpSocket;
 use ebonyloft_router::catalog::Config;
 use ebonyloft_router::load_report::GossipMessage;
+use ebonyloft_standins::eventually;
 use ebonyloft_standins::fleet::backend::BackendSpec;
-use ebonyloft_standins::fleet::{
-    Fleet, FleetSpec, ONCE_SUMMARY, SUMMARY, config, eventually, with_fleet,
-};
+use ebonyloft_standins::fleet::{Fleet, FleetSpec, ONCE_SUMMARY, SUMMARY, config, with_fleet};
 
 const SECOND: Duration = Duration::from_secs(1);
 /// Routine streams sent before the urgent one, and how many of them the engine runs at once.
--- a/crates/standins/tests/versions.rs
+++ b/crates/standins/tests/versions.rs
@@ -8,9 +8,10 @@
 use ebonyloft_platform::simulation::AccountSpec;
 use ebonyloft_router::catalog::{Server, Stage};
 use ebonyloft_router::engines::FAULT_BACKOFF;
+use ebonyloft_standins::eventually;
 use ebonyloft_standins::fleet::backend::{BackendServer, BackendSpec, Fault};
 use ebonyloft_standins::fleet::caller::Answer;
-use ebonyloft_standins::fleet::{Fleet, FleetSpec, SUMMARY, eventually, store, with_fleet};
+use ebonyloft_standins::fleet::{Fleet, FleetSpec, SUMMARY, store, with_fleet};
 
 const SECOND: Duration = Duration::from_secs(1);
 const EVENTS: u64 = 20;
--- a/crates/standins/tests/wasted_prefill.rs
+++ b/crates/standins/tests/wasted_prefill.rs
@@ -2,8 +2,9 @@
 
 use std::time::Duration;
 
+use ebonyloft_standins::eventually;
 use ebonyloft_standins::fleet::backend::{BackendSpec, Fault};
-use ebonyloft_standins::fleet::{Fleet, FleetSpec, ONCE_SUMMARY, SUMMARY, eventually, with_fleet};
+use ebonyloft_standins::fleet::{Fleet, FleetSpec, ONCE_SUMMARY, SUMMARY, with_fleet};
 
 const SECOND: Duration = Duration::from_secs(1);
 /// Tokens of a summary's prompt.
--- a/crates/standins/tests/zones.rs
+++ b/crates/standins/tests/zones.rs
@@ -3,10 +3,9 @@
 
 use std::time::Duration;
 
+use ebonyloft_standins::eventually;
 use ebonyloft_standins::fleet::backend::BackendSpec;
-use ebonyloft_standins::fleet::{
-    CHECK, Fleet, FleetSpec, SUMMARY, config, eventually, store, with_fleet,
-};
+use ebonyloft_standins::fleet::{CHECK, Fleet, FleetSpec, SUMMARY, config, store, with_fleet};
 
 const SECOND: Duration = Duration::from_secs(1);
 /// Time after which gateways that are not zone leaders have stopped following the store.
