Gateway: reports of reachability are gathered in one place, for a standby's grants

What this gateway knows of unreachable gateways was put together twice in the same words, and the fingerprint of all reports was computed for each grant of the first in rank, which does not use it; upkeep computes it anyway. The answer to a liveness check goes by what was parsed of its head instead of comparing the status again. Grants are the same.

--- a/crates/daemon/src/gateway/quarantine.rs
+++ b/crates/daemon/src/gateway/quarantine.rs
@@ -25,7 +25,7 @@
 };
 use ebonyloft_router::request_digest::RequestDigest;
 use futures_util::future::{Either, select};
-use hyper::{Response, StatusCode};
+use hyper::Response;
 use serde::{Deserialize, Serialize};
 
 use super::announcements;
@@ -420,8 +420,7 @@
         Ok(Reachability::Answered(status, headers)) => {
             let reply = headers::parse_reply(status, &headers);
             announcements::on_answer(&shared, &id, sent, &reply);
-            let is_other = status == StatusCode::MISDIRECTED_REQUEST;
-            if is_other { ProbeResult::Other } else { ProbeResult::Alive }
+            if reply.moved { ProbeResult::Other } else { ProbeResult::Alive }
         }
         Ok(Reachability::Refused) => ProbeResult::Nobody,
         Ok(Reachability::Broken) | Err(_) => ProbeResult::Silence,
--- a/crates/daemon/src/gateway/quota.rs
+++ b/crates/daemon/src/gateway/quota.rs
@@ -251,10 +251,13 @@
     };
     let (now, node) = (shared.now(), shared.node());
     let share = granted_share(shared, &ask.key, &rate);
-    observe_reachability(shared);
     let fleet = shared.fleet.borrow();
     let ranked = shared.quota_owners.borrow_mut().ranked(&fleet, &ask.key);
     let is_first = ranked.first() == Some(&node.name);
+    if !is_first {
+        // The first in rank grants whatever the others report, and often.
+        observe_reachability(shared);
+    }
     let mut issuer = shared.lease_issuer.borrow_mut();
     issuer.tick(now, fleet.edition());
     let reply = issuer.grant(now, ask, &rate, share, is_first);
@@ -316,7 +319,7 @@
 
 /// The share of a quota or limit that this gateway grants.
 fn granted_share(shared: &Shared, key: &LimitKey, rate: &Rate) -> f64 {
-    let (now, node, fleet) = (shared.now(), shared.node(), shared.fleet.borrow());
+    let (node, fleet) = (shared.node(), shared.fleet.borrow());
     let mut owners = shared.quota_owners.borrow_mut();
     if shared.scope() == Scope::Zone {
         // Gateways of other zones are not observed here: the first in rank grants everything, and
@@ -328,23 +331,22 @@
             _ => 0.0,
         };
     }
-    let load_reports = shared.load_reports.borrow();
-    let own_unreachable = unreachable_gateways(shared);
-    let views =
-        ObservedViews { now, name: &node.name, own: &own_unreachable, load_reports: &load_reports };
-    owners.share(&fleet, key, &node.name, &views)
+    with_views(shared, |views| owners.share(&fleet, key, &node.name, views))
 }
 
 /// Takes note of which gateways each one reports as unreachable: the shares depend on it.
 fn observe_reachability(shared: &Shared) {
-    let (now, node, fleet) = (shared.now(), shared.node(), shared.fleet.borrow());
     let reachability = (shared.scope() == Scope::All).then(|| {
-        let (own, load_reports) = (unreachable_gateways(shared), shared.load_reports.borrow());
-        let reports =
-            ObservedViews { now, name: &node.name, own: &own, load_reports: &load_reports };
-        ownership::reachability(&fleet, &reports)
+        with_views(shared, |views| ownership::reachability(&shared.fleet.borrow(), views))
     });
-    shared.lease_issuer.borrow_mut().observe(now, reachability);
+    shared.lease_issuer.borrow_mut().observe(shared.now(), reachability);
+}
+
+/// Calls `f` with what this gateway knows of which gateways each one can't reach.
+fn with_views<T>(shared: &Shared, f: impl FnOnce(&ObservedViews<'_>) -> T) -> T {
+    let (own, load_reports) = (unreachable_gateways(shared), shared.load_reports.borrow());
+    let name = &shared.node().name;
+    f(&ObservedViews { now: shared.now(), name, own: &own, load_reports: &load_reports })
 }
 
 /// Gateways that this one receives no messages from.
