--- a/crates/daemon/src/gateway/origins.rs
+++ b/crates/daemon/src/gateway/origins.rs
@@ -68,7 +68,7 @@
     };
     let asked_at = shared.now();
     intake.origin = lookup(shared, key, &intake.service).await;
-    if let Origin::Software(software) = intake.origin {
+    if let Some(software) = intake.origin.software() {
         use_service_with(shared, intake, software);
     }
     let ms = shared.now().since(asked_at).as_millis() as u64;
@@ -102,10 +102,7 @@
 
 /// Name of the version that a stream must be continued with, if a known server has it.
 fn version_name(shared: &Shared, origin: Origin) -> Option<String> {
-    let Origin::Software(software) = origin else {
-        return None;
-    };
-    software.version(shared.registry.borrow().all()).map(str::to_owned)
+    origin.software()?.version(shared.registry.borrow().all()).map(str::to_owned)
 }
 
 /// Concludes which software began a stream from what this gateway and its peers know. While no gateway
--- a/crates/daemon/src/gateway/origins/histories.rs
+++ b/crates/daemon/src/gateway/origins/histories.rs
@@ -21,8 +21,8 @@
 
 /// Prefix of the store's histories, by hash of the service's name.
 pub const HISTORY_PREFIX: &str = "ebonyloft/software/";
-/// Interval at which histories are observed, and records written to the store.
-const SAVE_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval at which histories are observed and written to the store.
+pub const SAVE_INTERVAL: Duration = Duration::from_millis(500);
 /// Rounds after which the second gateway that follows the store writes what the first one did not.
 const STANDBY_ROUNDS: u32 = 6;
 /// Longest wait for the store to confirm that no other version has joined: as long as a watch.
--- a/crates/daemon/src/gateway/stream/overflow.rs
+++ b/crates/daemon/src/gateway/stream/overflow.rs
@@ -13,7 +13,7 @@
 use ebonyloft_router::catalog::Server;
 use ebonyloft_router::demand::{Demand, FIRST_EVENT, LATE_PREFILL_MAX};
 use ebonyloft_router::precedence::Precedence;
-use ebonyloft_router::stream_origin::{Origin, SoftwareId};
+use ebonyloft_router::stream_origin::SoftwareId;
 use ebonyloft_router::zones::Scope;
 use hyper::{Method, Request, StatusCode};
 use serde::{Deserialize, Serialize};
@@ -156,10 +156,7 @@
         first: left.as_millis() as u64,
         precedence: (intake.levels.is_enabled() || demand.precedence.over_share)
             .then_some(demand.precedence),
-        software: match state.origin {
-            Origin::Software(software) => Some(software),
-            Origin::Unstarted | Origin::Unknown => None,
-        },
+        software: state.origin.software(),
     };
     let grant = request_grant(shared, addr, &request).await;
     let ms = shared.now().since(now).as_millis() as u64;
--- a/crates/router/src/stream_origin.rs
+++ b/crates/router/src/stream_origin.rs
@@ -64,6 +64,14 @@
 }
 
 impl Origin {
+    /// Returns the software, if it is known.
+    pub fn software(self) -> Option<SoftwareId> {
+        match self {
+            Origin::Software(software) => Some(software),
+            Origin::Unstarted | Origin::Unknown => None,
+        }
+    }
+
     /// May this server write the next events?
     pub fn admits(&self, server: &Server) -> bool {
         match self {
--- a/crates/standins/src/cmd/measure/origins.rs
+++ b/crates/standins/src/cmd/measure/origins.rs
@@ -10,14 +10,12 @@
 use ebonyloft_router::stream_origin::{SoftwareId, StreamKey};
 use ebonyloft_router::zone_leader::LEADERS_PER_ZONE;
 use ebonyloft_router::zones::ZONE_SCOPE_GATEWAYS;
-use ebonyloftd::gateway::origins::records::{RECORDS_MAX, REPORT_INTERVAL};
+use ebonyloftd::gateway::origins::records::{RECORD_INTERVAL, RECORDS_MAX, REPORT_INTERVAL};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
 use super::{encoded_size, measure_growth};
 
-/// Interval at which they are written to the store.
-const SAVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Bytes of the IP and UDP headers of a datagram.
 const DATAGRAM_HEADERS: u64 = 28;
 
@@ -102,7 +100,7 @@
                 bytes += encoded_size(&GossipMessage::Notes(state)) as u64 + DATAGRAM_HEADERS;
             }
         }
-        if now.since(saved_at) >= SAVE_INTERVAL {
+        if now.since(saved_at) >= RECORD_INTERVAL {
             let records: Vec<OriginRecord> = follower.take_unsaved(now, usize::MAX);
             (saved_at, saves) = (now, saves + 1);
             // The platform stores values as base64.
