Answers that end with their connection: another answer behind them is not passed on

Cause: a body without a length and without chunks is all bytes up to the close, and hyper can't tell what belongs to it. Splitter took any text up to a blank line for an event.

Tests on a relay that removes the framing from the stand-ins' answers.

The head is recognised by its status line, in a body only where the answer is unframed and a line end of two bytes and a header or a blank line follow, or the body ends within the head. JSON and text with other line ends are never taken for one; what remains is an unframed body that quotes a response byte by byte, or ends in a status line. Such an answer counts as lost. In a stream nothing is relayed from the head on, and the stream counts as broken off.

--- a/crates/daemon/src/gateway/send.rs
+++ b/crates/daemon/src/gateway/send.rs
@@ -3,9 +3,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use ebonyloft_core::verdict::Verdict;
 use ebonyloft_platform::headers;
 use ebonyloft_router::catalog::{Kind, Server};
 use ebonyloft_router::outcome::{AttemptOutcome, Reply};
+use ebonyloft_router::response_head;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::{HeaderMap, Request, Response, StatusCode};
@@ -18,6 +20,7 @@
 use super::retries;
 use super::shared::Shared;
 use super::speeds;
+use crate::http;
 
 /// The head of an answer, and the connection that its body arrives on.
 pub struct Head {
@@ -134,6 +137,7 @@
         let outcome = AttemptOutcome::from_reply(&reply, intake.caller.attempt.as_deref());
         let (status, headers) =
             (response.status(), headers::forwarded_to_caller(response.headers()));
+        let is_framed = http::is_framed(response.headers());
         let body = match response.into_body().collect().await {
             Ok(body) => body.to_bytes(),
             // A rejection is known from its head alone.
@@ -142,6 +146,11 @@
             }
             Err(_) => return Err(AttemptOutcome::Lost),
         };
+        if outcome.verdict() == Verdict::MayHaveRun
+            && has_second_answer(intake, to, is_framed, &body)
+        {
+            return Err(AttemptOutcome::Lost);
+        }
         if outcome == AttemptOutcome::Lost {
             conn.close();
         } else {
@@ -156,6 +165,15 @@
     }
 }
 
+/// Does another answer follow in the body of one that ends with its connection?
+pub fn has_second_answer(intake: &Intake, from: &Server, is_framed: bool, body: &[u8]) -> bool {
+    let follows = !is_framed && response_head::follows_in(body);
+    if follows {
+        tracing::warn!(id = intake.id(), server = %from.id, "another answer follows in the body");
+    }
+    follows
+}
+
 fn exchange_outcome(e: ExchangeError) -> AttemptOutcome {
     match e {
         ExchangeError::Unsent => AttemptOutcome::Unsent,
--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -53,6 +53,7 @@
 use super::retries;
 use super::send::{self, Expect, Head};
 use super::shared::{Shared, SnapshotVersion};
+use crate::http;
 
 /// Silence after which a resumable stream is continued at another engine: five times the longest
 /// pause that is still in time, and well before callers give up.
@@ -418,7 +419,10 @@
     };
     let outcome = AttemptOutcome::from_reply(&head.reply, intake.caller.attempt.as_deref());
     if outcome != AttemptOutcome::Answered(200) {
-        return AttemptEnd::Outcome(outcome, read_failure(shared, head, outcome).await);
+        return AttemptEnd::Outcome(
+            outcome,
+            read_failure(shared, intake, server, head, outcome).await,
+        );
     }
     state.heard_at = Some(shared.now());
     state.mark_used();
@@ -442,23 +446,31 @@
 /// Reads the whole body of an error response, so that it can be passed on.
 async fn read_failure(
     shared: &Shared,
+    intake: &Intake,
+    server: &Server,
     head: Head,
     outcome: AttemptOutcome,
 ) -> Option<send::CompleteAnswer> {
     let Head { reply, response, conn } = head;
     let (status, headers) = (response.status(), headers::forwarded_to_caller(response.headers()));
+    let is_framed = http::is_framed(response.headers());
     let read = compio::time::timeout(STALL_TIMEOUT, response.into_body().collect()).await;
     let Ok(Ok(body)) = read else {
         conn.close();
         return None;
     };
+    let body = body.to_bytes();
+    if send::has_second_answer(intake, server, is_framed, &body) {
+        conn.close();
+        return None;
+    }
     if outcome != AttemptOutcome::Lost {
         shared.pool.put_back(conn);
     }
     matches!(outcome, AttemptOutcome::Answered(_)).then(|| send::CompleteAnswer {
         status,
         headers,
-        body: body.to_bytes(),
+        body,
         reply,
     })
 }
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -3,28 +3,42 @@
 //! A backend server may stop in the middle of an event. Only complete events are passed on, so that another
 //! server can continue the stream.
 
+use crate::response_head;
+
+/// Names of the fields of an event.
+const FIELDS: [&[u8]; 4] = [b"data", b"event", b"id", b"retry"];
+
 /// Splits a stream into complete events.
 #[derive(Clone, Debug, Default)]
 pub struct Splitter {
     buffer: Vec<u8>,
     last: Option<u64>,
     count: u64,
+    /// The head of another response has come in place of an event.
+    is_ended: bool,
 }
 
 impl Splitter {
     /// A splitter for a stream that resumes after the event `last`.
     pub fn resuming_after(last: Option<u64>) -> Self {
-        Splitter { buffer: Vec::new(), last, count: 0 }
+        Splitter { last, ..Splitter::default() }
     }
 
     /// Adds bytes and returns the events that they complete, concatenated. Events that were already passed on
-    /// are skipped.
+    /// are skipped. Nothing is returned from the head of another response on.
     pub fn push(&mut self, bytes: &[u8]) -> Vec<u8> {
+        if self.is_ended {
+            return Vec::new();
+        }
         self.buffer.extend_from_slice(bytes);
         let mut out = Vec::new();
         let mut start = 0;
         while let Some(len) = event_len(&self.buffer[start..]) {
             let event = &self.buffer[start..start + len];
+            if contains_head(event) {
+                self.is_ended = true;
+                break;
+            }
             let id = event_id(event);
             if id.is_none() || id > self.last {
                 out.extend_from_slice(event);
@@ -47,7 +61,7 @@
         self.count
     }
 
-    /// Whether the buffer holds an incomplete event.
+    /// Whether the buffer holds bytes that are no complete event.
     pub fn is_partial(&self) -> bool {
         !self.buffer.is_empty()
     }
@@ -60,6 +74,7 @@
     /// Drops the incomplete event; the next stream sends it again from its start.
     pub fn discard_incomplete(&mut self) {
         self.buffer.clear();
+        self.is_ended = false;
     }
 }
 
@@ -77,6 +92,22 @@
     None
 }
 
+/// Is the head of another response among the lines up to a blank one? It may follow in the middle of a line,
+/// where only a header in the next line tells it from text.
+fn contains_head(event: &[u8]) -> bool {
+    response_head::status_lines(event).any(|line| {
+        let is_line_start = line.start == 0 || event[line.start - 1] == b'\n';
+        let next = event[line.end..].split(|b| *b == b'\n').next().unwrap_or_default();
+        is_line_start || response_head::is_header(next) && !is_field(next)
+    })
+}
+
+/// Is the line a field of an event?
+fn is_field(line: &[u8]) -> bool {
+    let name = line.split(|b| *b == b':').next().unwrap_or_default();
+    FIELDS.contains(&name)
+}
+
 fn event_id(event: &[u8]) -> Option<u64> {
     let line = event.split(|b| *b == b'\n').find_map(|l| l.strip_prefix(b"id:"))?;
     std::str::from_utf8(line).ok()?.trim().parse().ok()
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod registry;
 pub mod report_timing;
 pub mod request_digest;
+pub mod response_head;
 pub mod retry_after;
 pub mod routes;
 pub mod sampling;
--- a/crates/router/tests/events.rs
+++ b/crates/router/tests/events.rs
@@ -61,3 +61,43 @@
     let mut splitter = Splitter::resuming_after(Some(3));
     assert_eq!(splitter.push(&stream(1..6)), stream(4..6));
 }
+
+/// Guards against the head and the events of another response that are passed on as events.
+#[test]
+fn nothing_is_passed_on_from_the_head_of_another_response_on() {
+    let head = "HTTP/1.1 200 OK\r\nattempt-id: other\r\ncontent-length: 40\r\n\r\n";
+    let tail = format!("{head}id: 30\ndata: other\n\n");
+    let expected = stream(1..4);
+    for cut in 0..=expected.len() {
+        let bytes = [&expected[..cut], tail.as_bytes()].concat();
+        for size in [1, 7, bytes.len()] {
+            let mut splitter = Splitter::default();
+            let out: Vec<u8> = bytes.chunks(size).flat_map(|part| splitter.push(part)).collect();
+            assert!(expected[..cut].starts_with(&out), "{}", String::from_utf8_lossy(&out));
+            assert!(splitter.is_partial(), "cut at {cut}");
+        }
+    }
+}
+
+/// Guards against taking text about HTTP for the head of another response.
+#[test]
+fn events_that_contain_status_lines_are_passed_on() {
+    for text in [
+        "id: 1\ndata: HTTP/1.1 200 OK\ndata: Attempt-Id: a\n\n",
+        "id: 1\r\ndata: HTTP/1.1 200 OK\r\nid: 1\r\n\r\n",
+        "id: 1\ndata: sends HTTP/1.1 and HTTP/1.1 503\n: comment\n\n",
+        "lines: 3\nid: 1\nevent: x\ndata: HTTP/1.1 404 Not Found\n\n",
+    ] {
+        let mut splitter = Splitter::default();
+        assert_eq!(splitter.push(text.as_bytes()), text.as_bytes());
+        assert!(!splitter.is_partial());
+    }
+}
+
+#[test]
+fn the_stream_of_the_next_server_is_passed_on_after_another_response() {
+    let mut splitter = Splitter::default();
+    splitter.push(b"id: 1\ndata: x\n\nHTTP/1.1 200 OK\r\nattempt-id: other\r\n\r\n");
+    splitter.discard_incomplete();
+    assert_eq!(splitter.push(b"id: 2\ndata: y\n\n"), b"id: 2\ndata: y\n\n");
+}
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -9,6 +9,7 @@
 pub mod peer;
 mod slow;
 pub mod store;
+pub mod unframed;
 
 use std::collections::HashMap;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
@@ -30,6 +31,7 @@
 use self::caller::Caller;
 use self::peer::Peer;
 use self::store::Store;
+use self::unframed::UnframedRelay;
 use crate::node::{Node, Stop};
 
 /// Host name of all routes.
@@ -47,6 +49,8 @@
 /// Path of look-ups, which are idempotent.
 pub const LOOKUP: &str = "/lookup/a";
 
+/// Path prefixes of all routes.
+const PREFIXES: &[&str] = &["/summary", "/check", "/lookup"];
 /// Zone of processes that are started without one.
 const ZONE: &str = "a";
 const CALLERS_PORT: u16 = 8_144;
@@ -79,6 +83,8 @@
     pub threads: bool,
     /// Migration setting of all gateways; with `Off` the engines can't move runs either.
     pub migration: MigrationSetting,
+    /// Whether answers of backend servers have neither a length nor chunks.
+    pub unframed: bool,
 }
 
 impl Default for FleetSpec {
@@ -94,6 +100,7 @@
             revoke_bound: None,
             threads: false,
             migration: MigrationSetting::Off,
+            unframed: false,
         }
     }
 }
@@ -123,6 +130,9 @@
     pub backends: Vec<Rc<BackendServer>>,
     /// Gateways in the order of their start.
     pub gateways: Vec<Gateway>,
+    /// Relays in front of the backend servers, if their answers are unframed.
+    pub relays: Vec<UnframedRelay>,
+    unframed: bool,
     next_free_host: u8,
     net: [u8; 2],
     revoke: Option<Duration>,
@@ -163,6 +173,8 @@
             store,
             backends: Vec::new(),
             gateways: Vec::new(),
+            relays: Vec::new(),
+            unframed: spec.unframed,
             next_free_host: 2,
             net,
             revoke,
@@ -215,6 +227,11 @@
         };
         let backend = BackendServer::start(server, spec.clone()).await;
         backend.register_after_crash(&self.store);
+        if self.unframed {
+            let addr = address(self.net, self.next_host(), RUNNER_PORT);
+            let target = std::mem::replace(&mut backend.server.borrow_mut().addr, addr);
+            self.relays.push(UnframedRelay::start(addr, target, PREFIXES).await);
+        }
         self.store.register(&backend.server.borrow());
         self.backends.push(backend.clone());
         backend
