Streams without framing: a connection closed before the first event is no whole stream

A caller got 200 and an empty stream that ended as complete, when the engine's connection was closed right after the head of an answer without length and chunks. Nothing lies in the splitter then, so the end counted as regular.

A stream has an event at least, also a resumed one that is not yet at its end; a resumed one that has none left and no framing counts as broken off, which its caller sees.

--- a/crates/daemon/src/gateway/stream/relay.rs
+++ b/crates/daemon/src/gateway/stream/relay.rs
@@ -23,6 +23,7 @@
 use crate::gateway::quarantine;
 use crate::gateway::send::Head;
 use crate::gateway::shared::Shared;
+use crate::http;
 
 /// How long the rest of a stream is read after its run was stopped.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(100);
@@ -45,6 +46,7 @@
     splitter: &mut Splitter,
 ) -> RelayEnd {
     let Head { response, conn, .. } = head;
+    let is_framed = http::is_framed(response.headers());
     if !out.has_begun() {
         out.send_head(response.status(), headers::forwarded_to_caller(response.headers()));
     }
@@ -82,7 +84,10 @@
                 }
             }
             closed => {
-                let is_complete = matches!(closed, Some(None)) && !relay.splitter.is_partial();
+                let has_ended = matches!(closed, Some(None)) && !relay.splitter.is_partial();
+                // Without framing a connection that is closed before the first event looks the same
+                // as the end of a stream.
+                let is_complete = has_ended && (is_framed || relay.state.first_event_at.is_some());
                 if let Some(result) = last_call {
                     let result = result.await.unwrap_or(None);
                     let handover = migration::on_last_result(shared, intake, relay.state, result);
--- a/crates/standins/tests/unframed.rs
+++ b/crates/standins/tests/unframed.rs
@@ -202,7 +202,7 @@
 
 /// Cuts inside an event and before the first one, with a close or a reset, and a reset after all events.
 fn breaks() -> Vec<Ending> {
-    let cuts = [Some(1), Some(30), Some(100)];
+    let cuts = [Some(0), Some(1), Some(30), Some(100)];
     let cut = |cut_at, reset| Ending { cut_at, reset, ..Ending::default() };
     let mut breaks: Vec<Ending> = cuts.iter().map(|at| cut(*at, false)).collect();
     breaks.extend(cuts.iter().chain([&None]).map(|at| cut(*at, true)));
