Streams without framing: the end of a stopped run is not the end of its answer

A caller got the first 3 of 40 events and a stream that ended as complete: its run was stopped by the last call of a migration, which was not answered, and the engine closed the connection after a whole event. With chunks such an end lacks the last chunk and counts as broken off; without framing it looked regular, although the result of the call said that the run's state is unknown.

Where the call's result is unknown, the end of an unframed stream counts as broken off, and the run is resumed. If the engine says that it has no such run, the stream has ended by itself and stays complete.

--- a/crates/daemon/src/gateway/stream/relay.rs
+++ b/crates/daemon/src/gateway/stream/relay.rs
@@ -87,7 +87,8 @@
                 let has_ended = matches!(closed, Some(None)) && !relay.splitter.is_partial();
                 // Without framing a connection that is closed before the first event looks the same
                 // as the end of a stream.
-                let is_complete = has_ended && (is_framed || relay.state.first_event_at.is_some());
+                let mut is_complete =
+                    has_ended && (is_framed || relay.state.first_event_at.is_some());
                 if let Some(result) = last_call {
                     let result = result.await.unwrap_or(None);
                     let handover = migration::on_last_result(shared, intake, relay.state, result);
@@ -95,6 +96,8 @@
                         conn.close();
                         return RelayEnd::Moved;
                     }
+                    // So does the end of a run that was stopped.
+                    is_complete &= is_framed || handover != Handover::Broken;
                 }
                 if is_complete {
                     shared.pool.put_back(conn);
--- a/crates/standins/tests/migration.rs
+++ b/crates/standins/tests/migration.rs
@@ -12,6 +12,7 @@
 use ebonyloft_standins::fleet::backend::{BackendServer, BackendSpec, Fault};
 use ebonyloft_standins::fleet::caller::Answer;
 use ebonyloft_standins::fleet::peer::Peer;
+use ebonyloft_standins::fleet::unframed::Ending;
 use ebonyloft_standins::fleet::{Fleet, FleetSpec, ONCE_SUMMARY, SUMMARY, config, with_fleet};
 use ebonyloftd::gateway::pool::ExchangeError;
 use ebonyloftd::settings::MigrationSetting;
@@ -168,6 +169,23 @@
     });
 }
 
+/// Guards against taking the end of a stopped run's stream for that of the answer when it comes after a whole
+/// event, without length or chunks.
+#[test]
+fn a_run_without_framing_is_resumed_when_the_last_call_is_not_answered() {
+    let spec = FleetSpec { unframed: true, ..spec(MigrationSetting::On) };
+    with_fleet(spec, async |fleet| {
+        for relay in &fleet.relays {
+            relay.end_requests(Ending { whole_events: true, ..Ending::default() });
+        }
+        let stream = begin(fleet, SUMMARY, Fault::StopsSilently, Fault::None).await;
+        let answer = stream.task.await.expect("the caller's task").expect("an answer");
+        assert_eq!(moves(&stream.source, true), 1);
+        assert!(answer.complete, "{:?}", answer.events());
+        assert_eq!(answer.events(), (1..=EVENTS).collect::<Vec<_>>());
+    });
+}
+
 /// Guards against a run that is lost when the source keeps its memory because the target has none.
 #[test]
 fn a_run_continues_at_its_engine_when_that_keeps_the_memory() {
