--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -32,7 +32,7 @@
 use self::peer::Peer;
 use self::store::Store;
 use self::unframed::UnframedRelay;
-use crate::node::{Node, Stop};
+use crate::node::{self, Node, Stop};
 
 /// Host name of all routes.
 pub const HOST: &str = "desk.example";
@@ -81,6 +81,8 @@
     pub revoke_bound: Option<Duration>,
     /// Whether gateways run in threads of their own, so that they can be killed.
     pub threads: bool,
+    /// Part of a core that each gateway gets, if it runs in a thread of its own; `None` limits nothing.
+    pub cpu_share: Option<f64>,
     /// Migration setting of all gateways; with `Off` the engines can't move runs either.
     pub migration: MigrationSetting,
     /// Whether answers of backend servers have neither a length nor chunks.
@@ -99,6 +101,7 @@
             accounts: None,
             revoke_bound: None,
             threads: false,
+            cpu_share: None,
             migration: MigrationSetting::Off,
             unframed: false,
         }
@@ -137,6 +140,7 @@
     net: [u8; 2],
     revoke: Option<Duration>,
     threads: bool,
+    cpu_share: Option<f64>,
     migration: MigrationSetting,
 }
 
@@ -179,6 +183,7 @@
             net,
             revoke,
             threads: spec.threads,
+            cpu_share: spec.cpu_share,
             migration: spec.migration,
         };
         match &spec.accounts {
@@ -262,7 +267,11 @@
             plan_by_speed: false,
             migration: self.migration,
         };
+        let cpu_share = self.cpu_share.filter(|_| self.threads);
         let run = move |stop| async move {
+            if let Some(share) = cpu_share {
+                compio::runtime::spawn(node::limit_cpu(share)).detach();
+            }
             gateway::run(node, options, stop, std::future::pending()).await.expect("a gateway");
         };
         let process = match self.threads {
