Stand-ins: a relay that sends a backend server's answers twice

No server of ours answered an exchange twice, so no test could show what a gateway makes of a late second answer. A relay in front of a backend server finds where each answer ends and writes a copy of it later on the same connection: in the same write, after a time, or when the next request has arrived, before its answer or in its place.

--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -5,6 +5,7 @@
 
 pub mod backend;
 pub mod caller;
+pub mod duplicates;
 mod listener;
 pub mod peer;
 mod slow;
@@ -28,6 +29,7 @@
 
 use self::backend::{BackendServer, BackendSpec};
 use self::caller::Caller;
+use self::duplicates::Duplicator;
 use self::peer::Peer;
 use self::store::Store;
 use crate::node::{Node, Stop};
@@ -56,6 +58,8 @@
 const PEER_PORT: u16 = 7_660;
 const STORE_PORT: u16 = 8_142;
 const RUNNER_PORT: u16 = 8_147;
+/// Port of backend servers that stand behind a relay.
+const RELAYED_PORT: u16 = 8_148;
 const METRICS_PORT: u16 = 9_464;
 
 /// Size and settings of a deployment.
@@ -79,6 +83,8 @@
     pub threads: bool,
     /// Migration setting of all gateways; with `Off` the engines can't move runs either.
     pub migration: MigrationSetting,
+    /// Whether a [`Duplicator`] stands in front of each backend server.
+    pub duplicators: bool,
 }
 
 impl Default for FleetSpec {
@@ -94,6 +100,7 @@
             revoke_bound: None,
             threads: false,
             migration: MigrationSetting::Off,
+            duplicators: false,
         }
     }
 }
@@ -121,6 +128,8 @@
     pub store: Rc<Store>,
     /// Backend servers: prefill engines, decode engines, then plain ones.
     pub backends: Vec<Rc<BackendServer>>,
+    /// Relays in front of the backend servers, in the same order, if the deployment has them.
+    pub duplicators: Vec<Rc<Duplicator>>,
     /// Gateways in the order of their start.
     pub gateways: Vec<Gateway>,
     next_free_host: u8,
@@ -128,6 +137,7 @@
     revoke: Option<Duration>,
     threads: bool,
     migration: MigrationSetting,
+    has_duplicators: bool,
 }
 
 /// Starts a deployment and runs a test's body on it.
@@ -162,12 +172,14 @@
         let mut fleet = Fleet {
             store,
             backends: Vec::new(),
+            duplicators: Vec::new(),
             gateways: Vec::new(),
             next_free_host: 2,
             net,
             revoke,
             threads: spec.threads,
             migration: spec.migration,
+            has_duplicators: spec.duplicators,
         };
         match &spec.accounts {
             Some(accounts) => fleet.set_accounts(1, accounts),
@@ -203,10 +215,11 @@
     ) -> Rc<BackendServer> {
         let host = self.next_host();
         let service = if stage.is_some() { ENGINE_SERVICE } else { PLAIN_SERVICE };
+        let port = if self.has_duplicators { RELAYED_PORT } else { RUNNER_PORT };
         let server = Server {
             id: ServerId::new(format!("i-{host}"), 0),
             service: service.to_owned(),
-            addr: address(self.net, host, RUNNER_PORT),
+            addr: address(self.net, host, port),
             zone: zone.to_owned(),
             slots: spec.slots,
             draining: false,
@@ -214,6 +227,12 @@
             version: SoftwareVersion::new(&*spec.version),
         };
         let backend = BackendServer::start(server, spec.clone()).await;
+        if self.has_duplicators {
+            let front = address(self.net, host, RUNNER_PORT);
+            let target = address(self.net, host, RELAYED_PORT);
+            self.duplicators.push(Duplicator::start(front, target).await);
+            backend.server.borrow_mut().addr = front;
+        }
         backend.register_after_crash(&self.store);
         self.store.register(&backend.server.borrow());
         self.backends.push(backend.clone());
