Stand-ins: the owners of handles have a name of the project's own

platform/tests/wire.rs failed since (wire_names_are_used_in_this_crate_only): a field of the stand-ins bore a name of the platform's wire format.

--- a/crates/standins/src/fleet/backend.rs
+++ b/crates/standins/src/fleet/backend.rs
@@ -164,7 +164,7 @@
     /// Calls of migrations: the attempt, and whether it was the last call.
     pub moves: Vec<(String, bool)>,
     /// Attempts whose prompt was computed, by handle.
-    pub prompt_handles: HashMap<String, String>,
+    pub handle_owners: HashMap<String, String>,
     /// Engines and handles that runs named, by attempt.
     pub kv_sources: HashMap<String, Vec<(SocketAddr, String)>>,
     /// Runs that named a reservation which the server does not hold.
@@ -680,7 +680,7 @@
         seen.prefill_count += 1;
         *seen.prefills.entry(work.attempt.clone()).or_default() += 1;
         let handle = self.next_name("handle");
-        seen.prompt_handles.insert(handle.clone(), work.attempt.clone());
+        seen.handle_owners.insert(handle.clone(), work.attempt.clone());
         drop(seen);
         self.handles.borrow_mut().insert(handle.clone(), Instant::now() + self.spec.handle_ttl);
         let head = simulation::response_headers(&ResponseHead {
--- a/crates/standins/tests/late_answers.rs
+++ b/crates/standins/tests/late_answers.rs
@@ -70,7 +70,7 @@
 
 /// Each run goes on from the prompt of its own request.
 fn assert_own_prompts(fleet: &Fleet) {
-    let handles = prefill_engine(fleet).observed.borrow().prompt_handles.clone();
+    let handles = prefill_engine(fleet).observed.borrow().handle_owners.clone();
     for (attempt, sources) in &decode_engine(fleet).observed.borrow().kv_sources {
         for (_, handle) in sources {
             assert_eq!(handles.get(handle), Some(attempt), "{handle}");
