Soak: servers that answer twice at random moments, and checks that each answer is the caller's own

No server of the soak did so, and its checks took any answer that contained the attempt's id: a1-2 is contained in a1-23.

A plan of its own draws servers that send most of their answers twice: in one write with the first, up to 900 ms later, or before or in place of the next answer on the connection, with or without the id. An answer now has to name its attempt in its head and in every event, and a call's body has to be the whole expected one. Prompts and reservations are followed: a run may name only those that were made for its attempt. These checks apply to all plans.

--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -5,8 +5,9 @@
 //!     EBONYLOFT_SOAK_SEEDS=50 cargo nextest run -p ebonyloftd --test soak --run-ignored only
 //!
 //! `EBONYLOFT_SOAK_FROM` is the first seed (default: the current time), `EBONYLOFT_SOAK_SECS` the
-//! duration of fault injection per run, `EBONYLOFT_SOAK_GATEWAYS` the number of gateways. The gateways write
-//! their logs into the folder `EBONYLOFT_SOAK_LOGS`, if it is set.
+//! duration of fault injection per run, `EBONYLOFT_SOAK_GATEWAYS` the number of gateways. With
+//! `EBONYLOFT_SOAK_PLAN`, from 0, each seed plays one plan only. The gateways write their logs into the folder
+//! `EBONYLOFT_SOAK_LOGS`, if it is set.
 
 #[path = "soak/callers.rs"]
 mod callers;
@@ -18,8 +19,8 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use self::cluster::{
-    ACCOUNT_KINDS, BASIC_KINDS, CRASH_KINDS, DRAINING_KINDS, GENERAL_KINDS, Plan, RATE_LIMIT_KINDS,
-    REGISTRATION_KINDS, RESPONSE_KINDS, VERSION_KINDS, run_plan,
+    ACCOUNT_KINDS, BASIC_KINDS, CRASH_KINDS, DRAINING_KINDS, DUPLICATE_KINDS, GENERAL_KINDS, Plan,
+    RATE_LIMIT_KINDS, REGISTRATION_KINDS, RESPONSE_KINDS, VERSION_KINDS, run_plan,
 };
 
 /// Seeds that failed once, each with the fault that it found.
@@ -30,6 +31,18 @@
     (101, "behind a silent network path, a stand-in worked beyond the deadline of its request"),
 ];
 
+/// Kinds of faults of the plans that each seed plays by hand, one after the other.
+const PLANS: [&[u32]; 8] = [
+    GENERAL_KINDS,
+    DRAINING_KINDS,
+    RESPONSE_KINDS,
+    CRASH_KINDS,
+    RATE_LIMIT_KINDS,
+    ACCOUNT_KINDS,
+    VERSION_KINDS,
+    DUPLICATE_KINDS,
+];
+
 fn env_number(name: &str) -> Option<u64> {
     std::env::var(name).ok()?.parse().ok()
 }
@@ -71,6 +84,15 @@
     run_plan(Plan { seed: 11, gateways: 5, ..plan });
 }
 
+/// Guards against answers, prompts and reservations of other requests.
+#[test]
+fn second_answers_in_a_short_run() {
+    let plan =
+        Plan { seed: 12, faults: Duration::from_secs(8), gateways: 3, kinds: DUPLICATE_KINDS };
+    run_plan(plan);
+    run_plan(Plan { seed: 17, ..plan });
+}
+
 #[test]
 fn seeds_that_failed_keep_the_promises() {
     for (seed, found) in REGRESSION_SEEDS {
@@ -87,13 +109,12 @@
     let first = env_number("EBONYLOFT_SOAK_FROM").unwrap_or(now);
     let faults = Duration::from_secs(env_number("EBONYLOFT_SOAK_SECS").unwrap_or(8));
     let gateways = env_number("EBONYLOFT_SOAK_GATEWAYS").unwrap_or(3) as usize;
+    let only = env_number("EBONYLOFT_SOAK_PLAN").map(|n| n as usize);
     for seed in first..first + env_number("EBONYLOFT_SOAK_SEEDS").unwrap_or(5) {
-        run_plan(Plan { seed, faults, gateways, kinds: GENERAL_KINDS });
-        run_plan(Plan { seed, faults, gateways, kinds: DRAINING_KINDS });
-        run_plan(Plan { seed, faults, gateways, kinds: RESPONSE_KINDS });
-        run_plan(Plan { seed, faults, gateways, kinds: CRASH_KINDS });
-        run_plan(Plan { seed, faults, gateways, kinds: RATE_LIMIT_KINDS });
-        run_plan(Plan { seed, faults, gateways, kinds: ACCOUNT_KINDS });
-        run_plan(Plan { seed, faults, gateways, kinds: VERSION_KINDS });
+        for (_, kinds) in
+            PLANS.iter().enumerate().filter(|(n, _)| only.is_none_or(|only| only == *n))
+        {
+            run_plan(Plan { seed, faults, gateways, kinds });
+        }
     }
 }
--- a/crates/daemon/tests/soak/callers.rs
+++ b/crates/daemon/tests/soak/callers.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use ebonyloft_standins::fleet::caller::Answer;
-use ebonyloft_standins::fleet::{CHECK, LOOKUP, ONCE_SUMMARY, SUMMARY};
+use ebonyloft_standins::fleet::{CHECK, LOOKUP, ONCE_SUMMARY, SUMMARY, ownership};
 use ebonyloftd::gateway::pool::ExchangeError;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -48,6 +48,8 @@
         for attempt in &self.at_most_once {
             assert!(cluster.runs(attempt) <= 1, "seed {seed}: {attempt} ran more than once");
         }
+        let foreign = ownership::violations(cluster.runners.iter().map(|(r, _)| &**r));
+        assert!(foreign.is_empty(), "seed {seed}: {foreign:?}");
         assert!(self.served * 4 > self.counted, "seed {seed}: {} of {}", self.served, self.counted);
         let (drains, crashes, accounts) = (
             cluster.drains_checked.get(),
@@ -62,6 +64,26 @@
              {refused:?}; \
              checked {drains} drains, {crashes} crashing requests, {accounts} keys and quotas"
         );
+        self.check_duplicates(cluster);
+    }
+
+    /// Checks that second answers came while others were due, if the plan has any.
+    fn check_duplicates(&self, cluster: &Cluster) {
+        if !cluster.plan.has_duplicates() {
+            return;
+        }
+        let mut counts: BTreeMap<String, usize> = BTreeMap::new();
+        for delivery in cluster.duplicators.iter().flat_map(|d| d.deliveries()) {
+            let name = match delivery.due {
+                None => "idle".to_owned(),
+                Some(due) => format!("{:?} at {due:?}", delivery.kind),
+            };
+            *counts.entry(name).or_default() += 1;
+        }
+        let seed = cluster.plan.seed;
+        println!("seed {seed}: second answers {counts:?}");
+        let while_due = counts.keys().any(|name| name != "idle");
+        assert!(while_due, "seed {seed}: no second answer came while another was due");
     }
 }
 
@@ -140,6 +162,7 @@
         versions.extend(answer.versions());
         events.extend(answer.events());
         assert!(versions.len() <= 1, "seed {seed}: {attempt} holds events of {versions:?}");
+        check_owner(cluster, &again, &answer);
         let expected: Vec<u64> = (1..=events.len() as u64).collect();
         assert_eq!(events, expected, "seed {seed}: {attempt} has a gap");
         if answer.complete && answer.status == 200 {
@@ -148,8 +171,37 @@
     }
 }
 
+/// Checks that an answer, or the part of it that arrived, belongs to the attempt.
+fn check_owner(cluster: &Cluster, attempt: &str, answer: &Answer) {
+    let seed = cluster.plan.seed;
+    let body = String::from_utf8_lossy(&answer.body);
+    let is_signed = answer.header("server-stamp").is_some();
+    if answer.status == 200 || is_signed {
+        assert_eq!(answer.header("attempt-id"), Some(attempt), "seed {seed}: {attempt} got {body}");
+    }
+    if answer.status != 200 {
+        return;
+    }
+    let own_event = format!("data: {attempt} tokens ");
+    let is_own = match body.starts_with('{') {
+        true => call_body(attempt).starts_with(&*body),
+        false => {
+            let data = body.split_inclusive("\n\n").filter(|event| event.ends_with("\n\n"));
+            data.filter_map(|event| event.lines().find(|line| line.starts_with("data")))
+                .all(|data| data.starts_with(&own_event))
+        }
+    };
+    assert!(is_own, "seed {seed}: {attempt} got {body}");
+}
+
+/// Body of the answer to a short call.
+fn call_body(attempt: &str) -> String {
+    format!("{{\"valid\":true,\"attempt\":\"{attempt}\"}}")
+}
+
 fn check_answer(cluster: &Cluster, path: &str, attempt: &str, answer: &Answer, is_counted: bool) {
     let seed = cluster.plan.seed;
+    check_owner(cluster, attempt, answer);
     match answer.status {
         200 if answer.complete => {
             assert!(
@@ -157,7 +209,9 @@
                 "seed {seed}: {attempt} has no server-stamp"
             );
             let body = String::from_utf8_lossy(&answer.body);
-            assert!(body.contains(attempt), "seed {seed}: {attempt} got {body}");
+            if path == CHECK || path == LOOKUP {
+                assert_eq!(body, call_body(attempt), "seed {seed}: {attempt}");
+            }
             assert!(cluster.runs(attempt) > 0, "seed {seed}: {attempt} never ran");
             if path == SUMMARY || path == ONCE_SUMMARY {
                 let versions = answer.versions();
--- a/crates/daemon/tests/soak/cluster.rs
+++ b/crates/daemon/tests/soak/cluster.rs
@@ -16,6 +16,7 @@
 use ebonyloft_router::catalog::{Server, ServerId, SoftwareVersion, Stage};
 use ebonyloft_standins::fleet::backend::{self, BackendServer, BackendSpec};
 use ebonyloft_standins::fleet::caller::Caller;
+use ebonyloft_standins::fleet::duplicates::Duplicator;
 use ebonyloft_standins::fleet::store::{self, Store};
 use ebonyloft_standins::fleet::{
     CHECK, ENGINE_SERVICE, FleetSpec, ONCE_SUMMARY, PLAIN_SERVICE, SUMMARY, config,
@@ -69,6 +70,9 @@
 /// Engines that are replaced by ones of other versions, and gateways that are killed all at once,
 /// with faults of gateways, of the store and of network paths.
 pub const VERSION_KINDS: &[u32] = &[0, 1, 2, 3, 4, 6, 8, 9, 10, 20, 20, 20, 20, 21];
+/// Servers that answer twice, with faults of gateways, of the store, of network paths and of servers.
+pub const DUPLICATE_KINDS: &[u32] =
+    &[0, 1, 2, 3, 4, 6, 8, 9, 10, 11, 12, 15, 16, 22, 22, 22, 22, 22, 22, 22];
 /// Versions that engines are replaced by.
 pub const VERSIONS: [&str; 5] = ["v1", "v2", "v3", "v4", "v5"];
 
@@ -114,6 +118,9 @@
     /// Names of servers that announce a rate limit now.
     pub limited_servers: RefCell<HashSet<String>>,
     pub runners: Vec<(Rc<BackendServer>, RelaySwitch)>,
+    /// Relays between the runners and their network paths that send answers twice, in the order of the
+    /// runners; none unless the plan needs them.
+    pub duplicators: Vec<Rc<Duplicator>>,
     pub gateways: Vec<Gateway>,
     pub expectations: RefCell<Expectations>,
     pub config_version: Cell<u64>,
@@ -127,6 +134,11 @@
         self.kinds.contains(&18)
     }
 
+    /// Do servers answer twice?
+    pub fn has_duplicates(&self) -> bool {
+        self.kinds.contains(&22)
+    }
+
     /// Are engines of several versions side by side, and do callers take up streams that break off?
     pub fn has_versions(&self) -> bool {
         self.kinds.contains(&20)
@@ -183,7 +195,7 @@
         store.put(CONFIG_KEY, &configuration(1, plan, &BTreeSet::new()), 0);
         let store_relay = start_relay((ip(2), 8_142).into(), (ip(1), 8_142).into()).await;
         let second_relay = start_relay((ip(3), 8_142).into(), (ip(2), 8_142).into()).await;
-        let mut runners = Vec::new();
+        let (mut runners, mut duplicators) = (Vec::new(), Vec::new());
         let mut stages =
             vec![Some(Stage::Prefill), Some(Stage::Decode), Some(Stage::Decode), None, None];
         if plan.has_versions() {
@@ -204,7 +216,13 @@
             };
             let runner = BackendServer::start(server, BackendSpec::default()).await;
             let front: SocketAddr = (ip(host + 20), 8_147).into();
-            let switch = start_relay(front, (ip(host), 8_147).into()).await;
+            let mut target: SocketAddr = (ip(host), 8_147).into();
+            if plan.has_duplicates() {
+                let relay: SocketAddr = (ip(host + 40), 8_147).into();
+                duplicators.push(Duplicator::start(relay, target).await);
+                target = relay;
+            }
+            let switch = start_relay(front, target).await;
             runner.server.borrow_mut().addr = front;
             runner.register_after_crash(&store);
             store.register(&runner.server.borrow());
@@ -225,6 +243,7 @@
             account_checks: Cell::default(),
             limited_servers: RefCell::default(),
             runners,
+            duplicators,
             gateways,
             expectations: RefCell::default(),
             config_version: Cell::new(1),
--- a/crates/daemon/tests/soak/faults.rs
+++ b/crates/daemon/tests/soak/faults.rs
@@ -4,9 +4,11 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
+use ebonyloft_platform::simulation::CallKind;
 use ebonyloft_router::catalog::Stage;
 use ebonyloft_standins::fleet::backend::{self, BackendServer, CRASH_PREFIX};
 use ebonyloft_standins::fleet::caller::Caller;
+use ebonyloft_standins::fleet::duplicates::{Duplicate, Moment};
 use ebonyloft_standins::fleet::store;
 use ebonyloft_standins::fleet::{CHECK, LOOKUP, SUMMARY};
 use ebonyloft_standins::relay::RelaySwitch;
@@ -40,6 +42,8 @@
 const LIMIT_FACTOR: f64 = 1.5;
 /// Requests that may arrive in addition.
 const LIMIT_SLACK: f64 = 5.0;
+/// Longest time from an answer to its second copy, in milliseconds: as long as a connection may be idle.
+const LATE_MAX_MS: u64 = 900;
 /// How long an account exceeds its quota.
 const FLOOD_TIME: Duration = Duration::from_secs(3);
 /// How often a request that crashes servers is sent, every 120 ms: for six seconds.
@@ -80,7 +84,8 @@
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let duration = ms(rng.random_range(100..2_500));
     let gateway = &cluster.gateways[rng.random_range(0..cluster.gateways.len())];
-    let (runner, relay) = &cluster.runners[rng.random_range(0..cluster.runners.len())];
+    let runner_index = rng.random_range(0..cluster.runners.len());
+    let (runner, relay) = &cluster.runners[runner_index];
     let kinds = cluster.plan.kinds;
     match kinds[rng.random_range(0..kinds.len() as u32) as usize] {
         0 => {
@@ -147,6 +152,12 @@
             compio::time::sleep(duration / 3).await;
             cluster.gateways.iter().for_each(Gateway::restart_if_ended);
         }
+        22 => {
+            let duplicator = &cluster.duplicators[runner_index];
+            duplicator.set(&random_duplicates(&mut rng));
+            compio::time::sleep(duration).await;
+            duplicator.set(&[]);
+        }
         17 => check_rate_limit(cluster, runner, rng.random_range(2..9)).await,
         _ => {
             let name = runner.server.borrow().id.name.clone();
@@ -159,6 +170,24 @@
     }
 }
 
+/// Answers that a server sends twice: those to most kinds of call.
+fn random_duplicates(rng: &mut ChaCha8Rng) -> Vec<Duplicate> {
+    let mut rules = Vec::new();
+    for kind in CallKind::ALL {
+        let moment = match rng.random_range(0..4) {
+            0 => Moment::SameWrite,
+            1 => Moment::After(ms(rng.random_range(0..LATE_MAX_MS))),
+            2 => Moment::BeforeNext,
+            _ => Moment::InsteadOfNext,
+        };
+        let with_id = rng.random_bool(0.7);
+        if rng.random_bool(0.7) {
+            rules.push(Duplicate { kind, moment, with_id });
+        }
+    }
+    rules
+}
+
 /// Every second gateway is cut off from the store, and a backend server begins to leave. After the
 /// bound it must get no more requests from any gateway. Later it returns.
 async fn check_drain_in_store(cluster: &Cluster, runner: &BackendServer) {
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -7,6 +7,7 @@
 pub mod caller;
 pub mod duplicates;
 mod listener;
+pub mod ownership;
 pub mod peer;
 mod slow;
 pub mod store;
--- a/crates/standins/src/fleet/backend.rs
+++ b/crates/standins/src/fleet/backend.rs
@@ -25,6 +25,7 @@
 use hyper::{HeaderMap, Request, Response, StatusCode};
 
 use super::listener::Listener;
+use super::ownership::Ownership;
 use super::store::Store;
 
 /// Largest request body.
@@ -153,6 +154,8 @@
     pub accounts: HashMap<String, Vec<String>>,
     /// Whether each request for work was for prefill, and its priority, by attempt.
     pub priorities: HashMap<String, Vec<(bool, Option<u8>)>>,
+    /// Prompts and reservations, and the runs that used them.
+    pub ownership: Ownership,
     /// Requests that carried a client's API key; a gateway must never forward one.
     pub key_leaks: u64,
     /// Prompts computed.
@@ -629,6 +632,7 @@
                 return response(503, HeaderMap::new(), Vec::new());
             };
             self.copies.borrow_mut().insert(handle.clone(), target);
+            self.observed.borrow_mut().ownership.on_handle(&handle, attempt);
             match fault {
                 Fault::CopiesLate => compio::time::sleep(LATE_COPY).await,
                 Fault::CopiesSilently => std::future::pending().await,
@@ -660,6 +664,7 @@
                 let kept = self.next_name("hold");
                 let until = Instant::now() + self.spec.handle_ttl;
                 self.holds.borrow_mut().insert(kept.clone(), (1, until));
+                self.observed.borrow_mut().ownership.on_handle(&kept, attempt);
                 reply(503, &kept, created)
             }
             _ => reply(200, &handle, created),
@@ -673,8 +678,9 @@
         let mut seen = self.observed.borrow_mut();
         seen.prefill_count += 1;
         *seen.prefills.entry(work.attempt.clone()).or_default() += 1;
-        drop(seen);
         let handle = self.next_name("handle");
+        seen.ownership.on_handle(&handle, &work.attempt);
+        drop(seen);
         self.handles.borrow_mut().insert(handle.clone(), Instant::now() + self.spec.handle_ttl);
         let head = simulation::response_headers(&ResponseHead {
             attempt: work.attempt,
@@ -702,6 +708,7 @@
     }
 
     async fn start_stream(self: Rc<Self>, work: BackendRequest) -> Response<Body> {
+        self.observed.borrow_mut().ownership.on_run(&work);
         if let Some(hold) = &work.reservation {
             self.holds.borrow_mut().remove(hold);
         }
