--- a/crates/standins/tests/late_answers.rs
+++ b/crates/standins/tests/late_answers.rs
@@ -225,6 +225,26 @@
     });
 }
 
+/// Guards against the answer to an order being read as that to a reservation, and the reverse.
+#[test]
+fn a_second_answer_to_an_order_refuses_no_reservation() {
+    let spec = FleetSpec { prefill_engines: 0, decode_engines: 6, plain_servers: 0, ..spec() };
+    with_fleet(spec, async |fleet| {
+        answer_twice(fleet, CallKind::Order, false);
+        let is_ordered = || fleet.backends.iter().any(|e| !e.observed.borrow().orders.is_empty());
+        assert!(eventually(6 * SECOND, is_ordered).await, "no order was sent");
+        let summaries = (0..12).map(|n| {
+            let caller = fleet.caller(0);
+            compio::runtime::spawn(async move { caller.summary(SUMMARY, &format!("s{n}")).await })
+        });
+        for task in summaries.collect::<Vec<_>>() {
+            let answer = task.await.expect("the caller's task").expect("an answer");
+            assert!([200, 502].contains(&answer.status), "{answer:?}");
+        }
+        assert_eq!(reached_by_own_calls(fleet), []);
+    });
+}
+
 /// Guards against second answers of any kind, to any exchange, all at once.
 #[test]
 fn second_answers_of_all_kinds_mix_up_nothing() {
