--- a/crates/standins/src/fleet/duplicates.rs
+++ b/crates/standins/src/fleet/duplicates.rs
@@ -10,6 +10,7 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use compio::BufResult;
@@ -60,22 +61,29 @@
     pub with_id: bool,
 }
 
+/// The second answers that one or several relays sent, in order; relays of several threads may share them.
+pub type Deliveries = Arc<Mutex<Vec<Delivery>>>;
+
 /// A relay in front of one backend server.
 pub struct Duplicator {
     rules: RefCell<Vec<Duplicate>>,
-    deliveries: RefCell<Vec<Delivery>>,
+    deliveries: Deliveries,
 }
 
 impl Duplicator {
     /// Listens at `front` and relays to `target`; at first it sends each answer once.
     pub async fn start(front: SocketAddr, target: SocketAddr) -> Rc<Duplicator> {
         let listener = TcpListener::bind(front).await.expect("a free address");
-        let relay =
-            Rc::new(Duplicator { rules: RefCell::default(), deliveries: RefCell::default() });
-        compio::runtime::spawn(relay.clone().accept(listener, target)).detach();
+        let relay = Rc::new(Duplicator::new(&[], Deliveries::default()));
+        compio::runtime::spawn(relay.clone().serve(listener, target)).detach();
         relay
     }
 
+    /// A relay that follows `rules` from the start and counts in `deliveries`.
+    pub fn new(rules: &[Duplicate], deliveries: Deliveries) -> Duplicator {
+        Duplicator { rules: RefCell::new(rules.to_vec()), deliveries }
+    }
+
     /// Sets the answers that are sent twice from now on; the first entry of a kind applies.
     pub fn set(&self, rules: &[Duplicate]) {
         self.rules.replace(rules.to_vec());
@@ -83,10 +91,11 @@
 
     /// The second answers that were sent so far.
     pub fn deliveries(&self) -> Vec<Delivery> {
-        self.deliveries.borrow().clone()
+        self.deliveries.lock().expect("deliveries lock").clone()
     }
 
-    async fn accept(self: Rc<Self>, listener: TcpListener, target: SocketAddr) {
+    /// Relays connections to `target` until the task is dropped.
+    pub async fn serve(self: Rc<Self>, listener: TcpListener, target: SocketAddr) {
         loop {
             let Ok((client, _)) = listener.accept().await else {
                 continue;
@@ -285,7 +294,8 @@
     fn record(&self, rule: Duplicate) {
         let Duplicate { kind, with_id, .. } = rule;
         let due = self.unanswered.front().copied();
-        self.relay.deliveries.borrow_mut().push(Delivery { kind, due, with_id });
+        let mut deliveries = self.relay.deliveries.lock().expect("deliveries lock");
+        deliveries.push(Delivery { kind, due, with_id });
     }
 }
 
