--- a/crates/daemon/src/gateway/send.rs
+++ b/crates/daemon/src/gateway/send.rs
@@ -5,7 +5,8 @@
 use bytes::Bytes;
 use ebonyloft_core::verdict::Verdict;
 use ebonyloft_platform::headers;
-use ebonyloft_router::catalog::{Kind, Server};
+use ebonyloft_router::catalog::{Kind, Server, ServerId};
+use ebonyloft_router::correlation::Exchange;
 use ebonyloft_router::outcome::{AttemptOutcome, Reply};
 use ebonyloft_router::response_head;
 use http_body_util::BodyExt;
@@ -44,12 +45,14 @@
     pub reply: Reply,
 }
 
-/// Sends a request and waits for the head of its answer.
+/// Sends a request and waits for the head of its answer. It is not sent if the request names memory
+/// at the engine `source` that has ended by then.
 pub async fn head(
     shared: &Shared,
     intake: &Intake,
     to: &Server,
     req: Request<Bytes>,
+    source: Option<&ServerId>,
     expect: Expect,
 ) -> Result<Head, AttemptOutcome> {
     // A request that may run only once must not use a connection that the server may just be
@@ -59,7 +62,9 @@
         _ if intake.is_repeatable() => IDLE_MAX,
         _ => IDLE_MAX_ONCE,
     };
-    let mut conn = shared.pool.take(to.addr, idle_max).await.map_err(exchange_outcome)?;
+    let exchange = Exchange::of_attempt(intake.caller.attempt.as_deref());
+    let taken = shared.pool.take(to.addr, idle_max, exchange).await;
+    let conn = taken.map_err(exchange_outcome)?;
     // The server may have announced that it is leaving while the request waited for its prefill,
     // for another zone or for this connection.
     if !announcements::accepts_requests(shared, &to.id) {
@@ -69,6 +74,12 @@
         shared.pool.put_back(conn);
         return Err(AttemptOutcome::Unsent);
     }
+    if let Some(source) = source.filter(|source| shared.registry.borrow().has_ended(source)) {
+        let id = intake.id();
+        tracing::info!(id, server = %to.id, %source, "not sent: the engine with the prompt has ended");
+        shared.pool.put_back(conn);
+        return Err(AttemptOutcome::Unsent);
+    }
     if quarantine::is_confirmed(shared, &intake.digest) {
         tracing::info!(
             id = intake.id(), content = %intake.digest, server = %to.id,
@@ -87,10 +98,9 @@
     let ran_before =
         intake.maybe_ran.replace(intake.maybe_ran.get() || expect == Expect::Signature);
     retries::commit(shared, intake);
-    let response = match conn.exchange(req).await {
-        Ok(response) => response,
+    let (conn, response) = match shared.pool.exchange(conn, req, exchange).await {
+        Ok(answered) => answered,
         Err(e) => {
-            conn.close();
             if matches!(e, ExchangeError::Unsent) {
                 intake.maybe_ran.set(ran_before);
                 retries::undo_commit(shared, intake);
@@ -121,7 +131,8 @@
     Handle,
 }
 
-/// Sends a request and reads its complete answer within `limit`.
+/// Sends a request and reads its complete answer within `limit`; there is none if the attempt was
+/// lost.
 pub async fn complete_exchange(
     shared: &Shared,
     intake: &Intake,
@@ -131,10 +142,10 @@
     expect: Expect,
 ) -> (AttemptOutcome, Option<CompleteAnswer>) {
     let attempt = async {
-        let head = head(shared, intake, to, req, expect).await?;
+        let head = head(shared, intake, to, req, None, expect).await?;
         let Head { mut reply, response, conn } = head;
         reply.signed |= expect == Expect::Handle;
-        let outcome = AttemptOutcome::from_reply(&reply, intake.caller.attempt.as_deref());
+        let outcome = AttemptOutcome::from_reply(&reply);
         let (status, headers) =
             (response.status(), headers::forwarded_to_caller(response.headers()));
         let is_framed = http::is_framed(response.headers());
@@ -153,9 +164,9 @@
         }
         if outcome == AttemptOutcome::Lost {
             conn.close();
-        } else {
-            shared.pool.put_back(conn);
+            return Err(outcome);
         }
+        shared.pool.put_back(conn);
         Ok((outcome, CompleteAnswer { status, headers, body, reply }))
     };
     match compio::time::timeout(limit, attempt).await {
--- a/crates/daemon/src/gateway/stream/prefill.rs
+++ b/crates/daemon/src/gateway/stream/prefill.rs
@@ -94,6 +94,11 @@
         let Some((server, ready_at)) = picked else {
             return;
         };
+        if shared.registry.borrow().has_ended(&server.id) {
+            // Its registration has not expired, and its handles can't be used.
+            call::on_replaced(shared, &server.id);
+            continue;
+        }
         if !limits::acquire(shared, &server.id, 1).await {
             continue;
         }
@@ -196,7 +201,9 @@
         rate, factor, factor_age, slowness, config, roster, age, "prefill ended"
     );
     shared.metrics.time("gateway.read_ms", ms);
-    let handle = answer.as_ref().and_then(|a| engine::parse_prefill_result(&a.body));
+    let is_read = outcome == AttemptOutcome::Answered(200);
+    let prefilled = answer.as_ref().filter(|_| is_read);
+    let handle = prefilled.and_then(|a| engine::parse_prefill_result(&a.body));
     if let Some(handle) = handle {
         // The queue of another zone's prefill engine is not known here, so its time is no measure
         // of speed.
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -5,7 +5,9 @@
 
 pub mod backend;
 pub mod caller;
+pub mod duplicates;
 mod listener;
+pub mod ownership;
 pub mod peer;
 mod slow;
 pub mod store;
@@ -29,6 +31,7 @@
 
 use self::backend::{BackendServer, BackendSpec};
 use self::caller::Caller;
+use self::duplicates::Duplicator;
 use self::peer::Peer;
 use self::store::Store;
 use self::unframed::UnframedRelay;
@@ -60,6 +63,8 @@
 const PEER_PORT: u16 = 7_660;
 const STORE_PORT: u16 = 8_142;
 const RUNNER_PORT: u16 = 8_147;
+/// Port of backend servers that stand behind a relay.
+const RELAYED_PORT: u16 = 8_148;
 const METRICS_PORT: u16 = 9_464;
 
 /// Size and settings of a deployment.
@@ -85,6 +90,8 @@
     pub cpu_share: Option<f64>,
     /// Migration setting of all gateways; with `Off` the engines can't move runs either.
     pub migration: MigrationSetting,
+    /// Whether a [`Duplicator`] stands in front of each backend server.
+    pub duplicators: bool,
     /// Whether answers of backend servers have neither a length nor chunks.
     pub unframed: bool,
 }
@@ -103,6 +110,7 @@
             threads: false,
             cpu_share: None,
             migration: MigrationSetting::Off,
+            duplicators: false,
             unframed: false,
         }
     }
@@ -131,6 +139,8 @@
     pub store: Rc<Store>,
     /// Backend servers: prefill engines, decode engines, then plain ones.
     pub backends: Vec<Rc<BackendServer>>,
+    /// Relays in front of the backend servers, in the same order, if the deployment has them.
+    pub duplicators: Vec<Rc<Duplicator>>,
     /// Gateways in the order of their start.
     pub gateways: Vec<Gateway>,
     /// Relays in front of the backend servers, if their answers are unframed.
@@ -142,6 +152,7 @@
     threads: bool,
     cpu_share: Option<f64>,
     migration: MigrationSetting,
+    has_duplicators: bool,
 }
 
 /// Starts a deployment and runs a test's body on it.
@@ -176,6 +187,7 @@
         let mut fleet = Fleet {
             store,
             backends: Vec::new(),
+            duplicators: Vec::new(),
             gateways: Vec::new(),
             relays: Vec::new(),
             unframed: spec.unframed,
@@ -185,6 +197,7 @@
             threads: spec.threads,
             cpu_share: spec.cpu_share,
             migration: spec.migration,
+            has_duplicators: spec.duplicators,
         };
         match &spec.accounts {
             Some(accounts) => fleet.set_accounts(1, accounts),
@@ -220,10 +233,11 @@
     ) -> Rc<BackendServer> {
         let host = self.next_host();
         let service = if stage.is_some() { ENGINE_SERVICE } else { PLAIN_SERVICE };
+        let port = if self.has_duplicators { RELAYED_PORT } else { RUNNER_PORT };
         let server = Server {
             id: ServerId::new(format!("i-{host}"), 0),
             service: service.to_owned(),
-            addr: address(self.net, host, RUNNER_PORT),
+            addr: address(self.net, host, port),
             zone: zone.to_owned(),
             slots: spec.slots,
             draining: false,
@@ -231,6 +245,12 @@
             version: SoftwareVersion::new(&*spec.version),
         };
         let backend = BackendServer::start(server, spec.clone()).await;
+        if self.has_duplicators {
+            let front = address(self.net, host, RUNNER_PORT);
+            let target = address(self.net, host, RELAYED_PORT);
+            self.duplicators.push(Duplicator::start(front, target).await);
+            backend.server.borrow_mut().addr = front;
+        }
         backend.register_after_crash(&self.store);
         if self.unframed {
             let addr = address(self.net, self.next_host(), RUNNER_PORT);
--- a/crates/standins/src/fleet/backend.rs
+++ b/crates/standins/src/fleet/backend.rs
@@ -25,6 +25,7 @@
 use hyper::{HeaderMap, Request, Response, StatusCode};
 
 use super::listener::Listener;
+use super::ownership::Ownership;
 use super::store::Store;
 
 /// Largest request body.
@@ -153,6 +154,8 @@
     pub accounts: HashMap<String, Vec<String>>,
     /// Whether each request for work was for prefill, and its priority, by attempt.
     pub priorities: HashMap<String, Vec<(bool, Option<u8>)>>,
+    /// Prompts and reservations, and the runs that used them.
+    pub ownership: Ownership,
     /// Requests that carried a client's API key; a gateway must never forward one.
     pub key_leaks: u64,
     /// Prompts computed.
@@ -163,6 +166,12 @@
     pub refused_holds: u64,
     /// Calls of migrations: the attempt, and whether it was the last call.
     pub moves: Vec<(String, bool)>,
+    /// Attempts whose prompt was computed, by handle.
+    pub handle_owners: HashMap<String, String>,
+    /// Engines and handles that runs named, by attempt.
+    pub kv_sources: HashMap<String, Vec<(SocketAddr, String)>>,
+    /// Runs that named a reservation which the server does not hold.
+    pub unknown_holds: u64,
     /// Runs continued from a copy, by attempt.
     pub continued: HashMap<String, usize>,
     /// Stage orders with their fencing tokens.
@@ -629,6 +638,7 @@
                 return response(503, HeaderMap::new(), Vec::new());
             };
             self.copies.borrow_mut().insert(handle.clone(), target);
+            self.observed.borrow_mut().ownership.on_handle(&handle, attempt);
             match fault {
                 Fault::CopiesLate => compio::time::sleep(LATE_COPY).await,
                 Fault::CopiesSilently => std::future::pending().await,
@@ -660,6 +670,7 @@
                 let kept = self.next_name("hold");
                 let until = Instant::now() + self.spec.handle_ttl;
                 self.holds.borrow_mut().insert(kept.clone(), (1, until));
+                self.observed.borrow_mut().ownership.on_handle(&kept, attempt);
                 reply(503, &kept, created)
             }
             _ => reply(200, &handle, created),
@@ -673,8 +684,10 @@
         let mut seen = self.observed.borrow_mut();
         seen.prefill_count += 1;
         *seen.prefills.entry(work.attempt.clone()).or_default() += 1;
-        drop(seen);
         let handle = self.next_name("handle");
+        seen.ownership.on_handle(&handle, &work.attempt);
+        seen.handle_owners.insert(handle.clone(), work.attempt.clone());
+        drop(seen);
         self.handles.borrow_mut().insert(handle.clone(), Instant::now() + self.spec.handle_ttl);
         let head = simulation::response_headers(&ResponseHead {
             attempt: work.attempt,
@@ -702,8 +715,15 @@
     }
 
     async fn start_stream(self: Rc<Self>, work: BackendRequest) -> Response<Body> {
-        if let Some(hold) = &work.reservation {
-            self.holds.borrow_mut().remove(hold);
+        self.observed.borrow_mut().ownership.on_run(&work);
+        if let Some(hold) = &work.reservation
+            && self.holds.borrow_mut().remove(hold).is_none()
+        {
+            self.observed.borrow_mut().unknown_holds += 1;
+        }
+        if let Some(source) = &work.kv_source {
+            let mut seen = self.observed.borrow_mut();
+            seen.kv_sources.entry(work.attempt.clone()).or_default().push(source.clone());
         }
         let copy = work.kv_source.as_ref().filter(|(_, handle)| handle.starts_with("hold"));
         match copy.map(|(_, handle)| self.holds.borrow_mut().remove(handle)) {
