Router: parts of prompts are blamed for crashes of servers

What callers saw: requests that share one part of their prompts, and nothing else, crashed server after server; none was ever refused.

Cause: the history of crashes is kept by the digest of the whole request. No two of these requests are alike, so that each has a history of one crash.

This is the decision alone: it shares crashes as facts with the parts of all runs that had just begun, establishes candidates by rounds of crashes without a sound answer in between, and refuses a request that holds all established candidates of a crash. It is not called yet.

--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod migration;
 pub mod node;
 pub mod outcome;
+pub mod part_blame;
 pub mod plain_servers;
 pub mod precedence;
 pub mod prefill;
--- /dev/null
+++ b/crates/router/src/part_blame.rs
@@ -0,0 +1,951 @@
+//! Blame of parts of prompts for crashes of backend servers.
+//!
+//! A part of a prompt may crash every server that begins an answer on it, in requests no two of which are alike, so
+//! that no request has a history. Each crash is therefore recorded as a fact with the parts of all runs that had
+//! just begun at the server. All gateways share these facts, and derive the same from the same facts.
+//!
+//! The candidates of a crash are those parts, less the ones of which an answer went on past its beginning later. A
+//! candidate is established once it was lost in several rounds of crashes. Servers that crash at the same moment make
+//! one round, since one cause outside of the requests may crash them. A crash is caused by one of its established
+//! candidates, so a request that holds all of them is refused; one that holds some of them is a probe, of which there
+//! is one at a time in the fleet. A part that is the only established candidate of a crash is confirmed, and explains
+//! all crashes in which it was a candidate: they no longer count for others. Whole requests are candidates as well:
+//! one that crashes servers by itself does not bring blame on its parts, and is refused by `quarantine`.
+//!
+//! A part that was sound shortly before a crash is suspected only at the second round. Evidence belongs to one
+//! software: a part that is confirmed at another one is probed, and one crash suffices.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::fmt;
+use std::time::Duration;
+
+use ebonyloft_core::time::Timestamp;
+use serde::{Deserialize, Serialize};
+
+use crate::catalog::ServerId;
+use crate::divergence::mix;
+use crate::request_digest::RequestDigest;
+use crate::stream_origin::SoftwareId;
+
+/// Time after its first event at which an answer counts as past its beginning; a run that breaks off before has
+/// just begun.
+pub const SOUND_AFTER: Duration = Duration::from_millis(500);
+/// Rounds of crashes that establish a candidate.
+const ESTABLISHED_ROUNDS: usize = 3;
+/// Crashes within this time of the first one of a round belong to it.
+pub const ROUND: Duration = Duration::from_millis(250);
+/// Rounds that make a suspect of a part that was sound shortly before.
+const SOUND_ROUNDS: usize = 2;
+/// How long a sound answer speaks for its parts at later crashes.
+pub const SOUND_TTL: Duration = Duration::from_secs(60);
+/// How long a crash counts.
+pub const CRASH_TTL: Duration = Duration::from_secs(600);
+/// How long a confirmed part is refused.
+pub const CONFIRMED_TTL: Duration = Duration::from_secs(3_600);
+/// How long a probe excludes others if no result of it is received.
+pub const PROBE_TIMEOUT: Duration = Duration::from_millis(3_000);
+/// How long a lost run holds back others while its server is investigated.
+pub const INVESTIGATION_HOLD: Duration = Duration::from_millis(600);
+/// How long all gateways take at most to report their runs at a crashed server; nothing is confirmed before.
+pub const SETTLE_TIME: Duration = Duration::from_millis(300);
+/// Most parts taken of one request.
+pub const PARTS_MAX: usize = 32;
+/// Most parts kept of one crash.
+const CANDIDATES_MAX: usize = 256;
+/// Most crashes kept, the latest.
+pub const CRASHES_MAX: usize = 1_024;
+/// Most candidates with a history.
+pub const ROWS_MAX: usize = 16_384;
+/// Most confirmed parts.
+pub const CONFIRMED_MAX: usize = 4_096;
+/// Most parts known to be sound.
+pub const SOUND_MAX: usize = 16_384;
+/// Most sound parts in one exchange between gateways; they take less than 48 KB.
+const SOUND_SHARED_MAX: usize = 1_024;
+/// Most holds kept.
+const HOLDS_MAX: usize = 1_024;
+
+/// Keyed digest of a model and the id of a part.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+#[serde(transparent)]
+pub struct PartDigest(pub u64);
+
+impl PartDigest {
+    /// Takes the first eight bytes of a digest.
+    pub fn of(digest: [u8; 8]) -> Self {
+        PartDigest(u64::from_be_bytes(digest))
+    }
+}
+
+impl fmt::Display for PartDigest {
+    /// Writes the first eight digits.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:08x}", self.0 >> 32)
+    }
+}
+
+/// The parts of a request's prompt that may crash a server.
+#[derive(Clone, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct PromptParts {
+    /// Digest of the whole request.
+    #[serde(rename = "q")]
+    request: u64,
+    /// Parts without the last one.
+    #[serde(rename = "p")]
+    parts: Vec<PartDigest>,
+}
+
+impl PromptParts {
+    /// Takes all parts of a prompt in their order; the last one belongs to the request alone and is left out.
+    /// Repeated parts count once, and those beyond `PARTS_MAX` are ignored.
+    pub fn new(request: RequestDigest, parts: &[PartDigest]) -> Self {
+        let mut kept = Vec::new();
+        for part in parts.split_last().map_or(&[][..], |(_, others)| others) {
+            if kept.len() < PARTS_MAX && !kept.contains(part) {
+                kept.push(*part);
+            }
+        }
+        PromptParts { request: mix(request.0) ^ request.1, parts: kept }
+    }
+
+    /// The parts, without repetition.
+    pub fn parts(&self) -> &[PartDigest] {
+        &self.parts
+    }
+
+    /// Whether there is nothing to blame.
+    pub fn is_empty(&self) -> bool {
+        self.parts.is_empty()
+    }
+
+    fn candidates(&self) -> impl Iterator<Item = Candidate> + '_ {
+        let parts = self.parts.iter().take(PARTS_MAX).map(|part| Candidate::Part(*part));
+        parts.chain([Candidate::Request(self.request)])
+    }
+
+    fn holds(&self, candidate: Candidate) -> bool {
+        match candidate {
+            Candidate::Part(part) => self.parts.contains(&part),
+            Candidate::Request(request) => self.request == request,
+        }
+    }
+}
+
+/// Update about parts of prompts, exchanged between gateways.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct PartUpdate {
+    /// Age of the fact in milliseconds.
+    #[serde(rename = "a")]
+    pub age: u64,
+    /// The fact.
+    #[serde(rename = "f")]
+    pub fact: PartFact,
+}
+
+/// Event in the history of parts.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum PartFact {
+    /// A server crashed while a run of these parts had just begun there.
+    #[serde(rename = "c")]
+    Crashed(ServerId, SoftwareId, PromptParts),
+    /// An answer went on past its beginning.
+    #[serde(rename = "s")]
+    Sound(SoftwareId, PromptParts),
+    /// A probe of these parts was sent, under this number.
+    #[serde(rename = "t")]
+    Trying(u64, Vec<PartDigest>),
+    /// A run of these parts was lost when it had just begun, and is investigated under this number.
+    #[serde(rename = "l")]
+    Lost(u64, Vec<PartDigest>),
+    /// The probe or investigation with this number has ended.
+    #[serde(rename = "o")]
+    Over(u64),
+    /// The part is confirmed to crash servers of this software.
+    #[serde(rename = "p")]
+    Confirmed(SoftwareId, PartDigest),
+    /// An operator released the part.
+    #[serde(rename = "r")]
+    Released(PartDigest),
+}
+
+impl PartFact {
+    /// The fact, observed just now.
+    pub fn now(self) -> PartUpdate {
+        PartUpdate { age: 0, fact: self }
+    }
+}
+
+/// How a request is treated because of its parts.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum PartState {
+    /// Sent like any other.
+    Free,
+    /// To be sent as a probe, by one gateway at a time.
+    Suspect,
+    /// Being probed or investigated, at most until then.
+    Held(Timestamp),
+    /// Refused until then because of this part.
+    Refused {
+        /// The part, or one of several of which one crashes servers.
+        part: PartDigest,
+        /// When to ask again.
+        until: Timestamp,
+    },
+}
+
+/// Effect of a fact on a part.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum PartChange {
+    /// The part was a candidate of a crash that was not known yet.
+    Suspected(PartDigest),
+    /// The part is confirmed.
+    Confirmed(PartDigest, SoftwareId),
+    /// Known crashes no longer count for the part.
+    Cleared(PartDigest),
+}
+
+/// Numbers of parts.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct PartCounts {
+    /// Parts with crashes that count.
+    pub suspects: usize,
+    /// Confirmed parts.
+    pub confirmed: usize,
+    /// Crashes with candidates.
+    pub crashes: usize,
+    /// Parts known to be sound.
+    pub sound: usize,
+}
+
+/// What may have crashed a server.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+enum Candidate {
+    Part(PartDigest),
+    Request(u64),
+}
+
+type Key = (Candidate, SoftwareId);
+
+/// A crashed incarnation and what had just begun there.
+#[derive(Clone, Debug)]
+struct Crash {
+    at: Timestamp,
+    /// When this gateway learned of the latest candidate.
+    known_at: Timestamp,
+    software: SoftwareId,
+    candidates: BTreeSet<Candidate>,
+}
+
+/// History of a candidate at one software.
+#[derive(Clone, Debug, Default)]
+struct Row {
+    /// Crashes that count unless a confirmed part explains them.
+    crashes: Vec<ServerId>,
+    /// Crashes up to then don't count, since an answer went on later.
+    sound_at: Timestamp,
+    /// When anything last changed.
+    changed_at: Timestamp,
+}
+
+/// Sound answers of a part at one software.
+#[derive(Clone, Copy, Debug)]
+struct Sound {
+    at: Timestamp,
+    /// Another one came within `SOUND_TTL` before it.
+    repeated: bool,
+}
+
+/// A running probe or investigation.
+#[derive(Clone, Debug)]
+struct Hold {
+    until: Timestamp,
+    parts: Vec<PartDigest>,
+}
+
+/// What is known of parts and crashes.
+#[derive(Clone, Debug, Default)]
+pub struct PartBlame {
+    crashes: HashMap<ServerId, Crash>,
+    rows: HashMap<Key, Row>,
+    /// Confirmed parts, with the time of their last crash at each software.
+    confirmed: HashMap<PartDigest, BTreeMap<SoftwareId, Timestamp>>,
+    sound: HashMap<(PartDigest, SoftwareId), Sound>,
+    released: HashMap<PartDigest, Timestamp>,
+    holds: HashMap<u64, Hold>,
+    /// Holds that were ended before they were received.
+    over: HashMap<u64, Timestamp>,
+}
+
+impl PartBlame {
+    /// How a request is treated; `software` is what its servers may run.
+    pub fn state(&self, now: Timestamp, parts: &PromptParts, software: &[SoftwareId]) -> PartState {
+        if let Some((part, until)) = self.refused(now, parts, software) {
+            return PartState::Refused { part, until };
+        }
+        let is_suspect = self.suspects(parts, software).next().is_some();
+        match self.held_until(now, parts, software) {
+            Some(until) => PartState::Held(until),
+            None if is_suspect => PartState::Suspect,
+            None => PartState::Free,
+        }
+    }
+
+    /// Whether a request must not be sent to servers of this software; asked before each send.
+    pub fn is_refused(&self, now: Timestamp, parts: &PromptParts, software: SoftwareId) -> bool {
+        self.refused(now, parts, &[software]).is_some()
+    }
+
+    fn refused(
+        &self,
+        now: Timestamp,
+        parts: &PromptParts,
+        software: &[SoftwareId],
+    ) -> Option<(PartDigest, Timestamp)> {
+        let keys = keys(parts, software);
+        let confirmed = keys.clone().find_map(|(part, software)| {
+            let at = self.confirmed_at(Candidate::Part(part), software)?;
+            Some((part, at.after(CONFIRMED_TTL))).filter(|(_, until)| *until > now)
+        });
+        confirmed.or_else(|| {
+            let mut keys = keys;
+            let (part, _) = keys.find(|(part, software)| self.is_cause(*part, *software, parts))?;
+            Some((part, now.after(PROBE_TIMEOUT)))
+        })
+    }
+
+    /// Whether the request holds all established candidates of a crash, this part among them.
+    fn is_cause(&self, part: PartDigest, software: SoftwareId, parts: &PromptParts) -> bool {
+        let key = (Candidate::Part(part), software);
+        self.is_established(key)
+            && self
+                .counting(key)
+                .any(|crash| self.established(crash).all(|candidate| parts.holds(candidate)))
+    }
+
+    fn confirmed_at(&self, candidate: Candidate, software: SoftwareId) -> Option<Timestamp> {
+        let Candidate::Part(part) = candidate else {
+            return None;
+        };
+        self.confirmed.get(&part)?.get(&software).copied()
+    }
+
+    /// Crashes that count for a candidate.
+    fn counting(&self, key: Key) -> impl Iterator<Item = &Crash> {
+        let servers = self.rows.get(&key).map_or(&[][..], |row| &row.crashes);
+        let crashes = servers.iter().filter_map(|server| self.crashes.get(server));
+        crashes.filter(move |crash| !self.is_explained(crash, key.0))
+    }
+
+    /// Whether another candidate of the crash is confirmed.
+    fn is_explained(&self, crash: &Crash, candidate: Candidate) -> bool {
+        let mut others = crash.candidates.iter().filter(|other| **other != candidate);
+        others.any(|other| self.confirmed_at(*other, crash.software).is_some())
+    }
+
+    /// Rounds of crashes that count for a candidate.
+    fn rounds(&self, key: Key) -> usize {
+        let mut times: Vec<Timestamp> = self.counting(key).map(|crash| crash.at).collect();
+        times.sort_unstable();
+        let (mut rounds, mut round_end) = (0, Timestamp::default());
+        for at in times {
+            if rounds == 0 || at >= round_end {
+                (rounds, round_end) = (rounds + 1, at.after(ROUND));
+            }
+        }
+        rounds
+    }
+
+    fn is_established(&self, key: Key) -> bool {
+        let crashes = self.rows.get(&key).map_or(0, |row| row.crashes.len());
+        let needed = if self.is_confirmed_elsewhere(key) { 1 } else { ESTABLISHED_ROUNDS };
+        crashes >= needed && self.rounds(key) >= needed
+    }
+
+    /// Whether the part is confirmed at another software.
+    fn is_confirmed_elsewhere(&self, (candidate, software): Key) -> bool {
+        let Candidate::Part(part) = candidate else {
+            return false;
+        };
+        let mut others = self.confirmed.get(&part).into_iter().flat_map(BTreeMap::keys);
+        others.any(|other| *other != software)
+    }
+
+    /// Established candidates of a crash.
+    fn established<'a>(&'a self, crash: &'a Crash) -> impl Iterator<Item = Candidate> + 'a {
+        let counts = |candidate: &Candidate| {
+            let key = (*candidate, crash.software);
+            self.counting(key).any(|other| std::ptr::eq(other, crash)) && self.is_established(key)
+        };
+        crash.candidates.iter().copied().filter(counts)
+    }
+
+    /// Parts of a request that a probe has to clear.
+    fn suspects<'a>(
+        &'a self,
+        parts: &'a PromptParts,
+        software: &'a [SoftwareId],
+    ) -> impl Iterator<Item = PartDigest> + 'a {
+        keys(parts, software)
+            .filter(|(part, software)| self.is_suspect(*part, *software))
+            .map(|(part, _)| part)
+    }
+
+    fn is_suspect(&self, part: PartDigest, software: SoftwareId) -> bool {
+        let key = (Candidate::Part(part), software);
+        let Some(row) = self.rows.get(&key) else {
+            return self.is_suspect_elsewhere(part, software);
+        };
+        let last = self.counting(key).map(|crash| crash.at).max();
+        let Some(last) = last else {
+            return self.is_suspect_elsewhere(part, software);
+        };
+        let was_sound = self.sound_at(part, software).max(row.sound_at).after(SOUND_TTL) > last;
+        !was_sound || self.rounds(key) >= SOUND_ROUNDS
+    }
+
+    /// Whether the part is confirmed at another software, and not known to be sound at this one.
+    fn is_suspect_elsewhere(&self, part: PartDigest, software: SoftwareId) -> bool {
+        self.sound_at(part, software) == Timestamp::default()
+            && self.is_confirmed_elsewhere((Candidate::Part(part), software))
+    }
+
+    fn sound_at(&self, part: PartDigest, software: SoftwareId) -> Timestamp {
+        let in_row = self.rows.get(&(Candidate::Part(part), software)).map(|row| row.sound_at);
+        let known = self.sound.get(&(part, software)).map(|sound| sound.at);
+        in_row.max(known).unwrap_or_default()
+    }
+
+    /// Until when probes and investigations hold a request back; those of a part that is known to be sound don't.
+    fn held_until(
+        &self,
+        now: Timestamp,
+        parts: &PromptParts,
+        software: &[SoftwareId],
+    ) -> Option<Timestamp> {
+        let holds = self.holds.values().filter(|hold| hold.until > now);
+        let applies = |hold: &&Hold| {
+            let mut held = hold.parts.iter().filter(|part| parts.parts.contains(part));
+            held.any(|part| self.may_be_held(now, *part, software))
+        };
+        holds.filter(applies).map(|hold| hold.until).max()
+    }
+
+    fn may_be_held(&self, now: Timestamp, part: PartDigest, software: &[SoftwareId]) -> bool {
+        software.iter().any(|software| {
+            self.sound_at(part, *software).after(SOUND_TTL) <= now
+                || self.is_suspect(part, *software)
+        })
+    }
+
+    /// The fact that a request is sent as a probe.
+    pub fn probe(&self, parts: &PromptParts, software: &[SoftwareId], number: u64) -> PartFact {
+        let mut suspects: Vec<PartDigest> = self.suspects(parts, software).collect();
+        suspects.sort_unstable();
+        suspects.dedup();
+        PartFact::Trying(number, suspects)
+    }
+
+    /// The fact that a run was lost when it had just begun, if any of its parts is to be held back while its server
+    /// is investigated.
+    pub fn loss(
+        &self,
+        now: Timestamp,
+        parts: &PromptParts,
+        software: SoftwareId,
+        number: u64,
+    ) -> Option<PartFact> {
+        let is_held = |part: &&PartDigest| self.may_be_held(now, **part, &[software]);
+        let held: Vec<PartDigest> = parts.parts.iter().filter(is_held).copied().collect();
+        (!held.is_empty()).then_some(PartFact::Lost(number, held))
+    }
+
+    /// Records that an answer of this gateway went on past its beginning; returns the fact if other gateways need it.
+    pub fn on_sound(
+        &mut self,
+        now: Timestamp,
+        parts: &PromptParts,
+        software: SoftwareId,
+    ) -> Option<PartFact> {
+        for part in &parts.parts {
+            self.insert_sound(now, *part, software, now);
+        }
+        let mut needed = parts.clone();
+        needed.parts.retain(|part| self.has_blame(Candidate::Part(*part), software));
+        let request = self.has_blame(Candidate::Request(parts.request), software);
+        (request || !needed.parts.is_empty()).then_some(PartFact::Sound(software, needed))
+    }
+
+    /// Whether a sound answer would change how a candidate is treated.
+    fn has_blame(&self, candidate: Candidate, software: SoftwareId) -> bool {
+        let row = self.rows.get(&(candidate, software));
+        if row.is_some_and(|row| !row.crashes.is_empty()) {
+            return true;
+        }
+        let Candidate::Part(part) = candidate else {
+            return false;
+        };
+        let is_held = self.holds.values().any(|hold| hold.parts.contains(&part));
+        is_held || self.confirmed.contains_key(&part)
+    }
+
+    fn insert_sound(
+        &mut self,
+        now: Timestamp,
+        part: PartDigest,
+        software: SoftwareId,
+        at: Timestamp,
+    ) {
+        if at.after(SOUND_TTL) <= now {
+            return;
+        }
+        let before = self.sound.get(&(part, software)).copied();
+        if self.sound.len() >= SOUND_MAX && before.is_none() {
+            self.evict_sound(now);
+        }
+        let repeated = before.is_some_and(|sound| sound.repeated || sound.at.after(SOUND_TTL) > at);
+        let at = before.map_or(at, |sound| sound.at.max(at));
+        self.sound.insert((part, software), Sound { at, repeated });
+    }
+
+    /// Drops sound parts that have expired, then those seen once, then the older half.
+    fn evict_sound(&mut self, now: Timestamp) {
+        self.sound.retain(|_, sound| sound.at.after(SOUND_TTL) > now);
+        if self.sound.len() < SOUND_MAX {
+            return;
+        }
+        let mut by_use: Vec<(bool, Timestamp, (PartDigest, SoftwareId))> =
+            self.sound.iter().map(|(key, sound)| (sound.repeated, sound.at, *key)).collect();
+        by_use.select_nth_unstable(SOUND_MAX / 2);
+        for (.., key) in &by_use[..SOUND_MAX / 2] {
+            self.sound.remove(key);
+        }
+    }
+
+    /// Applies updates of this gateway or of a peer that were received together.
+    pub fn apply_all(&mut self, now: Timestamp, updates: &[PartUpdate]) -> Vec<PartChange> {
+        let mut changes = Vec::new();
+        for update in updates {
+            let at = now.before(Duration::from_millis(update.age));
+            match &update.fact {
+                PartFact::Crashed(server, software, parts) => {
+                    self.record_crash(now, at, server, *software, parts, &mut changes);
+                }
+                PartFact::Sound(software, parts) => {
+                    self.record_sound(now, at, *software, parts, &mut changes);
+                }
+                PartFact::Trying(number, parts) => {
+                    self.hold(now, *number, parts, at.after(PROBE_TIMEOUT));
+                }
+                PartFact::Lost(number, parts) => {
+                    self.hold(now, *number, parts, at.after(INVESTIGATION_HOLD));
+                }
+                PartFact::Over(number) => self.release_hold(now, *number),
+                PartFact::Confirmed(software, part) => {
+                    self.record_confirmed(now, at, *software, *part, &mut changes);
+                }
+                PartFact::Released(part) => self.record_released(at, *part, &mut changes),
+            }
+        }
+        changes
+    }
+
+    fn hold(&mut self, now: Timestamp, number: u64, parts: &[PartDigest], until: Timestamp) {
+        if until <= now || self.over.contains_key(&number) || self.holds.len() >= HOLDS_MAX {
+            return;
+        }
+        let parts = parts.iter().take(PARTS_MAX).copied().collect();
+        self.holds.entry(number).or_insert(Hold { until, parts });
+    }
+
+    /// The end may be received before the beginning, which is sent twice.
+    fn release_hold(&mut self, now: Timestamp, number: u64) {
+        self.holds.remove(&number);
+        if self.over.len() < HOLDS_MAX {
+            self.over.insert(number, now.after(PROBE_TIMEOUT));
+        }
+    }
+
+    fn record_crash(
+        &mut self,
+        now: Timestamp,
+        at: Timestamp,
+        server: &ServerId,
+        software: SoftwareId,
+        parts: &PromptParts,
+        changes: &mut Vec<PartChange>,
+    ) {
+        if at.after(CRASH_TTL) <= now || parts.is_empty() || !self.has_room(server, at) {
+            return;
+        }
+        let crash = self.crashes.entry(server.clone()).or_insert_with(|| Crash {
+            at,
+            known_at: now,
+            software,
+            candidates: BTreeSet::new(),
+        });
+        crash.at = crash.at.min(at);
+        let (at, software) = (crash.at, crash.software);
+        for candidate in parts.candidates() {
+            let crash = self.crashes.get_mut(server).expect("inserted above");
+            if crash.candidates.len() >= CANDIDATES_MAX || !crash.candidates.insert(candidate) {
+                continue;
+            }
+            crash.known_at = now;
+            if self.blame(now, at, server, (candidate, software))
+                && let Candidate::Part(part) = candidate
+            {
+                changes.push(PartChange::Suspected(part));
+            }
+        }
+        self.evict_rows();
+    }
+
+    /// Records a crash in the history of a candidate; false if it doesn't count.
+    fn blame(&mut self, now: Timestamp, at: Timestamp, server: &ServerId, key: Key) -> bool {
+        let (sound_at, released_at) = match key.0 {
+            Candidate::Part(part) => {
+                (self.sound_at(part, key.1), self.released.get(&part).copied().unwrap_or_default())
+            }
+            Candidate::Request(_) => (
+                self.rows.get(&key).map_or(Timestamp::default(), |row| row.sound_at),
+                Timestamp::default(),
+            ),
+        };
+        let row = self.rows.entry(key).or_default();
+        row.sound_at = row.sound_at.max(sound_at);
+        row.changed_at = now;
+        let counts = at > row.sound_at.max(released_at);
+        if counts {
+            row.crashes.push(server.clone());
+        }
+        counts
+    }
+
+    /// Makes room for a crash; false if all that are kept are later.
+    fn has_room(&mut self, server: &ServerId, at: Timestamp) -> bool {
+        if self.crashes.len() < CRASHES_MAX || self.crashes.contains_key(server) {
+            return true;
+        }
+        let oldest = self.crashes.iter().min_by_key(|(id, crash)| (crash.at, *id));
+        let Some((id, _)) = oldest.filter(|(_, crash)| crash.at < at) else {
+            return false;
+        };
+        let id = id.clone();
+        self.remove_crash(&id);
+        true
+    }
+
+    fn remove_crash(&mut self, id: &ServerId) {
+        let Some(crash) = self.crashes.remove(id) else {
+            return;
+        };
+        for candidate in crash.candidates {
+            if let Some(row) = self.rows.get_mut(&(candidate, crash.software)) {
+                row.crashes.retain(|server| server != id);
+            }
+        }
+    }
+
+    fn record_sound(
+        &mut self,
+        now: Timestamp,
+        at: Timestamp,
+        software: SoftwareId,
+        parts: &PromptParts,
+        changes: &mut Vec<PartChange>,
+    ) {
+        if at.after(CRASH_TTL) <= now {
+            return;
+        }
+        for candidate in parts.candidates() {
+            let is_cleared = self.clear(now, at, (candidate, software));
+            let Candidate::Part(part) = candidate else {
+                continue;
+            };
+            self.insert_sound(now, part, software, at);
+            if self.withdraw(at, part, Some(software)) || is_cleared {
+                changes.push(PartChange::Cleared(part));
+            }
+        }
+        let sound: Vec<PartDigest> = parts.parts.clone();
+        self.holds.values_mut().for_each(|hold| hold.parts.retain(|part| !sound.contains(part)));
+        self.holds.retain(|_, hold| !hold.parts.is_empty());
+    }
+
+    /// Voids the crashes of a candidate up to the given time; true if there were any.
+    fn clear(&mut self, now: Timestamp, at: Timestamp, key: Key) -> bool {
+        let Some(row) = self.rows.get_mut(&key) else {
+            return false;
+        };
+        let before = row.crashes.len();
+        row.sound_at = row.sound_at.max(at);
+        row.changed_at = now;
+        let crashes = &self.crashes;
+        row.crashes.retain(|server| crashes.get(server).is_some_and(|crash| crash.at > at));
+        row.crashes.len() < before
+    }
+
+    /// Withdraws confirmations of a part up to the given time; true if there were any.
+    fn withdraw(&mut self, at: Timestamp, part: PartDigest, software: Option<SoftwareId>) -> bool {
+        let Some(confirmed) = self.confirmed.get_mut(&part) else {
+            return false;
+        };
+        let before = confirmed.len();
+        confirmed.retain(|other, confirmed_at| {
+            *confirmed_at > at || software.is_some_and(|software| software != *other)
+        });
+        let is_changed = confirmed.len() < before;
+        if confirmed.is_empty() {
+            self.confirmed.remove(&part);
+        }
+        is_changed
+    }
+
+    fn record_confirmed(
+        &mut self,
+        now: Timestamp,
+        at: Timestamp,
+        software: SoftwareId,
+        part: PartDigest,
+        changes: &mut Vec<PartChange>,
+    ) {
+        let released = self.released.get(&part).copied().unwrap_or_default();
+        let voided = at <= released.max(self.sound_at(part, software));
+        let is_full = self.confirmed.len() >= CONFIRMED_MAX && !self.confirmed.contains_key(&part);
+        if at.after(CONFIRMED_TTL) <= now || voided || is_full {
+            return;
+        }
+        let before = self.confirmed.entry(part).or_default().insert(software, at);
+        if before.is_none() {
+            changes.push(PartChange::Confirmed(part, software));
+        }
+    }
+
+    fn record_released(&mut self, at: Timestamp, part: PartDigest, changes: &mut Vec<PartChange>) {
+        let released = self.released.entry(part).or_default();
+        if at <= *released || self.released.len() > CONFIRMED_MAX {
+            return;
+        }
+        self.released.insert(part, at);
+        let crashes = &self.crashes;
+        let rows = self.rows.iter_mut().filter(|((other, _), _)| *other == Candidate::Part(part));
+        for (_, row) in rows {
+            row.crashes.retain(|server| crashes.get(server).is_some_and(|crash| crash.at > at));
+        }
+        self.withdraw(at, part, None);
+        changes.push(PartChange::Cleared(part));
+    }
+
+    /// Confirms the parts that are the only established candidate of a crash, and returns those that were not
+    /// confirmed before. Called several times a second.
+    pub fn confirm(&mut self, now: Timestamp) -> Vec<(PartDigest, SoftwareId)> {
+        let mut confirmed = Vec::new();
+        while let Some((part, software, at)) = self.next_confirmed(now) {
+            let update = PartFact::Confirmed(software, part);
+            let age = now.since(at).as_millis() as u64;
+            if self.apply_all(now, &[PartUpdate { age, fact: update }]).is_empty() {
+                break;
+            }
+            confirmed.push((part, software));
+        }
+        confirmed
+    }
+
+    fn next_confirmed(&self, now: Timestamp) -> Option<(PartDigest, SoftwareId, Timestamp)> {
+        let settled = |crash: &&Crash| crash.known_at.after(SETTLE_TIME) <= now;
+        let mut due = self.crashes.values().filter(settled).filter_map(|crash| {
+            let mut established = self.established(crash);
+            let (only, next) = (established.next()?, established.next());
+            let Candidate::Part(part) = only else {
+                return None;
+            };
+            let is_new = self.confirmed_at(only, crash.software).is_none();
+            let key = (only, crash.software);
+            let at = self.counting(key).map(|crash| crash.at).max()?;
+            (next.is_none() && is_new).then_some((part, crash.software, at))
+        });
+        due.next()
+    }
+
+    /// The update by which peers learn that parts of a crash that one of them reported were sound at this gateway, or
+    /// shortly before.
+    pub fn refutation(&self, now: Timestamp, update: &PartUpdate) -> Option<PartUpdate> {
+        let PartFact::Crashed(_, software, parts) = &update.fact else {
+            return None;
+        };
+        let crashed_at = now.before(Duration::from_millis(update.age));
+        let sound = |part: &PartDigest| self.sound.get(&(*part, *software)).copied();
+        let refutes = |part: &&PartDigest| {
+            sound(part).is_some_and(|sound| sound.at.after(SOUND_TTL) > crashed_at)
+        };
+        let refuted: Vec<PartDigest> = parts.parts.iter().filter(refutes).copied().collect();
+        let at = refuted.iter().filter_map(sound).map(|sound| sound.at).min()?;
+        let parts = PromptParts { request: 0, parts: refuted };
+        let age = now.since(at).as_millis() as u64;
+        Some(PartUpdate { age, fact: PartFact::Sound(*software, parts) })
+    }
+
+    /// Full state as updates, for a peer whose checksum differs.
+    pub fn updates(&self, now: Timestamp) -> Vec<PartUpdate> {
+        let update =
+            |at: Timestamp, fact| PartUpdate { age: now.since(at).as_millis() as u64, fact };
+        let released =
+            self.released.iter().map(|(part, at)| update(*at, PartFact::Released(*part)));
+        let mut updates: Vec<PartUpdate> = released.collect();
+        updates.extend(self.sound_updates(now));
+        for ((candidate, software), row) in &self.rows {
+            if row.sound_at > Timestamp::default() {
+                updates.push(update(row.sound_at, sound_fact(*candidate, *software)));
+            }
+        }
+        for (part, confirmed) in &self.confirmed {
+            let fact = |software: &SoftwareId| PartFact::Confirmed(*software, *part);
+            updates.extend(confirmed.iter().map(|(software, at)| update(*at, fact(software))));
+        }
+        for (server, crash) in &self.crashes {
+            let runs = runs(&crash.candidates);
+            updates.extend(runs.into_iter().map(|parts| {
+                update(crash.at, PartFact::Crashed(server.clone(), crash.software, parts))
+            }));
+        }
+        updates
+    }
+
+    /// Parts that were sound more than once, the latest first: for a gateway that has just started.
+    fn sound_updates(&self, now: Timestamp) -> Vec<PartUpdate> {
+        let recent = |sound: &Sound| sound.repeated && sound.at.after(SOUND_TTL) > now;
+        let sound = self.sound.iter().filter(|(_, sound)| recent(sound));
+        let mut updates: Vec<PartUpdate> = sound
+            .map(|((part, software), sound)| PartUpdate {
+                age: now.since(sound.at).as_millis() as u64,
+                fact: sound_fact(Candidate::Part(*part), *software),
+            })
+            .collect();
+        updates.sort_unstable_by_key(|update| update.age);
+        updates.truncate(SOUND_SHARED_MAX);
+        updates
+    }
+
+    /// Checksum of what gateways must agree on, zero if there is nothing.
+    pub fn checksum(&self) -> u64 {
+        // Gateways may keep different crashes of a confirmed part; that makes no difference any more.
+        let counts =
+            |(candidate, software): &Key| self.confirmed_at(*candidate, *software).is_none();
+        let rows = self.rows.iter().filter(|(key, _)| counts(key));
+        let rows = rows.map(|(key, row)| row_checksum(*key, row));
+        let confirmed = self.confirmed.iter().flat_map(|(part, confirmed)| {
+            confirmed.keys().map(|software| mix(key_hash((Candidate::Part(*part), *software))))
+        });
+        let released = self.released.keys().map(|part| mix(!part.0));
+        rows.chain(confirmed).chain(released).fold(0, |sum, n| sum ^ n)
+    }
+
+    /// Numbers of what is known.
+    pub fn counts(&self) -> PartCounts {
+        let is_suspect = |(key, row): &(&Key, &Row)| {
+            matches!(key.0, Candidate::Part(part) if !self.confirmed.contains_key(&part))
+                && !row.crashes.is_empty()
+        };
+        PartCounts {
+            suspects: self.rows.iter().filter(is_suspect).count(),
+            confirmed: self.confirmed.len(),
+            crashes: self.crashes.len(),
+            sound: self.sound.len(),
+        }
+    }
+
+    /// Known crashes that count for a part, at any software.
+    pub fn crashes(&self, part: PartDigest) -> Vec<ServerId> {
+        let rows = self.rows.iter().filter(|((key, _), _)| *key == Candidate::Part(part));
+        rows.flat_map(|(_, row)| row.crashes.iter().cloned()).collect()
+    }
+
+    /// Drops what has expired, and returns the confirmed parts among it.
+    pub fn expire(&mut self, now: Timestamp) -> Vec<PartDigest> {
+        let old: Vec<ServerId> = self
+            .crashes
+            .iter()
+            .filter(|(_, crash)| crash.at.after(CRASH_TTL) <= now)
+            .map(|(id, _)| id.clone())
+            .collect();
+        old.iter().for_each(|id| self.remove_crash(id));
+        self.holds.retain(|_, hold| hold.until > now);
+        self.over.retain(|_, until| *until > now);
+        self.released.retain(|_, at| at.after(CONFIRMED_TTL) > now);
+        self.sound.retain(|_, sound| sound.at.after(SOUND_TTL) > now);
+        let is_recent = |row: &Row| row.sound_at.after(CRASH_TTL) > now;
+        self.rows.retain(|_, row| !row.crashes.is_empty() || is_recent(row));
+        let mut expired = Vec::new();
+        self.confirmed.retain(|part, confirmed| {
+            confirmed.retain(|_, at| at.after(CONFIRMED_TTL) > now);
+            if confirmed.is_empty() {
+                expired.push(*part);
+            }
+            !confirmed.is_empty()
+        });
+        expired
+    }
+
+    /// Keeps histories within their maximum; those with the fewest crashes go first, then the oldest.
+    fn evict_rows(&mut self) {
+        if self.rows.len() <= ROWS_MAX {
+            return;
+        }
+        let mut rows: Vec<(usize, Timestamp, Key)> =
+            self.rows.iter().map(|(key, row)| (row.crashes.len(), row.changed_at, *key)).collect();
+        let surplus = (ROWS_MAX / 8).min(rows.len());
+        if surplus > 0 {
+            rows.select_nth_unstable(surplus - 1);
+        }
+        rows[..surplus].iter().for_each(|(.., key)| drop(self.rows.remove(key)));
+    }
+}
+
+/// Pairs of a part and a software.
+fn keys<'a>(
+    parts: &'a PromptParts,
+    software: &'a [SoftwareId],
+) -> impl Iterator<Item = (PartDigest, SoftwareId)> + Clone + 'a {
+    let with = |part: &'a PartDigest| software.iter().map(|software| (*part, *software));
+    parts.parts.iter().flat_map(with)
+}
+
+fn sound_fact(candidate: Candidate, software: SoftwareId) -> PartFact {
+    let parts = match candidate {
+        Candidate::Part(part) => PromptParts { request: 0, parts: vec![part] },
+        Candidate::Request(request) => PromptParts { request, parts: Vec::new() },
+    };
+    PartFact::Sound(software, parts)
+}
+
+/// Candidates of a crash as runs; which parts belong to which request makes no difference.
+fn runs(candidates: &BTreeSet<Candidate>) -> Vec<PromptParts> {
+    let (mut parts, mut requests) = (Vec::new(), Vec::new());
+    for candidate in candidates {
+        match candidate {
+            Candidate::Part(part) => parts.push(*part),
+            Candidate::Request(request) => requests.push(*request),
+        }
+    }
+    let chunks: Vec<&[PartDigest]> = parts.chunks(PARTS_MAX).collect();
+    let run = |i: usize| PromptParts {
+        request: requests.get(i).or(requests.first()).copied().unwrap_or_default(),
+        parts: chunks.get(i).or(chunks.first()).map(|parts| parts.to_vec()).unwrap_or_default(),
+    };
+    (0..chunks.len().max(requests.len())).map(run).collect()
+}
+
+fn key_hash((candidate, software): Key) -> u64 {
+    let hash = match candidate {
+        Candidate::Part(part) => mix(part.0),
+        Candidate::Request(request) => mix(!mix(request)),
+    };
+    mix(hash ^ software.number())
+}
+
+fn row_checksum(key: Key, row: &Row) -> u64 {
+    let hash = key_hash(key);
+    row.crashes.iter().map(|server| mix(hash ^ server.number())).fold(0, |sum, n| sum ^ n)
+}
--- a/crates/router/src/stream_origin.rs
+++ b/crates/router/src/stream_origin.rs
@@ -40,6 +40,19 @@
         Self::numbered(service, stable_hash(version.as_str()))
     }
 
+    /// Returns the software of a server, where those of a service that state no version count as one.
+    pub fn shared(server: &Server) -> Self {
+        match &server.version {
+            Some(version) => Self::new(&server.service, version),
+            None => Self::numbered(&server.service, 0),
+        }
+    }
+
+    /// Returns its number.
+    pub fn number(self) -> u64 {
+        self.0
+    }
+
     fn numbered(service: &str, version: u64) -> Self {
         SoftwareId(mix(stable_hash(service)).rotate_left(1) ^ version)
     }
