--- /dev/null
+++ b/crates/check/src/part_blame/gateway.rs
@@ -0,0 +1,257 @@
+//! One simulated gateway: the decisions of `ebonyloft-router`, and the rules that a mutant leaves out.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use ebonyloft_core::time::Timestamp;
+use ebonyloft_router::catalog::{Server, ServerId};
+use ebonyloft_router::divergence::DivergenceDetector;
+use ebonyloft_router::lost_attempts::{LostAttempt, LostAttempts, STREAM_PROBE_DELAY};
+use ebonyloft_router::part_blame::{
+    PartBlame, PartChange, PartDigest, PartFact, PartState, PartUpdate, PromptParts, ROUND,
+};
+use ebonyloft_router::stream_origin::SoftwareId;
+
+/// A rule of the gateways to leave out.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum Mutant {
+    /// Crashes are counted by whole request instead of by part.
+    ByRequest,
+    /// Gateways do not share what they observe.
+    Alone,
+    /// A restarted gateway starts without what the store and other gateways know.
+    Forgets,
+    /// A lost answer counts as a crash.
+    LostEnds,
+    /// Parts are not checked before a prompt is read.
+    PrefillUnchecked,
+    /// Parts are checked once, and not again before a send.
+    AdmittedOnce,
+    /// A sound answer clears the crashes of the next minute as well.
+    SoundBefore,
+    /// Sound answers clear nothing.
+    NeverSound,
+    /// Crashes at the same moment count like those one after the other.
+    NoRounds,
+    /// A sound answer of one software clears crashes of another.
+    AnySoftware,
+    /// Whole requests are no candidates.
+    PartsOnly,
+}
+
+/// All mutants.
+pub const MUTANTS: [Mutant; 11] = [
+    Mutant::ByRequest,
+    Mutant::Alone,
+    Mutant::Forgets,
+    Mutant::LostEnds,
+    Mutant::PrefillUnchecked,
+    Mutant::AdmittedOnce,
+    Mutant::SoundBefore,
+    Mutant::NeverSound,
+    Mutant::NoRounds,
+    Mutant::AnySoftware,
+    Mutant::PartsOnly,
+];
+
+/// State of one incarnation of a gateway.
+pub struct GatewayProcess {
+    /// Parts and crashes.
+    pub blame: PartBlame,
+    /// Lost attempts whose servers are being probed.
+    pub lost_attempts: LostAttempts,
+    /// Peers whose state differs.
+    pub divergence: DivergenceDetector,
+    /// Incarnation of the process.
+    pub incarnation: u32,
+    /// Whether it is running.
+    pub up: bool,
+    /// Whether it is of the release before.
+    pub older: bool,
+    /// Until when it is cut off from the network.
+    pub isolated_until: Timestamp,
+    /// When it has been undisturbed for long enough.
+    pub in_touch_at: Timestamp,
+    /// Updates to be published.
+    pub updates: Vec<PartUpdate>,
+    /// Changes of treatment since they were last read.
+    pub changes: Vec<PartChange>,
+    /// Number of its latest probe; starts at a value that no other incarnation uses.
+    pub probes: u64,
+    /// Lost runs under investigation.
+    runs: HashMap<u64, (PromptParts, SoftwareId)>,
+    mutant: Option<Mutant>,
+}
+
+impl GatewayProcess {
+    /// A gateway without any state.
+    pub fn new(incarnation: u32, probes: u64, mutant: Option<Mutant>) -> Self {
+        GatewayProcess {
+            blame: PartBlame::default(),
+            lost_attempts: LostAttempts::default(),
+            divergence: DivergenceDetector::default(),
+            incarnation,
+            up: true,
+            older: false,
+            isolated_until: Timestamp::default(),
+            in_touch_at: Timestamp::default(),
+            updates: Vec::new(),
+            changes: Vec::new(),
+            probes,
+            runs: HashMap::new(),
+            mutant,
+        }
+    }
+
+    /// Whether it is running and connected.
+    pub fn is_reachable(&self, now: Timestamp) -> bool {
+        self.up && self.isolated_until <= now
+    }
+
+    /// Whether it has been undisturbed for long enough.
+    pub fn is_in_touch(&self, now: Timestamp) -> bool {
+        self.is_reachable(now) && self.in_touch_at <= now
+    }
+
+    /// Decides how a request is treated, and starts the probe of a suspect.
+    pub fn admit(
+        &mut self,
+        now: Timestamp,
+        parts: &PromptParts,
+        software: &[SoftwareId],
+    ) -> (PartState, Option<u64>) {
+        if self.older {
+            return (PartState::Free, None);
+        }
+        let state = self.blame.state(now, parts, software);
+        if state != PartState::Suspect {
+            return (state, None);
+        }
+        self.probes += 1;
+        let probe = self.blame.probe(parts, software, self.probes);
+        self.record(now, Duration::ZERO, probe);
+        (state, Some(self.probes))
+    }
+
+    /// Whether a request may be sent to a server of this software.
+    pub fn may_send(&self, now: Timestamp, parts: &PromptParts, software: SoftwareId) -> bool {
+        self.older || !self.blame.is_refused(now, parts, software)
+    }
+
+    /// A run that had just begun broke off.
+    pub fn on_lost(
+        &mut self,
+        now: Timestamp,
+        server: &Server,
+        loss: LostAttempt,
+        parts: &PromptParts,
+    ) {
+        if self.older {
+            return;
+        }
+        let software = self.software(server);
+        if self.mutant == Some(Mutant::LostEnds) {
+            let fact = PartFact::Crashed(server.id.clone(), software, parts.clone());
+            return self.record(now, Duration::ZERO, fact);
+        }
+        if let Some(fact) = self.blame.loss(now, parts, software, loss.number) {
+            self.record(now, Duration::ZERO, fact);
+        }
+        self.runs.insert(loss.number, (parts.clone(), software));
+        self.lost_attempts.add(server, loss, STREAM_PROBE_DELAY);
+    }
+
+    /// A server incarnation is known to have crashed.
+    pub fn on_crash(&mut self, now: Timestamp, id: &ServerId) {
+        for loss in self.lost_attempts.on_crash(id) {
+            let Some((parts, software)) = self.runs.remove(&loss.number) else {
+                continue;
+            };
+            let spread = ROUND * (id.number() % 40) as u32;
+            let age = match self.mutant {
+                Some(Mutant::NoRounds) => now.since(loss.at) + spread,
+                _ => now.since(loss.at),
+            };
+            if loss.early {
+                self.record(now, age, PartFact::Crashed(id.clone(), software, parts));
+                self.record(now, Duration::ZERO, PartFact::Over(loss.number));
+            }
+        }
+    }
+
+    /// A server incarnation answered something that was sent at `sent`.
+    pub fn on_alive(&mut self, now: Timestamp, id: &ServerId, sent: Timestamp) {
+        for loss in self.lost_attempts.on_answer(id, sent) {
+            self.runs.remove(&loss.number);
+            self.record(now, Duration::ZERO, PartFact::Over(loss.number));
+        }
+    }
+
+    /// An answer went on past its beginning.
+    pub fn on_sound(&mut self, now: Timestamp, server: &Server, parts: &PromptParts) {
+        if self.older || self.mutant == Some(Mutant::NeverSound) {
+            return;
+        }
+        let software = self.software(server);
+        if let Some(fact) = self.blame.on_sound(now, parts, software) {
+            self.record(now, Duration::ZERO, fact);
+        }
+    }
+
+    /// Applies updates of a peer, and refutes what contradicts sound answers received here.
+    pub fn on_updates(&mut self, now: Timestamp, updates: &[PartUpdate]) {
+        if self.older {
+            return;
+        }
+        let changes = self.blame.apply_all(now, updates);
+        self.changes.extend(changes);
+        for update in updates {
+            let Some(mut refutation) = self.blame.refutation(now, update) else {
+                continue;
+            };
+            if self.mutant == Some(Mutant::SoundBefore) {
+                refutation.age = 0;
+            }
+            let known = self.updates.contains(&refutation);
+            if !known && self.mutant != Some(Mutant::NeverSound) {
+                self.record(now, Duration::from_millis(refutation.age), refutation.fact);
+            }
+        }
+    }
+
+    /// Records a fact observed here, and queues it to be published to all gateways.
+    pub fn record(&mut self, now: Timestamp, ago: Duration, fact: PartFact) {
+        let update = PartUpdate { age: ago.as_millis() as u64, fact };
+        let changes = self.blame.apply_all(now, std::slice::from_ref(&update));
+        self.changes.extend(changes);
+        if self.mutant == Some(Mutant::SoundBefore)
+            && let Some(fact) = self.blame.refutation(now, &update)
+        {
+            let fact = PartUpdate { age: 0, ..fact };
+            self.blame.apply_all(now, std::slice::from_ref(&fact));
+        }
+        if self.mutant != Some(Mutant::Alone) {
+            self.updates.push(update);
+        }
+    }
+
+    /// Confirms parts and drops what has expired; returns the parts that became confirmed.
+    pub fn upkeep(&mut self, now: Timestamp) -> Vec<(PartDigest, SoftwareId)> {
+        self.blame.expire(now);
+        self.divergence.expire(now);
+        let mut confirmed = self.blame.confirm(now);
+        for change in std::mem::take(&mut self.changes) {
+            if let PartChange::Confirmed(part, software) = change {
+                confirmed.push((part, software));
+            }
+        }
+        confirmed
+    }
+
+    fn software(&self, server: &Server) -> SoftwareId {
+        match self.mutant {
+            Some(Mutant::AnySoftware) => SoftwareId::default(),
+            _ => SoftwareId::shared(server),
+        }
+    }
+}
