--- a/crates/router/tests/part_blame.rs
+++ b/crates/router/tests/part_blame.rs
@@ -5,11 +5,12 @@
 use ebonyloft_core::time::Timestamp;
 use ebonyloft_router::catalog::{ServerId, SoftwareVersion};
 use ebonyloft_router::part_blame::{
-    PARTS_MAX, PartBlame, PartChange, PartDigest, PartFact, PartState, PromptParts, ROUND,
-    SETTLE_TIME,
+    PARTS_MAX, PartBlame, PartChange, PartDigest, PartFact, PartState, PartUpdate, PromptParts,
+    ROUND, SETTLE_TIME,
 };
 use ebonyloft_router::request_digest::RequestDigest;
 use ebonyloft_router::stream_origin::SoftwareId;
+use proptest::prelude::*;
 
 const NOW: Timestamp = Timestamp::from_millis(1_000_000_000);
 const FIRST: u64 = 1;
@@ -106,3 +107,137 @@
     assert_eq!(parts.parts().len(), PARTS_MAX);
     assert_eq!(parts.parts()[1], PartDigest(1));
 }
+
+#[test]
+fn a_part_that_ended_beside_the_cause_is_not_blamed() {
+    let mut gateway = Gateway::new();
+    for server in 0..4 {
+        gateway.wait(ROUND);
+        gateway.apply(crash(server, &request(server, &[BAD])));
+        if server > 0 {
+            gateway.apply(crash(server, &request(10 + server, &[SHARED])));
+        }
+    }
+    assert!(gateway.is_refused(&[BAD]));
+    assert_eq!(gateway.state(&[SHARED]), PartState::Suspect);
+    gateway.sound(&[SHARED]);
+    assert_eq!(gateway.state(&[SHARED]), PartState::Free);
+    assert_eq!(gateway.confirmed(), [BAD]);
+}
+
+#[test]
+fn a_part_that_always_came_with_the_cause_is_probed_without_it() {
+    let mut gateway = Gateway::new();
+    gateway.crash_each(0..3, &[SHARED, BAD]);
+    assert!(gateway.is_refused(&[SHARED, BAD]));
+    assert_eq!(gateway.state(&[SHARED]), PartState::Suspect);
+    gateway.sound(&[SHARED]);
+    assert_eq!(gateway.confirmed(), [BAD]);
+    assert_eq!(gateway.state(&[SHARED]), PartState::Free);
+}
+
+#[test]
+fn servers_that_crash_at_the_same_moment_confirm_nothing() {
+    let mut gateway = Gateway::new();
+    for server in 0..12 {
+        gateway.apply(crash(server, &request(server, &[SHARED])));
+    }
+    assert_eq!(gateway.state(&[SHARED]), PartState::Suspect);
+    assert_eq!(gateway.confirmed(), [0; 0]);
+}
+
+#[test]
+fn a_request_that_crashes_servers_by_itself_brings_no_blame_on_its_parts() {
+    let mut gateway = Gateway::new();
+    for server in 0..4 {
+        gateway.wait(ROUND);
+        gateway.apply(crash(server, &request(5, &[SHARED])));
+    }
+    assert!(!gateway.is_refused(&[SHARED]));
+    assert_eq!(gateway.confirmed(), [0; 0]);
+}
+
+#[test]
+fn a_sound_answer_of_another_version_clears_nothing() {
+    let mut gateway = Gateway::new();
+    gateway.crash_each(0..3, &[BAD]);
+    gateway.confirmed();
+    let run = request(50, &[BAD]);
+    let fact = gateway.blame.on_sound(gateway.now, &run, software("2"));
+    fact.into_iter().for_each(|fact| drop(gateway.apply(fact)));
+    assert!(gateway.is_refused(&[BAD]));
+    assert_eq!(gateway.blame.state(gateway.now, &run, &[software("2")]), PartState::Free);
+}
+
+#[test]
+fn a_confirmed_part_is_probed_at_a_version_without_evidence() {
+    let mut gateway = Gateway::new();
+    gateway.crash_each(0..3, &[BAD]);
+    gateway.confirmed();
+    let state = gateway.blame.state(gateway.now, &request(50, &[BAD]), &[software("2")]);
+    assert_eq!(state, PartState::Suspect);
+}
+
+#[test]
+fn a_second_request_waits_while_a_suspect_is_probed() {
+    let mut gateway = Gateway::new();
+    gateway.crash_each(0..1, &[BAD]);
+    let probe = gateway.blame.probe(&request(50, &[BAD]), &[software("1")], 7);
+    gateway.apply(probe);
+    assert!(matches!(gateway.state(&[BAD]), PartState::Held(_)));
+    gateway.apply(PartFact::Over(7));
+    assert_eq!(gateway.state(&[BAD]), PartState::Suspect);
+}
+
+#[test]
+fn an_operator_releases_a_part() {
+    let mut gateway = Gateway::new();
+    gateway.crash_each(0..3, &[BAD]);
+    gateway.confirmed();
+    gateway.apply(PartFact::Released(PartDigest(BAD)));
+    assert_eq!(gateway.state(&[BAD]), PartState::Free);
+}
+
+#[test]
+fn a_gateway_that_starts_learns_everything_from_a_peer() {
+    let mut peer = Gateway::new();
+    peer.sound(&[FIRST]);
+    peer.crash_each(0..4, &[FIRST, BAD]);
+    peer.confirmed();
+    let mut started = Gateway::new();
+    started.now = peer.now;
+    started.blame.apply_all(peer.now, &peer.blame.updates(peer.now));
+    assert_eq!(started.blame.checksum(), peer.blame.checksum());
+    assert!(started.is_refused(&[FIRST, BAD]));
+}
+
+proptest! {
+    /// Facts arrive in any order, and more than once.
+    #[test]
+    fn gateways_with_the_same_facts_agree(
+        facts in proptest::collection::vec((0_u64..6, 0_u64..8, 1_u64..5, 1_u64..5), 1..24),
+        order in any::<u64>(),
+    ) {
+        let updates: Vec<PartUpdate> = facts
+            .iter()
+            .map(|(server, number, a, b)| PartUpdate {
+                age: 10_000 - server * 1_000,
+                fact: crash(*server, &request(*number, &[*a, *b])),
+            })
+            .collect();
+        let mut others = updates.clone();
+        others.sort_by_key(|update| ebonyloft_router::divergence::mix(update.age ^ order));
+        others.extend(updates.iter().take(3).cloned());
+        let (mut a, mut b) = (PartBlame::default(), PartBlame::default());
+        a.apply_all(NOW, &updates);
+        others.iter().for_each(|update| drop(b.apply_all(NOW, std::slice::from_ref(update))));
+        prop_assert_eq!(a.checksum(), b.checksum());
+        for part in 1..5 {
+            let asked = request(99, &[part]);
+            prop_assert_eq!(
+                a.state(NOW, &asked, &[software("1")]),
+                b.state(NOW, &asked, &[software("1")])
+            );
+        }
+    }
+}
