--- a/crates/check/src/part_blame/simulation.rs
+++ b/crates/check/src/part_blame/simulation.rs
@@ -319,7 +319,7 @@
             let beside_from = counted.map_or(Timestamp::NEVER, |at| at.after(2 * CONTACT));
             let (mut calm, mut beside) = (Begun::default(), Begun::default());
             for request in &self.counted {
-                if request.at < START.after(CALM - CONTACT) {
+                if request.at < START.after(CALM - HOLD_WAIT) {
                     calm.add(request.begun);
                 } else if request.at >= beside_from && request.at <= self.last_sent[n] {
                     beside.add(request.begun);
