--- a/crates/daemon/src/gateway/send.rs
+++ b/crates/daemon/src/gateway/send.rs
@@ -3,10 +3,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use ebonyloft_core::verdict::Verdict;
 use ebonyloft_platform::headers;
-use ebonyloft_router::catalog::{Kind, Server};
+use ebonyloft_router::catalog::{Kind, Server, ServerId};
 use ebonyloft_router::correlation::Exchange;
 use ebonyloft_router::outcome::{AttemptOutcome, Reply};
+use ebonyloft_router::response_head;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::{HeaderMap, Request, Response, StatusCode};
@@ -19,6 +21,7 @@
 use super::retries;
 use super::shared::Shared;
 use super::speeds;
+use crate::http;
 
 /// The head of an answer, and the connection that its body arrives on.
 pub struct Head {
@@ -42,12 +45,14 @@
     pub reply: Reply,
 }
 
-/// Sends a request and waits for the head of its answer.
+/// Sends a request and waits for the head of its answer. It is not sent if the request names memory
+/// at the engine `source` that has ended by then.
 pub async fn head(
     shared: &Shared,
     intake: &Intake,
     to: &Server,
     req: Request<Bytes>,
+    source: Option<&ServerId>,
     expect: Expect,
 ) -> Result<Head, AttemptOutcome> {
     // A request that may run only once must not use a connection that the server may just be
@@ -69,6 +74,12 @@
         shared.pool.put_back(conn);
         return Err(AttemptOutcome::Unsent);
     }
+    if let Some(source) = source.filter(|source| shared.registry.borrow().has_ended(source)) {
+        let id = intake.id();
+        tracing::info!(id, server = %to.id, %source, "not sent: the engine with the prompt has ended");
+        shared.pool.put_back(conn);
+        return Err(AttemptOutcome::Unsent);
+    }
     if quarantine::is_confirmed(shared, &intake.digest) {
         tracing::info!(
             id = intake.id(), content = %intake.digest, server = %to.id,
@@ -131,12 +142,13 @@
     expect: Expect,
 ) -> (AttemptOutcome, Option<CompleteAnswer>) {
     let attempt = async {
-        let head = head(shared, intake, to, req, expect).await?;
+        let head = head(shared, intake, to, req, None, expect).await?;
         let Head { mut reply, response, conn } = head;
         reply.signed |= expect == Expect::Handle;
         let outcome = AttemptOutcome::from_reply(&reply);
         let (status, headers) =
             (response.status(), headers::forwarded_to_caller(response.headers()));
+        let is_framed = http::is_framed(response.headers());
         let body = match response.into_body().collect().await {
             Ok(body) => body.to_bytes(),
             // A rejection is known from its head alone.
@@ -145,6 +157,11 @@
             }
             Err(_) => return Err(AttemptOutcome::Lost),
         };
+        if outcome.verdict() == Verdict::MayHaveRun
+            && has_second_answer(intake, to, is_framed, &body)
+        {
+            return Err(AttemptOutcome::Lost);
+        }
         if outcome == AttemptOutcome::Lost {
             conn.close();
             return Err(outcome);
@@ -159,6 +176,15 @@
     }
 }
 
+/// Does another answer follow in the body of one that ends with its connection?
+pub fn has_second_answer(intake: &Intake, from: &Server, is_framed: bool, body: &[u8]) -> bool {
+    let follows = !is_framed && response_head::follows_in(body);
+    if follows {
+        tracing::warn!(id = intake.id(), server = %from.id, "another answer follows in the body");
+    }
+    follows
+}
+
 fn exchange_outcome(e: ExchangeError) -> AttemptOutcome {
     match e {
         ExchangeError::Unsent => AttemptOutcome::Unsent,
--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -53,6 +53,7 @@
 use super::retries;
 use super::send::{self, Expect, Head};
 use super::shared::{Shared, SnapshotVersion};
+use crate::http;
 
 /// Silence after which a resumable stream is continued at another engine: five times the longest
 /// pause that is still in time, and well before callers give up.
@@ -215,6 +216,7 @@
         state.open_attempt = None;
         let sent = state.sent(&server, started_at, now);
         let run = sent.run;
+        let has_lost_prompt = outcome == AttemptOutcome::Unsent && state.has_lost_prompt(shared);
         quarantine::on_outcome(shared, intake, sent, outcome);
         tracing::info!(
             id = intake.id(), content = %intake.digest, server = %server.id,
@@ -245,10 +247,14 @@
             };
             state.release(shared, now, false, unused);
         }
-        tried.push(server.id.clone());
+        if !has_lost_prompt {
+            tried.push(server.id.clone());
+        }
         match outcome {
             AttemptOutcome::Answered(_) => failure = answer,
             AttemptOutcome::Moved => call::on_replaced(shared, &server.id),
+            // No fault of the engine that was to continue from the prompt.
+            AttemptOutcome::Unsent if has_lost_prompt => cause = Cause::Lost,
             // An engine that asked for a back-off gets no requests until it is over.
             AttemptOutcome::Rejected | AttemptOutcome::Unsent
                 if announcements::is_unavailable(shared, &server.id) =>
@@ -341,7 +347,9 @@
     }
     loop {
         let server = admission::admit(shared, intake, engine, state, tried).await?;
-        if state.prefill_handle.as_ref().is_some_and(|handle| handle.until <= shared.now()) {
+        if state.has_lost_prompt(shared) {
+            state.drop_prefill_handle(shared, WastedPrefill::Engine);
+        } else if state.prefill_handle.as_ref().is_some_and(|handle| handle.until <= shared.now()) {
             state.drop_prefill_handle(shared, WastedPrefill::Expired);
         }
         if state.prefill_handle.is_none() {
@@ -410,7 +418,7 @@
     {
         headers::set_last_event(headers, last);
     }
-    let sent = send::head(shared, intake, server, req, Expect::Signature);
+    let sent = send::head(shared, intake, server, req, state.prompt_source(), Expect::Signature);
     let head = match with_stall_timeout(intake, sent).await {
         Some(Ok(head)) => head,
         Some(Err(outcome)) => return AttemptEnd::Outcome(outcome, None),
@@ -418,7 +426,10 @@
     };
     let outcome = AttemptOutcome::from_reply(&head.reply);
     if outcome != AttemptOutcome::Answered(200) {
-        return AttemptEnd::Outcome(outcome, read_failure(shared, head, outcome).await);
+        return AttemptEnd::Outcome(
+            outcome,
+            read_failure(shared, intake, server, head, outcome).await,
+        );
     }
     state.heard_at = Some(shared.now());
     state.mark_used();
@@ -442,23 +453,31 @@
 /// Reads the whole body of an error response, so that it can be passed on.
 async fn read_failure(
     shared: &Shared,
+    intake: &Intake,
+    server: &Server,
     head: Head,
     outcome: AttemptOutcome,
 ) -> Option<send::CompleteAnswer> {
     let Head { reply, response, conn } = head;
     let (status, headers) = (response.status(), headers::forwarded_to_caller(response.headers()));
+    let is_framed = http::is_framed(response.headers());
     let read = compio::time::timeout(STALL_TIMEOUT, response.into_body().collect()).await;
     let Ok(Ok(body)) = read else {
         conn.close();
         return None;
     };
+    let body = body.to_bytes();
+    if send::has_second_answer(intake, server, is_framed, &body) {
+        conn.close();
+        return None;
+    }
     if outcome != AttemptOutcome::Lost {
         shared.pool.put_back(conn);
     }
     matches!(outcome, AttemptOutcome::Answered(_)).then(|| send::CompleteAnswer {
         status,
         headers,
-        body: body.to_bytes(),
+        body,
         reply,
     })
 }
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -11,6 +11,7 @@
 pub mod peer;
 mod slow;
 pub mod store;
+pub mod unframed;
 
 use std::collections::HashMap;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
@@ -33,6 +34,7 @@
 use self::duplicates::Duplicator;
 use self::peer::Peer;
 use self::store::Store;
+use self::unframed::UnframedRelay;
 use crate::node::{Node, Stop};
 
 /// Host name of all routes.
@@ -50,6 +52,8 @@
 /// Path of look-ups, which are idempotent.
 pub const LOOKUP: &str = "/lookup/a";
 
+/// Path prefixes of all routes.
+const PREFIXES: &[&str] = &["/summary", "/check", "/lookup"];
 /// Zone of processes that are started without one.
 const ZONE: &str = "a";
 const CALLERS_PORT: u16 = 8_144;
@@ -86,6 +90,8 @@
     pub migration: MigrationSetting,
     /// Whether a [`Duplicator`] stands in front of each backend server.
     pub duplicators: bool,
+    /// Whether answers of backend servers have neither a length nor chunks.
+    pub unframed: bool,
 }
 
 impl Default for FleetSpec {
@@ -102,6 +108,7 @@
             threads: false,
             migration: MigrationSetting::Off,
             duplicators: false,
+            unframed: false,
         }
     }
 }
@@ -133,6 +140,9 @@
     pub duplicators: Vec<Rc<Duplicator>>,
     /// Gateways in the order of their start.
     pub gateways: Vec<Gateway>,
+    /// Relays in front of the backend servers, if their answers are unframed.
+    pub relays: Vec<UnframedRelay>,
+    unframed: bool,
     next_free_host: u8,
     net: [u8; 2],
     revoke: Option<Duration>,
@@ -175,6 +185,8 @@
             backends: Vec::new(),
             duplicators: Vec::new(),
             gateways: Vec::new(),
+            relays: Vec::new(),
+            unframed: spec.unframed,
             next_free_host: 2,
             net,
             revoke,
@@ -235,6 +247,11 @@
             backend.server.borrow_mut().addr = front;
         }
         backend.register_after_crash(&self.store);
+        if self.unframed {
+            let addr = address(self.net, self.next_host(), RUNNER_PORT);
+            let target = std::mem::replace(&mut backend.server.borrow_mut().addr, addr);
+            self.relays.push(UnframedRelay::start(addr, target, PREFIXES).await);
+        }
         self.store.register(&backend.server.borrow());
         self.backends.push(backend.clone());
         backend
