Stand-ins: whose prompts and reservations a run used is recorded once

The soak and the tests of late answers each had their own record of the owners of handles. The tests use the soak's check now, which is stricter: it compares the engine that the handle is from, over all backend servers, and the reservations as well.

--- a/crates/standins/src/fleet/backend.rs
+++ b/crates/standins/src/fleet/backend.rs
@@ -154,7 +154,7 @@
     pub accounts: HashMap<String, Vec<String>>,
     /// Whether each request for work was for prefill, and its priority, by attempt.
     pub priorities: HashMap<String, Vec<(bool, Option<u8>)>>,
-    /// Prompts and reservations, and the runs that used them.
+    /// Attempts that handles were made for, and that used reservations.
     pub ownership: Ownership,
     /// Requests that carried a client's API key; a gateway must never forward one.
     pub key_leaks: u64,
@@ -166,8 +166,6 @@
     pub refused_holds: u64,
     /// Calls of migrations: the attempt, and whether it was the last call.
     pub moves: Vec<(String, bool)>,
-    /// Attempts whose prompt was computed, by handle.
-    pub handle_owners: HashMap<String, String>,
     /// Engines and handles that runs named, by attempt.
     pub kv_sources: HashMap<String, Vec<(SocketAddr, String)>>,
     /// Runs that named a reservation which the server does not hold.
@@ -686,7 +684,6 @@
         *seen.prefills.entry(work.attempt.clone()).or_default() += 1;
         let handle = self.next_name("handle");
         seen.ownership.on_handle(&handle, &work.attempt);
-        seen.handle_owners.insert(handle.clone(), work.attempt.clone());
         drop(seen);
         self.handles.borrow_mut().insert(handle.clone(), Instant::now() + self.spec.handle_ttl);
         let head = simulation::response_headers(&ResponseHead {
@@ -715,11 +712,11 @@
     }
 
     async fn start_stream(self: Rc<Self>, work: BackendRequest) -> Response<Body> {
-        self.observed.borrow_mut().ownership.on_run(&work);
-        if let Some(hold) = &work.reservation
-            && self.holds.borrow_mut().remove(hold).is_none()
-        {
-            self.observed.borrow_mut().unknown_holds += 1;
+        if let Some(hold) = &work.reservation {
+            let is_known = self.holds.borrow_mut().remove(hold).is_some();
+            let mut seen = self.observed.borrow_mut();
+            seen.unknown_holds += u64::from(!is_known);
+            seen.ownership.on_reservation(hold, &work.attempt);
         }
         if let Some(source) = &work.kv_source {
             let mut seen = self.observed.borrow_mut();
--- a/crates/standins/src/fleet/ownership.rs
+++ b/crates/standins/src/fleet/ownership.rs
@@ -3,26 +3,16 @@
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 
-use ebonyloft_platform::simulation::BackendRequest;
-
 use super::backend::BackendServer;
 
-/// Prompts and copies that a backend server made, and what its runs named.
+/// Prompts and copies that a backend server made, and reservations that its runs named.
 #[derive(Clone, Debug, Default)]
 pub struct Ownership {
     /// Handles, each with the attempt that its prompt or copy was made for. Targets name the copies that
     /// are made for them, so that two may have the same name.
     made: HashSet<(String, String)>,
-    runs: Vec<Run>,
-}
-
-/// A run and what it was told to use.
-#[derive(Clone, Debug)]
-struct Run {
-    attempt: String,
-    /// Backend server that made the prompt or copy, and the handle.
-    source: Option<(SocketAddr, String)>,
-    reservation: Option<String>,
+    /// Reservations that runs named, each with the attempt.
+    reservations: Vec<(String, String)>,
 }
 
 impl Ownership {
@@ -31,13 +21,9 @@
         self.made.insert((handle.to_owned(), attempt.to_owned()));
     }
 
-    /// Records what a run was told to use.
-    pub fn on_run(&mut self, work: &BackendRequest) {
-        self.runs.push(Run {
-            attempt: work.attempt.clone(),
-            source: work.kv_source.clone(),
-            reservation: work.reservation.clone(),
-        });
+    /// Records a reservation that a run of an attempt named.
+    pub fn on_reservation(&mut self, hold: &str, attempt: &str) {
+        self.reservations.push((hold.to_owned(), attempt.to_owned()));
     }
 }
 
@@ -55,20 +41,20 @@
     made: &HashMap<SocketAddr, HashSet<(String, String)>>,
 ) -> Vec<String> {
     let mut out = Vec::new();
-    let mut takers: HashMap<&str, &str> = HashMap::new();
     let seen = backend.observed.borrow();
-    for Run { attempt, source, reservation } in &seen.ownership.runs {
-        if let Some((addr, handle)) = source {
+    for (attempt, sources) in &seen.kv_sources {
+        for (addr, handle) in sources {
             let key = (handle.clone(), attempt.clone());
             if !made.get(addr).is_some_and(|made| made.contains(&key)) {
                 out.push(format!("{attempt} used {handle} of {addr}, made for another attempt"));
             }
         }
-        if let Some(hold) = reservation {
-            let taker = *takers.entry(hold).or_insert(attempt);
-            if taker != attempt {
-                out.push(format!("{attempt} used the reservation {hold} of {taker}"));
-            }
+    }
+    let mut takers: HashMap<&str, &str> = HashMap::new();
+    for (hold, attempt) in &seen.ownership.reservations {
+        let taker = *takers.entry(hold).or_insert(attempt);
+        if taker != attempt {
+            out.push(format!("{attempt} used the reservation {hold} of {taker}"));
         }
     }
     out
--- a/crates/standins/tests/late_answers.rs
+++ b/crates/standins/tests/late_answers.rs
@@ -11,7 +11,7 @@
 use ebonyloft_standins::fleet::backend::{BackendServer, BackendSpec, Fault};
 use ebonyloft_standins::fleet::caller::{Answer, Caller};
 use ebonyloft_standins::fleet::duplicates::{Delivery, Duplicate, Moment};
-use ebonyloft_standins::fleet::{CHECK, Fleet, FleetSpec, LOOKUP, SUMMARY, with_fleet};
+use ebonyloft_standins::fleet::{CHECK, Fleet, FleetSpec, LOOKUP, SUMMARY, ownership, with_fleet};
 use ebonyloftd::settings::MigrationSetting;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -28,10 +28,6 @@
     }
 }
 
-fn prefill_engine(fleet: &Fleet) -> &Rc<BackendServer> {
-    &fleet.backends[0]
-}
-
 fn decode_engine(fleet: &Fleet) -> &Rc<BackendServer> {
     &fleet.backends[1]
 }
@@ -68,14 +64,10 @@
     assert!(answer.complete);
 }
 
-/// Each run goes on from the prompt of its own request.
+/// Each run goes on from the prompt of its own request, and names its own reservation.
 fn assert_own_prompts(fleet: &Fleet) {
-    let handles = prefill_engine(fleet).observed.borrow().handle_owners.clone();
-    for (attempt, sources) in &decode_engine(fleet).observed.borrow().kv_sources {
-        for (_, handle) in sources {
-            assert_eq!(handles.get(handle), Some(attempt), "{handle}");
-        }
-    }
+    let violations = ownership::violations(fleet.backends.iter().map(|backend| &**backend));
+    assert!(violations.is_empty(), "{violations:?}");
 }
 
 fn assert_prefill_is_not_mixed_up(with_id: bool) {
