Stand-ins: a server that fell silent is silent to running streams, and starts again

Trial of requests with a part under which engines fall silent, on 11 engines: 14 crashed in all, and eleven tasks ended with "Address already in use": the new incarnation bound its address while the sockets of the previous one were still owned by tasks, so that the engine never came back. Streams that were running went on besides. The restart now waits as a restart under the same name does, and a stream stays open without an event.

--- a/crates/standins/src/fleet/backend.rs
+++ b/crates/standins/src/fleet/backend.rs
@@ -296,7 +296,10 @@
                 store.unregister(&previous);
             }
             compio::time::sleep(SILENT_DOWNTIME - REGISTRATION_TTL).await;
-            me.listener.take();
+            let listener = me.listener.take();
+            // The address is free only after the tasks that own its sockets were dropped.
+            compio::runtime::spawn(async move { drop(listener) }).detach();
+            compio::time::sleep(RESTART_TIME).await;
             me.silent_crash.set(false);
             me.start_incarnation(&previous).await;
         })
@@ -748,6 +751,9 @@
             // A run that is stopped completes its next event and ends in the middle of the one after.
             let is_stopped = stream.is_stopped();
             compio::time::sleep(self.spec.event_interval).await;
+            if self.silent_crash.get() {
+                return self.stay_silent(out, run).await;
+            }
             let server = self.server.borrow().version.clone();
             let version = server.as_ref().map_or("", SoftwareVersion::as_str);
             let event = format!("id: {id}\ndata: {} tokens {id} {version}\n\n", work.attempt);
@@ -778,6 +784,20 @@
         run.finish();
     }
 
+    /// Keeps a stream open without a further event until the server starts again.
+    async fn stay_silent(
+        &self,
+        mut out: mpsc::Sender<Result<Frame<Bytes>, BodyAborted>>,
+        run: RunGuard<'_>,
+    ) {
+        while self.silent_crash.get() {
+            compio::time::sleep(self.spec.event_interval).await;
+        }
+        // Fails only if the client has disconnected.
+        let _ = out.send(Err(BodyAborted)).await;
+        run.finish();
+    }
+
     fn answer_head(&self, attempt: &str) -> HeaderMap {
         let id = self.server.borrow().id.name.clone();
         let BackendSpec { slots, slowness, .. } = self.spec;
