--- a/crates/standins/src/fleet/backend.rs
+++ b/crates/standins/src/fleet/backend.rs
@@ -169,6 +169,9 @@
     pub orders: Vec<(Stage, u64)>,
     /// Arrivals of content that crashes servers, by its name, without prefill requests.
     pub crash_arrivals: Vec<(String, Instant)>,
+    /// Arrivals of requests with a part that crashes servers, prefill requests included: the part,
+    /// whether for prefill only, and the time.
+    pub part_arrivals: Vec<(String, bool, Instant)>,
     /// Crashes: the name of the content that caused it, and the time.
     pub crashes: Vec<(String, Instant)>,
     /// Times of all calls but releases of reservations and handles.
@@ -197,6 +200,8 @@
     away_until: Cell<Option<Instant>>,
     /// It has crashed, but its connections stay open and silent.
     silent_crash: Cell<bool>,
+    /// Parts of prompts that crash it once it writes an answer.
+    crash_parts: RefCell<Vec<CrashPart>>,
     /// Limit that all its answers announce.
     limit: RefCell<Option<String>>,
     listener: RefCell<Option<Listener>>,
@@ -232,6 +237,7 @@
             back_off: RefCell::default(),
             away_until: Cell::default(),
             silent_crash: Cell::default(),
+            crash_parts: RefCell::default(),
             limit: RefCell::default(),
             listener: RefCell::default(),
             restarts: Cell::default(),
@@ -275,6 +281,12 @@
         self.back_off.replace(seconds.map(str::to_owned));
     }
 
+    /// Makes the server crash some time after it has begun to write an answer to a prompt with one of
+    /// these parts.
+    pub fn set_crash_parts(&self, parts: &[CrashPart]) {
+        self.crash_parts.replace(parts.to_vec());
+    }
+
     /// Makes all answers announce this limit of requests a second; `None` stops that.
     pub fn announce_limit(&self, limit: Option<&str>) {
         self.limit.replace(limit.map(str::to_owned));
@@ -508,6 +520,11 @@
         marker: Option<CrashMarker>,
     ) -> Response<Body> {
         self.record_accounts(&work);
+        let part = self.crash_part(&work);
+        if let Some(part) = &part {
+            let arrival = (part.id.clone(), work.prefill, Instant::now());
+            self.observed.borrow_mut().part_arrivals.push(arrival);
+        }
         if !work.prefill {
             let mut seen = self.observed.borrow_mut();
             *seen.arrivals.entry(work.attempt.clone()).or_default() += 1;
@@ -539,6 +556,10 @@
             self.record_run(&attempt);
             return std::future::pending().await;
         }
+        if let Some(part) = part.filter(|_| !work.prefill) {
+            let marker = CrashMarker { name: part.id, prefill_too: false, silent: part.silent };
+            self.crash_later(marker);
+        }
         let result = compio::time::timeout(
             time_limit.unwrap_or(DEFAULT_TIME_LIMIT),
             self.clone().process(stage, work, marker),
@@ -556,15 +577,7 @@
         if let Some(marker) = marker
             && (marker.prefill_too || !work.prefill)
         {
-            let me = self.clone();
-            compio::runtime::spawn(async move {
-                compio::time::sleep(me.spec.crash_after).await;
-                match marker.silent {
-                    true => me.crash_silently(&marker.name),
-                    false => me.crash(&marker.name),
-                }
-            })
-            .detach();
+            self.crash_later(marker);
             if stage != Some(Stage::Decode) {
                 return std::future::pending().await;
             }
@@ -582,6 +595,25 @@
         }
     }
 
+    /// The part of this work that crashes the server, if it has one.
+    fn crash_part(&self, work: &BackendRequest) -> Option<CrashPart> {
+        let parts = self.crash_parts.borrow();
+        let (_, shared) = work.prompt_parts.split_last()?;
+        parts.iter().find(|part| shared.contains(&part.id)).cloned()
+    }
+
+    fn crash_later(self: &Rc<Self>, marker: CrashMarker) {
+        let me = self.clone();
+        compio::runtime::spawn(async move {
+            compio::time::sleep(me.spec.crash_after).await;
+            match marker.silent {
+                true => me.crash_silently(&marker.name),
+                false => me.crash(&marker.name),
+            }
+        })
+        .detach();
+    }
+
     fn reserve(&self, tokens: u64, ttl: Duration) -> Response<Body> {
         let now = Instant::now();
         let mut holds = self.holds.borrow_mut();
@@ -831,6 +863,22 @@
     }
 }
 
+/// A part of a prompt that crashes servers.
+#[derive(Clone, Debug)]
+pub struct CrashPart {
+    /// Id of the part.
+    pub id: String,
+    /// Connections stay open and silent after the crash.
+    pub silent: bool,
+}
+
+impl CrashPart {
+    /// A part under which the connections of the server close at once.
+    pub fn new(id: &str) -> Self {
+        CrashPart { id: id.to_owned(), silent: false }
+    }
+}
+
 /// Marker in a request body that crashes the server.
 #[derive(Clone, Debug)]
 struct CrashMarker {
--- a/crates/standins/src/fleet/caller.rs
+++ b/crates/standins/src/fleet/caller.rs
@@ -14,6 +14,9 @@
 
 use super::{HOST, SUMMARY};
 
+/// Model named by requests whose prompts have parts.
+const MODEL: &str = "m";
+
 /// The answer as the caller received it.
 #[derive(Clone, Debug)]
 pub struct Answer {
@@ -129,6 +132,20 @@
         self.send(simulation::caller_request(&sent)).await
     }
 
+    /// Sends a request for a summary whose prompt has these parts; the last one is its own.
+    pub async fn send_parts(
+        &self,
+        path: &str,
+        attempt: &str,
+        body: &str,
+        parts: &[&str],
+    ) -> Result<Answer, ExchangeError> {
+        let mut req = self.summary_request(path, attempt);
+        *req.body_mut() = Bytes::copy_from_slice(body.as_bytes());
+        simulation::set_prompt_parts(&mut req, MODEL, parts);
+        self.send(req).await
+    }
+
     /// Returns a request for a summary.
     pub fn summary_request(&self, path: &str, attempt: &str) -> Request<Bytes> {
         let body = Bytes::from(vec![b'x'; 3_000]);
