Gateway: log lines of crashes and of refusals name the shared parts of the prompt

What callers saw: requests with one part crashed engines one after the other. The crash lines named only the digest of the whole request; 22 early crashes had 22 digests, and nothing in the logs told one content that is repeated from one part in many contents.

The parts of a prompt, without the last, are digested with their model under the key of the gateways, and carried by lost attempts. Lines of a crash, of a refusal and of a request that isn't sent have the first eight digits of each. At most 32 parts are taken of a request, so a line grows by at most 288 bytes.

--- a/crates/check/src/answers/simulation.rs
+++ b/crates/check/src/answers/simulation.rs
@@ -7,11 +7,13 @@
 use ebonyloft_router::catalog::{Server, ServerId, SoftwareVersion, Stage};
 use ebonyloft_router::load_report::{GossipMessage, GossipState};
 use ebonyloft_router::lost_attempts::{LostAttempt, ProbeResult};
+use ebonyloft_router::part_blame::PromptParts;
 use ebonyloft_router::quarantine::{
     Change as QuarantineChange, Crash, Fact, QuarantineState, QuarantineUpdate,
 };
 use ebonyloft_router::registry::{Change, Registration};
 use ebonyloft_router::request_digest::RequestDigest;
+use ebonyloft_router::stream_origin::SoftwareId;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -560,7 +562,15 @@
         if gateway.is_reachable(now) && gateway.incarnation == attempt.incarnation {
             let first_output = attempt.began.map(|at| at.after(ms(30)));
             let early = first_output.is_none_or(|at| now < at.after(ms(1_000)));
-            let loss = LostAttempt { digest, early, sent: attempt.sent, at: now, number: n };
+            let loss = LostAttempt {
+                digest,
+                parts: PromptParts::default(),
+                software: SoftwareId::default(),
+                early,
+                sent: attempt.sent,
+                at: now,
+                number: n,
+            };
             let prefill = attempt.phase == Phase::Prefill;
             if !(prefill && self.spec.mutant == Some(Mutant::ReadingFree)) {
                 gateway.on_attempt_lost(&self.backends[attempt.server].server, loss);
--- a/crates/check/src/part_blame/simulation.rs
+++ b/crates/check/src/part_blame/simulation.rs
@@ -649,6 +649,8 @@
         if !run.sound && !run.prefill && !is_late {
             let loss = LostAttempt {
                 digest: RequestDigest::default(),
+                parts: PromptParts::default(),
+                software: SoftwareId::default(),
                 early: true,
                 sent: run.sent,
                 at: heard.unwrap_or(now),
--- a/crates/daemon/src/gateway/ingress.rs
+++ b/crates/daemon/src/gateway/ingress.rs
@@ -14,6 +14,7 @@
 use ebonyloft_platform::headers::{self, Resumes};
 use ebonyloft_router::accounts::Credential;
 use ebonyloft_router::catalog::{Config, Kind, Limits, Route};
+use ebonyloft_router::part_blame::PromptParts;
 use ebonyloft_router::request_digest::RequestDigest;
 use ebonyloft_router::stream_origin::Origin;
 use ebonyloft_router::{retry_after, routes};
@@ -186,11 +187,23 @@
     let target = Target { config, route, service };
     let mut intake = build_intake(times, target, parts, body, caller, digest);
     (intake.account, intake.cost) = (account, cost);
+    intake.parts = prompt_parts(shared, digest, &intake.caller);
     intake.levels = shared.urgency_levels(&intake.config, &intake.service);
     intake.level = intake.levels.level(priority, intake.route().priority);
     Ok(intake)
 }
 
+/// Digests of the parts of a request's prompt.
+fn prompt_parts(
+    shared: &Shared,
+    digest: RequestDigest,
+    caller: &headers::CallerHeaders,
+) -> PromptParts {
+    let part = |id: &String| shared.digester.part_digest(&caller.model, id);
+    let parts: Vec<_> = caller.prompt_parts.iter().map(part).collect();
+    PromptParts::new(digest, &parts)
+}
+
 /// The account of a request, with the request's cost against the account's quota and the priority
 /// that the account has of its own.
 #[derive(Default)]
@@ -299,6 +312,7 @@
         arrivals: Cell::default(),
         caller,
         digest,
+        parts: PromptParts::default(),
         body,
         config,
         route,
--- a/crates/daemon/src/gateway/intake.rs
+++ b/crates/daemon/src/gateway/intake.rs
@@ -10,6 +10,7 @@
 use ebonyloft_platform::headers::{self, CallerHeaders, Resumes};
 use ebonyloft_router::budget::Arrivals;
 use ebonyloft_router::catalog::{Config, Kind, Route, ServerId};
+use ebonyloft_router::part_blame::{PartDigest, PromptParts};
 use ebonyloft_router::request_digest::RequestDigest;
 use ebonyloft_router::stream_origin::Origin;
 use ebonyloft_router::urgency::{SendState, UrgencyLevels};
@@ -32,6 +33,8 @@
     pub caller: CallerHeaders,
     /// Keyed digest of the request.
     pub digest: RequestDigest,
+    /// Digests of the shared parts of its prompt.
+    pub parts: PromptParts,
     /// The complete body.
     pub body: Bytes,
     /// The account that its key belongs to, if any.
@@ -95,6 +98,11 @@
         }
     }
 
+    /// The shared parts of its prompt, for logs.
+    pub fn part_digits(&self) -> String {
+        digits(&self.parts)
+    }
+
     /// Can it safely run more than once?
     pub fn is_repeatable(&self) -> bool {
         let route = self.route();
@@ -120,3 +128,9 @@
         req
     }
 }
+
+/// The first digits of digests of parts, for logs.
+pub fn digits(parts: &PromptParts) -> String {
+    let digits: Vec<String> = parts.parts().iter().map(PartDigest::to_string).collect();
+    digits.join(" ")
+}
--- a/crates/daemon/src/gateway/quarantine.rs
+++ b/crates/daemon/src/gateway/quarantine.rs
@@ -24,13 +24,14 @@
     CONFIRMED_TTL, Change, Fact, HealthReport, QuarantineState, QuarantineUpdate, SUSPECT_TTL,
 };
 use ebonyloft_router::request_digest::RequestDigest;
+use ebonyloft_router::stream_origin::SoftwareId;
 use futures_util::future::{Either, select};
 use hyper::Response;
 use serde::{Deserialize, Serialize};
 
 use super::announcements;
 use super::answer::{self, Body, Cause};
-use super::intake::Intake;
+use super::intake::{Intake, digits};
 use super::pool::Reachability;
 use super::shared::{Shared, SnapshotVersion};
 use super::watch::Sink;
@@ -128,7 +129,7 @@
     let SnapshotVersion { config, roster, age } = shared.snapshot_version();
     let ms = until.since(now).as_millis() as u64;
     tracing::info!(
-        id = intake.id(), content = %intake.digest, ?cause, endings = crashes, ms, config, roster, age,
+        id = intake.id(), content = %intake.digest, parts = intake.part_digits(), ?cause, endings = crashes, ms, config, roster, age,
         "request refused"
     );
     shared.metrics.count("gateway.quarantine.refused", 1);
@@ -184,7 +185,15 @@
     let early = sent.run != RunStage::Advanced;
     let wait = if sent.run == RunStage::Call { CALL_PROBE_DELAY } else { STREAM_PROBE_DELAY };
     let number = shared.random_id();
-    let attempt = LostAttempt { digest: intake.digest, early, sent: sent.at, at, number };
+    let attempt = LostAttempt {
+        digest: intake.digest,
+        parts: intake.parts.clone(),
+        software: SoftwareId::shared(server),
+        early,
+        sent: sent.at,
+        at,
+        number,
+    };
     shared.lost_attempts.borrow_mut().add(server, attempt, wait);
     if sent.run == RunStage::Begun {
         publish_fact(shared, intake.digest, Fact::Lost(number));
@@ -277,7 +286,7 @@
         }
         let age = shared.now().since(attempt.at).as_millis() as u64;
         tracing::info!(
-            content = %attempt.digest, server = %id, early = attempt.early, how, age,
+            content = %attempt.digest, parts = digits(&attempt.parts), server = %id, early = attempt.early, how, age,
             "backend server crashed under a request"
         );
         let LostAttempt { digest, early, number, .. } = attempt;
--- a/crates/daemon/src/gateway/send.rs
+++ b/crates/daemon/src/gateway/send.rs
@@ -68,7 +68,7 @@
     }
     if quarantine::is_confirmed(shared, &intake.digest) {
         tracing::info!(
-            id = intake.id(), content = %intake.digest, server = %to.id,
+            id = intake.id(), content = %intake.digest, parts = intake.part_digits(), server = %to.id,
             "not sent: confirmed to crash servers"
         );
         shared.pool.put_back(conn);
--- a/crates/daemon/tests/digest.rs
+++ b/crates/daemon/tests/digest.rs
@@ -1,4 +1,4 @@
-//! Tests of request digests.
+//! Tests of digests of requests and of parts of prompts.
 
 use ebonyloft_router::request_digest::RequestDigest;
 use ebonyloftd::gateway::digest::Digester;
@@ -29,3 +29,18 @@
     assert_eq!(text.len(), 8);
     assert!(text.chars().all(|c| c.is_ascii_hexdigit()));
 }
+
+/// Guards against a part that is blamed for what the same id did at another model.
+#[test]
+fn digest_of_a_part_depends_on_its_model() {
+    let part = |key: &[u8], model, id| Digester::new(key).part_digest(model, id);
+    let usual = part(b"k", "m1", "5c1e07a2");
+    assert_eq!(usual, part(b"k", "m1", "5c1e07a2"));
+    let others = [
+        part(b"other", "m1", "5c1e07a2"),
+        part(b"k", "m", "15c1e07a2"),
+        part(b"k", "m1", "5c1e07"),
+    ];
+    assert!(others.iter().all(|other| *other != usual));
+    assert_eq!(usual.to_string().len(), 8);
+}
--- a/crates/router/src/lost_attempts.rs
+++ b/crates/router/src/lost_attempts.rs
@@ -17,7 +17,9 @@
 use ebonyloft_core::time::Timestamp;
 
 use crate::catalog::{Server, ServerId};
+use crate::part_blame::PromptParts;
 use crate::request_digest::RequestDigest;
+use crate::stream_origin::SoftwareId;
 
 /// Delay between the loss of a stream and the first probe of its server: the time that a crashing process
 /// takes to close its port.
@@ -43,6 +45,10 @@
 pub struct LostAttempt {
     /// Digest of the request.
     pub digest: RequestDigest,
+    /// Shared parts of its prompt.
+    pub parts: PromptParts,
+    /// Software of the server that it was sent to.
+    pub software: SoftwareId,
     /// It broke off soon after its start.
     pub early: bool,
     /// When it was sent.
--- a/crates/router/tests/losses.rs
+++ b/crates/router/tests/losses.rs
@@ -9,7 +9,9 @@
     CALL_PROBE_DELAY, INVESTIGATION_TIMEOUT, LostAttempt, LostAttempts, PROBE_INTERVAL,
     ProbeResult, STREAM_PROBE_DELAY,
 };
+use ebonyloft_router::part_blame::PromptParts;
 use ebonyloft_router::request_digest::RequestDigest;
+use ebonyloft_router::stream_origin::SoftwareId;
 
 const NOW: Timestamp = Timestamp::from_millis(1_000_000);
 /// Time between sending an attempt and losing it.
@@ -31,6 +33,8 @@
 fn lost_attempt(content: u64, at: Timestamp) -> LostAttempt {
     LostAttempt {
         digest: RequestDigest(content, 0),
+        parts: PromptParts::default(),
+        software: SoftwareId::default(),
         early: true,
         sent: at.before(RUN),
         at,
