--- a/crates/cli/src/cmd/trace.rs
+++ b/crates/cli/src/cmd/trace.rs
@@ -1,28 +1,25 @@
 //! Shows what happened to one request, from the gateways' logs.
 
-use std::fs::File;
-use std::io::{self, BufRead, BufReader, Read, Write};
+use std::io::{self, Read, Write};
 use std::path::PathBuf;
 
-use serde_json::{Map, Value};
+use serde_json::Value;
 
 use crate::error::{CliError, CliResult};
+use crate::logs::{self, Line, field};
 
 const HELP: &str = "\
 Reads the gateways' logs, from files or standard input, and prints all lines about one request in the
 order of time, followed by an explanation of how the request ended.
 
-If the request was refused because servers crashed under the same request before, the lines about
-these crashes are printed too.
+If the request was refused because servers crashed before under the same request, or under a part of its
+prompt, the lines about these crashes are printed too.
 
 Use it to look into a failed request that a caller names by its id. Logs of several gateways may be
 given in any order: each retry of a caller has an id of its own, and is in the log of the gateway that
 received it. Text before the JSON of a line is skipped, and lines without JSON are ignored.";
 
-/// Fields that are not printed as `name=value`: common to all lines, or printed in columns.
-const COMMON_FIELDS: [&str; 5] = ["timestamp", "level", "message", "target", "id"];
-
-/// Refusal causes that result from earlier requests with the same digest.
+/// Refusal causes that result from earlier requests with the same digest, or a part of the same digest.
 const QUARANTINE_CAUSES: [&str; 2] = ["Quarantined", "Suspect"];
 
 /// Arguments.
@@ -42,23 +39,17 @@
         collect_lines(&args.id, io::stdin(), &mut lines, &mut digest_lines)?;
     }
     for path in &args.files {
-        let file = File::open(path)
-            .map_err(|source| CliError::File { path: path.display().to_string(), source })?;
-        collect_lines(&args.id, file, &mut lines, &mut digest_lines)?;
+        collect_lines(&args.id, logs::open(path)?, &mut lines, &mut digest_lines)?;
     }
     if lines.is_empty() {
         let detail = format!("no line of request {}: none of these gateways received it", args.id);
         return Err(CliError::Input { detail });
     }
-    if lines.iter().any(|line| QUARANTINE_CAUSES.contains(&field(line, "cause"))) {
-        let digest = lines.iter().map(|l| field(l, "content")).find(|d| !d.is_empty());
-        let digest = digest.unwrap_or_default().to_owned();
-        lines.extend(digest_lines.into_iter().filter(|l| field(l, "content") == digest));
-    }
-    lines.sort_by(|a, b| field(a, "timestamp").cmp(field(b, "timestamp")));
+    lines.extend(explaining_lines(&lines, digest_lines));
+    logs::sort(&mut lines);
     let mut out = io::stdout().lock();
     for line in &lines {
-        writeln!(out, "{}", format_line(line))?;
+        writeln!(out, "{}", logs::format(line))?;
     }
     if let Some(explanation) = lines.iter().rev().find_map(explain_version) {
         writeln!(out, "{explanation}")?;
@@ -69,48 +60,41 @@
     Ok(())
 }
 
-/// Collects the log lines about a request, and the lines about request digests, which have no request id.
+/// Collects the log lines about a request, and those about digests, which have no request id.
 fn collect_lines(
     id: &str,
     input: impl Read,
-    lines: &mut Vec<Map<String, Value>>,
-    digest_lines: &mut Vec<Map<String, Value>>,
+    lines: &mut Vec<Line>,
+    digest_lines: &mut Vec<Line>,
 ) -> CliResult<()> {
-    for line in BufReader::new(input).split(b'\n') {
-        let line = line?;
-        let line = String::from_utf8_lossy(&line);
-        // Log collectors may put a prefix before the JSON.
-        let is_relevant = line.contains(id) || line.contains("\"content\"");
-        let Some(start) = line.find('{').filter(|_| is_relevant) else {
-            continue;
-        };
-        let Ok(Value::Object(map)) = serde_json::from_str(&line[start..]) else {
-            continue;
-        };
-        if field(&map, "id") == id {
-            lines.push(map);
-        } else if !map.contains_key("id") && map.contains_key("content") {
-            digest_lines.push(map);
+    let is_relevant =
+        |line: &str| line.contains(id) || line.contains("\"content\"") || line.contains("\"part\"");
+    logs::read(input, is_relevant, |line| {
+        if field(&line, "id") == id {
+            lines.push(line);
+        } else if !line.contains_key("id") {
+            digest_lines.push(line);
         }
-    }
-    Ok(())
+    })
 }
 
-/// Formats a log line: time, message, then the other fields.
-fn format_line(line: &Map<String, Value>) -> String {
-    let fields: Vec<String> = line
-        .iter()
-        .filter(|(k, _)| !COMMON_FIELDS.contains(&k.as_str()))
-        .map(|(k, v)| match v {
-            Value::String(s) => format!("{k}={s}"),
-            other => format!("{k}={other}"),
-        })
-        .collect();
-    format!("{}  {:<18} {}", field(line, "timestamp"), field(line, "message"), fields.join(" "))
+/// The lines about digests that explain a refusal: of the part that it names, or of the whole request.
+fn explaining_lines(lines: &[Line], digest_lines: Vec<Line>) -> Vec<Line> {
+    let is_refusal = |line: &&Line| QUARANTINE_CAUSES.contains(&field(line, "cause"));
+    if !lines.iter().any(|line| is_refusal(&line)) {
+        return Vec::new();
+    }
+    let first = |key| lines.iter().map(|l| field(l, key)).find(|d| !d.is_empty());
+    let (part, digest) = (first("part"), first("content").unwrap_or_default());
+    let explains = |line: &Line| match part {
+        Some(part) => logs::names_part(line, part),
+        None => field(line, "content") == digest,
+    };
+    digest_lines.into_iter().filter(explains).collect()
 }
 
 /// Explains which software version a request that resumed a stream had to go to, and why.
-fn explain_version(line: &Map<String, Value>) -> Option<String> {
+fn explain_version(line: &Line) -> Option<String> {
     if field(line, "message") != "stream resumed" {
         return None;
     }
@@ -128,7 +112,17 @@
 }
 
 /// Explains how a request ended; `None` for lines that do not end one.
-fn explain_end(line: &Map<String, Value>) -> Option<&'static str> {
+fn explain_end(line: &Line) -> Option<String> {
+    let part = field(line, "part");
+    match field(line, "cause") {
+        "Quarantined" if !part.is_empty() => Some(format!(
+            "Refused: servers crashed under the part {part} of its prompt, in other requests. It did not run."
+        )),
+        _ => explain_without_part(line).map(str::to_owned),
+    }
+}
+
+fn explain_without_part(line: &Line) -> Option<&'static str> {
     let cause = match (field(line, "message"), field(line, "cause")) {
         ("request refused" | "request refused unread", cause) => cause,
         ("stream ended", _) => match field(line, "word") {
@@ -176,8 +170,3 @@
         _ => return None,
     })
 }
-
-/// A field of a log line as text; empty if it is absent or not a string.
-fn field<'a>(line: &'a Map<String, Value>, key: &str) -> &'a str {
-    line.get(key).and_then(Value::as_str).unwrap_or_default()
-}
--- a/crates/cli/tests/trace.rs
+++ b/crates/cli/tests/trace.rs
@@ -63,6 +63,23 @@
     assert_eq!(lines[3], "Refused: servers ended under the same request. It did not run.");
 }
 
+/// Guards against an explanation by the whole request where a part of its prompt is the cause.
+#[test]
+fn a_request_refused_for_a_part_is_printed_with_the_lines_of_the_part() {
+    let log = r#"
+{"timestamp":"2026-07-06T12:57:51.1Z","message":"backend server crashed under a request","content":"0a1b","parts":"11 22","server":"i-7"}
+{"timestamp":"2026-07-06T12:57:51.2Z","message":"part of prompts confirmed to crash servers","part":"22","servers":"i-5 i-6 i-7"}
+{"timestamp":"2026-07-06T12:57:51.3Z","message":"part of prompts confirmed to crash servers","part":"33","servers":"i-1"}
+{"timestamp":"2026-07-06T12:57:55.2Z","message":"request refused","id":"e5","content":"ffff","parts":"22 44","part":"22","cause":"Quarantined"}
+"#;
+    let text = String::from_utf8(trace(&["e5"], log).stdout).expect("text");
+    let lines: Vec<&str> = text.lines().collect();
+    assert_eq!(lines.len(), 4, "{text}");
+    assert!(lines[0].contains("server=i-7") && lines[1].contains("servers=i-5 i-6 i-7"));
+    let end = "Refused: servers crashed under the part 22 of its prompt, in other requests. It did not run.";
+    assert_eq!(lines[3], end);
+}
+
 #[test]
 fn an_unknown_request_is_an_error() {
     let output = trace(&["zz"], LOG);
--- a/crates/daemon/src/gateway/part_blame.rs
+++ b/crates/daemon/src/gateway/part_blame.rs
@@ -121,15 +121,15 @@
     software
 }
 
-/// Until when a request is refused because of a part, if it is. Checked again at each step, since the
+/// The part because of which a request is refused, if it is. Checked again at each step, since the
 /// request may have waited.
-pub fn refused_until(shared: &Shared, intake: &Intake) -> Option<Timestamp> {
+pub fn refused_part(shared: &Shared, intake: &Intake) -> Option<PartDigest> {
     if intake.parts.is_empty() {
         return None;
     }
     let software = software(shared, intake);
     match shared.part_blame.borrow().state(shared.now(), &intake.parts, &software) {
-        PartState::Refused { until, .. } => Some(until),
+        PartState::Refused { part, .. } => Some(part),
         PartState::Free | PartState::Held(_) | PartState::Suspect => None,
     }
 }
--- a/crates/daemon/src/gateway/quarantine.rs
+++ b/crates/daemon/src/gateway/quarantine.rs
@@ -174,8 +174,7 @@
 /// Must a request no longer be sent, because it or a part of its prompt crashes servers? Checked at each
 /// step, since the request may have waited.
 pub fn check(shared: &Shared, intake: &Intake) -> Result<(), Cause> {
-    match is_confirmed(shared, &intake.digest)
-        || part_blame::refused_until(shared, intake).is_some()
+    match is_confirmed(shared, &intake.digest) || part_blame::refused_part(shared, intake).is_some()
     {
         true => Err(Cause::Quarantined),
         false => Ok(()),
--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -49,6 +49,7 @@
 use super::intake::Intake;
 use super::keys;
 use super::limits;
+use super::part_blame;
 use super::quarantine::{self, RunStage};
 use super::retries;
 use super::send::{self, Expect, Head};
@@ -136,9 +137,11 @@
         Some(Err(_)) => (Cause::Timeout, retry_at(shared, intake, state)),
     };
     let retry = retry_at.map(|at| at.since(shared.now()));
+    let part = part_blame::refused_part(shared, intake).filter(|_| cause == Cause::Quarantined);
+    let part = part.map(|part| part.to_string());
     let SnapshotVersion { config, roster, age } = shared.snapshot_version();
     tracing::info!(
-        id = intake.id(), service = %intake.service, ?cause, ?verdict, config, roster, age,
+        id = intake.id(), service = %intake.service, part, ?cause, ?verdict, config, roster, age,
         "request refused"
     );
     shared.metrics.count("gateway.refused", 1);
--- a/crates/router/tests/stream_origin.rs
+++ b/crates/router/tests/stream_origin.rs
@@ -7,8 +7,10 @@
 
 use ebonyloft_core::time::Timestamp;
 use ebonyloft_router::catalog::{Server, ServerId, SoftwareVersion, Stage};
-use ebonyloft_router::load_report::{GossipMessage, GossipState};
+use ebonyloft_router::load_report::{GossipMessage, GossipState, LoadReport};
+use ebonyloft_router::part_blame::{PartDigest, PartFact, PromptParts};
 use ebonyloft_router::registry::{Change, Effect, Registration, ServerRegistry};
+use ebonyloft_router::request_digest::RequestDigest;
 use ebonyloft_router::stream_origin::history::SoftwareHistory;
 use ebonyloft_router::stream_origin::table::{OriginTable, RECORDS_MAX};
 use ebonyloft_router::stream_origin::{Origin, SoftwareId, StreamKey, Testimony, conclude};
@@ -218,6 +220,22 @@
     assert!(state.origins.is_empty());
 }
 
+/// Guards against blame of parts that gateways of the release before can't skip, or that keeps them exchanging state.
+#[test]
+fn gateways_of_the_release_before_skip_blame_of_parts() {
+    let parts = PromptParts::new(RequestDigest(1, 1), &[PartDigest(1), PartDigest(2)]);
+    let crashed = PartFact::Crashed(ServerId::new("i-1", 0), software("v1"), parts);
+    let leaving = vec![ServerId::new("i-1", 0)];
+    let part_updates = vec![crashed.now()];
+    let state = GossipState { part_updates, leaving: leaving.clone(), ..GossipState::default() };
+    let back: GossipMessage = recode(&GossipMessage::Notes(state.clone()));
+    assert_eq!(back, GossipMessage::Notes(state.clone()));
+    let OldMessage::Notes(notes) = recode(&GossipMessage::Notes(state));
+    assert_eq!(notes.leaving, leaving);
+    let report: LoadReport = recode(&LoadReport::default());
+    assert_eq!(report.part_checksum, 0, "as of a gateway that sends none");
+}
+
 fn testimony() -> impl Strategy<Value = Testimony> {
     let versions = prop_oneof![Just("v1"), Just("v2")];
     prop_oneof![
--- a/crates/standins/tests/crashing_parts.rs
+++ b/crates/standins/tests/crashing_parts.rs
@@ -331,18 +331,7 @@
 #[test]
 fn gateways_that_start_later_refuse_a_confirmed_part() {
     with_fleet(spec(2), async |fleet| {
-        set_culprits(fleet, &[CrashPart::new(CULPRIT)]);
-        let end = Instant::now() + Duration::from_secs(5);
-        let traffic = Traffic {
-            name: "culprit",
-            path: SUMMARY,
-            parts: culprit_parts,
-            interval: CULPRIT_INTERVAL,
-            repeats: true,
-        };
-        // They tell the culprit from the first part.
-        let sound = Traffic { name: "sound", parts: sound_parts, repeats: false, ..traffic };
-        futures_util::join!(send_until(fleet, &traffic, end), send_until(fleet, &sound, end));
+        confirm_culprit(fleet).await;
         for gateway in 0..2 {
             fleet.stop(gateway);
         }
@@ -358,6 +347,44 @@
     });
 }
 
+/// An operator releases a part by overwriting its key.
+#[test]
+fn an_operator_releases_a_part() {
+    with_fleet(spec(2), async |fleet| {
+        confirm_culprit(fleet).await;
+        assert_quarantined(fleet, 0).await;
+        let keys = fleet.store.keys(STORED_PARTS);
+        assert_eq!(keys.len(), 1, "{keys:?}");
+        let value = br#"{"servers":[],"by":"operator","release":true}"#;
+        fleet.store.put(&keys[0], value, 0);
+        compio::time::sleep(CULPRIT_INTERVAL * 5).await;
+        for gateway in 0..2 {
+            let before = crash_times(fleet, CULPRIT).len();
+            let (name, own) = (format!("in-{gateway}"), format!("97{gateway}"));
+            let parts = [FIRST, CULPRIT, own.as_str()];
+            let _ = fleet.caller(gateway).send_parts(ONCE_SUMMARY, &name, &name, &parts).await;
+            let crashes = crash_times(fleet, CULPRIT).len();
+            assert!(crashes > before, "gateway {gateway} did not send the request");
+            compio::time::sleep(CONTACT_BOUND).await;
+        }
+    });
+}
+
+/// Requests with the culprit and sound ones, which tell it from the first part.
+async fn confirm_culprit(fleet: &Fleet) {
+    set_culprits(fleet, &[CrashPart::new(CULPRIT)]);
+    let end = Instant::now() + Duration::from_secs(5);
+    let traffic = Traffic {
+        name: "culprit",
+        path: SUMMARY,
+        parts: culprit_parts,
+        interval: CULPRIT_INTERVAL,
+        repeats: true,
+    };
+    let sound = Traffic { name: "sound", parts: sound_parts, repeats: false, ..traffic };
+    futures_util::join!(send_until(fleet, &traffic, end), send_until(fleet, &sound, end));
+}
+
 /// A request with these shared parts is served completely.
 async fn assert_served(fleet: &Fleet, gateway: usize, parts: &[&str]) {
     let name = format!("served-{gateway}");
