Gateway: quarantine observes crashes; blame of requests and of parts stand beside each other

It keeps what both kinds of blame share: lost attempts and their inquiries, admission, the check before each step. request_blame has the facts, log lines and store records of whole requests, as part_blame has those of parts. No request walks through the list of servers while nothing is suspected (is_quiet).

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -22,6 +22,7 @@
 pub mod quarantine;
 pub mod quota;
 pub mod registration;
+pub mod request_blame;
 pub mod retries;
 pub mod send;
 pub mod shared;
--- a/crates/daemon/src/gateway/gossip.rs
+++ b/crates/daemon/src/gateway/gossip.rs
@@ -15,7 +15,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 
 use super::shared::Shared;
-use super::{announcements, limits, origins, part_blame, peers, quarantine};
+use super::{announcements, limits, origins, part_blame, peers, request_blame};
 use crate::http;
 
 /// Path at which gateways exchange their gossip state.
@@ -84,8 +84,8 @@
 
 /// Applies gossip state received from a peer.
 pub fn apply(shared: &Shared, state: &GossipState, peer: &str) {
-    quarantine::apply_health_reports(shared, &state.healthy);
-    quarantine::apply_reports(shared, &state.quarantine_updates, Some(peer));
+    request_blame::apply_health_reports(shared, &state.healthy);
+    request_blame::apply_reports(shared, &state.quarantine_updates, Some(peer));
     state.leaving.iter().for_each(|id| announcements::on_leaving(shared, id, peer));
     state.limits.iter().for_each(|word| limits::on_report(shared, word, peer));
     origins::records::on_records(shared, &state.origins);
--- a/crates/daemon/src/gateway/ingress.rs
+++ b/crates/daemon/src/gateway/ingress.rs
@@ -344,7 +344,7 @@
 /// Runs a request in its own task, which outlives the caller until its state is cleaned up.
 async fn process(shared: &Rc<Shared>, mut intake: Intake) -> Response<Body> {
     origins::resolve(shared, &mut intake).await;
-    let probes = match quarantine::admit_with_parts(shared, &intake).await {
+    let probes = match quarantine::admit(shared, &intake).await {
         Ok(probes) => probes,
         Err(refused) => return refused.response(shared.now()),
     };
--- a/crates/daemon/src/gateway/part_blame.rs
+++ b/crates/daemon/src/gateway/part_blame.rs
@@ -64,7 +64,7 @@
 /// Decides by its parts whether a request may be sent. It waits briefly while a part is being probed or
 /// a lost run with it is being checked; any other refusal is immediate.
 pub async fn admit(shared: &Shared, intake: &Intake) -> Result<Option<Probe>, Refused> {
-    if intake.parts.is_empty() {
+    if is_free(shared, intake) {
         return Ok(None);
     }
     let software = software(shared, intake);
@@ -80,6 +80,11 @@
     }
 }
 
+/// Whether no part can keep a request back, which saves a walk through the servers.
+fn is_free(shared: &Shared, intake: &Intake) -> bool {
+    intake.parts.is_empty() || shared.part_blame.borrow().is_quiet()
+}
+
 fn start_probe(shared: &Shared, intake: &Intake, software: &[SoftwareId]) -> Probe {
     let number = shared.random_id();
     let fact = shared.part_blame.borrow().probe(&intake.parts, software, number);
@@ -124,7 +129,7 @@
 /// The part because of which a request is refused, if it is. Checked again at each step, since the
 /// request may have waited.
 pub fn refused_part(shared: &Shared, intake: &Intake) -> Option<PartDigest> {
-    if intake.parts.is_empty() {
+    if is_free(shared, intake) {
         return None;
     }
     let software = software(shared, intake);
--- a/crates/daemon/src/gateway/quarantine.rs
+++ b/crates/daemon/src/gateway/quarantine.rs
@@ -1,10 +1,8 @@
-//! Quarantine of requests that crash backend servers: observes crashes, shares them with all
-//! gateways and refuses such requests.
+//! Quarantine of requests that crash backend servers: observes crashes and refuses such requests.
 //!
-//! The rules are in `ebonyloft_router::quarantine` and `lost_attempts`. The digest of a confirmed request
-//! is also written to the store, under a lease, so that it outlives the loss of all gateways. The
-//! removal of a key is ignored, since keys also expire with the store. An operator releases a
-//! request by writing a release record.
+//! What crashes servers may be a whole request (`request_blame`) or a part of its prompt (`part_blame`); both share
+//! what they know with all gateways. Whether a lost attempt was a crash is decided in
+//! `ebonyloft_router::lost_attempts`.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -13,7 +11,6 @@
 use compio::time::timeout;
 use ebonyloft_core::time::Timestamp;
 use ebonyloft_core::verdict::Verdict;
-use ebonyloft_platform::store::Item;
 use ebonyloft_platform::{engine, headers};
 use ebonyloft_router::catalog::{Server, ServerId};
 use ebonyloft_router::lost_attempts::{
@@ -21,29 +18,19 @@
 };
 use ebonyloft_router::outcome::AttemptOutcome;
 use ebonyloft_router::part_blame::PromptParts;
-use ebonyloft_router::quarantine::{
-    CONFIRMED_TTL, Change, Fact, HealthReport, QuarantineState, QuarantineUpdate, SUSPECT_TTL,
-};
 use ebonyloft_router::request_digest::RequestDigest;
 use ebonyloft_router::stream_origin::SoftwareId;
 use futures_util::future::{Either, select};
 use hyper::Response;
-use serde::{Deserialize, Serialize};
 
 use super::announcements;
 use super::answer::{self, Body, Cause};
-use super::intake::{Intake, digits};
-use super::leased_record::{self, Record};
+use super::intake::Intake;
 use super::part_blame;
 use super::pool::Reachability;
-use super::shared::{Shared, SnapshotVersion};
-use super::watch::Sink;
+use super::request_blame;
+use super::shared::Shared;
 
-/// Prefix of the store's keys of confirmed requests.
-pub const CONFIRMED_PREFIX: &str = "ebonyloft/quarantine/";
-/// Prefix of the store's keys of requests that one more crash would confirm; stored in case all
-/// gateways are lost before.
-pub const SUSPECT_PREFIX: &str = "ebonyloft/suspects/";
 /// Timeout of a server's liveness check: about a hundred times the latency between availability
 /// zones.
 const LIVENESS_TIMEOUT: Duration = Duration::from_millis(150);
@@ -59,34 +46,6 @@
 /// A run that broke off this soon after its first event counts as only just begun.
 pub const EARLY_WINDOW: Duration = Duration::from_millis(1_000);
 
-/// A request digest's record in the store.
-#[derive(Debug, Default, Deserialize, Serialize)]
-struct RequestRecord {
-    /// Servers that crashed under the request.
-    servers: Vec<String>,
-    /// The same crashes, each with whether it came soon after the start, and when.
-    #[serde(default)]
-    endings: Vec<(ServerId, bool, Timestamp)>,
-    /// The gateway that wrote the record.
-    by: String,
-    /// Set by an operator to release the request.
-    #[serde(default)]
-    release: bool,
-}
-
-/// The only probe of a suspected request in the whole system.
-pub struct Probe {
-    digest: RequestDigest,
-    number: u64,
-}
-
-impl Probe {
-    /// Ends the probe, so that the next one may begin if the request is still only suspected.
-    pub fn close(self, shared: &Shared) {
-        publish_fact(shared, self.digest, Fact::Over(self.number));
-    }
-}
-
 /// Why a request is not sent, and until when.
 #[derive(Clone, Copy, Debug)]
 pub struct Refused {
@@ -108,7 +67,7 @@
 
 /// The probes that a request is.
 pub struct Probes {
-    request: Option<Probe>,
+    request: Option<request_blame::Probe>,
     parts: Option<part_blame::Probe>,
 }
 
@@ -125,9 +84,9 @@
 }
 
 /// Decides whether a request may be sent, by itself and by the parts of its prompt.
-pub async fn admit_with_parts(shared: &Shared, intake: &Intake) -> Result<Probes, Refused> {
+pub async fn admit(shared: &Shared, intake: &Intake) -> Result<Probes, Refused> {
     let parts = part_blame::admit(shared, intake).await?;
-    match admit(shared, intake).await {
+    match request_blame::admit(shared, intake).await {
         Ok(request) => Ok(Probes { request, parts }),
         Err(refused) => {
             Probes { request: None, parts }.close(shared);
@@ -136,33 +95,6 @@
     }
 }
 
-/// Decides whether a request may be sent. It waits briefly while a lost attempt of the same request
-/// is being checked, since most are no crashes; any other refusal is immediate.
-async fn admit(shared: &Shared, intake: &Intake) -> Result<Option<Probe>, Refused> {
-    let state = || shared.quarantine.borrow().state(shared.now(), &intake.digest);
-    wait_while(shared, || matches!(state(), QuarantineState::Held(_))).await;
-    let now = shared.now();
-    let (cause, until) = match state() {
-        QuarantineState::Free => return Ok(None),
-        QuarantineState::Suspect => {
-            let probe = Probe { digest: intake.digest, number: shared.random_id() };
-            publish_fact(shared, probe.digest, Fact::Trying(probe.number));
-            return Ok(Some(probe));
-        }
-        QuarantineState::Held(until) => (Cause::Suspect, until),
-        QuarantineState::Confirmed(until) => (Cause::Quarantined, until),
-    };
-    let crashes = shared.quarantine.borrow().crashes(&intake.digest).len();
-    let SnapshotVersion { config, roster, age } = shared.snapshot_version();
-    let ms = until.since(now).as_millis() as u64;
-    tracing::info!(
-        id = intake.id(), content = %intake.digest, parts = intake.part_digits(), ?cause, endings = crashes, ms, config, roster, age,
-        "request refused"
-    );
-    shared.metrics.count("gateway.quarantine.refused", 1);
-    Err(Refused { cause, until })
-}
-
 /// Waits, for a limited time, while a request is held.
 pub async fn wait_while(shared: &Shared, is_held: impl Fn() -> bool) {
     let until = shared.now().after(INQUIRY_WAIT);
@@ -174,20 +106,14 @@
 /// Must a request no longer be sent, because it or a part of its prompt crashes servers? Checked at each
 /// step, since the request may have waited.
 pub fn check(shared: &Shared, intake: &Intake) -> Result<(), Cause> {
-    match is_confirmed(shared, &intake.digest) || part_blame::refused_part(shared, intake).is_some()
+    match request_blame::is_confirmed(shared, &intake.digest)
+        || part_blame::refused_part(shared, intake).is_some()
     {
         true => Err(Cause::Quarantined),
         false => Ok(()),
     }
 }
 
-/// Is a request confirmed to crash servers? Checked again before each send, since the request may
-/// have waited.
-pub fn is_confirmed(shared: &Shared, digest: &RequestDigest) -> bool {
-    let state = shared.quarantine.borrow().state(shared.now(), digest);
-    matches!(state, QuarantineState::Confirmed(_))
-}
-
 /// How far a run had come when it broke off.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RunStage {
@@ -242,7 +168,7 @@
         number,
     };
     if sent.run == RunStage::Begun {
-        publish_fact(shared, intake.digest, Fact::Lost(number));
+        request_blame::on_lost(shared, &attempt);
         part_blame::on_lost(shared, &attempt);
     }
     shared.lost_attempts.borrow_mut().add(server, attempt, wait);
@@ -268,7 +194,7 @@
     match outcome {
         AttemptOutcome::Lost => on_lost(shared, intake, sent),
         AttemptOutcome::Answered(status) if status < 500 => {
-            on_served(shared, &intake.digest);
+            request_blame::on_served(shared, &intake.digest);
             if status < 300 {
                 part_blame::on_sound(shared, intake, sent.server);
             }
@@ -280,13 +206,6 @@
     }
 }
 
-fn on_served(shared: &Shared, digest: &RequestDigest) {
-    let is_new = shared.quarantine.borrow_mut().on_served(shared.now(), *digest);
-    if is_new {
-        publish_fact(shared, *digest, Fact::Served);
-    }
-}
-
 /// Waits, for a limited time, until it is known whether the server of a lost attempt of this
 /// request crashed.
 pub async fn wait_for_inquiry(shared: &Shared, digest: &RequestDigest) {
@@ -297,8 +216,7 @@
 pub fn on_alive(shared: &Shared, id: &ServerId, sent: Timestamp) {
     on_heard(shared, id);
     let cleared = shared.lost_attempts.borrow_mut().on_answer(id, sent);
-    let early = cleared.iter().filter(|attempt| attempt.early);
-    early.for_each(|attempt| publish_fact(shared, attempt.digest, Fact::Over(attempt.number)));
+    request_blame::on_alive(shared, &cleared);
     part_blame::on_alive(shared, &cleared);
 }
 
@@ -330,86 +248,8 @@
 }
 
 fn record_crashes(shared: &Shared, id: &ServerId, attempts: Vec<LostAttempt>, how: &'static str) {
+    request_blame::on_crash(shared, id, &attempts, how);
     part_blame::on_crash(shared, id, &attempts);
-    let mut reports = Vec::new();
-    for attempt in attempts {
-        if shared.quarantine.borrow().is_healthy(attempt.at, &attempt.digest) {
-            continue;
-        }
-        let age = shared.now().since(attempt.at).as_millis() as u64;
-        tracing::info!(
-            content = %attempt.digest, parts = digits(&attempt.parts), server = %id, early = attempt.early, how, age,
-            "backend server crashed under a request"
-        );
-        let LostAttempt { digest, early, number, .. } = attempt;
-        let fact = Fact::Ended(id.clone(), early);
-        reports.push(QuarantineUpdate { digest, age, fact });
-        if early {
-            reports.push(QuarantineUpdate { digest, age: 0, fact: Fact::Over(number) });
-        }
-    }
-    publish(shared, reports);
-}
-
-fn publish_fact(shared: &Shared, digest: RequestDigest, fact: Fact) {
-    publish(shared, vec![QuarantineUpdate { digest, age: 0, fact }]);
-}
-
-/// Applies observations made here and publishes them to all gateways.
-fn publish(shared: &Shared, reports: Vec<QuarantineUpdate>) {
-    apply_reports(shared, &reports, None);
-    shared.outgoing_gossip.borrow_mut().quarantine_updates.extend(reports);
-    shared.background_waiters.wake_all();
-}
-
-/// Applies what a peer knows of complete answers.
-pub fn apply_health_reports(shared: &Shared, reports: &[HealthReport]) {
-    let (now, mut quarantine) = (shared.now(), shared.quarantine.borrow_mut());
-    reports.iter().for_each(|report| quarantine.on_health_report(now, report));
-}
-
-/// Applies observations made here, or reported by a peer or the store; one of a peer is refuted if
-/// a complete answer here contradicts it.
-pub fn apply_reports(shared: &Shared, reports: &[QuarantineUpdate], peer: Option<&str>) {
-    let changes = shared.quarantine.borrow_mut().apply_all(shared.now(), reports);
-    for (report, change) in reports.iter().zip(changes) {
-        on_change(shared, report, change, peer);
-    }
-}
-
-fn on_change(shared: &Shared, report: &QuarantineUpdate, change: Change, peer: Option<&str>) {
-    let (digest, fact, age) = (report.digest, &report.fact, report.age);
-    match change {
-        Change::Nothing => {}
-        Change::Suspected => {
-            if peer.is_some() {
-                refute(shared, report);
-            }
-            let crashes = shared.quarantine.borrow().crashes(&digest).len();
-            tracing::info!(
-                content = %digest, ?fact, age, peer, endings = crashes, "request suspected of crashing servers"
-            );
-            let close_to_confirmed = shared.quarantine.borrow().is_nearly_confirmed(&digest);
-            if close_to_confirmed && (peer.is_none() || is_first_gateway(shared)) {
-                shared.unsaved_confirmations.borrow_mut().push(digest);
-            }
-        }
-        Change::Confirmed => {
-            let quarantine = shared.quarantine.borrow();
-            let crashes = quarantine.crashes(&digest).iter().map(|e| e.server.to_string());
-            let servers = crashes.collect::<Vec<_>>().join(" ");
-            tracing::warn!(
-                content = %digest, ?fact, age, peer, servers, "request confirmed to crash servers"
-            );
-            shared.metrics.count("gateway.quarantine.proved", 1);
-            if peer.is_none() || is_first_gateway(shared) {
-                shared.unsaved_confirmations.borrow_mut().push(digest);
-            }
-        }
-        Change::Cleared => {
-            tracing::info!(content = %digest, ?fact, age, peer, "request cleared of crashing servers")
-        }
-    }
 }
 
 /// Does this gateway refute a crash reported by a peer? In a large fleet only some of the gateways
@@ -418,14 +258,6 @@
     shared.random_fraction() < REFUTATIONS / shared.gateway_count() as f64
 }
 
-/// Publishes a complete answer received here that contradicts a crash reported by a peer.
-fn refute(shared: &Shared, report: &QuarantineUpdate) {
-    let refutation = shared.quarantine.borrow().refutation(shared.now(), report);
-    if let Some(refutation) = refutation.filter(|_| refutes(shared)) {
-        publish(shared, vec![refutation]);
-    }
-}
-
 /// Is this gateway the first by name? The first one writes what was confirmed only by reports of
 /// several others.
 pub fn is_first_gateway(shared: &Shared) -> bool {
@@ -448,7 +280,6 @@
         }
         start_checks(&shared);
         upkeep(&shared);
-        part_blame::upkeep(&shared);
     }
 }
 
@@ -456,22 +287,16 @@
     for (id, addr) in shared.lost_attempts.borrow_mut().due_probes(shared.now()) {
         compio::runtime::spawn(check_alive(shared.clone(), id, addr)).detach();
     }
-    for digest in shared.unsaved_confirmations.take() {
-        compio::runtime::spawn(store_record(shared.clone(), digest)).detach();
-    }
+    request_blame::write_unsaved(shared);
 }
 
-fn upkeep(shared: &Shared) {
+fn upkeep(shared: &Rc<Shared>) {
     let now = shared.now();
     for (server, attempt) in shared.lost_attempts.borrow_mut().expire(now) {
         tracing::info!(content = %attempt.digest, %server, "cannot tell whether the server crashed");
     }
-    for digest in shared.quarantine.borrow_mut().expire(now) {
-        tracing::info!(content = %digest, "suspicion of a request expired");
-    }
-    let (suspects, confirmed) = shared.quarantine.borrow().counts();
-    shared.metrics.gauge("gateway.quarantine.suspects", suspects as u64);
-    shared.metrics.gauge("gateway.quarantine.contents", confirmed as u64);
+    request_blame::upkeep(shared);
+    part_blame::upkeep(shared);
 }
 
 /// Checks whether a server is alive.
@@ -501,79 +326,3 @@
         on_ended(&shared, &id, if result == ProbeResult::Other { "address" } else { "port" });
     }
 }
-
-/// Should the store keep a record of this request?
-fn should_store(shared: &Shared, digest: &RequestDigest) -> bool {
-    is_confirmed(shared, digest) || shared.quarantine.borrow().is_nearly_confirmed(digest)
-}
-
-/// Writes the record of a confirmed request, or of one close to that, to the store while the request
-/// stays so.
-async fn store_record(shared: Rc<Shared>, digest: RequestDigest) {
-    let record = || should_store(&shared, &digest).then(|| record(&shared, &digest));
-    leased_record::write(&shared, record).await;
-}
-
-fn record(shared: &Shared, digest: &RequestDigest) -> Record {
-    let (prefix, ttl) = match is_confirmed(shared, digest) {
-        true => (CONFIRMED_PREFIX, CONFIRMED_TTL),
-        false => (SUSPECT_PREFIX, SUSPECT_TTL),
-    };
-    let key = format!("{prefix}{:016x}{:016x}", digest.0, digest.1);
-    let crashes = shared.quarantine.borrow().crashes(digest).to_vec();
-    let servers = crashes.iter().map(|e| e.server.to_string()).collect();
-    let endings = crashes.into_iter().map(|e| (e.server, e.early, e.at)).collect();
-    let by = shared.node().name.clone();
-    let record = RequestRecord { servers, endings, by, release: false };
-    Record { key, value: serde_json::to_vec(&record).expect("plain strings serialise"), ttl }
-}
-
-/// Applies the store's records of confirmed requests and of those close to it.
-pub struct QuarantineSink(pub Rc<Shared>);
-
-impl Sink for QuarantineSink {
-    fn apply(&self, item: Item) {
-        let Some(value) = item.value else {
-            return;
-        };
-        if let Some(digest) = item.key.strip_prefix(SUSPECT_PREFIX).and_then(parse) {
-            return self.suspect(digest, &value);
-        }
-        let Some(digest) = item.key.strip_prefix(CONFIRMED_PREFIX).and_then(parse) else {
-            return;
-        };
-        let fact = match serde_json::from_slice::<RequestRecord>(&value) {
-            Ok(RequestRecord { release: true, .. }) => Fact::Released,
-            Ok(_) => Fact::Proved,
-            Err(e) => {
-                let revision = item.revision;
-                return tracing::warn!(
-                    key = item.key, revision, error = %e, "invalid quarantine record"
-                );
-            }
-        };
-        if fact == Fact::Proved && is_confirmed(&self.0, &digest) {
-            return;
-        }
-        apply_reports(&self.0, &[QuarantineUpdate { digest, age: 0, fact }], Some("store"));
-    }
-}
-
-impl QuarantineSink {
-    fn suspect(&self, digest: RequestDigest, value: &[u8]) {
-        let Ok(record) = serde_json::from_slice::<RequestRecord>(value) else {
-            return tracing::warn!(content = %digest, "invalid record of a suspected request");
-        };
-        let report = |(server, early, at)| {
-            let age = self.0.now().since(at).as_millis() as u64;
-            QuarantineUpdate { digest, age, fact: Fact::Ended(server, early) }
-        };
-        let reports: Vec<QuarantineUpdate> = record.endings.into_iter().map(report).collect();
-        apply_reports(&self.0, &reports, Some("store"));
-    }
-}
-
-fn parse(digits: &str) -> Option<RequestDigest> {
-    let all = u128::from_str_radix(digits, 16).ok().filter(|_| digits.len() == 32)?;
-    Some(RequestDigest::of(all.to_be_bytes()))
-}
--- a/crates/daemon/src/gateway/send.rs
+++ b/crates/daemon/src/gateway/send.rs
@@ -16,6 +16,7 @@
 use super::part_blame;
 use super::pool::{Conn, ExchangeError, IDLE_MAX, IDLE_MAX_ONCE};
 use super::quarantine;
+use super::request_blame;
 use super::retries;
 use super::shared::Shared;
 use super::speeds;
@@ -67,7 +68,7 @@
         shared.pool.put_back(conn);
         return Err(AttemptOutcome::Unsent);
     }
-    if quarantine::is_confirmed(shared, &intake.digest) {
+    if request_blame::is_confirmed(shared, &intake.digest) {
         tracing::info!(
             id = intake.id(), content = %intake.digest, parts = intake.part_digits(), server = %to.id,
             "not sent: confirmed to crash servers"
--- a/crates/daemon/src/gateway/watch.rs
+++ b/crates/daemon/src/gateway/watch.rs
@@ -19,7 +19,7 @@
 use super::origins::{histories, records};
 use super::shared::Shared;
 use super::store::WatchReply;
-use super::{keys, part_blame, quarantine, registration};
+use super::{keys, part_blame, quarantine, registration, request_blame};
 
 /// First back-off after a failed call; doubled with each further failure.
 const BACKOFF_MIN: Duration = Duration::from_millis(60);
@@ -191,8 +191,14 @@
         PrefixRouter(vec![
             (CONFIG_PREFIX, Box::new(ConfigSink(shared.clone()))),
             (servers::PREFIX, Box::new(RosterSink(shared.clone()))),
-            (quarantine::CONFIRMED_PREFIX, Box::new(quarantine::QuarantineSink(shared.clone()))),
-            (quarantine::SUSPECT_PREFIX, Box::new(quarantine::QuarantineSink(shared.clone()))),
+            (
+                request_blame::CONFIRMED_PREFIX,
+                Box::new(request_blame::QuarantineSink(shared.clone())),
+            ),
+            (
+                request_blame::SUSPECT_PREFIX,
+                Box::new(request_blame::QuarantineSink(shared.clone())),
+            ),
             (part_blame::CONFIRMED_PREFIX, Box::new(part_blame::PartSink(shared.clone()))),
             (records::RECORD_PREFIX, Box::new(records::RecordSink(shared.clone()))),
             (histories::HISTORY_PREFIX, Box::new(histories::HistorySink(shared.clone()))),
--- a/crates/router/src/part_blame.rs
+++ b/crates/router/src/part_blame.rs
@@ -856,6 +856,11 @@
         }
     }
 
+    /// Whether nothing is suspected: all requests are free.
+    pub fn is_quiet(&self) -> bool {
+        self.crashes.is_empty() && self.confirmed.is_empty() && self.holds.is_empty()
+    }
+
     /// Whether a part is confirmed to crash servers of this software.
     pub fn is_confirmed(&self, now: Timestamp, part: PartDigest, software: SoftwareId) -> bool {
         let at = self.confirmed_at(Candidate::Part(part), software);
