--- a/crates/daemon/src/gateway/part_blame.rs
+++ b/crates/daemon/src/gateway/part_blame.rs
@@ -201,17 +201,19 @@
 /// refuted.
 pub fn apply(shared: &Shared, updates: &[PartUpdate], peer: Option<&str>) {
     let now = shared.now();
+    // What contradicts an update is known only before the update is applied.
+    let refutations: Vec<PartUpdate> = match peer {
+        Some(_) => {
+            let blame = shared.part_blame.borrow();
+            updates.iter().filter_map(|update| blame.refutation(now, update)).collect()
+        }
+        None => Vec::new(),
+    };
     let changes = shared.part_blame.borrow_mut().apply_all(now, updates);
     changes.iter().for_each(|change| on_change(shared, *change, peer));
-    if peer.is_some() {
-        let blame = shared.part_blame.borrow();
-        let refutations: Vec<PartUpdate> =
-            updates.iter().filter_map(|update| blame.refutation(now, update)).collect();
-        drop(blame);
-        // In a large fleet only some of the gateways that could refute do so.
-        if !refutations.is_empty() && quarantine::refutes(shared) {
-            publish(shared, refutations);
-        }
+    // In a large fleet only some of the gateways that could refute do so.
+    if !refutations.is_empty() && quarantine::refutes(shared) {
+        publish(shared, refutations);
     }
 }
 
