--- a/crates/daemon/src/gateway/send.rs
+++ b/crates/daemon/src/gateway/send.rs
@@ -16,8 +16,10 @@
 use super::announcements;
 use super::intake::Intake;
 use super::keys;
+use super::part_blame;
 use super::pool::{Conn, ExchangeError, IDLE_MAX, IDLE_MAX_ONCE};
 use super::quarantine;
+use super::request_blame;
 use super::retries;
 use super::shared::Shared;
 use super::speeds;
@@ -80,14 +82,22 @@
         shared.pool.put_back(conn);
         return Err(AttemptOutcome::Unsent);
     }
-    if quarantine::is_confirmed(shared, &intake.digest) {
+    if request_blame::is_confirmed(shared, &intake.digest) {
         tracing::info!(
-            id = intake.id(), content = %intake.digest, server = %to.id,
+            id = intake.id(), content = %intake.digest, parts = intake.part_digits(), server = %to.id,
             "not sent: confirmed to crash servers"
         );
         shared.pool.put_back(conn);
         return Err(AttemptOutcome::Unsent);
     }
+    if part_blame::is_refused(shared, &intake.parts, to) {
+        tracing::info!(
+            id = intake.id(), content = %intake.digest, parts = intake.part_digits(), server = %to.id,
+            "not sent: a part of the prompt crashes servers"
+        );
+        shared.pool.put_back(conn);
+        return Err(AttemptOutcome::Unsent);
+    }
     if !keys::may_send(shared, intake) {
         shared.pool.put_back(conn);
         return Err(AttemptOutcome::Unsent);
--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -49,6 +49,7 @@
 use super::intake::Intake;
 use super::keys;
 use super::limits;
+use super::part_blame;
 use super::quarantine::{self, RunStage};
 use super::retries;
 use super::send::{self, Expect, Head};
@@ -137,9 +138,11 @@
         Some(Err(_)) => (Cause::Timeout, retry_at(shared, intake, state)),
     };
     let retry = retry_at.map(|at| at.since(shared.now()));
+    let part = part_blame::refused_part(shared, intake).filter(|_| cause == Cause::Quarantined);
+    let part = part.map(|part| part.to_string());
     let SnapshotVersion { config, roster, age } = shared.snapshot_version();
     tracing::info!(
-        id = intake.id(), service = %intake.service, ?cause, ?verdict, config, roster, age,
+        id = intake.id(), service = %intake.service, part, ?cause, ?verdict, config, roster, age,
         "request refused"
     );
     shared.metrics.count("gateway.refused", 1);
@@ -170,8 +173,8 @@
             // asks one of them again; nothing does at a plain server.
             tried.clear();
         }
-        if quarantine::is_confirmed(shared, &intake.digest) {
-            cause = Cause::Quarantined;
+        if let Err(refused) = quarantine::check(shared, intake) {
+            cause = refused;
             break;
         }
         if let Err(refused) = keys::check(shared, intake) {
@@ -189,6 +192,10 @@
                 .await
                 .ok_or(StreamError::Refused(cause, None))?,
         };
+        if let Err(refused) = quarantine::check(shared, intake) {
+            cause = refused;
+            break;
+        }
         if std::mem::take(&mut lost_run) && !state.has_unused_copy() {
             let prompt = intake.caller.prompt_tokens;
             wasted_prefill::count(shared, intake.id(), WastedPrefill::Lost, prompt);
@@ -196,7 +203,7 @@
         state.progress.begin();
         let mut is_continued = false;
         let (outcome, answer, started_at) = loop {
-            (state.first_event_at, state.heard_at) = (None, None);
+            (state.first_event_at, state.heard_at, state.sound) = (None, None, false);
             let started_at = shared.now();
             state.open_attempt = Some((server.clone(), started_at));
             match attempt(shared, intake, &server, state, out, &mut splitter).await {
--- a/crates/standins/src/fleet/backend.rs
+++ b/crates/standins/src/fleet/backend.rs
@@ -176,6 +176,9 @@
     pub orders: Vec<(Stage, u64)>,
     /// Arrivals of content that crashes servers, by its name, without prefill requests.
     pub crash_arrivals: Vec<(String, Instant)>,
+    /// Arrivals of requests with a part that crashes servers, prefill requests included: the part,
+    /// whether for prefill only, and the time.
+    pub part_arrivals: Vec<(String, bool, Instant)>,
     /// Crashes: the name of the content that caused it, and the time.
     pub crashes: Vec<(String, Instant)>,
     /// Times of all calls but releases of reservations and handles.
@@ -204,6 +207,8 @@
     away_until: Cell<Option<Instant>>,
     /// It has crashed, but its connections stay open and silent.
     silent_crash: Cell<bool>,
+    /// Parts of prompts that crash it once it writes an answer.
+    crash_parts: RefCell<Vec<CrashPart>>,
     /// Limit that all its answers announce.
     limit: RefCell<Option<String>>,
     listener: RefCell<Option<Listener>>,
@@ -239,6 +244,7 @@
             back_off: RefCell::default(),
             away_until: Cell::default(),
             silent_crash: Cell::default(),
+            crash_parts: RefCell::default(),
             limit: RefCell::default(),
             listener: RefCell::default(),
             restarts: Cell::default(),
@@ -282,6 +288,12 @@
         self.back_off.replace(seconds.map(str::to_owned));
     }
 
+    /// Makes the server crash some time after it has begun to write an answer to a prompt with one of
+    /// these parts.
+    pub fn set_crash_parts(&self, parts: &[CrashPart]) {
+        self.crash_parts.replace(parts.to_vec());
+    }
+
     /// Makes all answers announce this limit of requests a second; `None` stops that.
     pub fn announce_limit(&self, limit: Option<&str>) {
         self.limit.replace(limit.map(str::to_owned));
@@ -303,7 +315,10 @@
                 store.unregister(&previous);
             }
             compio::time::sleep(SILENT_DOWNTIME - REGISTRATION_TTL).await;
-            me.listener.take();
+            let listener = me.listener.take();
+            // The address is free only after the tasks that own its sockets were dropped.
+            compio::runtime::spawn(async move { drop(listener) }).detach();
+            compio::time::sleep(RESTART_TIME).await;
             me.silent_crash.set(false);
             me.start_incarnation(&previous).await;
         })
@@ -512,6 +527,11 @@
         marker: Option<CrashMarker>,
     ) -> Response<Body> {
         self.record_accounts(&work);
+        let part = self.crash_part(&work);
+        if let Some(part) = &part {
+            let arrival = (part.id.clone(), work.prefill, Instant::now());
+            self.observed.borrow_mut().part_arrivals.push(arrival);
+        }
         if !work.prefill {
             let mut seen = self.observed.borrow_mut();
             *seen.arrivals.entry(work.attempt.clone()).or_default() += 1;
@@ -543,6 +563,10 @@
             self.record_run(&attempt);
             return std::future::pending().await;
         }
+        if let Some(part) = part.filter(|_| !work.prefill) {
+            let marker = CrashMarker { name: part.id, prefill_too: false, silent: part.silent };
+            self.crash_later(marker);
+        }
         let result = compio::time::timeout(
             time_limit.unwrap_or(DEFAULT_TIME_LIMIT),
             self.clone().process(stage, work, marker),
@@ -560,15 +584,7 @@
         if let Some(marker) = marker
             && (marker.prefill_too || !work.prefill)
         {
-            let me = self.clone();
-            compio::runtime::spawn(async move {
-                compio::time::sleep(me.spec.crash_after).await;
-                match marker.silent {
-                    true => me.crash_silently(&marker.name),
-                    false => me.crash(&marker.name),
-                }
-            })
-            .detach();
+            self.crash_later(marker);
             if stage != Some(Stage::Decode) {
                 return std::future::pending().await;
             }
@@ -586,6 +602,25 @@
         }
     }
 
+    /// The part of this work that crashes the server, if it has one.
+    fn crash_part(&self, work: &BackendRequest) -> Option<CrashPart> {
+        let parts = self.crash_parts.borrow();
+        let (_, shared) = work.prompt_parts.split_last()?;
+        parts.iter().find(|part| shared.contains(&part.id)).cloned()
+    }
+
+    fn crash_later(self: &Rc<Self>, marker: CrashMarker) {
+        let me = self.clone();
+        compio::runtime::spawn(async move {
+            compio::time::sleep(me.spec.crash_after).await;
+            match marker.silent {
+                true => me.crash_silently(&marker.name),
+                false => me.crash(&marker.name),
+            }
+        })
+        .detach();
+    }
+
     fn reserve(&self, tokens: u64, ttl: Duration) -> Response<Body> {
         let now = Instant::now();
         let mut holds = self.holds.borrow_mut();
@@ -765,6 +800,9 @@
             // A run that is stopped completes its next event and ends in the middle of the one after.
             let is_stopped = stream.is_stopped();
             compio::time::sleep(self.spec.event_interval).await;
+            if self.silent_crash.get() {
+                return self.stay_silent(out, run).await;
+            }
             let server = self.server.borrow().version.clone();
             let version = server.as_ref().map_or("", SoftwareVersion::as_str);
             let event = format!("id: {id}\ndata: {} tokens {id} {version}\n\n", work.attempt);
@@ -795,6 +833,20 @@
         run.finish();
     }
 
+    /// Keeps a stream open without a further event until the server starts again.
+    async fn stay_silent(
+        &self,
+        mut out: mpsc::Sender<Result<Frame<Bytes>, BodyAborted>>,
+        run: RunGuard<'_>,
+    ) {
+        while self.silent_crash.get() {
+            compio::time::sleep(self.spec.event_interval).await;
+        }
+        // Fails only if the client has disconnected.
+        let _ = out.send(Err(BodyAborted)).await;
+        run.finish();
+    }
+
     fn answer_head(&self, attempt: &str) -> HeaderMap {
         let id = self.server.borrow().id.name.clone();
         let BackendSpec { slots, slowness, .. } = self.spec;
@@ -828,6 +880,22 @@
     }
 }
 
+/// A part of a prompt that crashes servers.
+#[derive(Clone, Debug)]
+pub struct CrashPart {
+    /// Id of the part.
+    pub id: String,
+    /// Connections stay open and silent after the crash.
+    pub silent: bool,
+}
+
+impl CrashPart {
+    /// A part under which the connections of the server close at once.
+    pub fn new(id: &str) -> Self {
+        CrashPart { id: id.to_owned(), silent: false }
+    }
+}
+
 /// Marker in a request body that crashes the server.
 #[derive(Clone, Debug)]
 struct CrashMarker {
