Gateway: the answer of another exchange says nothing about its server

What callers saw: a server that answers twice looks faster than the others and draws more calls, and a request whose answer was displaced is suspected of having crashed a server that left silently.

Cause: an attempt that got another exchange's answer was an ordinary loss. The moment of that answer entered the server's mean duration and the prefill metric. If the registration was gone, the loss counted as a crash, although the server had just written an answer.

The pool reports it as an error of its own, and the outcome is Mismatched: it may have run, counts as a failure and is retried like a loss, and the server is still probed. Its duration is not used, and a registration that is gone is no sign of a crash.

An engine whose prefill or stream got another exchange's answer is still not asked for a while.

--- a/crates/daemon/src/gateway/call.rs
+++ b/crates/daemon/src/gateway/call.rs
@@ -186,7 +186,7 @@
             }
             AttemptOutcome::Moved => on_replaced(shared, &server.id),
             AttemptOutcome::Rejected => cause = Cause::Overload,
-            AttemptOutcome::Lost => cause = Cause::Lost,
+            AttemptOutcome::Lost | AttemptOutcome::Mismatched => cause = Cause::Lost,
             AttemptOutcome::Unsent => {}
         }
     }
--- a/crates/daemon/src/gateway/pool.rs
+++ b/crates/daemon/src/gateway/pool.rs
@@ -56,10 +56,12 @@
     /// No byte of the request reached the other end.
     #[snafu(display("not sent"))]
     Unsent,
-    /// The request was sent and not answered, or the answer was another exchange's; whether the
-    /// request was received is unknown.
+    /// The request was sent and not answered; whether it was received is unknown.
     #[snafu(display("sent, but not answered"))]
     Lost,
+    /// The request was sent, and the answer was another exchange's; whether it was received is unknown.
+    #[snafu(display("sent, but the answer was another exchange's"))]
+    Mismatched,
 }
 
 /// Addresses whose servers sent an answer of another exchange, or bytes that no exchange waits for.
@@ -202,7 +204,7 @@
         self.strays.record(conn.addr, self.clock.now());
         self.close_idle(conn.addr);
         conn.close();
-        Err(ExchangeError::Lost)
+        Err(ExchangeError::Mismatched)
     }
 
     /// How often a server sent an answer of another exchange, or bytes that no exchange waits for,
--- a/crates/daemon/src/gateway/quarantine.rs
+++ b/crates/daemon/src/gateway/quarantine.rs
@@ -167,7 +167,7 @@
 }
 
 /// Starts an inquiry into a lost attempt: did its server crash?
-pub fn on_lost(shared: &Shared, intake: &Intake, sent: Sent<'_>) {
+pub fn on_lost(shared: &Shared, intake: &Intake, sent: Sent<'_>, outcome: AttemptOutcome) {
     let (now, server) = (shared.now(), sent.server);
     // A server that announced its leaving was not crashed by the request.
     let was_leaving = shared.registry.borrow().has_announced(&server.id);
@@ -175,7 +175,9 @@
         return;
     }
     let heard_at = shared.lost_attempts.borrow().heard_since(sent.at, &server.id);
-    let is_gone = shared.registry.borrow().get(&server.id).is_none();
+    // A server that wrote an answer runs, even if its registration is gone.
+    let is_gone =
+        outcome != AttemptOutcome::Mismatched && shared.registry.borrow().get(&server.id).is_none();
     if is_gone && sent.stalled && heard_at.is_none() {
         // The server may have been down already when this was sent.
         return;
@@ -201,7 +203,7 @@
 /// Other answers of the server usually show that it is alive.
 pub fn on_abandoned(shared: &Shared, intake: &Intake, sent: Sent<'_>) {
     if sent.run != RunStage::Advanced {
-        on_lost(shared, intake, Sent { run: RunStage::Call, ..sent });
+        on_lost(shared, intake, Sent { run: RunStage::Call, ..sent }, AttemptOutcome::Lost);
     }
 }
 
@@ -209,7 +211,9 @@
 /// request.
 pub fn on_outcome(shared: &Shared, intake: &Intake, sent: Sent<'_>, outcome: AttemptOutcome) {
     match outcome {
-        AttemptOutcome::Lost => on_lost(shared, intake, sent),
+        AttemptOutcome::Lost | AttemptOutcome::Mismatched => {
+            on_lost(shared, intake, sent, outcome);
+        }
         AttemptOutcome::Answered(status) if status < 500 => on_served(shared, &intake.digest),
         AttemptOutcome::Answered(_)
         | AttemptOutcome::Moved
--- a/crates/daemon/src/gateway/send.rs
+++ b/crates/daemon/src/gateway/send.rs
@@ -171,5 +171,6 @@
     match e {
         ExchangeError::Unsent => AttemptOutcome::Unsent,
         ExchangeError::Lost => AttemptOutcome::Lost,
+        ExchangeError::Mismatched => AttemptOutcome::Mismatched,
     }
 }
--- a/crates/daemon/src/gateway/store.rs
+++ b/crates/daemon/src/gateway/store.rs
@@ -171,6 +171,8 @@
 fn store_error(e: ExchangeError) -> StoreError {
     match e {
         ExchangeError::Unsent => StoreError::Rejected { status: 0 },
-        ExchangeError::Lost => StoreError::Unknown { detail: "no answer in time".to_owned() },
+        ExchangeError::Lost | ExchangeError::Mismatched => {
+            StoreError::Unknown { detail: "no answer in time".to_owned() }
+        }
     }
 }
--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -226,12 +226,11 @@
         if matches!(outcome, AttemptOutcome::Answered(200)) {
             return Ok(());
         }
-        lost_run = state.prefill_handle.is_none() && outcome == AttemptOutcome::Lost
-            || state.has_unused_copy();
+        lost_run = state.prefill_handle.is_none() && outcome.is_lost() || state.has_unused_copy();
         if state.has_unused_copy() {
             migration::on_continuation_failed(shared, state);
             state.release(shared, now, false, WastedPrefill::Lost);
-        } else if outcome == AttemptOutcome::Lost && migration::has_copy(shared, intake, state) {
+        } else if outcome.is_lost() && migration::has_copy(shared, intake, state) {
             state.drop_reservation(shared, now);
         } else if outcome == AttemptOutcome::Rejected {
             // The prefilled prompt may still be fetched by another engine.
@@ -241,7 +240,7 @@
             state.drop_reservation(shared, now);
         } else {
             let unused = match outcome {
-                AttemptOutcome::Lost => WastedPrefill::Lost,
+                AttemptOutcome::Lost | AttemptOutcome::Mismatched => WastedPrefill::Lost,
                 _ => WastedPrefill::Refused,
             };
             state.release(shared, now, false, unused);
@@ -264,13 +263,13 @@
                 cause = Cause::Overload;
                 shared.engines.borrow_mut().rejected(now, &server.id);
             }
-            AttemptOutcome::Unsent | AttemptOutcome::Lost => {
+            AttemptOutcome::Unsent | AttemptOutcome::Lost | AttemptOutcome::Mismatched => {
                 cause = Cause::Lost;
                 shared.engines.borrow_mut().on_fault(now, &server.id);
             }
         }
         splitter.discard_incomplete();
-        if (outcome, run) == (AttemptOutcome::Lost, RunStage::Begun) {
+        if outcome.is_lost() && run == RunStage::Begun {
             quarantine::wait_for_inquiry(shared, &intake.digest).await;
         }
     }
--- a/crates/daemon/src/gateway/stream/prefill.rs
+++ b/crates/daemon/src/gateway/stream/prefill.rs
@@ -200,7 +200,9 @@
         id = intake.id(), server = %server.id, fate = ?outcome, prompt, queue = work.unread, ms, foretold = predicted_ms,
         rate, factor, factor_age, slowness, config, roster, age, "prefill ended"
     );
-    shared.metrics.time("gateway.read_ms", ms);
+    if outcome != AttemptOutcome::Mismatched {
+        shared.metrics.time("gateway.read_ms", ms);
+    }
     let is_read = outcome == AttemptOutcome::Answered(200);
     let prefilled = answer.as_ref().filter(|_| is_read);
     let handle = prefilled.and_then(|a| engine::parse_prefill_result(&a.body));
@@ -237,11 +239,11 @@
         engines.on_fault(done, &server.id);
     }
     drop(engines);
-    if outcome == AttemptOutcome::Lost {
+    if outcome.is_lost() {
         wasted_prefill::count(shared, intake.id(), WastedPrefill::Engine, prompt);
         let stalled = answer.is_none() && done >= now.after(limit);
         let sent = Sent { server, run: RunStage::Begun, at: now, stalled };
-        quarantine::on_lost(shared, intake, sent);
+        quarantine::on_lost(shared, intake, sent, outcome);
     }
     if outcome == AttemptOutcome::Moved {
         call::on_replaced(shared, &server.id);
--- a/crates/router/src/outcome.rs
+++ b/crates/router/src/outcome.rs
@@ -70,6 +70,9 @@
     Answered(u16),
     /// Sent without a complete answer: it may have run.
     Lost,
+    /// Another exchange's answer came in place of its own: it may have run. The moment of that answer
+    /// says nothing about the backend server.
+    Mismatched,
 }
 
 impl AttemptOutcome {
@@ -79,10 +82,17 @@
             AttemptOutcome::Unsent | AttemptOutcome::Rejected | AttemptOutcome::Moved => {
                 Verdict::NotRun
             }
-            AttemptOutcome::Answered(_) | AttemptOutcome::Lost => Verdict::MayHaveRun,
+            AttemptOutcome::Answered(_) | AttemptOutcome::Lost | AttemptOutcome::Mismatched => {
+                Verdict::MayHaveRun
+            }
         }
     }
 
+    /// Whether it was sent and got no complete answer of its own.
+    pub fn is_lost(self) -> bool {
+        matches!(self, AttemptOutcome::Lost | AttemptOutcome::Mismatched)
+    }
+
     /// Outcome according to the head of the attempt's answer.
     pub fn from_reply(reply: &Reply) -> AttemptOutcome {
         match reply {
@@ -98,7 +108,7 @@
     pub fn failed(self) -> bool {
         match self {
             AttemptOutcome::Answered(status) => status >= 500,
-            AttemptOutcome::Lost => true,
+            AttemptOutcome::Lost | AttemptOutcome::Mismatched => true,
             AttemptOutcome::Unsent | AttemptOutcome::Rejected | AttemptOutcome::Moved => false,
         }
     }
--- a/crates/router/src/plain_servers.rs
+++ b/crates/router/src/plain_servers.rs
@@ -52,6 +52,12 @@
         f64::from(slowness.max(USUAL_SLOWNESS)) / f64::from(USUAL_SLOWNESS)
     }
 
+    /// Counts a call that failed (1) or not (0).
+    fn rate(&mut self, now: Timestamp, failed: f64) {
+        self.failure_rate += NEW_WEIGHT * (failed - self.failure_rate);
+        self.rated_at = now;
+    }
+
     fn close(&mut self, sent: Timestamp) {
         if let Some(i) = self.in_flight.iter().position(|at| *at == sent) {
             self.in_flight.swap_remove(i);
@@ -133,10 +139,9 @@
                 stats.back_off_until = now.after(BACK_OFF)
             }
             AttemptOutcome::Rejected => {}
+            AttemptOutcome::Mismatched => stats.rate(now, 1.0),
             AttemptOutcome::Answered(_) | AttemptOutcome::Lost => {
-                let failed = if outcome.failed() { 1.0 } else { 0.0 };
-                stats.failure_rate += NEW_WEIGHT * (failed - stats.failure_rate);
-                stats.rated_at = now;
+                stats.rate(now, if outcome.failed() { 1.0 } else { 0.0 });
                 let took = now.since(sent).as_secs_f64() * 1e3;
                 let mean_ms = stats.mean_ms.get_or_insert(took);
                 *mean_ms += NEW_WEIGHT * (took - *mean_ms);
--- a/crates/router/tests/plain.rs
+++ b/crates/router/tests/plain.rs
@@ -142,3 +142,18 @@
     let all: Vec<ServerId> = servers.iter().map(|s| s.id.clone()).collect();
     assert!(plain.pick(now, "z0", servers.iter(), &all, || 0.5).is_none());
 }
+
+/// Guards against a server that draws more calls because an answer of another exchange came at once.
+#[test]
+fn an_answer_of_another_exchange_makes_no_server_look_fast() {
+    let (server, mut plain) = (&servers(1)[0], PlainServers::default());
+    let at = Timestamp::from_millis;
+    let before = plain.cost(at(0), "z0", server);
+    for n in 0..20 {
+        plain.on_sent(at(n * 100), &server.id);
+        let outcome = AttemptOutcome::Mismatched;
+        plain.on_ended(at(n * 100 + 1), &server.id, at(n * 100), outcome, None);
+    }
+    // Their failures are forgotten by then.
+    assert!(plain.cost(at(60_000), "z0", server) >= before);
+}
--- a/crates/standins/tests/late_answers.rs
+++ b/crates/standins/tests/late_answers.rs
@@ -225,6 +225,30 @@
     });
 }
 
+/// Guards against a request that is recorded as having crashed a server that has left silently and answered
+/// an earlier request twice.
+#[test]
+fn a_second_answer_is_no_sign_that_a_request_crashed_its_server() {
+    let runner = BackendSpec { call_time: Duration::from_millis(300), ..BackendSpec::default() };
+    with_fleet(FleetSpec { runner, ..spec() }, async |fleet| {
+        let moment = Moment::After(Duration::from_millis(150));
+        let rule = Duplicate { kind: CallKind::Work, moment, with_id: true };
+        fleet.duplicators.iter().for_each(|duplicator| duplicator.set(&[rule]));
+        let (caller, server) = (fleet.caller(0), plain_server(fleet).clone());
+        assert_eq!(caller.call(LOOKUP, "a").await.expect("an answer").status, 200);
+        let task = compio::runtime::spawn(async move { caller.call("/lookup/b", "b").await });
+        assert!(eventually(SECOND, || server.running() == 1).await, "the request does not run");
+        fleet.store.unregister(&server.server.borrow());
+        let _ = task.await;
+        let delivery = Delivery { kind: CallKind::Work, due: Some(CallKind::Work), with_id: true };
+        assert_eq!(deliveries(fleet), [delivery]);
+        compio::time::sleep(SECOND + SECOND / 2).await;
+        let page = fleet.metrics(0).await;
+        let has_none = |line| line == "ebonyloft_gateway_quarantine_suspects 0";
+        assert!(page.lines().any(has_none), "{page}");
+    });
+}
+
 /// Guards against second answers of any kind, to any exchange, all at once.
 #[test]
 fn second_answers_of_all_kinds_mix_up_nothing() {
