Registry: an incarnation is not taken for ended by what is uncertain

What callers saw: a live prefill engine that is never used again, and prompts read again although their handles are good.

Cause: a registration that vanishes while the store is not trusted gets the revision of its removal. If it is of an earlier server at the same address, it looked later than the live one there. An incarnation that is newer than the known one was taken for ended too. The prefill then removed such an engine for good and counted its lost attempts as crashes, on an inference alone.

An unconfirmed registration ends no other, and has itself ended once a confirmed one is at its address. A later incarnation has not ended. The prefill passes over engines that have ended, and changes nothing.

A server that leaves silently still counts as ended once its registration is gone.

--- a/crates/daemon/src/gateway/call.rs
+++ b/crates/daemon/src/gateway/call.rs
@@ -268,11 +268,11 @@
     (outcome, answer)
 }
 
-/// Marks a server as gone after another one answered or registered at its address.
+/// Marks a server as gone after another one answered at its address.
 pub fn on_replaced(shared: &Shared, id: &ServerId) {
     quarantine::on_ended(shared, id, "address");
     if shared.registry.borrow_mut().replaced(id) {
-        tracing::info!(server = %id, "backend server is gone: another one is at its address");
+        tracing::info!(server = %id, "backend server is gone: another one answered at its address");
     }
 }
 
--- a/crates/daemon/src/gateway/stream/prefill.rs
+++ b/crates/daemon/src/gateway/stream/prefill.rs
@@ -5,7 +5,7 @@
 use ebonyloft_core::time::Timestamp;
 use ebonyloft_platform::{engine, headers};
 use ebonyloft_router::budget::NextSend;
-use ebonyloft_router::catalog::{Server, Stage};
+use ebonyloft_router::catalog::{Server, ServerId, Stage};
 use ebonyloft_router::engine_load::{EngineLoad, Prompt};
 use ebonyloft_router::outcome::AttemptOutcome;
 use ebonyloft_router::prefill::{self, ChoiceContext};
@@ -62,7 +62,7 @@
     prompt: Prompt,
     now: Timestamp,
 ) -> Option<(Server, Timestamp)> {
-    pick(shared, service, prompt, &shared.node().zone, now, 1)
+    pick(shared, service, prompt, &shared.node().zone, now, 1, &[])
 }
 
 /// How long an idle prefill engine takes to read a prompt.
@@ -80,6 +80,7 @@
     let node = shared.node();
     let remote = state.reservation.as_ref().and_then(|reservation| reservation.remote.as_ref());
     let remote_engine = remote.map(|remote| remote.prefill_engine.clone());
+    let mut ended = Vec::new();
     for n in 0..ENGINES_MAX {
         let now = shared.now();
         let zone = state.reservation.as_ref().map_or_else(|| &node.zone, |r| &r.server.zone);
@@ -88,7 +89,7 @@
             Some(named) => named.clone().filter(|_| n == 0),
             None => {
                 let prompt = urgency::prompt(intake, now, state.begun);
-                pick(shared, &intake.service, prompt, zone, now, shared.gateways_in_scope())
+                pick(shared, &intake.service, prompt, zone, now, shared.gateways_in_scope(), &ended)
             }
         };
         let Some((server, ready_at)) = picked else {
@@ -96,7 +97,7 @@
         };
         if shared.registry.borrow().has_ended(&server.id) {
             // Its registration has not expired, and its handles can't be used.
-            call::on_replaced(shared, &server.id);
+            ended.push(server.id);
             continue;
         }
         if !limits::acquire(shared, &server.id, 1).await {
@@ -112,7 +113,7 @@
 }
 
 /// Picks a prefill engine for an answer written in `zone`, as one of `gateways` gateways that do
-/// so; returns it and when it would have read the prompt.
+/// so, apart from those that have `ended`; returns it and when it would have read the prompt.
 fn pick(
     shared: &Shared,
     service: &str,
@@ -120,6 +121,7 @@
     zone: &str,
     now: Timestamp,
     gateways: usize,
+    ended: &[ServerId],
 ) -> Option<(Server, Timestamp)> {
     let headroom = urgency::prefill_headroom(shared, service, prompt);
     let (registry, engines) = (shared.registry.borrow(), shared.engines.borrow());
@@ -128,7 +130,7 @@
         .ready(service)
         .filter(|s| s.stage == Some(Stage::Prefill) && !engines.faulty(now, &s.id))
         .filter(|s| own.as_ref().is_none_or(|own| s.zone == *own))
-        .filter(|s| !announcements::is_unavailable(shared, &s.id))
+        .filter(|s| !announcements::is_unavailable(shared, &s.id) && !ended.contains(&s.id))
         .collect();
     let (load_reports, speeds) = (shared.load_reports.borrow(), shared.engine_speeds.borrow());
     let speed_factors = speeds.prefill_factors(now, service, prefill_engines.iter().copied());
--- a/crates/router/src/registry.rs
+++ b/crates/router/src/registry.rs
@@ -254,16 +254,22 @@
         }
     }
 
-    /// Is this incarnation known to have ended? Either its registration is gone or names another one,
+    /// Is this incarnation known to have ended? Either its registration is gone or names a later one,
     /// or another one has registered at its address since. False for a name that was never seen.
     pub fn has_ended(&self, id: &ServerId) -> bool {
         let Some(known) = self.known.get(&id.name) else {
             return self.removed.contains_key(&id.name);
         };
+        if known.server.id != *id {
+            return known.server.id.born >= id.born;
+        }
+        // The revision of an unconfirmed registration is that of its removal.
         let is_later_there = |other: &Registered| {
-            other.server.addr == known.server.addr && other.revision > known.revision
+            !other.unconfirmed
+                && other.server.addr == known.server.addr
+                && (known.unconfirmed || other.revision > known.revision)
         };
-        known.server.id != *id || self.known.values().any(is_later_there)
+        self.known.values().any(is_later_there)
     }
 
     /// Did this incarnation announce that it leaves, be it still registered or gone? If so, its end
--- a/crates/router/tests/roster.rs
+++ b/crates/router/tests/roster.rs
@@ -85,6 +85,32 @@
     assert!(!registry.has_ended(&id(2)));
 }
 
+/// Guards against a live server that is taken for ended because the registration of the one before it at its
+/// address vanishes later, while the store is not trusted.
+#[test]
+fn an_incarnation_has_not_ended_because_an_unconfirmed_one_was_at_its_address() {
+    let mut registry = ServerRegistry::default();
+    registry.apply(registered(1, 5), true);
+    let successor = Server { addr: server(1, false).addr, ..server(2, false) };
+    let entry = Registration::Server(successor);
+    registry.apply(Change { name: name(2), entry, revision: 10 }, true);
+    registry.apply(removed(1, 12), false);
+    assert!(!registry.has_ended(&id(2)));
+    assert!(registry.has_ended(&id(1)));
+}
+
+/// Guards against a handle of another zone's engine that is thrown away because its new registration is not
+/// known here yet.
+#[test]
+fn an_incarnation_later_than_the_known_one_has_not_ended() {
+    let mut registry = ServerRegistry::default();
+    registry.apply(registered(1, 1), true);
+    assert!(!registry.has_ended(&ServerId::new(name(1), 9)));
+    registry.apply(restarted(1, 2), true);
+    assert!(!registry.has_ended(&ServerId::new(name(1), 9)));
+    assert!(registry.has_ended(&id(1)));
+}
+
 /// Guards against a prompt that is read again because its engine's registration could not be renewed.
 #[test]
 fn an_incarnation_has_not_ended_while_the_store_is_not_trusted() {
--- a/crates/standins/tests/prompt_handles.rs
+++ b/crates/standins/tests/prompt_handles.rs
@@ -34,3 +34,27 @@
         assert_eq!(answer.events(), (1..=20).collect::<Vec<_>>());
     });
 }
+
+/// Guards against an engine that is never used again because another one was registered at its address
+/// for a while.
+#[test]
+fn an_engine_is_used_again_once_the_other_one_at_its_address_is_gone() {
+    let spec = FleetSpec { gateways: 1, decode_engines: 1, ..FleetSpec::default() };
+    with_fleet(spec, async |fleet| {
+        let (prefill, caller) = (fleet.backends[0].clone(), fleet.caller(0));
+        let other = Server {
+            id: ServerId::new("i-other", 0),
+            service: PLAIN_SERVICE.to_owned(),
+            stage: None,
+            ..prefill.server.borrow().clone()
+        };
+        fleet.store.register(&other);
+        compio::time::sleep(SECOND / 5).await;
+        assert!(caller.summary(SUMMARY, "a").await.expect("an answer").complete);
+        assert_eq!(prefill.observed.borrow().prefills.get("a"), None);
+        fleet.store.unregister(&other);
+        compio::time::sleep(SECOND / 5).await;
+        assert!(caller.summary(SUMMARY, "b").await.expect("an answer").complete);
+        assert_eq!(prefill.observed.borrow().prefills.get("b"), Some(&1));
+    });
+}
