Gateway: a call of its own closes an idle connection, and one not sent stops no run

What callers saw: reservations that fail at a busy engine although the gateway holds idle connections there, and the engine not asked for a while; a run that is closed and continued elsewhere although the call that was to stop it was never sent.

Cause: calls whose answer takes effect open a new connection, and servers accept a limited number. The idle connections here count towards that. A last call of a migration that could not be sent was read like one that was not answered, after which the state of the run is unknown.

Before such a call opens a connection, the oldest idle one to that address is closed. The result of a migration's call keeps its error: not sent means that the run goes on. A call that was sent and not answered, a reset included, still means that the state is unknown.

The relay that answers twice can refuse new connections, for the second test.

--- a/crates/daemon/src/gateway/pool.rs
+++ b/crates/daemon/src/gateway/pool.rs
@@ -160,6 +160,10 @@
         if let Some(conn) = self.take_idle(addr, idle_max, exchange) {
             return Ok(conn);
         }
+        if exchange == Exchange::Unnamed {
+            // Such calls open a connection even where many are idle, and servers accept a limited number.
+            self.close_oldest_idle(addr);
+        }
         let opened = compio::time::timeout(CONNECT_TIMEOUT, self.open(addr)).await;
         opened.unwrap_or(Err(ExchangeError::Unsent))
     }
@@ -312,6 +316,14 @@
         self.idle.borrow_mut().remove(&addr);
     }
 
+    fn close_oldest_idle(&self, addr: SocketAddr) {
+        let oldest = match self.idle.borrow_mut().get_mut(&addr) {
+            Some(idle_conns) if !idle_conns.is_empty() => idle_conns.remove(0),
+            _ => return,
+        };
+        oldest.close();
+    }
+
     /// Closes connections that were idle for too long.
     pub fn expire(&self, now: Timestamp) {
         let mut idle = self.idle.borrow_mut();
--- a/crates/daemon/src/gateway/stream/migration.rs
+++ b/crates/daemon/src/gateway/stream/migration.rs
@@ -25,6 +25,7 @@
 use crate::gateway::announcements;
 use crate::gateway::call;
 use crate::gateway::intake::Intake;
+use crate::gateway::pool::ExchangeError;
 use crate::gateway::retries;
 use crate::gateway::shared::{Shared, SnapshotVersion};
 use crate::settings::MigrationSetting;
@@ -34,8 +35,8 @@
 /// How long a first call that has timed out is still waited for, so that its copy can be freed.
 const LATE_TIMEOUT: Duration = Duration::from_millis(2_000);
 
-/// Result of a call; none if it was not answered in time.
-pub type CallResult = Option<MoveReply>;
+/// Result of a call; the error tells whether the engine may have received it.
+pub type CallResult = Result<MoveReply, ExchangeError>;
 
 /// A run that may be moved.
 pub struct MovableRun {
@@ -150,7 +151,7 @@
     let result = match result.try_recv() {
         Ok(None) => return None,
         Ok(Some(result)) => result,
-        Err(oneshot::Canceled) => None,
+        Err(oneshot::Canceled) => Err(ExchangeError::Lost),
     };
     let now = shared.now();
     let ms = now.since(migration.started_at).as_millis() as u64;
@@ -159,13 +160,13 @@
         ?result, generated = state.generated, "run copied"
     );
     match result {
-        Some(MoveReply::Copied { handle, .. }) => {
+        Ok(MoveReply::Copied { handle, .. }) => {
             // When the copy was complete is not known, only when it began.
             let until = prefill::handle_until(intake, migration.started_at);
             migration.copy = Copy::Complete { handle, until };
             Some(until > now)
         }
-        Some(MoveReply::Moved) => {
+        Ok(MoveReply::Moved) => {
             call::on_replaced(shared, &migration.source.id);
             Some(false)
         }
@@ -257,19 +258,19 @@
 ) {
     let exchange = async {
         let answer = announcements::call(&shared, &source, req, LATE_TIMEOUT).await;
-        answer.ok().map(|(status, body)| engine::parse_move_reply(status, &body))
+        answer.map(|(status, body)| engine::parse_move_reply(status, &body))
     };
     let mut exchange = std::pin::pin!(exchange);
     let unused = match compio::time::timeout(CALL_TIMEOUT, exchange.as_mut()).await {
         // An error means that the stream has ended meanwhile.
-        Ok(result) => sender.send(result).err().flatten(),
+        Ok(result) => sender.send(result).err(),
         Err(_) => {
-            let _ = sender.send(None);
+            let _ = sender.send(Err(ExchangeError::Lost));
             // After a last call that was not answered the first handle may be in use.
-            if last { None } else { exchange.await }
+            if last { None } else { Some(exchange.await) }
         }
     };
-    if let Some(MoveReply::Copied { handle, .. }) = unused {
+    if let Some(Ok(MoveReply::Copied { handle, .. })) = unused {
         release_copy(&shared, &source, &handle);
     }
 }
@@ -292,13 +293,13 @@
     );
     let until = prefill::handle_until(intake, now);
     match result {
-        Some(MoveReply::Copied { handle, .. }) => {
+        Ok(MoveReply::Copied { handle, .. }) => {
             shared.metrics.count("gateway.migration.moved", 1);
             shared.metrics.time("gateway.migration_ms", ms);
             continue_at_target(shared, state, handle, until);
             Handover::Done
         }
-        Some(MoveReply::NoCapacity { handle: Some(handle) }) => {
+        Ok(MoveReply::NoCapacity { handle: Some(handle) }) => {
             let source = migration.source.clone();
             forget_target(shared, state, true);
             state.prefill_handle = Some(copy_handle(&source, handle, until));
@@ -306,12 +307,12 @@
             remove_movable(shared, state);
             Handover::Done
         }
-        Some(MoveReply::NoRun | MoveReply::Busy) => {
+        Ok(MoveReply::NoRun | MoveReply::Busy) | Err(ExchangeError::Unsent) => {
             abandon(shared, state, true);
             retries::release_unused(shared, intake);
             Handover::RunGoesOn
         }
-        Some(MoveReply::Moved) => {
+        Ok(MoveReply::Moved) => {
             call::on_replaced(shared, &migration.source.id);
             Handover::Broken
         }
--- a/crates/daemon/src/gateway/stream/relay.rs
+++ b/crates/daemon/src/gateway/stream/relay.rs
@@ -20,6 +20,7 @@
 use super::{prefill, tokens_per_event, wasted_prefill, with_stall_timeout};
 use crate::gateway::intake::Intake;
 use crate::gateway::origins::records;
+use crate::gateway::pool::ExchangeError;
 use crate::gateway::quarantine;
 use crate::gateway::send::Head;
 use crate::gateway::shared::Shared;
@@ -84,7 +85,7 @@
             closed => {
                 let is_complete = matches!(closed, Some(None)) && !relay.splitter.is_partial();
                 if let Some(result) = last_call {
-                    let result = result.await.unwrap_or(None);
+                    let result = result.await.unwrap_or(Err(ExchangeError::Lost));
                     let handover = migration::on_last_result(shared, intake, relay.state, result);
                     if handover == Handover::Done {
                         conn.close();
@@ -122,7 +123,7 @@
     };
     match select(std::pin::pin!(frame), last_call).await {
         Either::Left((frame, _)) => Next::Frame(frame),
-        Either::Right((result, _)) => Next::LastResult(result.unwrap_or(None)),
+        Either::Right((result, _)) => Next::LastResult(result.unwrap_or(Err(ExchangeError::Lost))),
     }
 }
 
--- a/crates/daemon/tests/pool.rs
+++ b/crates/daemon/tests/pool.rs
@@ -269,6 +269,43 @@
     assert_eq!(server.connections(), 3);
 }
 
+/// Starts a server that closes connections beyond the first.
+fn start_server_of_one_connection() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let addr = listener.local_addr().expect("an address");
+    let open = Arc::new(AtomicUsize::new(0));
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.expect("a caller");
+            // The end of another connection may arrive just after the start of this one.
+            thread::sleep(SETTLE);
+            if open.load(Ordering::SeqCst) > 0 {
+                continue;
+            }
+            open.fetch_add(1, Ordering::SeqCst);
+            let open = open.clone();
+            thread::spawn(move || {
+                while stream.read(&mut [0; 4_096]).is_ok_and(|n| n > 0) {
+                    write(&mut stream, &[answer(None, "1")]);
+                }
+                open.fetch_sub(1, Ordering::SeqCst);
+            });
+        }
+    });
+    addr
+}
+
+/// Guards against a call that a server refuses because of connections that are idle here.
+#[test]
+fn a_call_that_needs_a_new_connection_closes_an_idle_one() {
+    let addr = start_server_of_one_connection();
+    with_pool(async |pool| {
+        assert_eq!(send(pool, addr, "a").await, answered("1"));
+        assert_eq!(send_unnamed(pool, addr).await, answered("1"));
+        assert_eq!(send_unnamed(pool, addr).await, answered("1"));
+    });
+}
+
 /// Its cost: a connection is still kept for many exchanges of a server that answers once.
 #[test]
 fn a_server_that_answers_once_is_sent_many_requests_on_one_connection() {
--- a/crates/standins/src/fleet/duplicates.rs
+++ b/crates/standins/src/fleet/duplicates.rs
@@ -64,18 +64,29 @@
 pub struct Duplicator {
     rules: RefCell<Vec<Duplicate>>,
     deliveries: RefCell<Vec<Delivery>>,
+    /// Accepts connections; none once they are refused.
+    accept_loop: RefCell<Option<JoinHandle<()>>>,
 }
 
 impl Duplicator {
     /// Listens at `front` and relays to `target`; at first it sends each answer once.
     pub async fn start(front: SocketAddr, target: SocketAddr) -> Rc<Duplicator> {
         let listener = TcpListener::bind(front).await.expect("a free address");
-        let relay =
-            Rc::new(Duplicator { rules: RefCell::default(), deliveries: RefCell::default() });
-        compio::runtime::spawn(relay.clone().accept(listener, target)).detach();
+        let relay = Rc::new(Duplicator {
+            rules: RefCell::default(),
+            deliveries: RefCell::default(),
+            accept_loop: RefCell::default(),
+        });
+        let accept_loop = compio::runtime::spawn(relay.clone().accept(listener, target));
+        relay.accept_loop.replace(Some(accept_loop));
         relay
     }
 
+    /// Refuses new connections from now on; open ones are still relayed.
+    pub fn refuse_connections(&self) {
+        self.accept_loop.take();
+    }
+
     /// Sets the answers that are sent twice from now on; the first entry of a kind applies.
     pub fn set(&self, rules: &[Duplicate]) {
         self.rules.replace(rules.to_vec());
--- a/crates/standins/tests/late_answers.rs
+++ b/crates/standins/tests/late_answers.rs
@@ -252,6 +252,39 @@
     });
 }
 
+/// Guards against a run that is closed because the call that was to stop it could not be sent.
+#[test]
+fn a_run_goes_on_where_the_last_call_of_its_migration_is_not_sent() {
+    let runner = BackendSpec {
+        event_interval: Duration::from_millis(100),
+        handle_ttl: Duration::from_secs(30),
+        ..BackendSpec::default()
+    };
+    let migration = MigrationSetting::On;
+    let spec = FleetSpec { decode_engines: 2, plain_servers: 0, runner, migration, ..spec() };
+    with_fleet(spec, async |fleet| {
+        let peer = fleet.add_peer(10).await;
+        compio::runtime::spawn(peer.clone().send_gossip(fleet.gateways[0].ip)).detach();
+        let caller = fleet.caller(0);
+        let task = compio::runtime::spawn(async move { caller.summary(SUMMARY, "a").await });
+        let source = || (1..3).find(|n| fleet.backends[*n].run_count("a") > 0);
+        assert!(eventually(SECOND, || source().is_some()).await, "the request does not run");
+        let source = source().expect("checked");
+        let (source, target) = (source, 3 - source);
+        let memory = MemoryForecast::constant(BackendSpec::default().memory_tokens - 1_000);
+        let load = EngineLoad { memory, ..EngineLoad::default() };
+        let id = fleet.backends[source].server.borrow().id.clone();
+        peer.set_load(&id, load);
+        let moves = || fleet.backends[source].observed.borrow().moves.len();
+        assert!(eventually(SECOND, || moves() == 1).await, "the run is not copied");
+        fleet.duplicators[source].refuse_connections();
+        let answer = task.await.expect("the caller's task").expect("an answer");
+        assert_whole(&answer, "a");
+        assert_eq!(moves(), 1);
+        assert_eq!(fleet.backends[target].observed.borrow().continued.get("a"), None);
+    });
+}
+
 /// Guards against second answers of any kind, to any exchange, all at once.
 #[test]
 fn second_answers_of_all_kinds_mix_up_nothing() {
