Gateway: a connection is not reused after a release that was not its first exchange

What callers saw: a request that is lost because it rides a connection on which a release was called.

Cause: the answer to a release has no id and is ignored. On a used connection it may be the second answer to an earlier exchange; the release's own then reaches the next request, which is lost.

The connection carries nothing after a release that was not its first exchange.

Evidence: a_connection_is_not_reused_after_a_release_that_was_not_its_first_exchange (--test pool) failed before with Lost and passes after.

Its cost is one more new connection for such a release; it was not measured.

--- a/crates/daemon/tests/pool.rs
+++ b/crates/daemon/tests/pool.rs
@@ -269,6 +269,24 @@
     assert_eq!(server.connections(), 3);
 }
 
+/// Guards against a call that reads a second answer as its own, and leaves its own to the next request.
+#[test]
+fn a_connection_is_not_reused_after_a_release_that_was_not_its_first_exchange() {
+    let server = ScriptedServer::start(|stream, connection, request| match (connection, request) {
+        (0, 0) => write(stream, &[answer(Some("a"), "1")]),
+        (0, 1) => write(stream, &[answer(None, "late")]),
+        (0, _) => write(stream, &[answer(None, ""), answer(Some("b"), "2")]),
+        _ => write(stream, &[answer(Some("b"), "2")]),
+    });
+    with_pool(async |pool| {
+        assert_eq!(send(pool, server.addr, "a").await, answered("1"));
+        let release = Request::new(Bytes::new());
+        assert_eq!(pool.notify(server.addr, release, PAUSE_MAX).await, Ok(()));
+        assert_eq!(send(pool, server.addr, "b").await, answered("2"));
+    });
+    assert_eq!(server.connections(), 2);
+}
+
 /// Starts a server that closes connections beyond the first.
 fn start_server_of_one_connection() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
--- a/crates/router/src/correlation.rs
+++ b/crates/router/src/correlation.rs
@@ -66,6 +66,8 @@
     attempts: Vec<u64>,
     /// All exchanges, the current one included.
     exchanges: usize,
+    /// The answer to a call without effect may have been another exchange's, and its own may follow.
+    is_uncertain: bool,
 }
 
 impl Correlation {
@@ -82,9 +84,9 @@
         }
     }
 
-    /// Has the connection carried as many exchanges as it may?
+    /// Has the connection carried its last exchange?
     pub fn is_exhausted(&self) -> bool {
-        self.exchanges >= EXCHANGES_MAX
+        self.exchanges >= EXCHANGES_MAX || self.is_uncertain
     }
 
     /// Starts an exchange.
@@ -93,6 +95,7 @@
             return;
         }
         self.exchanges += 1;
+        self.is_uncertain |= exchange == Exchange::Unread && self.exchanges > 1;
         if let Exchange::Attempt(id) = exchange {
             self.attempts.push(stable_hash(id));
         }
--- a/crates/router/tests/correlation.rs
+++ b/crates/router/tests/correlation.rs
@@ -83,3 +83,15 @@
     assert!(correlation.may_carry(Exchange::Trusted));
     assert!(correlation.is_answer(Exchange::Trusted, Echo::Absent));
 }
+
+/// Guards against a call without effect that reads another's second answer and leaves its own to the next one.
+#[test]
+fn a_call_without_effect_on_a_used_connection_is_its_last_exchange() {
+    let a = Exchange::Attempt("a");
+    assert!(!after(&[Exchange::Unread]).is_exhausted());
+    let correlation = after(&[a, Exchange::Unread]);
+    assert!(correlation.is_exhausted());
+    for next in [Exchange::Attempt("b"), Exchange::Unread, Exchange::Unnamed] {
+        assert!(!correlation.may_carry(next), "{next:?}");
+    }
+}
