Late answers: tests show that a second answer was sent, and when

The tests of reservations and of all kinds at once could pass without any second answer, and the check of own prompts without any run that went on from one. They assert both now. Three tests are new: the second answer in the same write, while idle, and in place of the next answer.

--- a/crates/standins/tests/late_answers.rs
+++ b/crates/standins/tests/late_answers.rs
@@ -72,7 +72,9 @@
 /// Each run goes on from the prompt of its own request.
 fn assert_own_prompts(fleet: &Fleet) {
     let handles = prefill_engine(fleet).observed.borrow().prompt_handles.clone();
-    for (attempt, sources) in &decode_engine(fleet).observed.borrow().kv_sources {
+    let decode = decode_engine(fleet).observed.borrow();
+    assert!(!decode.kv_sources.is_empty(), "no run went on from a prompt");
+    for (attempt, sources) in &decode.kv_sources {
         for (_, handle) in sources {
             assert_eq!(handles.get(handle), Some(attempt), "{handle}");
         }
@@ -144,6 +146,41 @@
     });
 }
 
+fn assert_answers_are_own(moment: Moment) {
+    with_fleet(spec(), async |fleet| {
+        let rule = Duplicate { kind: CallKind::Work, moment, with_id: false };
+        fleet.duplicators.iter().for_each(|duplicator| duplicator.set(&[rule]));
+        let caller = fleet.caller(0);
+        for n in 0..6 {
+            let attempt = format!("l{n}");
+            let answer = caller.call(LOOKUP, &attempt).await.expect("an answer");
+            let body = String::from_utf8_lossy(&answer.body).into_owned();
+            assert!(answer.status != 200 || body.contains(&format!("\"{attempt}\"")), "{body}");
+            assert!([200, 502, 504].contains(&answer.status), "{answer:?}");
+            compio::time::sleep(Duration::from_millis(60)).await;
+        }
+        assert_ne!(deliveries(fleet), [], "no second answer was sent");
+    });
+}
+
+/// Guards against the same where the second answer comes with the end of the first.
+#[test]
+fn a_second_answer_in_the_same_write_is_not_returned_to_the_next_caller() {
+    assert_answers_are_own(Moment::SameWrite);
+}
+
+/// Guards against the same where the second answer comes while the connection is idle.
+#[test]
+fn a_second_answer_while_idle_is_not_returned_to_the_next_caller() {
+    assert_answers_are_own(Moment::After(Duration::from_millis(30)));
+}
+
+/// Guards against the same where the next answer never comes.
+#[test]
+fn a_second_answer_instead_of_the_next_is_not_returned_to_its_caller() {
+    assert_answers_are_own(Moment::InsteadOfNext);
+}
+
 /// Guards against a server that serves again but is paused by what it said before.
 #[test]
 fn a_second_answer_does_not_pause_a_server_again() {
@@ -184,6 +221,7 @@
     with_fleet(spec(), async |fleet| {
         answer_twice(fleet, CallKind::Reserve, false);
         send_summaries_that_may_be_lost(&fleet.caller(0), 6).await;
+        assert_ne!(deliveries(fleet), [], "no second answer was sent");
         assert_eq!(decode_engine(fleet).observed.borrow().unknown_holds, 0);
         assert_eq!(reached_by_own_calls(fleet), []);
     });
@@ -294,6 +332,7 @@
             duplicator.set(&CallKind::ALL.map(rule));
         }
         send_summaries_that_may_be_lost(&fleet.caller(0), 6).await;
+        assert_ne!(deliveries(fleet), [], "no second answer was sent");
         assert_own_prompts(fleet);
         assert_eq!(decode_engine(fleet).observed.borrow().unknown_holds, 0);
         assert_eq!(reached_by_own_calls(fleet), []);
