--- a/crates/standins/tests/late_answers.rs
+++ b/crates/standins/tests/late_answers.rs
@@ -234,9 +234,9 @@
     deliveries(fleet).into_iter().filter(|d| d.due.is_some_and(|due| own.contains(&due))).collect()
 }
 
-/// Guards against the result of one call of a migration being read as that of another.
-#[test]
-fn a_second_answer_to_a_copy_moves_no_run() {
+/// Moves a run while the answers to its calls are sent twice; returns the second answers.
+fn second_answers_to_copies(moment: Moment) -> Vec<Delivery> {
+    let mut delivered = Vec::new();
     let runner = BackendSpec {
         event_interval: Duration::from_millis(25),
         handle_ttl: Duration::from_secs(30),
@@ -245,7 +245,8 @@
     let migration = MigrationSetting::On;
     let spec = FleetSpec { decode_engines: 2, plain_servers: 0, runner, migration, ..spec() };
     with_fleet(spec, async |fleet| {
-        answer_twice(fleet, CallKind::Move, false);
+        let rule = Duplicate { kind: CallKind::Move, moment, with_id: false };
+        fleet.duplicators.iter().for_each(|duplicator| duplicator.set(&[rule]));
         let peer = fleet.add_peer(10).await;
         compio::runtime::spawn(peer.clone().send_gossip(fleet.gateways[0].ip)).detach();
         let caller = fleet.caller(0);
@@ -261,7 +262,22 @@
         assert_whole(&answer, "a");
         assert_eq!(source.observed.borrow().moves.len(), 2);
         assert_eq!(reached_by_own_calls(fleet), []);
+        delivered = deliveries(fleet);
     });
+    delivered
+}
+
+/// Guards against the result of one call of a migration being read as that of another.
+#[test]
+fn a_second_answer_to_a_copy_moves_no_run() {
+    // Nothing else uses the connection of such a call by then.
+    let _ = second_answers_to_copies(Moment::BeforeNext);
+}
+
+/// Guards against the same where the second answer comes while the connection is idle.
+#[test]
+fn a_second_answer_to_a_copy_while_idle_moves_no_run() {
+    assert_ne!(second_answers_to_copies(Moment::After(Duration::from_millis(5))), []);
 }
 
 /// Guards against a request that is recorded as having crashed a server that has left silently and answered
