--- a/crates/daemon/src/gateway/pool.rs
+++ b/crates/daemon/src/gateway/pool.rs
@@ -56,10 +56,12 @@
     /// No byte of the request reached the other end.
     #[snafu(display("not sent"))]
     Unsent,
-    /// The request was sent and not answered, or the answer was another exchange's; whether the
-    /// request was received is unknown.
+    /// The request was sent and not answered; whether it was received is unknown.
     #[snafu(display("sent, but not answered"))]
     Lost,
+    /// The request was sent, and the answer was another exchange's; whether it was received is unknown.
+    #[snafu(display("sent, but the answer was another exchange's"))]
+    Mismatched,
 }
 
 /// Addresses whose servers sent an answer of another exchange, or bytes that no exchange waits for.
@@ -158,6 +160,10 @@
         if let Some(conn) = self.take_idle(addr, idle_max, exchange) {
             return Ok(conn);
         }
+        if exchange == Exchange::Unnamed {
+            // Such calls open a connection even where many are idle, and servers accept a limited number.
+            self.close_oldest_idle(addr);
+        }
         let opened = compio::time::timeout(CONNECT_TIMEOUT, self.open(addr)).await;
         opened.unwrap_or(Err(ExchangeError::Unsent))
     }
@@ -202,7 +208,7 @@
         self.strays.record(conn.addr, self.clock.now());
         self.close_idle(conn.addr);
         conn.close();
-        Err(ExchangeError::Lost)
+        Err(ExchangeError::Mismatched)
     }
 
     /// How often a server sent an answer of another exchange, or bytes that no exchange waits for,
@@ -310,6 +316,14 @@
         self.idle.borrow_mut().remove(&addr);
     }
 
+    fn close_oldest_idle(&self, addr: SocketAddr) {
+        let oldest = match self.idle.borrow_mut().get_mut(&addr) {
+            Some(idle_conns) if !idle_conns.is_empty() => idle_conns.remove(0),
+            _ => return,
+        };
+        oldest.close();
+    }
+
     /// Closes connections that were idle for too long.
     pub fn expire(&self, now: Timestamp) {
         let mut idle = self.idle.borrow_mut();
--- a/crates/daemon/src/gateway/send.rs
+++ b/crates/daemon/src/gateway/send.rs
@@ -199,5 +199,6 @@
     match e {
         ExchangeError::Unsent => AttemptOutcome::Unsent,
         ExchangeError::Lost => AttemptOutcome::Lost,
+        ExchangeError::Mismatched => AttemptOutcome::Mismatched,
     }
 }
--- a/crates/daemon/src/gateway/stream/relay.rs
+++ b/crates/daemon/src/gateway/stream/relay.rs
@@ -22,6 +22,7 @@
 use crate::gateway::intake::Intake;
 use crate::gateway::origins::records;
 use crate::gateway::part_blame;
+use crate::gateway::pool::ExchangeError;
 use crate::gateway::quarantine;
 use crate::gateway::send::Head;
 use crate::gateway::shared::Shared;
@@ -92,7 +93,7 @@
                 let mut is_complete =
                     has_ended && (is_framed || relay.state.first_event_at.is_some());
                 if let Some(result) = last_call {
-                    let result = result.await.unwrap_or(None);
+                    let result = result.await.unwrap_or(Err(ExchangeError::Lost));
                     let handover = migration::on_last_result(shared, intake, relay.state, result);
                     if handover == Handover::Done {
                         conn.close();
@@ -132,7 +133,7 @@
     };
     match select(std::pin::pin!(frame), last_call).await {
         Either::Left((frame, _)) => Next::Frame(frame),
-        Either::Right((result, _)) => Next::LastResult(result.unwrap_or(None)),
+        Either::Right((result, _)) => Next::LastResult(result.unwrap_or(Err(ExchangeError::Lost))),
     }
 }
 
--- a/crates/daemon/tests/pool.rs
+++ b/crates/daemon/tests/pool.rs
@@ -142,7 +142,7 @@
     });
     with_pool(async |pool| {
         assert_eq!(send(pool, server.addr, "a").await, answered("1"));
-        assert_eq!(send(pool, server.addr, "b").await, Err(ExchangeError::Lost));
+        assert_eq!(send(pool, server.addr, "b").await, Err(ExchangeError::Mismatched));
         assert_ne!(pool.take_stray_count(), 0);
     });
     assert_eq!(server.connections(), 1);
@@ -156,7 +156,7 @@
     });
     with_pool(async |pool| {
         assert_eq!(send(pool, server.addr, "a").await, answered("1"));
-        assert_eq!(send(pool, server.addr, "b").await, Err(ExchangeError::Lost));
+        assert_eq!(send(pool, server.addr, "b").await, Err(ExchangeError::Mismatched));
         assert_ne!(pool.take_stray_count(), 0);
     });
     assert_eq!(server.connections(), 1);
@@ -236,7 +236,7 @@
         assert_eq!(send_unnamed(pool, server.addr).await, answered("1"));
         assert_eq!(send_unnamed(pool, server.addr).await, answered("2"));
         // A connection that carried such a call may carry a request, whose id tells.
-        assert_eq!(send(pool, server.addr, "b").await, Err(ExchangeError::Lost));
+        assert_eq!(send(pool, server.addr, "b").await, Err(ExchangeError::Mismatched));
     });
     assert_eq!(server.connections(), 3);
 }
@@ -245,7 +245,7 @@
 fn a_call_without_an_id_ignores_an_answer_to_an_attempt() {
     let server = ScriptedServer::start(|stream, _, _| write(stream, &[answer(Some("a"), "1")]));
     with_pool(async |pool| {
-        assert_eq!(send_unnamed(pool, server.addr).await, Err(ExchangeError::Lost));
+        assert_eq!(send_unnamed(pool, server.addr).await, Err(ExchangeError::Mismatched));
         let found = pool.check_address(server.addr, Request::new(Bytes::new())).await;
         assert_eq!(found, Reachability::Broken);
         assert_eq!(pool.take_stray_count(), 2);
@@ -262,13 +262,68 @@
     });
     with_pool(async |pool| {
         assert_eq!(send(pool, server.addr, "a").await, answered("1"));
-        assert_eq!(send(pool, server.addr, "b").await, Err(ExchangeError::Lost));
+        assert_eq!(send(pool, server.addr, "b").await, Err(ExchangeError::Mismatched));
         assert_eq!(send(pool, server.addr, "c").await, answered("3"));
         assert_eq!(send(pool, server.addr, "d").await, answered("4"));
     });
     assert_eq!(server.connections(), 3);
 }
 
+/// Guards against a call that reads a second answer as its own, and leaves its own to the next request.
+#[test]
+fn a_connection_is_not_reused_after_a_release_that_was_not_its_first_exchange() {
+    let server = ScriptedServer::start(|stream, connection, request| match (connection, request) {
+        (0, 0) => write(stream, &[answer(Some("a"), "1")]),
+        (0, 1) => write(stream, &[answer(None, "late")]),
+        (0, _) => write(stream, &[answer(None, ""), answer(Some("b"), "2")]),
+        _ => write(stream, &[answer(Some("b"), "2")]),
+    });
+    with_pool(async |pool| {
+        assert_eq!(send(pool, server.addr, "a").await, answered("1"));
+        let release = Request::new(Bytes::new());
+        assert_eq!(pool.notify(server.addr, release, PAUSE_MAX).await, Ok(()));
+        assert_eq!(send(pool, server.addr, "b").await, answered("2"));
+    });
+    assert_eq!(server.connections(), 2);
+}
+
+/// Starts a server that closes connections beyond the first.
+fn start_server_of_one_connection() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let addr = listener.local_addr().expect("an address");
+    let open = Arc::new(AtomicUsize::new(0));
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.expect("a caller");
+            // The end of another connection may arrive just after the start of this one.
+            thread::sleep(SETTLE);
+            if open.load(Ordering::SeqCst) > 0 {
+                continue;
+            }
+            open.fetch_add(1, Ordering::SeqCst);
+            let open = open.clone();
+            thread::spawn(move || {
+                while stream.read(&mut [0; 4_096]).is_ok_and(|n| n > 0) {
+                    write(&mut stream, &[answer(None, "1")]);
+                }
+                open.fetch_sub(1, Ordering::SeqCst);
+            });
+        }
+    });
+    addr
+}
+
+/// Guards against a call that a server refuses because of connections that are idle here.
+#[test]
+fn a_call_that_needs_a_new_connection_closes_an_idle_one() {
+    let addr = start_server_of_one_connection();
+    with_pool(async |pool| {
+        assert_eq!(send(pool, addr, "a").await, answered("1"));
+        assert_eq!(send_unnamed(pool, addr).await, answered("1"));
+        assert_eq!(send_unnamed(pool, addr).await, answered("1"));
+    });
+}
+
 /// Its cost: a connection is still kept for many exchanges of a server that answers once.
 #[test]
 fn a_server_that_answers_once_is_sent_many_requests_on_one_connection() {
--- a/crates/standins/src/fleet/duplicates.rs
+++ b/crates/standins/src/fleet/duplicates.rs
@@ -68,6 +68,8 @@
 pub struct Duplicator {
     rules: RefCell<Vec<Duplicate>>,
     deliveries: Deliveries,
+    /// Accepts connections; none once they are refused.
+    accept_loop: RefCell<Option<JoinHandle<()>>>,
 }
 
 impl Duplicator {
@@ -75,13 +77,20 @@
     pub async fn start(front: SocketAddr, target: SocketAddr) -> Rc<Duplicator> {
         let listener = TcpListener::bind(front).await.expect("a free address");
         let relay = Rc::new(Duplicator::new(&[], Deliveries::default()));
-        compio::runtime::spawn(relay.clone().serve(listener, target)).detach();
+        let accept_loop = compio::runtime::spawn(relay.clone().serve(listener, target));
+        relay.accept_loop.replace(Some(accept_loop));
         relay
     }
 
     /// A relay that follows `rules` from the start and counts in `deliveries`.
     pub fn new(rules: &[Duplicate], deliveries: Deliveries) -> Duplicator {
-        Duplicator { rules: RefCell::new(rules.to_vec()), deliveries }
+        let rules = RefCell::new(rules.to_vec());
+        Duplicator { rules, deliveries, accept_loop: RefCell::default() }
+    }
+
+    /// Refuses new connections from now on; open ones are still relayed.
+    pub fn refuse_connections(&self) {
+        self.accept_loop.take();
     }
 
     /// Sets the answers that are sent twice from now on; the first entry of a kind applies.
--- a/crates/standins/tests/late_answers.rs
+++ b/crates/standins/tests/late_answers.rs
@@ -7,6 +7,7 @@
 use ebonyloft_platform::simulation::CallKind;
 use ebonyloft_router::engine_load::EngineLoad;
 use ebonyloft_router::forecast::MemoryForecast;
+use ebonyloft_router::store_state::REREGISTRATION_TIME;
 use ebonyloft_standins::eventually;
 use ebonyloft_standins::fleet::backend::{BackendServer, BackendSpec, Fault};
 use ebonyloft_standins::fleet::caller::{Answer, Caller};
@@ -66,6 +67,9 @@
 
 /// Each run goes on from the prompt of its own request, and names its own reservation.
 fn assert_own_prompts(fleet: &Fleet) {
+    let decode = decode_engine(fleet).observed.borrow();
+    assert!(!decode.kv_sources.is_empty(), "no run went on from a prompt");
+    drop(decode);
     let violations = ownership::violations(fleet.backends.iter().map(|backend| &**backend));
     assert!(violations.is_empty(), "{violations:?}");
 }
@@ -135,6 +139,41 @@
     });
 }
 
+fn assert_answers_are_own(moment: Moment) {
+    with_fleet(spec(), async |fleet| {
+        let rule = Duplicate { kind: CallKind::Work, moment, with_id: false };
+        fleet.duplicators.iter().for_each(|duplicator| duplicator.set(&[rule]));
+        let caller = fleet.caller(0);
+        for n in 0..6 {
+            let attempt = format!("l{n}");
+            let answer = caller.call(LOOKUP, &attempt).await.expect("an answer");
+            let body = String::from_utf8_lossy(&answer.body).into_owned();
+            assert!(answer.status != 200 || body.contains(&format!("\"{attempt}\"")), "{body}");
+            assert!([200, 502, 504].contains(&answer.status), "{answer:?}");
+            compio::time::sleep(Duration::from_millis(60)).await;
+        }
+        assert_ne!(deliveries(fleet), [], "no second answer was sent");
+    });
+}
+
+/// Guards against the same where the second answer comes with the end of the first.
+#[test]
+fn a_second_answer_in_the_same_write_is_not_returned_to_the_next_caller() {
+    assert_answers_are_own(Moment::SameWrite);
+}
+
+/// Guards against the same where the second answer comes while the connection is idle.
+#[test]
+fn a_second_answer_while_idle_is_not_returned_to_the_next_caller() {
+    assert_answers_are_own(Moment::After(Duration::from_millis(30)));
+}
+
+/// Guards against the same where the next answer never comes.
+#[test]
+fn a_second_answer_instead_of_the_next_is_not_returned_to_its_caller() {
+    assert_answers_are_own(Moment::InsteadOfNext);
+}
+
 /// Guards against a server that serves again but is paused by what it said before.
 #[test]
 fn a_second_answer_does_not_pause_a_server_again() {
@@ -175,6 +214,7 @@
     with_fleet(spec(), async |fleet| {
         answer_twice(fleet, CallKind::Reserve, false);
         send_summaries_that_may_be_lost(&fleet.caller(0), 6).await;
+        assert_ne!(deliveries(fleet), [], "no second answer was sent");
         assert_eq!(decode_engine(fleet).observed.borrow().unknown_holds, 0);
         assert_eq!(reached_by_own_calls(fleet), []);
     });
@@ -187,9 +227,9 @@
     deliveries(fleet).into_iter().filter(|d| d.due.is_some_and(|due| own.contains(&due))).collect()
 }
 
-/// Guards against the result of one call of a migration being read as that of another.
-#[test]
-fn a_second_answer_to_a_copy_moves_no_run() {
+/// Moves a run while the answers to its calls are sent twice; returns the second answers.
+fn second_answers_to_copies(moment: Moment) -> Vec<Delivery> {
+    let mut delivered = Vec::new();
     let runner = BackendSpec {
         event_interval: Duration::from_millis(25),
         handle_ttl: Duration::from_secs(30),
@@ -198,7 +238,8 @@
     let migration = MigrationSetting::On;
     let spec = FleetSpec { decode_engines: 2, plain_servers: 0, runner, migration, ..spec() };
     with_fleet(spec, async |fleet| {
-        answer_twice(fleet, CallKind::Move, false);
+        let rule = Duplicate { kind: CallKind::Move, moment, with_id: false };
+        fleet.duplicators.iter().for_each(|duplicator| duplicator.set(&[rule]));
         let peer = fleet.add_peer(10).await;
         compio::runtime::spawn(peer.clone().send_gossip(fleet.gateways[0].ip)).detach();
         let caller = fleet.caller(0);
@@ -214,6 +255,80 @@
         assert_whole(&answer, "a");
         assert_eq!(source.observed.borrow().moves.len(), 2);
         assert_eq!(reached_by_own_calls(fleet), []);
+        delivered = deliveries(fleet);
+    });
+    delivered
+}
+
+/// Guards against the result of one call of a migration being read as that of another.
+#[test]
+fn a_second_answer_to_a_copy_moves_no_run() {
+    // Nothing else uses the connection of such a call by then.
+    let _ = second_answers_to_copies(Moment::BeforeNext);
+}
+
+/// Guards against the same where the second answer comes while the connection is idle.
+#[test]
+fn a_second_answer_to_a_copy_while_idle_moves_no_run() {
+    assert_ne!(second_answers_to_copies(Moment::After(Duration::from_millis(5))), []);
+}
+
+/// Guards against a request that is recorded as having crashed a server that has left silently and answered
+/// an earlier request twice.
+#[test]
+fn a_second_answer_is_no_sign_that_a_request_crashed_its_server() {
+    let runner = BackendSpec { call_time: Duration::from_millis(700), ..BackendSpec::default() };
+    with_fleet(FleetSpec { runner, ..spec() }, async |fleet| {
+        let moment = Moment::After(Duration::from_millis(500));
+        let rule = Duplicate { kind: CallKind::Work, moment, with_id: true };
+        fleet.duplicators.iter().for_each(|duplicator| duplicator.set(&[rule]));
+        let (caller, server) = (fleet.caller(0), plain_server(fleet).clone());
+        // A registration that vanishes is believed once the list of a new gateway is trusted.
+        compio::time::sleep(REREGISTRATION_TIME + SECOND).await;
+        assert_eq!(caller.call(LOOKUP, "a").await.expect("an answer").status, 200);
+        let task = compio::runtime::spawn(async move { caller.call("/lookup/b", "b").await });
+        assert!(eventually(SECOND, || server.running() == 1).await, "the request does not run");
+        fleet.store.unregister(&server.server.borrow());
+        let _ = task.await;
+        let delivery = Delivery { kind: CallKind::Work, due: Some(CallKind::Work), with_id: true };
+        assert_eq!(deliveries(fleet), [delivery]);
+        compio::time::sleep(SECOND + SECOND / 2).await;
+        let page = fleet.metrics(0).await;
+        let has_none = |line| line == "ebonyloft_gateway_quarantine_suspects 0";
+        assert!(page.lines().any(has_none), "{page}");
+    });
+}
+
+/// Guards against a run that is closed because the call that was to stop it could not be sent.
+#[test]
+fn a_run_goes_on_where_the_last_call_of_its_migration_is_not_sent() {
+    let runner = BackendSpec {
+        event_interval: Duration::from_millis(100),
+        handle_ttl: Duration::from_secs(30),
+        ..BackendSpec::default()
+    };
+    let migration = MigrationSetting::On;
+    let spec = FleetSpec { decode_engines: 2, plain_servers: 0, runner, migration, ..spec() };
+    with_fleet(spec, async |fleet| {
+        let peer = fleet.add_peer(10).await;
+        compio::runtime::spawn(peer.clone().send_gossip(fleet.gateways[0].ip)).detach();
+        let caller = fleet.caller(0);
+        let task = compio::runtime::spawn(async move { caller.summary(SUMMARY, "a").await });
+        let source = || (1..3).find(|n| fleet.backends[*n].run_count("a") > 0);
+        assert!(eventually(SECOND, || source().is_some()).await, "the request does not run");
+        let source = source().expect("checked");
+        let (source, target) = (source, 3 - source);
+        let memory = MemoryForecast::constant(BackendSpec::default().memory_tokens - 1_000);
+        let load = EngineLoad { memory, ..EngineLoad::default() };
+        let id = fleet.backends[source].server.borrow().id.clone();
+        peer.set_load(&id, load);
+        let moves = || fleet.backends[source].observed.borrow().moves.len();
+        assert!(eventually(SECOND, || moves() == 1).await, "the run is not copied");
+        fleet.duplicators[source].refuse_connections();
+        let answer = task.await.expect("the caller's task").expect("an answer");
+        assert_whole(&answer, "a");
+        assert_eq!(moves(), 1);
+        assert_eq!(fleet.backends[target].observed.borrow().continued.get("a"), None);
     });
 }
 
@@ -246,6 +361,7 @@
             duplicator.set(&CallKind::ALL.map(rule));
         }
         send_summaries_that_may_be_lost(&fleet.caller(0), 6).await;
+        assert_ne!(deliveries(fleet), [], "no second answer was sent");
         assert_own_prompts(fleet);
         assert_eq!(decode_engine(fleet).observed.borrow().unknown_holds, 0);
         assert_eq!(reached_by_own_calls(fleet), []);
