Gateway: a prompt that is only read makes no candidates for a crash

Cause: the search of blame by part counts runs that were to write an answer; the daemon also published the parts of a prefill that was lost or abandoned at a crashed engine, which no run of the search covers. Found by reading. Result: both count the same now.

--- a/crates/daemon/src/gateway/call.rs
+++ b/crates/daemon/src/gateway/call.rs
@@ -51,7 +51,7 @@
                 run: RunStage::Call,
                 at: sent,
                 stalled: false,
-                sound: false,
+                blames_parts: true,
             };
             quarantine::on_abandoned(shared, intake, sent);
         }
@@ -180,7 +180,8 @@
         let (outcome, answer) = send_to(shared, intake, &server, limit, flight).await;
         progress.record(outcome);
         let stalled = answer.is_none() && shared.now() >= now.after(limit);
-        let sent = Sent { server: &server, run: RunStage::Call, at: now, stalled, sound: false };
+        let sent =
+            Sent { server: &server, run: RunStage::Call, at: now, stalled, blames_parts: true };
         quarantine::on_outcome(shared, intake, sent, outcome);
         tried.push(server.id.clone());
         match outcome {
--- a/crates/daemon/src/gateway/quarantine.rs
+++ b/crates/daemon/src/gateway/quarantine.rs
@@ -136,8 +136,9 @@
     pub at: Timestamp,
     /// It was given up because nothing came any more, while its connection stayed open.
     pub stalled: bool,
-    /// Its answer went on past its beginning.
-    pub sound: bool,
+    /// Its parts may have crashed the server: it was to write an answer, which has not gone past its
+    /// beginning.
+    pub blames_parts: bool,
 }
 
 /// Starts an inquiry into a lost attempt: did its server crash?
@@ -162,7 +163,7 @@
     let number = shared.random_id();
     let attempt = LostAttempt {
         digest: intake.digest,
-        parts: if sent.sound { PromptParts::default() } else { intake.parts.clone() },
+        parts: if sent.blames_parts { intake.parts.clone() } else { PromptParts::default() },
         software: SoftwareId::shared(server),
         early,
         sent: sent.at,
--- a/crates/daemon/src/gateway/stream/prefill.rs
+++ b/crates/daemon/src/gateway/stream/prefill.rs
@@ -247,7 +247,7 @@
     if outcome.is_lost() {
         wasted_prefill::count(shared, intake.id(), WastedPrefill::Engine, prompt);
         let stalled = answer.is_none() && done >= now.after(limit);
-        let sent = Sent { server, run: RunStage::Begun, at: now, stalled, sound: false };
+        let sent = Sent { server, run: RunStage::Begun, at: now, stalled, blames_parts: false };
         quarantine::on_lost(shared, intake, sent, outcome);
     }
     if outcome == AttemptOutcome::Moved {
--- a/crates/daemon/src/gateway/stream/state.rs
+++ b/crates/daemon/src/gateway/stream/state.rs
@@ -135,7 +135,8 @@
             Some(first) if until >= first.after(EARLY_WINDOW) => RunStage::Advanced,
             _ => RunStage::Begun,
         };
-        Sent { server, run, at, stalled, sound: self.sound }
+        let blames_parts = !self.sound && self.prefilling.is_none();
+        Sent { server, run, at, stalled, blames_parts }
     }
 
     /// Sets the headers that name the reservation and the prompt handle.
