Gateway: names that an engine gave in an earlier life are not used

What callers saw: a stream could go on from the prompt of another request, use up its reservation, or free its memory. An engine that restarts under its own name and address counts its names anew; gateways used a handle, a reservation or the memory of a stopped run until the registration told of the restart, which may be seconds later.

Cause: a name is valid in one life of the engine that gave it, and was kept with the engine's id alone. Only handles of prefills were compared with the registry; reservations, memory that a source keeps after a refused move, and releases were not.

Change: a name is kept with the life in which it was given: the id, and the connection over which the name came. The other end's close of that connection without an announcement (Connection: close, or an unframed answer) ends the life here, within the latency of the network and without a call or a connection more. A lost prompt is read again, a reservation is no longer named, and neither is released. The copy of a moved run depends on its target's life, kept memory on its source's.

Evidence: stand-ins now give the same names in each life, and the owner of a handle is the one that it was last made for when a run names it, which is stricter than before.

Not closed: a life that ends without its connections being closed (a VM that loses power and is back within the time that a handle is kept); a connection that this gateway closed before; a reservation granted by another zone's gateway; the time between the request and the decode engine's fetch, which only engines could check.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -8,6 +8,7 @@
 pub mod answer;
 pub mod call;
 pub mod digest;
+pub mod engine_life;
 pub mod gossip;
 pub mod ingress;
 pub mod intake;
--- a/crates/daemon/src/gateway/announcements.rs
+++ b/crates/daemon/src/gateway/announcements.rs
@@ -12,10 +12,10 @@
 use ebonyloft_router::back_offs;
 use ebonyloft_router::catalog::{Server, ServerId};
 use ebonyloft_router::outcome::Reply;
-use hyper::{Request, StatusCode};
+use hyper::Request;
 
 use super::limits;
-use super::pool::ExchangeError;
+use super::pool::{ExchangeError, ServerAnswer};
 use super::quarantine;
 use super::shared::{Shared, SnapshotVersion};
 
@@ -99,17 +99,17 @@
     to: &Server,
     req: Request<Bytes>,
     limit: Duration,
-) -> Result<(StatusCode, Bytes), ExchangeError> {
+) -> Result<ServerAnswer, ExchangeError> {
     if !accepts_requests(shared, &to.id) {
         tracing::info!(server = %to.id, "not called: the backend server is leaving or paused");
         return Err(ExchangeError::Unsent);
     }
     let sent = shared.now();
-    let (headers, status, body) = shared.pool.call_server(to.addr, req, limit).await?;
-    let reply = headers::parse_reply(status, &headers);
+    let answer = shared.pool.call_server(to.addr, req, limit).await?;
+    let reply = headers::parse_reply(answer.status, &answer.headers);
     if !reply.moved {
         quarantine::on_alive(shared, &to.id, sent);
     }
     on_answer(shared, &to.id, sent, &reply);
-    Ok((status, body))
+    Ok(answer)
 }
--- a/crates/daemon/src/gateway/pool.rs
+++ b/crates/daemon/src/gateway/pool.rs
@@ -22,10 +22,12 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::CONNECTION;
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use snafu::Snafu;
 
 use crate::clock::Clock;
+use crate::http::is_framed;
 
 /// Connect timeout: about a hundred times the latency between availability zones, and short enough
 /// to try another backend server within the goal of a check.
@@ -84,10 +86,37 @@
     }
 }
 
+/// Tells later whether the other end closed a connection unannounced, as the end of its process does.
+/// Nothing more is learned once the connection is closed at this end.
+#[derive(Clone, Debug, Default)]
+pub struct ConnWatch(Rc<WatchState>);
+
+#[derive(Debug, Default)]
+struct WatchState {
+    is_closed: Cell<bool>,
+    is_announced: Cell<bool>,
+}
+
+impl ConnWatch {
+    /// Did the other end close the connection without an announcement?
+    pub fn has_broken(&self) -> bool {
+        self.0.is_closed.get() && !self.0.is_announced.get()
+    }
+
+    fn on_head(&self, headers: &HeaderMap) {
+        let mut options = headers.get_all(CONNECTION).iter().filter_map(|v| v.to_str().ok());
+        let closes = options.any(|v| v.split(',').any(|o| o.trim().eq_ignore_ascii_case("close")));
+        if closes || !is_framed(headers) {
+            self.0.is_announced.set(true);
+        }
+    }
+}
+
 /// An open connection with no exchange on it.
 pub struct Conn {
     addr: SocketAddr,
     correlation: Correlation,
+    watch: ConnWatch,
     sender: SendRequest<Full<Bytes>>,
     /// Drives the connection; dropping it closes the socket.
     task: JoinHandle<()>,
@@ -106,6 +135,11 @@
         }
     }
 
+    /// Tells whether the other end has closed it.
+    pub fn watch(&self) -> ConnWatch {
+        self.watch.clone()
+    }
+
     /// Closes the socket.
     pub fn close(self) {
         drop(self.task);
@@ -123,6 +157,18 @@
     Broken,
 }
 
+/// A backend server's answer to a call of the gateway's own.
+pub struct ServerAnswer {
+    /// HTTP status.
+    pub status: StatusCode,
+    /// Its headers.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+    /// The connection that it came over.
+    pub watch: ConnWatch,
+}
+
 /// An answer whose head has arrived and whose body is unread.
 pub struct PendingAnswer {
     conn: Conn,
@@ -196,6 +242,7 @@
         debug_assert!(conn.correlation.may_carry(exchange));
         conn.correlation.begin(exchange);
         let response = conn.send(req).await?;
+        conn.watch.on_head(response.headers());
         let echo = headers::parse_echo(response.headers());
         if conn.correlation.is_answer(exchange, echo) {
             return Ok((conn, response));
@@ -240,17 +287,18 @@
         self.finish_call(pending, limit).await.map(drop)
     }
 
-    /// Calls a backend server over a new connection, and returns the answer's headers too.
+    /// Calls a backend server over a new connection.
     pub async fn call_server(
         &self,
         addr: SocketAddr,
         req: Request<Bytes>,
         limit: Duration,
-    ) -> Result<(HeaderMap, StatusCode, Bytes), ExchangeError> {
+    ) -> Result<ServerAnswer, ExchangeError> {
         let mut pending = self.start_call(addr, req, limit, Exchange::Unnamed).await?;
         let headers = std::mem::take(pending.response.headers_mut());
+        let watch = pending.conn.watch();
         let (status, body) = self.finish_call(pending, limit).await?;
-        Ok((headers, status, body))
+        Ok(ServerAnswer { status, headers, body, watch })
     }
 
     /// First half of a call: waits for the head of the answer.
@@ -368,17 +416,20 @@
         let io = HyperStream::new_plain(stream);
         let (sender, conn) = http1::handshake(io).await.map_err(|_| ExchangeError::Unsent)?;
         let (strays, clock) = (self.strays.clone(), self.clock);
+        let watch = ConnWatch::default();
+        let state = watch.0.clone();
         let task = compio::runtime::spawn(async move {
             if let Err(e) = conn.await {
                 tracing::debug!(%addr, error = %e, "connection failed");
                 if is_violation(&e) {
                     tracing::warn!(%addr, "bytes ignored that belong to no exchange");
-                    strays.record(addr, clock.now());
+                    return strays.record(addr, clock.now());
                 }
             }
+            state.is_closed.set(true);
         });
         let correlation = Correlation::default();
-        Ok(Conn { addr, correlation, sender, task, idle_since: self.clock.now() })
+        Ok(Conn { addr, correlation, watch, sender, task, idle_since: self.clock.now() })
     }
 
     async fn begin_exchange(
--- a/crates/daemon/src/gateway/send.rs
+++ b/crates/daemon/src/gateway/send.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use ebonyloft_core::verdict::Verdict;
 use ebonyloft_platform::headers;
-use ebonyloft_router::catalog::{Kind, Server, ServerId};
+use ebonyloft_router::catalog::{Kind, Server};
 use ebonyloft_router::correlation::Exchange;
 use ebonyloft_router::outcome::{AttemptOutcome, Reply};
 use ebonyloft_router::response_head;
@@ -14,10 +14,11 @@
 use hyper::{HeaderMap, Request, Response, StatusCode};
 
 use super::announcements;
+use super::engine_life::EngineLife;
 use super::intake::Intake;
 use super::keys;
 use super::part_blame;
-use super::pool::{Conn, ExchangeError, IDLE_MAX, IDLE_MAX_ONCE};
+use super::pool::{Conn, ConnWatch, ExchangeError, IDLE_MAX, IDLE_MAX_ONCE};
 use super::quarantine;
 use super::request_blame;
 use super::retries;
@@ -45,16 +46,27 @@
     pub body: Bytes,
     /// What its status and headers say.
     pub reply: Reply,
+    /// The connection that it came over.
+    pub watch: ConnWatch,
 }
 
-/// Sends a request and waits for the head of its answer. It is not sent if the request names memory
-/// at the engine `source` that has ended by then.
+/// The lives of the engines that gave the names in a request.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct NamedLives<'a> {
+    /// That of the prompt's memory.
+    pub prompt: Option<&'a EngineLife>,
+    /// That of the reservation.
+    pub reservation: Option<&'a EngineLife>,
+}
+
+/// Sends a request and waits for the head of its answer. It is not sent if a life in which something
+/// was named has ended by then.
 pub async fn head(
     shared: &Shared,
     intake: &Intake,
     to: &Server,
     req: Request<Bytes>,
-    source: Option<&ServerId>,
+    named: NamedLives<'_>,
     expect: Expect,
 ) -> Result<Head, AttemptOutcome> {
     // A request that may run only once must not use a connection that the server may just be
@@ -76,12 +88,18 @@
         shared.pool.put_back(conn);
         return Err(AttemptOutcome::Unsent);
     }
-    if let Some(source) = source.filter(|source| shared.registry.borrow().has_ended(source)) {
-        let id = intake.id();
+    if let Some(life) = named.prompt.filter(|life| life.has_ended(shared)) {
+        let (id, source) = (intake.id(), life.id());
         tracing::info!(id, server = %to.id, %source, "not sent: the engine with the prompt has ended");
         shared.pool.put_back(conn);
         return Err(AttemptOutcome::Unsent);
     }
+    if named.reservation.is_some_and(|life| life.has_ended(shared)) {
+        let id = intake.id();
+        tracing::info!(id, server = %to.id, "not sent: the engine with the reservation has ended");
+        shared.pool.put_back(conn);
+        return Err(AttemptOutcome::Unsent);
+    }
     if request_blame::is_confirmed(shared, &intake.digest) {
         tracing::info!(
             id = intake.id(), content = %intake.digest, parts = intake.part_digits(), server = %to.id,
@@ -152,7 +170,7 @@
     expect: Expect,
 ) -> (AttemptOutcome, Option<CompleteAnswer>) {
     let attempt = async {
-        let head = head(shared, intake, to, req, None, expect).await?;
+        let head = head(shared, intake, to, req, NamedLives::default(), expect).await?;
         let Head { mut reply, response, conn } = head;
         reply.signed |= expect == Expect::Handle;
         let outcome = AttemptOutcome::from_reply(&reply);
@@ -176,8 +194,9 @@
             conn.close();
             return Err(outcome);
         }
+        let watch = conn.watch();
         shared.pool.put_back(conn);
-        Ok((outcome, CompleteAnswer { status, headers, body, reply }))
+        Ok((outcome, CompleteAnswer { status, headers, body, reply, watch }))
     };
     match compio::time::timeout(limit, attempt).await {
         Ok(Ok((outcome, answer))) => (outcome, Some(answer)),
--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -223,7 +223,9 @@
         state.open_attempt = None;
         let sent = state.sent(&server, started_at, now);
         let run = sent.run;
-        let has_lost_prompt = outcome == AttemptOutcome::Unsent && state.has_lost_prompt(shared);
+        let is_unsent = outcome == AttemptOutcome::Unsent;
+        let has_lost_prompt = is_unsent && state.has_lost_prompt(shared);
+        let has_lost_hold = is_unsent && state.has_lost_hold(shared);
         quarantine::on_outcome(shared, intake, sent, outcome);
         tracing::info!(
             id = intake.id(), content = %intake.digest, server = %server.id,
@@ -246,6 +248,8 @@
                 handle.is_rejected = true;
             }
             state.drop_reservation(shared, now);
+        } else if has_lost_hold && !has_lost_prompt {
+            state.drop_reservation(shared, now);
         } else {
             let unused = match outcome {
                 AttemptOutcome::Lost | AttemptOutcome::Mismatched => WastedPrefill::Lost,
@@ -253,14 +257,14 @@
             };
             state.release(shared, now, false, unused);
         }
-        if !has_lost_prompt {
+        if !has_lost_prompt && !has_lost_hold {
             tried.push(server.id.clone());
         }
         match outcome {
             AttemptOutcome::Answered(_) => failure = answer,
             AttemptOutcome::Moved => call::on_replaced(shared, &server.id),
-            // No fault of the engine that was to continue from the prompt.
-            AttemptOutcome::Unsent if has_lost_prompt => cause = Cause::Lost,
+            // No fault of the engine that is there now, or that was to continue from the prompt.
+            AttemptOutcome::Unsent if has_lost_prompt || has_lost_hold => cause = Cause::Lost,
             // An engine that asked for a back-off gets no requests until it is over.
             AttemptOutcome::Rejected | AttemptOutcome::Unsent
                 if announcements::is_unavailable(shared, &server.id) =>
@@ -412,6 +416,10 @@
         );
         return AttemptEnd::Outcome(AttemptOutcome::Unsent, None);
     }
+    if state.has_lost_prompt(shared) && !state.has_unused_copy() {
+        state.drop_prefill_handle(shared, WastedPrefill::Engine);
+    }
+    state.forget_lost_hold(shared);
     let mut req = intake.request(now, &server.id);
     let headers = req.headers_mut();
     state.set_headers(headers);
@@ -424,7 +432,7 @@
     {
         headers::set_last_event(headers, last);
     }
-    let sent = send::head(shared, intake, server, req, state.prompt_source(), Expect::Signature);
+    let sent = send::head(shared, intake, server, req, state.named_lives(), Expect::Signature);
     let head = match with_stall_timeout(intake, sent).await {
         Some(Ok(head)) => head,
         Some(Err(outcome)) => return AttemptEnd::Outcome(outcome, None),
@@ -477,6 +485,7 @@
         conn.close();
         return None;
     }
+    let watch = conn.watch();
     if outcome != AttemptOutcome::Lost {
         shared.pool.put_back(conn);
     }
@@ -485,5 +494,6 @@
         headers,
         body,
         reply,
+        watch,
     })
 }
--- a/crates/daemon/src/gateway/stream/admission.rs
+++ b/crates/daemon/src/gateway/stream/admission.rs
@@ -17,13 +17,15 @@
 use futures_util::future::select;
 
 use super::shares::{self, ShareClaim};
-use super::state::{Reservation, StreamState};
+use super::state::{Hold, Reservation, StreamState};
 use super::urgency::{self, UrgencySnapshot};
 use super::{StreamError, overflow, prefill, retry_at};
 use crate::gateway::announcements;
 use crate::gateway::answer::Cause;
+use crate::gateway::engine_life::EngineLife;
 use crate::gateway::intake::Intake;
 use crate::gateway::limits;
+use crate::gateway::pool::ServerAnswer;
 use crate::gateway::quarantine;
 use crate::gateway::shared::{Shared, SnapshotVersion};
 use crate::gateway::speeds;
@@ -301,14 +303,14 @@
     let server = shared.registry.borrow().get(id).cloned()?;
     state.reservation = Some(Reservation {
         server: server.clone(),
-        hold_id: None,
+        hold: None,
         memory,
         length_forecast,
         remote: None,
     });
     let hold = reserve(shared, spec, &server, memory).await;
     if let (Some(reservation), Some(hold)) = (&mut state.reservation, hold) {
-        reservation.hold_id = Some(hold);
+        reservation.hold = Some(hold);
         return Some(server);
     }
     state.reservation = None;
@@ -322,7 +324,7 @@
     spec: &Engine,
     server: &Server,
     memory: MemoryForecast,
-) -> Option<String> {
+) -> Option<Hold> {
     let id = &server.id;
     if !limits::acquire(shared, id, REQUESTS_PER_ANSWER).await {
         return None;
@@ -333,15 +335,15 @@
     let answer = announcements::call(shared, server, req, RESERVE_TIMEOUT).await;
     let now = shared.now();
     let hold =
-        answer.as_ref().ok().and_then(|(status, body)| engine::parse_reservation(*status, body));
-    if hold.is_some() {
-        return hold;
+        answer.as_ref().ok().and_then(|a| Some((engine::parse_reservation(a.status, &a.body)?, a)));
+    if let Some((hold, answer)) = hold {
+        return Some(Hold { id: hold, life: EngineLife::new(id.clone(), answer.watch.clone()) });
     }
     let work = shared.engine_load(id);
     let mut engines = shared.engines.borrow_mut();
     engines.on_released(now, id, memory, false);
     match answer {
-        Ok((status, _)) => {
+        Ok(ServerAnswer { status, .. }) => {
             let EngineLoad { memory: all, count, .. } = work;
             let asked = memory.reserved();
             tracing::info!(
--- a/crates/daemon/src/gateway/stream/incoming.rs
+++ b/crates/daemon/src/gateway/stream/incoming.rs
@@ -151,7 +151,7 @@
     reservation.prefilling = prefill_engine.as_ref().map(|(s, _)| (s.id.clone(), prompt));
     let prefill_engine =
         prefill_engine.map(|(s, at)| (s, at.since(shared.now()).as_millis() as u64));
-    if grant_sender.send(Grant { id, server, hold, reader: prefill_engine }).is_ok() {
+    if grant_sender.send(Grant { id, server, hold: hold.id, reader: prefill_engine }).is_ok() {
         reservation.track(&shared, &request, read_at, done).await;
     }
     shared.incoming.borrow_mut().open.remove(&id);
--- a/crates/daemon/src/gateway/stream/migration.rs
+++ b/crates/daemon/src/gateway/stream/migration.rs
@@ -24,8 +24,9 @@
 use super::{admission, prefill};
 use crate::gateway::announcements;
 use crate::gateway::call;
+use crate::gateway::engine_life::EngineLife;
 use crate::gateway::intake::Intake;
-use crate::gateway::pool::ExchangeError;
+use crate::gateway::pool::{ConnWatch, ExchangeError, ServerAnswer};
 use crate::gateway::quarantine;
 use crate::gateway::retries;
 use crate::gateway::shared::{Shared, SnapshotVersion};
@@ -37,7 +38,15 @@
 const LATE_TIMEOUT: Duration = Duration::from_millis(2_000);
 
 /// Result of a call; the error tells whether the engine may have received it.
-pub type CallResult = Result<MoveReply, ExchangeError>;
+pub type CallResult = Result<MoveAnswer, ExchangeError>;
+
+/// An engine's answer to a call.
+#[derive(Debug)]
+pub struct MoveAnswer {
+    reply: MoveReply,
+    /// The connection that it came over.
+    watch: ConnWatch,
+}
 
 /// A run that may be moved.
 pub struct MovableRun {
@@ -63,7 +72,7 @@
     /// The first call is in progress.
     Pending(oneshot::Receiver<CallResult>),
     /// The copy was complete, and is kept until the time.
-    Complete { handle: String, until: Timestamp },
+    Complete { handle: String, source: EngineLife, until: Timestamp },
 }
 
 /// What the result of the last call means for the run.
@@ -157,23 +166,24 @@
     };
     let now = shared.now();
     let ms = now.since(migration.started_at).as_millis() as u64;
+    let reply = result.as_ref().map(|answer| &answer.reply);
     tracing::info!(
         id = intake.id(), server = %migration.source.id, target = %migration.target.id, ms,
-        ?result, generated = state.generated, "run copied"
+        result = ?reply, generated = state.generated, "run copied"
     );
-    match result {
-        Ok(MoveReply::Copied { handle, .. }) => {
-            // When the copy was complete is not known, only when it began.
-            let until = prefill::handle_until(intake, migration.started_at);
-            migration.copy = Copy::Complete { handle, until };
-            Some(until > now)
-        }
-        Ok(MoveReply::Moved) => {
+    let (handle, watch) = match result {
+        Ok(MoveAnswer { reply: MoveReply::Copied { handle, .. }, watch }) => (handle, watch),
+        Ok(MoveAnswer { reply: MoveReply::Moved, .. }) => {
             call::on_replaced(shared, &migration.source.id);
-            Some(false)
+            return Some(false);
         }
-        _ => Some(false),
-    }
+        _ => return Some(false),
+    };
+    // When the copy was complete is not known, only when it began.
+    let until = prefill::handle_until(intake, migration.started_at);
+    let source = EngineLife::new(migration.source.id.clone(), watch);
+    migration.copy = Copy::Complete { handle, source, until };
+    Some(until > now)
 }
 
 fn start(shared: &Rc<Shared>, intake: &Intake, state: &mut StreamState) {
@@ -263,7 +273,10 @@
 ) {
     let exchange = async {
         let answer = announcements::call(&shared, &source, req, LATE_TIMEOUT).await;
-        answer.map(|(status, body)| engine::parse_move_reply(status, &body))
+        answer.map(|ServerAnswer { status, body, watch, .. }| MoveAnswer {
+            reply: engine::parse_move_reply(status, &body),
+            watch,
+        })
     };
     let mut exchange = std::pin::pin!(exchange);
     let unused = match compio::time::timeout(CALL_TIMEOUT, exchange.as_mut()).await {
@@ -275,8 +288,8 @@
             if last { None } else { Some(exchange.await) }
         }
     };
-    if let Some(Ok(MoveReply::Copied { handle, .. })) = unused {
-        release_copy(&shared, &source, &handle);
+    if let Some(Ok(MoveAnswer { reply: MoveReply::Copied { handle, .. }, watch })) = unused {
+        release_copy(&shared, &source, &EngineLife::new(source.id.clone(), watch), &handle);
     }
 }
 
@@ -292,22 +305,29 @@
     };
     let now = shared.now();
     let ms = now.since(migration.started_at).as_millis() as u64;
+    let reply = result.as_ref().map(|answer| &answer.reply);
     tracing::info!(
         id = intake.id(), server = %migration.source.id, target = %migration.target.id, ms,
-        ?result, generated = state.generated, "run stopped for migration"
+        result = ?reply, generated = state.generated, "run stopped for migration"
     );
     let until = prefill::handle_until(intake, now);
-    match result {
+    let (reply, watch) = match result {
+        Ok(MoveAnswer { reply, watch }) => (Ok(reply), watch),
+        Err(e) => (Err(e), ConnWatch::default()),
+    };
+    let issuer = EngineLife::new(migration.source.id.clone(), watch);
+    match reply {
         Ok(MoveReply::Copied { handle, .. }) => {
             shared.metrics.count("gateway.migration.moved", 1);
             shared.metrics.time("gateway.migration_ms", ms);
-            continue_at_target(shared, state, handle, until);
+            continue_at_target(shared, state, handle, issuer, until);
             Handover::Done
         }
         Ok(MoveReply::NoCapacity { handle: Some(handle) }) => {
-            let source = migration.source.clone();
+            let addr = migration.source.addr;
             forget_target(shared, state, true);
-            state.prefill_handle = Some(copy_handle(&source, handle, until));
+            let keeper = issuer.clone();
+            state.prefill_handle = Some(copy_handle(addr, handle, issuer, keeper, until));
             state.moves += 1;
             remove_movable(shared, state);
             Handover::Done
@@ -337,15 +357,15 @@
     let migration = state.migration.as_ref()?;
     let target = migration.target.clone();
     match &migration.copy {
-        Copy::Complete { handle, until }
+        Copy::Complete { handle, source, until }
             if *until > shared.now()
                 && announcements::accepts_requests(shared, &target.id)
                 && admission::is_admitted_now(shared, state.origin, &target) =>
         {
-            let (handle, until) = (handle.clone(), *until);
+            let (handle, source, until) = (handle.clone(), source.clone(), *until);
             shared.metrics.count("gateway.migration.resumed", 1);
             shared.migrations.borrow_mut().on_failure(shared.now(), &migration.source.id);
-            continue_at_target(shared, state, handle, until);
+            continue_at_target(shared, state, handle, source, until);
             Some(target)
         }
         _ => {
@@ -356,23 +376,37 @@
 }
 
 /// Makes the target's memory the reservation of the stream, and the copy its prompt handle.
-fn continue_at_target(shared: &Shared, state: &mut StreamState, handle: String, until: Timestamp) {
+fn continue_at_target(
+    shared: &Shared,
+    state: &mut StreamState,
+    handle: String,
+    issuer: EngineLife,
+    until: Timestamp,
+) {
     let Some(migration) = state.migration.take() else {
         return;
     };
     let Migration { source, target, memory, length_forecast, .. } = migration;
     state.drop_reservation(shared, shared.now());
+    // The target answered the source.
+    let keeper = EngineLife::unwatched(target.id.clone());
     state.reservation =
-        Some(Reservation { server: target, hold_id: None, memory, length_forecast, remote: None });
+        Some(Reservation { server: target, hold: None, memory, length_forecast, remote: None });
     shared.migrations.borrow_mut().end(&source.id);
-    state.prefill_handle = Some(copy_handle(&source, handle, until));
+    state.prefill_handle = Some(copy_handle(source.addr, handle, issuer, keeper, until));
     state.moves += 1;
 }
 
-/// The handle of a run's copied memory, which the engine that it left keeps.
-fn copy_handle(source: &Server, handle: String, until: Timestamp) -> PrefillHandle {
-    let (id, addr) = (source.id.clone(), source.addr);
-    PrefillHandle { id, addr, handle, until, is_copy: true, is_rejected: false, tokens: 0 }
+/// The handle of a run's memory that the engine at `addr` issued when the run left it.
+fn copy_handle(
+    addr: SocketAddr,
+    handle: String,
+    issuer: EngineLife,
+    keeper: EngineLife,
+    until: Timestamp,
+) -> PrefillHandle {
+    let (is_copy, is_rejected, tokens) = (true, false, 0);
+    PrefillHandle { issuer, keeper, addr, handle, until, is_copy, is_rejected, tokens }
 }
 
 /// Ends a migration without using its copy; `failed` if it was refused or failed.
@@ -380,8 +414,8 @@
     let Some(migration) = &state.migration else {
         return;
     };
-    if let Copy::Complete { handle, .. } = &migration.copy {
-        release_copy(shared, &migration.source, handle);
+    if let Copy::Complete { handle, source, .. } = &migration.copy {
+        release_copy(shared, &migration.source, source, handle);
     }
     forget_target(shared, state, failed);
 }
@@ -406,7 +440,7 @@
 /// Handles a copy that the engine which was to continue the run did not use.
 pub fn on_continuation_failed(shared: &Shared, state: &StreamState) {
     if let Some(handle) = &state.prefill_handle {
-        shared.migrations.borrow_mut().on_failure(shared.now(), &handle.id);
+        shared.migrations.borrow_mut().on_failure(shared.now(), handle.issuer.id());
         shared.metrics.count("gateway.migration.failed", 1);
     }
 }
@@ -427,9 +461,9 @@
     }
 }
 
-fn release_copy(shared: &Shared, source: &Server, handle: &str) {
+fn release_copy(shared: &Shared, source: &Server, life: &EngineLife, handle: &str) {
     let req = engine::release_handle(&source.id, handle);
-    send_release(shared, &source.id, source.addr, req);
+    send_release(shared, life, source.addr, req);
 }
 
 fn spec(intake: &Intake) -> Option<&Engine> {
--- a/crates/daemon/src/gateway/stream/overflow.rs
+++ b/crates/daemon/src/gateway/stream/overflow.rs
@@ -20,7 +20,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::admission;
-use super::state::{Reservation, StreamState};
+use super::state::{Hold, Reservation, StreamState};
+use crate::gateway::engine_life::EngineLife;
 use crate::gateway::intake::Intake;
 use crate::gateway::shared::{Shared, SnapshotVersion};
 
@@ -185,7 +186,7 @@
     let remote = Some(RemoteReservation { addr, id, prefill_engine });
     state.reservation = Some(Reservation {
         server: server.clone(),
-        hold_id: Some(hold),
+        hold: Some(Hold { id: hold, life: EngineLife::unwatched(server.id.clone()) }),
         memory,
         length_forecast,
         remote,
--- a/crates/daemon/src/gateway/stream/prefill.rs
+++ b/crates/daemon/src/gateway/stream/prefill.rs
@@ -16,6 +16,7 @@
 use super::wasted_prefill;
 use crate::gateway::announcements;
 use crate::gateway::call;
+use crate::gateway::engine_life::EngineLife;
 use crate::gateway::intake::Intake;
 use crate::gateway::limits;
 use crate::gateway::quarantine::{self, RunStage, Sent};
@@ -225,11 +226,13 @@
             );
             shared.service_estimates(&intake.service).prefill_speed.observe(work, prompt, usual);
         }
-        let (id, addr) = (server.id.clone(), server.addr);
+        let watch = answer.as_ref().map(|a| a.watch.clone()).unwrap_or_default();
+        let life = EngineLife::new(server.id.clone(), watch);
         let until = handle_until(intake, done);
         state.prefill_handle = Some(PrefillHandle {
-            id,
-            addr,
+            keeper: life.clone(),
+            issuer: life,
+            addr: server.addr,
             handle,
             until,
             is_copy: false,
--- a/crates/daemon/src/gateway/stream/state.rs
+++ b/crates/daemon/src/gateway/stream/state.rs
@@ -20,7 +20,9 @@
 use super::overflow::RemoteReservation;
 use super::{STALL_TIMEOUT, wasted_prefill};
 use crate::gateway::announcements;
+use crate::gateway::engine_life::EngineLife;
 use crate::gateway::quarantine::{EARLY_WINDOW, RunStage, Sent};
+use crate::gateway::send::NamedLives;
 use crate::gateway::shared::Shared;
 
 /// Timeout of releasing a reservation or a prompt handle; both also expire by themselves.
@@ -30,8 +32,8 @@
 pub struct Reservation {
     /// The engine.
     pub server: Server,
-    /// Id of the reservation at the engine; none if there is none or it was used.
-    pub hold_id: Option<String>,
+    /// Its name at the engine; none if there is none or it was used.
+    pub hold: Option<Hold>,
     /// Memory counted for the request.
     pub memory: MemoryForecast,
     /// Forecast of the answer's length.
@@ -40,11 +42,21 @@
     pub remote: Option<RemoteReservation>,
 }
 
+/// Name of a reservation.
+pub struct Hold {
+    /// Its id at the engine.
+    pub id: String,
+    /// The life of the engine in which it is valid.
+    pub life: EngineLife,
+}
+
 /// A prompt read by a prefill engine.
 pub struct PrefillHandle {
-    /// The prefill engine.
-    pub id: ServerId,
-    /// Its address.
+    /// The engine that named it: the prefill engine, or the one that a run has left.
+    pub issuer: EngineLife,
+    /// The engine that keeps the memory.
+    pub keeper: EngineLife,
+    /// Address of the issuer.
     pub addr: SocketAddr,
     /// Id of the prompt's memory at the engine.
     pub handle: String,
@@ -141,8 +153,8 @@
 
     /// Sets the headers that name the reservation and the prompt handle.
     pub fn set_headers(&self, headers: &mut HeaderMap) {
-        if let Some(hold_id) = self.reservation.as_ref().and_then(|r| r.hold_id.as_deref()) {
-            headers::set_reservation(headers, hold_id);
+        if let Some(hold) = self.hold() {
+            headers::set_reservation(headers, &hold.id);
         }
         if let Some(prefill_handle) = &self.prefill_handle {
             headers::set_kv_source(headers, prefill_handle.addr, &prefill_handle.handle);
@@ -152,11 +164,23 @@
     /// The engine accepted the request, which uses up the reservation and the handle.
     pub fn mark_used(&mut self) {
         if let Some(reservation) = &mut self.reservation {
-            reservation.hold_id = None;
+            reservation.hold = None;
         }
         self.prefill_handle = None;
     }
 
+    fn hold(&self) -> Option<&Hold> {
+        self.reservation.as_ref()?.hold.as_ref()
+    }
+
+    /// The lives of the engines that gave the names of the reservation and the prompt.
+    pub fn named_lives(&self) -> NamedLives<'_> {
+        NamedLives {
+            prompt: self.prefill_handle.as_ref().map(|handle| &handle.keeper),
+            reservation: self.hold().map(|hold| &hold.life),
+        }
+    }
+
     /// Records how many tokens the answer has.
     pub fn record_generated(&mut self, shared: &Shared, prompt: u64, generated: u64) {
         self.generated = generated;
@@ -199,22 +223,34 @@
         self.prefill_handle.as_ref().is_some_and(|handle| handle.is_copy)
     }
 
-    /// The engine that issued the prompt's handle and knows it only while it runs. The copy of a run
-    /// is kept by the engine that continues it.
-    pub fn prompt_source(&self) -> Option<&ServerId> {
-        self.prefill_handle.as_ref().filter(|handle| !handle.is_copy).map(|handle| &handle.id)
+    /// Has the engine that keeps the prompt's memory ended?
+    pub fn has_lost_prompt(&self, shared: &Shared) -> bool {
+        self.named_lives().prompt.is_some_and(|life| life.has_ended(shared))
     }
 
-    /// Has the engine that issued the prompt's handle ended?
-    pub fn has_lost_prompt(&self, shared: &Shared) -> bool {
-        self.prompt_source().is_some_and(|id| shared.registry.borrow().has_ended(id))
+    /// Has the engine ended that gave the reservation its name?
+    pub fn has_lost_hold(&self, shared: &Shared) -> bool {
+        self.named_lives().reservation.is_some_and(|life| life.has_ended(shared))
+    }
+
+    /// Forgets the name of a reservation whose engine has ended: the next life of the engine doesn't
+    /// know it, or has given it to another request.
+    pub fn forget_lost_hold(&mut self, shared: &Shared) {
+        if self.has_lost_hold(shared)
+            && let Some(reservation) = &mut self.reservation
+        {
+            let id = self.id.as_str();
+            tracing::info!(id, server = %reservation.server.id, "reservation lost: its engine has ended");
+            reservation.hold = None;
+        }
     }
 
     /// Releases the prompt handle, which was not used for the reason `unused`.
     pub fn drop_prefill_handle(&mut self, shared: &Shared, unused: WastedPrefill) {
         if let Some(prefill_handle) = self.prefill_handle.take() {
-            let cause = match shared.registry.borrow().get(&prefill_handle.id) {
+            let cause = match shared.registry.borrow().get(prefill_handle.issuer.id()) {
                 None => WastedPrefill::Engine,
+                Some(_) if prefill_handle.keeper.has_ended(shared) => WastedPrefill::Engine,
                 Some(_) if prefill_handle.is_rejected => WastedPrefill::Refused,
                 Some(_) if prefill_handle.until <= shared.now() => WastedPrefill::Expired,
                 Some(_) => unused,
@@ -223,8 +259,9 @@
             if !prefill_handle.is_copy {
                 wasted_prefill::count(shared, &self.id, cause, prefill_handle.tokens);
             }
-            let req = engine::release_handle(&prefill_handle.id, &prefill_handle.handle);
-            send_release(shared, &prefill_handle.id, prefill_handle.addr, req);
+            let issuer = &prefill_handle.issuer;
+            let req = engine::release_handle(issuer.id(), &prefill_handle.handle);
+            send_release(shared, issuer, prefill_handle.addr, req);
         }
     }
 
@@ -239,17 +276,13 @@
         let Some(reservation) = self.reservation.take() else {
             return;
         };
-        let Reservation { server, hold_id, memory, remote, .. } = reservation;
+        let Reservation { server, hold, memory, remote, .. } = reservation;
         if let Some(remote) = remote {
             remote.close(shared);
         }
-        if let Some(hold_id) = hold_id {
-            send_release(
-                shared,
-                &server.id,
-                server.addr,
-                engine::release_reservation(&server.id, &hold_id),
-            );
+        if let Some(hold) = hold {
+            let req = engine::release_reservation(&server.id, &hold.id);
+            send_release(shared, &hold.life, server.addr, req);
         }
         shared.engines.borrow_mut().on_released(now, &server.id, memory, complete);
         shared.request_report();
@@ -261,8 +294,13 @@
     }
 }
 
-/// Releases memory at an engine in a task of its own.
-pub fn send_release(shared: &Shared, id: &ServerId, addr: SocketAddr, req: Request<Bytes>) {
+/// Releases memory that an engine named in this life, in a task of its own.
+pub fn send_release(shared: &Shared, life: &EngineLife, addr: SocketAddr, req: Request<Bytes>) {
+    if life.has_ended(shared) {
+        // The next life may have given the name to another request.
+        return;
+    }
+    let id = life.id();
     if announcements::is_unavailable(shared, id) || shared.limits.borrow().of(id).is_some() {
         // The engine asked for a back-off or has a request limit, and the memory is freed when it
         // expires.
--- a/crates/daemon/tests/pool.rs
+++ b/crates/daemon/tests/pool.rs
@@ -118,8 +118,8 @@
 
 /// Sends a call without an id, and keeps the connection; returns the body of its answer.
 async fn send_unnamed(pool: &Pool, addr: SocketAddr) -> Result<String, ExchangeError> {
-    let (_, _, body) = pool.call_server(addr, Request::new(Bytes::new()), PAUSE_MAX).await?;
-    Ok(String::from_utf8_lossy(&body).into_owned())
+    let answer = pool.call_server(addr, Request::new(Bytes::new()), PAUSE_MAX).await?;
+    Ok(String::from_utf8_lossy(&answer.body).into_owned())
 }
 
 fn with_pool(test: impl AsyncFnOnce(&Pool)) {
--- a/crates/standins/src/fleet/backend.rs
+++ b/crates/standins/src/fleet/backend.rs
@@ -222,6 +222,9 @@
     /// Expiry of computed prompts by name of the handle.
     handles: RefCell<HashMap<String, Instant>>,
     used_tokens: Cell<u64>,
+    /// Its lives before this one.
+    lives: Cell<u64>,
+    /// Number in the last name of a reservation or handle; each life counts anew.
     last_name: Cell<u64>,
     /// Last event of each stream in process by attempt, and whether it is to stop.
     streams: RefCell<HashMap<String, (u64, bool)>>,
@@ -253,6 +256,7 @@
             holds: RefCell::default(),
             handles: RefCell::default(),
             used_tokens: Cell::default(),
+            lives: Cell::default(),
             last_name: Cell::default(),
             streams: RefCell::default(),
             copies: RefCell::default(),
@@ -354,10 +358,8 @@
 
     /// Starts a new incarnation at the same address, without the state of the previous one.
     async fn start_incarnation(self: &Rc<Self>, previous: &Server) {
-        self.holds.borrow_mut().clear();
-        self.handles.borrow_mut().clear();
+        self.forget();
         self.leaving.set(false);
-        self.away_until.set(None);
         self.restarts.set(self.restarts.get() + 1);
         let base = previous.id.name.split('+').next().unwrap_or_default();
         let name = format!("{base}+{}", self.restarts.get());
@@ -385,10 +387,7 @@
     /// Starts a new incarnation of this version under the same name; the connections of the previous
     /// one close at once.
     pub async fn restart_as(self: &Rc<Self>, version: &str) {
-        // Dropped in another task, because the listener may own the task that runs now.
-        let listener = self.listener.take();
-        compio::runtime::spawn(async move { drop(listener) }).detach();
-        compio::time::sleep(RESTART_TIME).await;
+        self.end().await;
         self.restart();
         self.server.borrow_mut().version = SoftwareVersion::new(version);
         self.listen().await;
@@ -397,6 +396,20 @@
         }
     }
 
+    /// Does the same without a registration of the new incarnation.
+    pub async fn restart_unregistered(self: &Rc<Self>) {
+        self.end().await;
+        self.restart();
+        self.listen().await;
+    }
+
+    async fn end(&self) {
+        // Dropped in another task, because the listener may own the task that runs now.
+        let listener = self.listener.take();
+        compio::runtime::spawn(async move { drop(listener) }).detach();
+        compio::time::sleep(RESTART_TIME).await;
+    }
+
     /// Sets the fault of all later requests.
     pub fn set_fault(&self, fault: Fault) {
         self.fault.set(fault);
@@ -404,10 +417,18 @@
 
     /// Starts a new incarnation under the same name; reservations and handles are lost.
     pub fn restart(&self) {
+        self.forget();
+        self.server.borrow_mut().id.born += 1;
+    }
+
+    /// Ends a life: the next one knows nothing of it, and gives the same names.
+    fn forget(&self) {
         self.holds.borrow_mut().clear();
         self.handles.borrow_mut().clear();
+        self.copies.borrow_mut().clear();
         self.away_until.set(None);
-        self.server.borrow_mut().id.born += 1;
+        self.lives.set(self.lives.get() + 1);
+        self.last_name.set(0);
     }
 
     /// Returns how often an attempt ran on this server.
@@ -671,7 +692,7 @@
                 return response(503, HeaderMap::new(), Vec::new());
             };
             self.copies.borrow_mut().insert(handle.clone(), target);
-            self.observed.borrow_mut().ownership.on_handle(&handle, attempt);
+            self.observed.borrow_mut().ownership.on_copy(&handle, attempt, target);
             match fault {
                 Fault::CopiesLate => compio::time::sleep(LATE_COPY).await,
                 Fault::CopiesSilently => std::future::pending().await,
@@ -703,7 +724,8 @@
                 let kept = self.next_name("hold");
                 let until = Instant::now() + self.spec.handle_ttl;
                 self.holds.borrow_mut().insert(kept.clone(), (1, until));
-                self.observed.borrow_mut().ownership.on_handle(&kept, attempt);
+                let addr = self.server.borrow().addr;
+                self.observed.borrow_mut().ownership.on_copy(&kept, attempt, addr);
                 reply(503, &kept, created)
             }
             _ => reply(200, &handle, created),
@@ -751,10 +773,11 @@
             let is_known = self.holds.borrow_mut().remove(hold).is_some();
             let mut seen = self.observed.borrow_mut();
             seen.unknown_holds += u64::from(!is_known);
-            seen.ownership.on_reservation(hold, &work.attempt);
+            seen.ownership.on_reservation(self.lives.get(), hold, &work.attempt);
         }
         if let Some(source) = &work.kv_source {
             let mut seen = self.observed.borrow_mut();
+            seen.ownership.on_named(source.0, &source.1, &work.attempt);
             seen.kv_sources.entry(work.attempt.clone()).or_default().push(source.clone());
         }
         let copy = work.kv_source.as_ref().filter(|(_, handle)| handle.starts_with("hold"));
--- a/crates/standins/tests/migration.rs
+++ b/crates/standins/tests/migration.rs
@@ -198,6 +198,25 @@
     });
 }
 
+/// Guards against a run that goes on from what a later life of its engine keeps under the same handle.
+#[test]
+fn kept_memory_is_not_used_once_its_engine_has_started_again() {
+    let mut spec = spec(MigrationSetting::On);
+    spec.runner.event_interval *= 3;
+    with_fleet(spec, async |fleet| {
+        let stream = begin(fleet, SUMMARY, Fault::KeepsMemory, Fault::None).await;
+        let source = stream.source.clone();
+        assert!(eventually(SECOND, || moves(&source, true) == 1).await, "no last call");
+        // The run stops after its next event.
+        source.server.borrow_mut().id.born += 1;
+        fleet.store.register(&source.server.borrow());
+        let answer = stream.task.await.expect("the caller's task").expect("an answer");
+        assert!(answer.complete, "{:?}", answer.events());
+        assert_eq!(answer.events(), (1..=EVENTS).collect::<Vec<_>>());
+        assert_eq!(continued(&source), 0);
+    });
+}
+
 /// Guards against a response that breaks off when the target crashes before or while it continues
 /// the run.
 #[test]
--- a/crates/standins/tests/prompt_handles.rs
+++ b/crates/standins/tests/prompt_handles.rs
@@ -1,11 +1,17 @@
-//! Handles of prompts name an address: they are used only while the engine that issued them runs.
+//! Names of handles and reservations belong to one life of an engine: they are used only while that
+//! lasts.
 
 use std::time::Duration;
 
+use compio::runtime::JoinHandle;
 use ebonyloft_router::catalog::{Server, ServerId};
 use ebonyloft_standins::eventually;
-use ebonyloft_standins::fleet::backend::BackendSpec;
-use ebonyloft_standins::fleet::{FleetSpec, PLAIN_SERVICE, SUMMARY, with_fleet};
+use ebonyloft_standins::fleet::backend::{BackendServer, BackendSpec, Fault};
+use ebonyloft_standins::fleet::caller::Answer;
+use ebonyloft_standins::fleet::{
+    Fleet, FleetSpec, PLAIN_SERVICE, SUMMARY, config, ownership, with_fleet,
+};
+use ebonyloftd::gateway::pool::ExchangeError;
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -58,3 +64,102 @@
         assert_eq!(prefill.observed.borrow().prefills.get("b"), Some(&1));
     });
 }
+
+/// Two gateways and an engine of each stage. Prompts are kept for two seconds.
+fn spec(prefill_time: Duration) -> FleetSpec {
+    let runner = BackendSpec { prefill_time, handle_ttl: 2 * SECOND, ..BackendSpec::default() };
+    FleetSpec { gateways: 2, decode_engines: 1, plain_servers: 0, runner, ..FleetSpec::default() }
+}
+
+async fn keep_handles_longer(fleet: &Fleet, spec: &FleetSpec) {
+    let mut config = config(2, spec);
+    config.services.iter_mut().flat_map(|service| &mut service.engine).for_each(|engine| {
+        engine.handle_life = 2 * SECOND;
+    });
+    fleet.configure(&config);
+    compio::time::sleep(SECOND / 2).await;
+}
+
+type Task = JoinHandle<Result<Answer, ExchangeError>>;
+
+fn send(fleet: &Fleet, gateway: usize, attempt: &'static str) -> Task {
+    let caller = fleet.caller(gateway);
+    compio::runtime::spawn(async move { caller.summary(SUMMARY, attempt).await })
+}
+
+async fn assert_whole(task: Task) {
+    let answer = task.await.expect("the caller's task").expect("an answer");
+    assert_eq!((answer.status, answer.complete), (200, true), "{answer:?}");
+    assert_eq!(answer.events(), (1..=20).collect::<Vec<_>>());
+}
+
+fn assert_own(fleet: &Fleet) {
+    let violations = ownership::violations(fleet.backends.iter().map(|backend| &**backend));
+    assert!(violations.is_empty(), "{violations:?}");
+}
+
+fn prefills(engine: &BackendServer, attempt: &str) -> usize {
+    engine.observed.borrow().prefills.get(attempt).copied().unwrap_or(0)
+}
+
+/// Guards against a stream that goes on from the prompt that a later life of the engine keeps under the
+/// same handle, before the registration tells of that life.
+#[test]
+fn a_handle_is_not_used_once_its_engine_has_started_again_unheard() {
+    let spec = FleetSpec { decode_engines: 2, ..spec(Duration::from_millis(40)) };
+    with_fleet(spec.clone(), async |fleet| {
+        keep_handles_longer(fleet, &spec).await;
+        let [prefill, rejecting, full] = [0, 1, 2].map(|n| fleet.backends[n].clone());
+        rejecting.set_fault(Fault::Changes);
+        full.set_fault(Fault::Full);
+        let first = send(fleet, 0, "a");
+        let is_rejected = || rejecting.observed.borrow().arrivals.contains_key("a");
+        assert!(eventually(SECOND, is_rejected).await, "no run was rejected");
+        prefill.restart_unregistered().await;
+        let second = send(fleet, 1, "b");
+        assert!(eventually(SECOND, || prefills(&prefill, "b") == 1).await, "no prefill has ended");
+        full.set_fault(Fault::None);
+        assert_whole(first).await;
+        assert_whole(second).await;
+        assert_own(fleet);
+        // The prompt is read again.
+        assert_eq!((prefills(&prefill, "a"), prefills(&prefill, "b")), (2, 1));
+    });
+}
+
+/// Guards against a release that frees what a later life of the engine keeps under the same handle.
+#[test]
+fn a_handle_is_not_released_once_its_engine_has_started_again_unheard() {
+    let spec = spec(Duration::from_millis(40));
+    with_fleet(spec.clone(), async |fleet| {
+        keep_handles_longer(fleet, &spec).await;
+        let (prefill, decode) = (fleet.backends[0].clone(), fleet.backends[1].clone());
+        decode.set_fault(Fault::Changes);
+        let first = send(fleet, 0, "a");
+        let is_rejected = || decode.observed.borrow().arrivals.contains_key("a");
+        assert!(eventually(SECOND, is_rejected).await, "no run was rejected");
+        prefill.restart_unregistered().await;
+        // Its caller disconnects.
+        drop(first);
+        compio::time::sleep(SECOND / 5).await;
+        assert_eq!(prefill.observed.borrow().release_times.len(), 0);
+    });
+}
+
+/// Guards against a run that uses up the reservation that a later life of the engine has given to another
+/// one.
+#[test]
+fn a_reservation_is_not_used_once_its_engine_has_started_again_unheard() {
+    with_fleet(spec(Duration::from_millis(300)), async |fleet| {
+        let (prefill, decode) = (fleet.backends[0].clone(), fleet.backends[1].clone());
+        let first = send(fleet, 0, "a");
+        assert!(eventually(SECOND, || prefill.running() == 1).await, "no prefill has begun");
+        decode.restart_unregistered().await;
+        let second = send(fleet, 1, "b");
+        assert!(eventually(SECOND, || decode.reservation_count() == 1).await, "none reserved");
+        assert_whole(first).await;
+        assert_whole(second).await;
+        assert_own(fleet);
+        assert_eq!(decode.observed.borrow().unknown_holds, 0);
+    });
+}
