Gateway: another server at an engine's address is noticed by any call

What callers saw: a request whose engine had been replaced waited for reservations there that could not be granted. A 421 to a reservation counted as "full", and the engine was asked again after 60 ms, by each request. Orders only put the next order off, a liveness check left the engine in the registry, and a move took the 421 up with its result.

Cause: what a 421 means was decided by each caller of the gateway's own calls.

Change: the one place that makes these calls marks the engine as gone until it registers anew, as a run's 421 does. A liveness check does the same.

Evidence: with one of two decode engines replaced without a registration, six summaries sent one after the other asked it for 2 reservations before (the test allows 1); now the test passes, with all 38 of prompt_handles, migration and late_answers. Orders and liveness checks: by reading, no test of their own.

--- a/crates/daemon/src/gateway/announcements.rs
+++ b/crates/daemon/src/gateway/announcements.rs
@@ -14,6 +14,7 @@
 use ebonyloft_router::outcome::Reply;
 use hyper::Request;
 
+use super::call;
 use super::limits;
 use super::pool::{ExchangeError, ServerAnswer};
 use super::quarantine;
@@ -93,7 +94,7 @@
 }
 
 /// Calls a backend server for the gateway itself rather than for a caller. A server that is leaving
-/// or paused is not called.
+/// or paused is not called; one that has been replaced at its address is gone.
 pub async fn call(
     shared: &Shared,
     to: &Server,
@@ -107,8 +108,9 @@
     let sent = shared.now();
     let answer = shared.pool.call_server(to.addr, req, limit).await?;
     let reply = headers::parse_reply(answer.status, &answer.headers);
-    if !reply.moved {
-        quarantine::on_alive(shared, &to.id, sent);
+    match reply.moved {
+        true => call::on_replaced(shared, &to.id),
+        false => quarantine::on_alive(shared, &to.id, sent),
     }
     on_answer(shared, &to.id, sent, &reply);
     Ok(answer)
--- a/crates/daemon/src/gateway/quarantine.rs
+++ b/crates/daemon/src/gateway/quarantine.rs
@@ -25,6 +25,7 @@
 
 use super::announcements;
 use super::answer::{self, Body, Cause};
+use super::call;
 use super::intake::Intake;
 use super::part_blame;
 use super::pool::Reachability;
@@ -327,7 +328,9 @@
     if result == ProbeResult::Alive {
         on_alive(&shared, &id, sent);
     }
-    if ended {
-        on_ended(&shared, &id, if result == ProbeResult::Other { "address" } else { "port" });
+    match result {
+        ProbeResult::Other => call::on_replaced(&shared, &id),
+        _ if ended => on_ended(&shared, &id, "port"),
+        _ => {}
     }
 }
--- a/crates/daemon/src/gateway/stream/admission.rs
+++ b/crates/daemon/src/gateway/stream/admission.rs
@@ -15,6 +15,7 @@
 use ebonyloft_router::registry::ServerRegistry;
 use ebonyloft_router::stream_origin::Origin;
 use futures_util::future::select;
+use hyper::StatusCode;
 
 use super::shares::{self, ShareClaim};
 use super::state::{Hold, Reservation, StreamState};
@@ -350,8 +351,10 @@
                 server = %id, %status, asked, tokens = all.now(), peak = all.peak(), count,
                 "engine refused reservation"
             );
-            shared.metrics.count("gateway.hold.full", 1);
-            engines.on_full(now, id);
+            if status != StatusCode::MISDIRECTED_REQUEST {
+                shared.metrics.count("gateway.hold.full", 1);
+                engines.on_full(now, id);
+            }
         }
         Err(e) => {
             tracing::info!(server = %id, error = %e, "can't reach engine");
--- a/crates/daemon/src/gateway/stream/migration.rs
+++ b/crates/daemon/src/gateway/stream/migration.rs
@@ -23,7 +23,6 @@
 use super::state::{PrefillHandle, Reservation, StreamState, send_release};
 use super::{admission, prefill};
 use crate::gateway::announcements;
-use crate::gateway::call;
 use crate::gateway::engine_life::EngineLife;
 use crate::gateway::intake::Intake;
 use crate::gateway::pool::{ConnWatch, ExchangeError, ServerAnswer};
@@ -171,13 +170,8 @@
         id = intake.id(), server = %migration.source.id, target = %migration.target.id, ms,
         result = ?reply, generated = state.generated, "run copied"
     );
-    let (handle, watch) = match result {
-        Ok(MoveAnswer { reply: MoveReply::Copied { handle, .. }, watch }) => (handle, watch),
-        Ok(MoveAnswer { reply: MoveReply::Moved, .. }) => {
-            call::on_replaced(shared, &migration.source.id);
-            return Some(false);
-        }
-        _ => return Some(false),
+    let Ok(MoveAnswer { reply: MoveReply::Copied { handle, .. }, watch }) = result else {
+        return Some(false);
     };
     // When the copy was complete is not known, only when it began.
     let until = prefill::handle_until(intake, migration.started_at);
@@ -337,10 +331,6 @@
             retries::release_unused(shared, intake);
             Handover::RunGoesOn
         }
-        Ok(MoveReply::Moved) => {
-            call::on_replaced(shared, &migration.source.id);
-            Handover::Broken
-        }
         _ => Handover::Broken,
     }
 }
--- a/crates/standins/tests/prompt_handles.rs
+++ b/crates/standins/tests/prompt_handles.rs
@@ -163,3 +163,18 @@
         assert_eq!(decode.observed.borrow().unknown_holds, 0);
     });
 }
+
+/// Guards against an engine that is asked for each request although another one is at its address.
+#[test]
+fn a_replaced_engine_is_asked_for_one_reservation() {
+    let spec = FleetSpec { decode_engines: 2, ..spec(Duration::from_millis(40)) };
+    with_fleet(spec, async |fleet| {
+        let replaced = fleet.backends[1].clone();
+        replaced.server.borrow_mut().id = ServerId::new("i-other", 0);
+        for attempt in ["a", "b", "c", "d", "e", "f"] {
+            assert_whole(send(fleet, 0, attempt)).await;
+        }
+        let calls = replaced.observed.borrow().call_times.len();
+        assert!(calls <= 1, "{calls} calls");
+    });
+}
