Gateway: log lines for the life of a handle and of a reservation

Operators could not tell from logs which request's handle a run named: a prefill's line had its request and engine only, and a run had no line at all before its end. An incident of a stream that went on from another request's handle left nothing to tell its hypotheses apart.

Now logged: the handle that a prefill or a migration's call brought, the engine's incarnation and address, how long it is kept, the id that the answer named, the number of the connection in this process and how many exchanges it had carried (`prefill ended`, `run copied`, `run stopped for migration`); what a run names, to which engine and over which connection (`run sent`, the only new line of every stream); whether the engine accepted it (`stream attempt ended`); an unused handle with the reason (`handle dropped`). `placed` and `reservation in another zone requested` name the reservation. `engine refused reservation` says which incarnation the answer named and, after 421, which other server or stage is registered at the address. Lines about stray answers have the connection. No decision changes; bytes of log a stream are not measured yet.

--- a/crates/daemon/src/gateway/announcements.rs
+++ b/crates/daemon/src/gateway/announcements.rs
@@ -92,6 +92,16 @@
     shared.queue_waiters.wake_all();
 }
 
+/// An answer to a call of the gateway's own.
+pub struct ServerAnswer {
+    /// HTTP status.
+    pub status: StatusCode,
+    /// Name of the incarnation that answered, if the answer names it.
+    pub instance: Option<String>,
+    /// The body.
+    pub body: Bytes,
+}
+
 /// Calls a backend server for the gateway itself rather than for a caller. A server that is leaving
 /// or paused is not called.
 pub async fn call(
@@ -99,7 +109,7 @@
     to: &Server,
     req: Request<Bytes>,
     limit: Duration,
-) -> Result<(StatusCode, Bytes), ExchangeError> {
+) -> Result<ServerAnswer, ExchangeError> {
     if !accepts_requests(shared, &to.id) {
         tracing::info!(server = %to.id, "not called: the backend server is leaving or paused");
         return Err(ExchangeError::Unsent);
@@ -111,5 +121,5 @@
         quarantine::on_alive(shared, &to.id, sent);
     }
     on_answer(shared, &to.id, sent, &reply);
-    Ok((status, body))
+    Ok(ServerAnswer { status, instance: reply.instance, body })
 }
--- a/crates/daemon/src/gateway/orders.rs
+++ b/crates/daemon/src/gateway/orders.rs
@@ -225,8 +225,8 @@
     let reply = announcements::call(shared, &server, req, ORDER_TIMEOUT).await;
     let (to, stage): (&ServerId, Stage) = (&order.to, order.stage);
     match reply {
-        Ok((status, _)) => {
-            let result = engine::parse_order_reply(status);
+        Ok(answer) => {
+            let result = engine::parse_order_reply(answer.status);
             tracing::info!(
                 server = %to, ?stage, fence = order.fence, word = ?result, "order answered"
             );
--- a/crates/daemon/src/gateway/pool.rs
+++ b/crates/daemon/src/gateway/pool.rs
@@ -84,9 +84,19 @@
     }
 }
 
+/// A connection and what it has carried, for the log.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ConnUse {
+    /// Number of the connection in this process.
+    pub number: u64,
+    /// Exchanges with the backend server that it carried before.
+    pub carried: usize,
+}
+
 /// An open connection with no exchange on it.
 pub struct Conn {
     addr: SocketAddr,
+    number: u64,
     correlation: Correlation,
     sender: SendRequest<Full<Bytes>>,
     /// Drives the connection; dropping it closes the socket.
@@ -95,6 +105,11 @@
 }
 
 impl Conn {
+    /// The connection and what it has carried, for the log.
+    pub fn usage(&self) -> ConnUse {
+        ConnUse { number: self.number, carried: self.correlation.exchanges() }
+    }
+
     async fn send(&mut self, req: Request<Bytes>) -> Result<Response<Incoming>, ExchangeError> {
         let req = req.map(Full::new);
         match self.sender.try_send_request(req).await {
@@ -142,12 +157,14 @@
     clock: Clock,
     idle: RefCell<HashMap<SocketAddr, Vec<Conn>>>,
     strays: Rc<Strays>,
+    /// Connections opened so far.
+    opened: Cell<u64>,
 }
 
 impl Pool {
     /// An empty pool.
     pub fn new(clock: Clock) -> Self {
-        Pool { clock, idle: RefCell::default(), strays: Rc::default() }
+        Pool { clock, idle: RefCell::default(), strays: Rc::default(), opened: Cell::default() }
     }
 
     /// A connection that may carry the exchange and was idle for at most `idle_max`, or a new one.
@@ -194,6 +211,7 @@
         exchange: Exchange<'_>,
     ) -> Result<(Conn, Response<Incoming>), ExchangeError> {
         debug_assert!(conn.correlation.may_carry(exchange));
+        let ConnUse { number, carried } = conn.usage();
         conn.correlation.begin(exchange);
         let response = conn.send(req).await?;
         let echo = headers::parse_echo(response.headers());
@@ -203,7 +221,8 @@
         let status = response.status().as_u16();
         tracing::warn!(
             id = exchange.id().map(loggable), addr = %conn.addr, status,
-            named = echo.id().map(loggable), "answer of another exchange ignored"
+            named = echo.id().map(loggable), conn = number, carried,
+            "answer of another exchange ignored"
         );
         self.strays.record(conn.addr, self.clock.now());
         self.close_idle(conn.addr);
@@ -368,17 +387,19 @@
         let io = HyperStream::new_plain(stream);
         let (sender, conn) = http1::handshake(io).await.map_err(|_| ExchangeError::Unsent)?;
         let (strays, clock) = (self.strays.clone(), self.clock);
+        let number = self.opened.get() + 1;
+        self.opened.set(number);
         let task = compio::runtime::spawn(async move {
             if let Err(e) = conn.await {
                 tracing::debug!(%addr, error = %e, "connection failed");
                 if is_violation(&e) {
-                    tracing::warn!(%addr, "bytes ignored that belong to no exchange");
+                    tracing::warn!(%addr, conn = number, "bytes ignored that belong to no exchange");
                     strays.record(addr, clock.now());
                 }
             }
         });
         let correlation = Correlation::default();
-        Ok(Conn { addr, correlation, sender, task, idle_since: self.clock.now() })
+        Ok(Conn { addr, number, correlation, sender, task, idle_since: self.clock.now() })
     }
 
     async fn begin_exchange(
@@ -421,7 +442,7 @@
 }
 
 /// The start of an id, as ids in answers may have any length.
-fn loggable(id: &str) -> &str {
+pub fn loggable(id: &str) -> &str {
     id.get(..LOGGED_ID_MAX).unwrap_or(id)
 }
 
--- a/crates/daemon/src/gateway/send.rs
+++ b/crates/daemon/src/gateway/send.rs
@@ -1,5 +1,6 @@
 //! One attempt at a backend server: sends a request and determines the outcome.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -17,7 +18,7 @@
 use super::intake::Intake;
 use super::keys;
 use super::part_blame;
-use super::pool::{Conn, ExchangeError, IDLE_MAX, IDLE_MAX_ONCE};
+use super::pool::{Conn, ConnUse, ExchangeError, IDLE_MAX, IDLE_MAX_ONCE, loggable};
 use super::quarantine;
 use super::request_blame;
 use super::retries;
@@ -33,6 +34,40 @@
     pub response: Response<Incoming>,
     /// Carries the body; dropping it cancels the work at the backend server.
     pub conn: Conn,
+    /// The connection as it was before this exchange.
+    pub conn_use: ConnUse,
+}
+
+/// Memory at engines that a request names.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct NamedMemory<'a> {
+    /// Id of a reservation at the engine that it is sent to.
+    pub hold: Option<&'a str>,
+    /// Handle of the prompt's memory.
+    pub handle: Option<&'a str>,
+    /// The engine that issued the handle, and its address.
+    pub source: Option<(&'a ServerId, SocketAddr)>,
+    /// It is the handle of a run that was moved.
+    pub is_copy: bool,
+    /// The engine without which the handle is void.
+    pub prompt_source: Option<&'a ServerId>,
+}
+
+impl NamedMemory<'_> {
+    /// Logs that the request is sent; nothing if it names no memory.
+    fn log_sent(&self, intake: &Intake, to: &Server, conn_use: ConnUse) {
+        if self.hold.is_none() && self.handle.is_none() {
+            return;
+        }
+        let (source, addr) = self.source.unzip();
+        let (source, addr) =
+            (source.map(tracing::field::display), addr.map(tracing::field::display));
+        tracing::info!(
+            id = intake.id(), server = %to.id, hold = self.hold.map(loggable),
+            handle = self.handle.map(loggable), source, addr, copy = self.is_copy.then_some(true),
+            conn = conn_use.number, carried = conn_use.carried, "run sent"
+        );
+    }
 }
 
 /// A complete answer.
@@ -45,16 +80,20 @@
     pub body: Bytes,
     /// What its status and headers say.
     pub reply: Reply,
+    /// Id of the attempt that it names, if it was to carry a handle.
+    pub named: Option<String>,
+    /// The connection as it was before this exchange.
+    pub conn_use: ConnUse,
 }
 
 /// Sends a request and waits for the head of its answer. It is not sent if the request names memory
-/// at the engine `source` that has ended by then.
+/// that is void, as its engine has ended by then.
 pub async fn head(
     shared: &Shared,
     intake: &Intake,
     to: &Server,
     req: Request<Bytes>,
-    source: Option<&ServerId>,
+    memory: NamedMemory<'_>,
     expect: Expect,
 ) -> Result<Head, AttemptOutcome> {
     // A request that may run only once must not use a connection that the server may just be
@@ -76,6 +115,7 @@
         shared.pool.put_back(conn);
         return Err(AttemptOutcome::Unsent);
     }
+    let source = memory.prompt_source;
     if let Some(source) = source.filter(|source| shared.registry.borrow().has_ended(source)) {
         let id = intake.id();
         tracing::info!(id, server = %to.id, %source, "not sent: the engine with the prompt has ended");
@@ -108,6 +148,8 @@
     let ran_before =
         intake.maybe_ran.replace(intake.maybe_ran.get() || expect == Expect::Signature);
     retries::commit(shared, intake);
+    let conn_use = conn.usage();
+    memory.log_sent(intake, to, conn_use);
     let (conn, response) = match shared.pool.exchange(conn, req, exchange).await {
         Ok(answered) => answered,
         Err(e) => {
@@ -129,7 +171,7 @@
     if reply.load.is_some_and(|load| load.slowness.is_some()) {
         speeds::on_slowness(shared, &to.service);
     }
-    Ok(Head { reply, response, conn })
+    Ok(Head { reply, response, conn, conn_use })
 }
 
 /// Which mark a complete answer must carry.
@@ -152,12 +194,16 @@
     expect: Expect,
 ) -> (AttemptOutcome, Option<CompleteAnswer>) {
     let attempt = async {
-        let head = head(shared, intake, to, req, None, expect).await?;
-        let Head { mut reply, response, conn } = head;
+        let head = head(shared, intake, to, req, NamedMemory::default(), expect).await?;
+        let Head { mut reply, response, conn, conn_use } = head;
         reply.signed |= expect == Expect::Handle;
         let outcome = AttemptOutcome::from_reply(&reply);
         let (status, headers) =
             (response.status(), headers::forwarded_to_caller(response.headers()));
+        let named = match expect {
+            Expect::Signature => None,
+            Expect::Handle => headers::parse_echo(response.headers()).id().map(str::to_owned),
+        };
         let is_framed = http::is_framed(response.headers());
         let body = match response.into_body().collect().await {
             Ok(body) => body.to_bytes(),
@@ -177,7 +223,7 @@
             return Err(outcome);
         }
         shared.pool.put_back(conn);
-        Ok((outcome, CompleteAnswer { status, headers, body, reply }))
+        Ok((outcome, CompleteAnswer { status, headers, body, reply, named, conn_use }))
     };
     match compio::time::timeout(limit, attempt).await {
         Ok(Ok((outcome, answer))) => (outcome, Some(answer)),
--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -204,6 +204,7 @@
         let mut is_continued = false;
         let (outcome, answer, started_at) = loop {
             (state.first_event_at, state.heard_at, state.sound) = (None, None, false);
+            state.accepted = false;
             let started_at = shared.now();
             state.open_attempt = Some((server.clone(), started_at));
             match attempt(shared, intake, &server, state, out, &mut splitter).await {
@@ -229,7 +230,7 @@
             id = intake.id(), content = %intake.digest, server = %server.id,
             version = server.version.as_ref().map(SoftwareVersion::as_str),
             resumes = intake.resumed_attempt(), fate = ?outcome, events = splitter.count(),
-            last = splitter.last_id(), "stream attempt ended"
+            last = splitter.last_id(), accepted = state.accepted, "stream attempt ended"
         );
         if matches!(outcome, AttemptOutcome::Answered(200)) {
             return Ok(());
@@ -424,7 +425,7 @@
     {
         headers::set_last_event(headers, last);
     }
-    let sent = send::head(shared, intake, server, req, state.prompt_source(), Expect::Signature);
+    let sent = send::head(shared, intake, server, req, state.named_memory(), Expect::Signature);
     let head = match with_stall_timeout(intake, sent).await {
         Some(Ok(head)) => head,
         Some(Err(outcome)) => return AttemptEnd::Outcome(outcome, None),
@@ -464,7 +465,7 @@
     head: Head,
     outcome: AttemptOutcome,
 ) -> Option<send::CompleteAnswer> {
-    let Head { reply, response, conn } = head;
+    let Head { reply, response, conn, conn_use } = head;
     let (status, headers) = (response.status(), headers::forwarded_to_caller(response.headers()));
     let is_framed = http::is_framed(response.headers());
     let read = compio::time::timeout(STALL_TIMEOUT, response.into_body().collect()).await;
@@ -485,5 +486,7 @@
         headers,
         body,
         reply,
+        named: None,
+        conn_use,
     })
 }
--- a/crates/daemon/src/gateway/stream/admission.rs
+++ b/crates/daemon/src/gateway/stream/admission.rs
@@ -15,15 +15,17 @@
 use ebonyloft_router::registry::ServerRegistry;
 use ebonyloft_router::stream_origin::Origin;
 use futures_util::future::select;
+use hyper::StatusCode;
 
 use super::shares::{self, ShareClaim};
 use super::state::{Reservation, StreamState};
 use super::urgency::{self, UrgencySnapshot};
 use super::{StreamError, overflow, prefill, retry_at};
-use crate::gateway::announcements;
+use crate::gateway::announcements::{self, ServerAnswer};
 use crate::gateway::answer::Cause;
 use crate::gateway::intake::Intake;
 use crate::gateway::limits;
+use crate::gateway::pool::loggable;
 use crate::gateway::quarantine;
 use crate::gateway::shared::{Shared, SnapshotVersion};
 use crate::gateway::speeds;
@@ -88,7 +90,7 @@
             {
                 leave_queue(shared, state);
                 shares::on_admitted(shared, claim, &demand);
-                log_placed(shared, intake, spec, &demand, &server, joined_at);
+                log_placed(shared, intake, spec, &demand, state, &server, joined_at);
                 return Ok(server);
             }
             continue;
@@ -101,7 +103,7 @@
                     urgency::on_admitted(shared, &intake.service, &intake.levels, &demand);
                     leave_queue(shared, state);
                     shares::on_admitted(shared, claim, &demand);
-                    log_placed(shared, intake, spec, &demand, &server, joined_at);
+                    log_placed(shared, intake, spec, &demand, state, &server, joined_at);
                     return Ok(server);
                 }
             }
@@ -332,8 +334,7 @@
     let req = engine::reserve(id, memory.reserved(), spec.hold.as_millis() as u64);
     let answer = announcements::call(shared, server, req, RESERVE_TIMEOUT).await;
     let now = shared.now();
-    let hold =
-        answer.as_ref().ok().and_then(|(status, body)| engine::parse_reservation(*status, body));
+    let hold = answer.as_ref().ok().and_then(|a| engine::parse_reservation(a.status, &a.body));
     if hold.is_some() {
         return hold;
     }
@@ -341,11 +342,14 @@
     let mut engines = shared.engines.borrow_mut();
     engines.on_released(now, id, memory, false);
     match answer {
-        Ok((status, _)) => {
+        Ok(ServerAnswer { status, instance, .. }) => {
             let EngineLoad { memory: all, count, .. } = work;
             let asked = memory.reserved();
+            let registered = registered_beside(shared, server);
+            let registered = registered.filter(|_| status == StatusCode::MISDIRECTED_REQUEST);
             tracing::info!(
-                server = %id, %status, asked, tokens = all.now(), peak = all.peak(), count,
+                server = %id, addr = %server.addr, %status, asked, tokens = all.now(),
+                peak = all.peak(), count, instance = instance.as_deref().map(loggable), registered,
                 "engine refused reservation"
             );
             shared.metrics.count("gateway.hold.full", 1);
@@ -363,6 +367,17 @@
     None
 }
 
+/// Another server that is registered at the address of one, or the same one at another stage.
+fn registered_beside(shared: &Shared, server: &Server) -> Option<String> {
+    let registry = shared.registry.borrow();
+    let is_other = |s: &&Server| s.id != server.id || s.stage != server.stage;
+    let other = registry.all().filter(|s| s.addr == server.addr).find(is_other)?;
+    Some(match other.stage {
+        Some(stage) => format!("{} {stage:?}", other.id),
+        None => other.id.to_string(),
+    })
+}
+
 /// The headroom that a request had to leave, and whether latency goals alone decided, for the log.
 fn log_urgency(shared: &Shared, intake: &Intake, demand: &Demand) -> (u32, bool) {
     let demand_now = UrgencySnapshot::new(shared, &intake.service, &intake.levels);
@@ -425,9 +440,11 @@
     intake: &Intake,
     spec: &Engine,
     demand: &Demand,
+    state: &StreamState,
     server: &Server,
     joined_at: Timestamp,
 ) {
+    let hold = state.named_memory().hold.map(loggable);
     let free = free_percent(shared, intake, spec);
     let work = shared.engine_load(&server.id);
     let ms = shared.now().since(joined_at).as_millis() as u64;
@@ -443,7 +460,7 @@
         count = work.count, ms, gives = demand.value, free, factor, factor_age,
         version = server.version.as_ref().map(SoftwareVersion::as_str),
         resumes = intake.resumed_attempt(),
-        account = intake.account.as_ref().map(Account::as_str), config, roster, age, "placed"
+        account = intake.account.as_ref().map(Account::as_str), hold, config, roster, age, "placed"
     );
     shared.metrics.time("gateway.place_ms", ms);
 }
--- a/crates/daemon/src/gateway/stream/migration.rs
+++ b/crates/daemon/src/gateway/stream/migration.rs
@@ -25,7 +25,7 @@
 use crate::gateway::announcements;
 use crate::gateway::call;
 use crate::gateway::intake::Intake;
-use crate::gateway::pool::ExchangeError;
+use crate::gateway::pool::{ExchangeError, loggable};
 use crate::gateway::quarantine;
 use crate::gateway::retries;
 use crate::gateway::shared::{Shared, SnapshotVersion};
@@ -159,7 +159,8 @@
     let ms = now.since(migration.started_at).as_millis() as u64;
     tracing::info!(
         id = intake.id(), server = %migration.source.id, target = %migration.target.id, ms,
-        ?result, generated = state.generated, "run copied"
+        ?result, generated = state.generated, addr = %migration.source.addr,
+        handle = copied_handle(&result), "run copied"
     );
     match result {
         Ok(MoveReply::Copied { handle, .. }) => {
@@ -248,14 +249,16 @@
     last: bool,
 ) -> oneshot::Receiver<CallResult> {
     let (sender, receiver) = oneshot::channel();
-    let req = engine::move_run(&source.id, intake.id(), target, last);
-    let task = run_call(shared.clone(), source.clone(), req, last, sender);
+    let id = intake.id().to_owned();
+    let req = engine::move_run(&source.id, &id, target, last);
+    let task = run_call(shared.clone(), id, source.clone(), req, last, sender);
     compio::runtime::spawn(task).detach();
     receiver
 }
 
 async fn run_call(
     shared: Rc<Shared>,
+    id: String,
     source: Server,
     req: Request<Bytes>,
     last: bool,
@@ -263,7 +266,7 @@
 ) {
     let exchange = async {
         let answer = announcements::call(&shared, &source, req, LATE_TIMEOUT).await;
-        answer.map(|(status, body)| engine::parse_move_reply(status, &body))
+        answer.map(|answer| engine::parse_move_reply(answer.status, &answer.body))
     };
     let mut exchange = std::pin::pin!(exchange);
     let unused = match compio::time::timeout(CALL_TIMEOUT, exchange.as_mut()).await {
@@ -276,7 +279,7 @@
         }
     };
     if let Some(Ok(MoveReply::Copied { handle, .. })) = unused {
-        release_copy(&shared, &source, &handle);
+        release_copy(&shared, &id, &source, &handle);
     }
 }
 
@@ -294,7 +297,8 @@
     let ms = now.since(migration.started_at).as_millis() as u64;
     tracing::info!(
         id = intake.id(), server = %migration.source.id, target = %migration.target.id, ms,
-        ?result, generated = state.generated, "run stopped for migration"
+        ?result, generated = state.generated, addr = %migration.source.addr,
+        handle = copied_handle(&result), "run stopped for migration"
     );
     let until = prefill::handle_until(intake, now);
     match result {
@@ -381,7 +385,7 @@
         return;
     };
     if let Copy::Complete { handle, .. } = &migration.copy {
-        release_copy(shared, &migration.source, handle);
+        release_copy(shared, state.id(), &migration.source, handle);
     }
     forget_target(shared, state, failed);
 }
@@ -427,9 +431,23 @@
     }
 }
 
-fn release_copy(shared: &Shared, source: &Server, handle: &str) {
+fn release_copy(shared: &Shared, id: &str, source: &Server, handle: &str) {
     let req = engine::release_handle(&source.id, handle);
-    send_release(shared, &source.id, source.addr, req);
+    let released = send_release(shared, &source.id, source.addr, req);
+    tracing::info!(
+        id, server = %source.id, addr = %source.addr, handle = loggable(handle), released,
+        "handle dropped"
+    );
+}
+
+/// The handle that the result of a call brought, for the log.
+fn copied_handle(result: &CallResult) -> Option<&str> {
+    match result {
+        Ok(MoveReply::Copied { handle, .. } | MoveReply::NoCapacity { handle: Some(handle) }) => {
+            Some(loggable(handle))
+        }
+        _ => None,
+    }
 }
 
 fn spec(intake: &Intake) -> Option<&Engine> {
--- a/crates/daemon/src/gateway/stream/overflow.rs
+++ b/crates/daemon/src/gateway/stream/overflow.rs
@@ -22,6 +22,7 @@
 use super::admission;
 use super::state::{Reservation, StreamState};
 use crate::gateway::intake::Intake;
+use crate::gateway::pool::loggable;
 use crate::gateway::shared::{Shared, SnapshotVersion};
 
 /// Path for reservation requests, followed by `/` and the grant's id to release one.
@@ -166,9 +167,10 @@
     let grant = request_grant(shared, addr, &request).await;
     let ms = shared.now().since(now).as_millis() as u64;
     let server = grant.as_ref().map(|g| g.server.id.to_string());
+    let hold = grant.as_ref().map(|g| loggable(&g.hold));
     let SnapshotVersion { config, roster, age } = shared.snapshot_version();
     tracing::info!(
-        id = intake.id(), zone = zone.as_str(), peer = %addr, server, ms,
+        id = intake.id(), zone = zone.as_str(), peer = %addr, server, hold, ms,
         config, roster, age, "reservation in another zone requested"
     );
     shared.metrics.count("gateway.spilled", u64::from(grant.is_some()));
--- a/crates/daemon/src/gateway/stream/prefill.rs
+++ b/crates/daemon/src/gateway/stream/prefill.rs
@@ -18,6 +18,7 @@
 use crate::gateway::call;
 use crate::gateway::intake::Intake;
 use crate::gateway::limits;
+use crate::gateway::pool::loggable;
 use crate::gateway::quarantine::{self, RunStage, Sent};
 use crate::gateway::retries;
 use crate::gateway::send::{self, Expect};
@@ -201,16 +202,23 @@
     let slowness = answer.as_ref().and_then(|a| a.reply.load?.slowness);
     let speed = speeds::of(shared, &intake.service, &server.id).prefill;
     let (factor, factor_age) = (speed.map(|s| s.factor), speed.map(|s| s.age.as_millis() as u64));
+    let is_read = outcome == AttemptOutcome::Answered(200);
+    let prefilled = answer.as_ref().filter(|_| is_read);
+    let handle = prefilled.and_then(|a| engine::parse_prefill_result(&a.body));
+    let until = handle_until(intake, done);
+    let kept_ms = handle.is_some().then(|| until.since(done).as_millis() as u64);
+    let conn_use = answer.as_ref().map(|a| a.conn_use);
     tracing::info!(
         id = intake.id(), server = %server.id, fate = ?outcome, prompt, queue = work.unread, ms, foretold = predicted_ms,
-        rate, factor, factor_age, slowness, config, roster, age, "prefill ended"
+        rate, factor, factor_age, slowness, handle = handle.as_deref().map(loggable),
+        addr = handle.is_some().then(|| tracing::field::display(server.addr)), kept_ms,
+        named = answer.as_ref().and_then(|a| a.named.as_deref()).map(loggable),
+        conn = conn_use.map(|c| c.number), carried = conn_use.map(|c| c.carried),
+        config, roster, age, "prefill ended"
     );
     if outcome != AttemptOutcome::Mismatched {
         shared.metrics.time("gateway.read_ms", ms);
     }
-    let is_read = outcome == AttemptOutcome::Answered(200);
-    let prefilled = answer.as_ref().filter(|_| is_read);
-    let handle = prefilled.and_then(|a| engine::parse_prefill_result(&a.body));
     if let Some(handle) = handle {
         // The queue of another zone's prefill engine is not known here, so its time is no measure
         // of speed.
@@ -226,7 +234,6 @@
             shared.service_estimates(&intake.service).prefill_speed.observe(work, prompt, usual);
         }
         let (id, addr) = (server.id.clone(), server.addr);
-        let until = handle_until(intake, done);
         state.prefill_handle = Some(PrefillHandle {
             id,
             addr,
--- a/crates/daemon/src/gateway/stream/state.rs
+++ b/crates/daemon/src/gateway/stream/state.rs
@@ -20,7 +20,9 @@
 use super::overflow::RemoteReservation;
 use super::{STALL_TIMEOUT, wasted_prefill};
 use crate::gateway::announcements;
+use crate::gateway::pool::loggable;
 use crate::gateway::quarantine::{EARLY_WINDOW, RunStage, Sent};
+use crate::gateway::send::NamedMemory;
 use crate::gateway::shared::Shared;
 
 /// Timeout of releasing a reservation or a prompt handle; both also expire by themselves.
@@ -93,6 +95,8 @@
     pub first_event_at: Option<Timestamp>,
     /// When the head or the last event of the current attempt came.
     pub heard_at: Option<Timestamp>,
+    /// The current attempt was accepted, which used the memory that it named.
+    pub accepted: bool,
     /// The answer of the current attempt went on past its beginning.
     pub sound: bool,
     /// Longest gap before an event, including the gap between the response head and the first
@@ -120,11 +124,17 @@
             generated: 0,
             first_event_at: None,
             heard_at: None,
+            accepted: false,
             sound: false,
             longest_gap: Duration::ZERO,
         }
     }
 
+    /// Id of the caller's attempt.
+    pub fn id(&self) -> &str {
+        &self.id
+    }
+
     /// The current attempt, sent at `at`, as it stands now. One that stalled got no further than its
     /// last event.
     pub fn sent<'a>(&self, server: &'a Server, at: Timestamp, now: Timestamp) -> Sent<'a> {
@@ -149,8 +159,21 @@
         }
     }
 
+    /// The memory that a request names now.
+    pub fn named_memory(&self) -> NamedMemory<'_> {
+        let handle = self.prefill_handle.as_ref();
+        NamedMemory {
+            hold: self.reservation.as_ref().and_then(|r| r.hold_id.as_deref()),
+            handle: handle.map(|handle| handle.handle.as_str()),
+            source: handle.map(|handle| (&handle.id, handle.addr)),
+            is_copy: self.has_unused_copy(),
+            prompt_source: self.prompt_source(),
+        }
+    }
+
     /// The engine accepted the request, which uses up the reservation and the handle.
     pub fn mark_used(&mut self) {
+        self.accepted = true;
         if let Some(reservation) = &mut self.reservation {
             reservation.hold_id = None;
         }
@@ -224,7 +247,11 @@
                 wasted_prefill::count(shared, &self.id, cause, prefill_handle.tokens);
             }
             let req = engine::release_handle(&prefill_handle.id, &prefill_handle.handle);
-            send_release(shared, &prefill_handle.id, prefill_handle.addr, req);
+            let released = send_release(shared, &prefill_handle.id, prefill_handle.addr, req);
+            tracing::info!(
+                id = self.id, server = %prefill_handle.id, addr = %prefill_handle.addr,
+                handle = loggable(&prefill_handle.handle), wasted = ?cause, released, "handle dropped"
+            );
         }
     }
 
@@ -261,12 +288,12 @@
     }
 }
 
-/// Releases memory at an engine in a task of its own.
-pub fn send_release(shared: &Shared, id: &ServerId, addr: SocketAddr, req: Request<Bytes>) {
+/// Releases memory at an engine in a task of its own; false if the engine is not called.
+pub fn send_release(shared: &Shared, id: &ServerId, addr: SocketAddr, req: Request<Bytes>) -> bool {
     if announcements::is_unavailable(shared, id) || shared.limits.borrow().of(id).is_some() {
         // The engine asked for a back-off or has a request limit, and the memory is freed when it
         // expires.
-        return;
+        return false;
     }
     let pool = shared.pool.clone();
     compio::runtime::spawn(async move {
@@ -276,4 +303,5 @@
         }
     })
     .detach();
+    true
 }
--- a/crates/router/src/correlation.rs
+++ b/crates/router/src/correlation.rs
@@ -84,6 +84,11 @@
         }
     }
 
+    /// Exchanges that the connection has carried, the current one included.
+    pub fn exchanges(&self) -> usize {
+        self.exchanges
+    }
+
     /// Has the connection carried its last exchange?
     pub fn is_exhausted(&self) -> bool {
         self.exchanges >= EXCHANGES_MAX || self.is_uncertain
