--- a/crates/cli/src/cmd/trace.rs
+++ b/crates/cli/src/cmd/trace.rs
@@ -1,16 +1,20 @@
 //! Shows what happened to one request, from the gateways' logs.
 
+mod handles;
+
 use std::io::{self, Read, Write};
 use std::path::PathBuf;
 
 use serde_json::Value;
 
+use self::handles::explain_handles;
 use crate::error::{CliError, CliResult};
 use crate::logs::{self, Line, field};
 
 const HELP: &str = "\
 Reads the gateways' logs, from files or standard input, and prints all lines about one request in the
-order of time, followed by an explanation of how the request ended.
+order of time, followed by what became of each handle of its prompt or run, and an explanation of how the
+request ended.
 
 If the request was refused because servers crashed before under the same request, or under a part of its
 prompt, the lines about these crashes are printed too.
@@ -54,6 +58,9 @@
     if let Some(explanation) = lines.iter().rev().find_map(explain_version) {
         writeln!(out, "{explanation}")?;
     }
+    for explanation in explain_handles(&lines) {
+        writeln!(out, "{explanation}")?;
+    }
     if let Some(explanation) = lines.iter().rev().find_map(explain_end) {
         writeln!(out, "{explanation}")?;
     }
--- a/crates/cli/tests/trace.rs
+++ b/crates/cli/tests/trace.rs
@@ -132,3 +132,51 @@
     let text = explained(r#""origin":"Unknown""#, "OriginUnknown");
     assert!(text.contains("an attempt that it does not name; no gateway knows"), "{text}");
 }
+
+/// The sentences that `trace` prints about handles.
+fn handle_sentences(log: &str) -> Vec<String> {
+    let text = String::from_utf8(trace(&["a"], log).stdout).expect("text");
+    text.lines().filter(|line| line.starts_with("The handle")).map(str::to_owned).collect()
+}
+
+const RECEIPT: &str = r#"{"timestamp":"2026-07-06T12:57:55.1Z","message":"prefill ended","id":"a","server":"i-1@5","handle":"p1","conn":4,"carried":2}"#;
+const RUN: &str = r#"{"timestamp":"2026-07-06T12:57:55.2Z","message":"run sent","id":"a","server":"i-2@7","handle":"p1","source":"i-1@5"}"#;
+
+#[test]
+fn a_handle_that_a_run_used_is_named_with_its_engines() {
+    let log = format!(
+        "{RUN}\n{RECEIPT}\n{}\n{}\n",
+        r#"{"timestamp":"2026-07-06T12:57:55.3Z","message":"first event","id":"a","ms":200}"#,
+        r#"{"timestamp":"2026-07-06T12:57:55.9Z","message":"stream ended","id":"a","word":"whole"}"#
+    );
+    let text = String::from_utf8(trace(&["a"], &log).stdout).expect("text");
+    let lines: Vec<&str> = text.lines().collect();
+    assert_eq!(lines.len(), 6, "{text}");
+    assert!(lines[0].contains("prefill ended") && lines[0].contains("conn=4"));
+    assert!(lines[1].contains("run sent") && lines[1].contains("handle=p1"));
+    assert_eq!(lines[4], "The handle p1 of i-1@5 was used by the run at i-2@7.");
+    assert_eq!(lines[5], "It was answered completely.");
+}
+
+#[test]
+fn a_handle_that_no_run_used_is_explained() {
+    let rejected = r#"{"timestamp":"2026-07-06T12:57:55.3Z","message":"stream attempt ended","id":"a","accepted":false}"#;
+    let dropped = r#"{"timestamp":"2026-07-06T12:57:55.4Z","message":"handle dropped","id":"a","server":"i-1@5","handle":"p1","wasted":"Refused"}"#;
+    let of = |lines: &[&str]| handle_sentences(&lines.join("\n"));
+    assert_eq!(
+        of(&[RECEIPT, RUN, rejected, dropped]),
+        [
+            "The handle p1 of i-1@5 was named by the run at i-2@7, which was not accepted, and was dropped: Refused."
+        ]
+    );
+    assert_eq!(
+        of(&[RECEIPT, dropped]),
+        ["The handle p1 of i-1@5 was named by no run, and was dropped: Refused."]
+    );
+    assert_eq!(
+        of(&[RECEIPT, RUN]),
+        [
+            "The handle p1 of i-1@5 was named by the run at i-2@7; no line tells whether that was accepted; no line tells that it was dropped."
+        ]
+    );
+}
--- a/crates/daemon/src/gateway/stream/migration.rs
+++ b/crates/daemon/src/gateway/stream/migration.rs
@@ -435,7 +435,7 @@
     let req = engine::release_handle(&source.id, handle);
     let released = send_release(shared, &source.id, source.addr, req);
     tracing::info!(
-        id, server = %source.id, addr = %source.addr, handle = loggable(handle), released,
+        id, server = %source.id, addr = %source.addr, handle = loggable(handle), copy = true, released,
         "handle dropped"
     );
 }
--- a/crates/daemon/src/gateway/stream/state.rs
+++ b/crates/daemon/src/gateway/stream/state.rs
@@ -250,7 +250,8 @@
             let released = send_release(shared, &prefill_handle.id, prefill_handle.addr, req);
             tracing::info!(
                 id = self.id, server = %prefill_handle.id, addr = %prefill_handle.addr,
-                handle = loggable(&prefill_handle.handle), wasted = ?cause, released, "handle dropped"
+                handle = loggable(&prefill_handle.handle), wasted = ?cause,
+                copy = prefill_handle.is_copy.then_some(true), released, "handle dropped"
             );
         }
     }
