--- a/crates/daemon/src/gateway/pool.rs
+++ b/crates/daemon/src/gateway/pool.rs
@@ -112,9 +112,19 @@
     }
 }
 
+/// A connection and what it has carried, for the log.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ConnUse {
+    /// Number of the connection in this process.
+    pub number: u64,
+    /// Exchanges with the backend server that it carried before.
+    pub carried: usize,
+}
+
 /// An open connection with no exchange on it.
 pub struct Conn {
     addr: SocketAddr,
+    number: u64,
     correlation: Correlation,
     watch: ConnWatch,
     sender: SendRequest<Full<Bytes>>,
@@ -124,6 +134,11 @@
 }
 
 impl Conn {
+    /// The connection and what it has carried, for the log.
+    pub fn usage(&self) -> ConnUse {
+        ConnUse { number: self.number, carried: self.correlation.exchanges() }
+    }
+
     async fn send(&mut self, req: Request<Bytes>) -> Result<Response<Incoming>, ExchangeError> {
         let req = req.map(Full::new);
         match self.sender.try_send_request(req).await {
@@ -188,12 +203,14 @@
     clock: Clock,
     idle: RefCell<HashMap<SocketAddr, Vec<Conn>>>,
     strays: Rc<Strays>,
+    /// Connections opened so far.
+    opened: Cell<u64>,
 }
 
 impl Pool {
     /// An empty pool.
     pub fn new(clock: Clock) -> Self {
-        Pool { clock, idle: RefCell::default(), strays: Rc::default() }
+        Pool { clock, idle: RefCell::default(), strays: Rc::default(), opened: Cell::default() }
     }
 
     /// A connection that may carry the exchange and was idle for at most `idle_max`, or a new one.
@@ -240,6 +257,7 @@
         exchange: Exchange<'_>,
     ) -> Result<(Conn, Response<Incoming>), ExchangeError> {
         debug_assert!(conn.correlation.may_carry(exchange));
+        let ConnUse { number, carried } = conn.usage();
         conn.correlation.begin(exchange);
         let response = conn.send(req).await?;
         conn.watch.on_head(response.headers());
@@ -250,7 +268,8 @@
         let status = response.status().as_u16();
         tracing::warn!(
             id = exchange.id().map(loggable), addr = %conn.addr, status,
-            named = echo.id().map(loggable), "answer of another exchange ignored"
+            named = echo.id().map(loggable), conn = number, carried,
+            "answer of another exchange ignored"
         );
         self.strays.record(conn.addr, self.clock.now());
         self.close_idle(conn.addr);
@@ -418,18 +437,21 @@
         let (strays, clock) = (self.strays.clone(), self.clock);
         let watch = ConnWatch::default();
         let state = watch.0.clone();
+        let number = self.opened.get() + 1;
+        self.opened.set(number);
         let task = compio::runtime::spawn(async move {
             if let Err(e) = conn.await {
                 tracing::debug!(%addr, error = %e, "connection failed");
                 if is_violation(&e) {
-                    tracing::warn!(%addr, "bytes ignored that belong to no exchange");
+                    tracing::warn!(%addr, conn = number, "bytes ignored that belong to no exchange");
                     return strays.record(addr, clock.now());
                 }
             }
             state.is_closed.set(true);
         });
         let correlation = Correlation::default();
-        Ok(Conn { addr, correlation, watch, sender, task, idle_since: self.clock.now() })
+        let idle_since = self.clock.now();
+        Ok(Conn { addr, number, correlation, watch, sender, task, idle_since })
     }
 
     async fn begin_exchange(
@@ -472,7 +494,7 @@
 }
 
 /// The start of an id, as ids in answers may have any length.
-fn loggable(id: &str) -> &str {
+pub fn loggable(id: &str) -> &str {
     id.get(..LOGGED_ID_MAX).unwrap_or(id)
 }
 
--- a/crates/daemon/src/gateway/send.rs
+++ b/crates/daemon/src/gateway/send.rs
@@ -1,11 +1,12 @@
 //! One attempt at a backend server: sends a request and determines the outcome.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
 use ebonyloft_core::verdict::Verdict;
 use ebonyloft_platform::headers;
-use ebonyloft_router::catalog::{Kind, Server};
+use ebonyloft_router::catalog::{Kind, Server, ServerId};
 use ebonyloft_router::correlation::Exchange;
 use ebonyloft_router::outcome::{AttemptOutcome, Reply};
 use ebonyloft_router::response_head;
@@ -18,7 +19,7 @@
 use super::intake::Intake;
 use super::keys;
 use super::part_blame;
-use super::pool::{Conn, ConnWatch, ExchangeError, IDLE_MAX, IDLE_MAX_ONCE};
+use super::pool::{Conn, ConnUse, ConnWatch, ExchangeError, IDLE_MAX, IDLE_MAX_ONCE, loggable};
 use super::quarantine;
 use super::request_blame;
 use super::retries;
@@ -34,6 +35,40 @@
     pub response: Response<Incoming>,
     /// Carries the body; dropping it cancels the work at the backend server.
     pub conn: Conn,
+    /// The connection as it was before this exchange.
+    pub conn_use: ConnUse,
+}
+
+/// Memory at engines that a request names.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct NamedMemory<'a> {
+    /// Id of a reservation at the engine that it is sent to, and the life in which it is valid.
+    pub hold: Option<(&'a str, &'a EngineLife)>,
+    /// Handle of the prompt's memory.
+    pub handle: Option<&'a str>,
+    /// The engine that issued the handle, and its address.
+    pub source: Option<(&'a ServerId, SocketAddr)>,
+    /// It is the handle of a run that was moved.
+    pub is_copy: bool,
+    /// The life of the engine that keeps the prompt's memory.
+    pub keeper: Option<&'a EngineLife>,
+}
+
+impl NamedMemory<'_> {
+    /// Logs that the request is sent; nothing if it names no memory.
+    fn log_sent(&self, intake: &Intake, to: &Server, conn_use: ConnUse) {
+        if self.hold.is_none() && self.handle.is_none() {
+            return;
+        }
+        let (source, addr) = self.source.unzip();
+        let (source, addr) =
+            (source.map(tracing::field::display), addr.map(tracing::field::display));
+        tracing::info!(
+            id = intake.id(), server = %to.id, hold = self.hold.map(|(id, _)| loggable(id)),
+            handle = self.handle.map(loggable), source, addr, copy = self.is_copy.then_some(true),
+            conn = conn_use.number, carried = conn_use.carried, "run sent"
+        );
+    }
 }
 
 /// A complete answer.
@@ -48,15 +83,10 @@
     pub reply: Reply,
     /// The connection that it came over.
     pub watch: ConnWatch,
-}
-
-/// The lives of the engines that gave the names in a request.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct NamedLives<'a> {
-    /// That of the prompt's memory.
-    pub prompt: Option<&'a EngineLife>,
-    /// That of the reservation.
-    pub reservation: Option<&'a EngineLife>,
+    /// Id of the attempt that it names, if it was to carry a handle.
+    pub named: Option<String>,
+    /// The connection as it was before this exchange.
+    pub conn_use: ConnUse,
 }
 
 /// Sends a request and waits for the head of its answer. It is not sent if a life in which something
@@ -66,7 +96,7 @@
     intake: &Intake,
     to: &Server,
     req: Request<Bytes>,
-    named: NamedLives<'_>,
+    memory: NamedMemory<'_>,
     expect: Expect,
 ) -> Result<Head, AttemptOutcome> {
     // A request that may run only once must not use a connection that the server may just be
@@ -88,13 +118,13 @@
         shared.pool.put_back(conn);
         return Err(AttemptOutcome::Unsent);
     }
-    if let Some(life) = named.prompt.filter(|life| life.has_ended(shared)) {
+    if let Some(life) = memory.keeper.filter(|life| life.has_ended(shared)) {
         let (id, source) = (intake.id(), life.id());
         tracing::info!(id, server = %to.id, %source, "not sent: the engine with the prompt has ended");
         shared.pool.put_back(conn);
         return Err(AttemptOutcome::Unsent);
     }
-    if named.reservation.is_some_and(|life| life.has_ended(shared)) {
+    if memory.hold.is_some_and(|(_, life)| life.has_ended(shared)) {
         let id = intake.id();
         tracing::info!(id, server = %to.id, "not sent: the engine with the reservation has ended");
         shared.pool.put_back(conn);
@@ -126,6 +156,8 @@
     let ran_before =
         intake.maybe_ran.replace(intake.maybe_ran.get() || expect == Expect::Signature);
     retries::commit(shared, intake);
+    let conn_use = conn.usage();
+    memory.log_sent(intake, to, conn_use);
     let (conn, response) = match shared.pool.exchange(conn, req, exchange).await {
         Ok(answered) => answered,
         Err(e) => {
@@ -147,7 +179,7 @@
     if reply.load.is_some_and(|load| load.slowness.is_some()) {
         speeds::on_slowness(shared, &to.service);
     }
-    Ok(Head { reply, response, conn })
+    Ok(Head { reply, response, conn, conn_use })
 }
 
 /// Which mark a complete answer must carry.
@@ -170,12 +202,16 @@
     expect: Expect,
 ) -> (AttemptOutcome, Option<CompleteAnswer>) {
     let attempt = async {
-        let head = head(shared, intake, to, req, NamedLives::default(), expect).await?;
-        let Head { mut reply, response, conn } = head;
+        let head = head(shared, intake, to, req, NamedMemory::default(), expect).await?;
+        let Head { mut reply, response, conn, conn_use } = head;
         reply.signed |= expect == Expect::Handle;
         let outcome = AttemptOutcome::from_reply(&reply);
         let (status, headers) =
             (response.status(), headers::forwarded_to_caller(response.headers()));
+        let named = match expect {
+            Expect::Signature => None,
+            Expect::Handle => headers::parse_echo(response.headers()).id().map(str::to_owned),
+        };
         let is_framed = http::is_framed(response.headers());
         let body = match response.into_body().collect().await {
             Ok(body) => body.to_bytes(),
@@ -196,7 +232,7 @@
         }
         let watch = conn.watch();
         shared.pool.put_back(conn);
-        Ok((outcome, CompleteAnswer { status, headers, body, reply, watch }))
+        Ok((outcome, CompleteAnswer { status, headers, body, reply, watch, named, conn_use }))
     };
     match compio::time::timeout(limit, attempt).await {
         Ok(Ok((outcome, answer))) => (outcome, Some(answer)),
--- a/crates/daemon/src/gateway/stream/admission.rs
+++ b/crates/daemon/src/gateway/stream/admission.rs
@@ -4,7 +4,7 @@
 
 use ebonyloft_core::ids::Account;
 use ebonyloft_core::time::Timestamp;
-use ebonyloft_platform::engine;
+use ebonyloft_platform::{engine, headers};
 use ebonyloft_router::answer_length::LengthForecast;
 use ebonyloft_router::catalog::{Engine, Server, ServerId, SoftwareVersion, Stage};
 use ebonyloft_router::demand::Demand;
@@ -26,7 +26,7 @@
 use crate::gateway::engine_life::EngineLife;
 use crate::gateway::intake::Intake;
 use crate::gateway::limits;
-use crate::gateway::pool::ServerAnswer;
+use crate::gateway::pool::{ServerAnswer, loggable};
 use crate::gateway::quarantine;
 use crate::gateway::shared::{Shared, SnapshotVersion};
 use crate::gateway::speeds;
@@ -91,7 +91,7 @@
             {
                 leave_queue(shared, state);
                 shares::on_admitted(shared, claim, &demand);
-                log_placed(shared, intake, spec, &demand, &server, joined_at);
+                log_placed(shared, intake, spec, &demand, state, &server, joined_at);
                 return Ok(server);
             }
             continue;
@@ -104,7 +104,7 @@
                     urgency::on_admitted(shared, &intake.service, &intake.levels, &demand);
                     leave_queue(shared, state);
                     shares::on_admitted(shared, claim, &demand);
-                    log_placed(shared, intake, spec, &demand, &server, joined_at);
+                    log_placed(shared, intake, spec, &demand, state, &server, joined_at);
                     return Ok(server);
                 }
             }
@@ -344,11 +344,15 @@
     let mut engines = shared.engines.borrow_mut();
     engines.on_released(now, id, memory, false);
     match answer {
-        Ok(ServerAnswer { status, .. }) => {
+        Ok(ServerAnswer { status, headers, .. }) => {
             let EngineLoad { memory: all, count, .. } = work;
             let asked = memory.reserved();
+            let instance = headers::parse_reply(status, &headers).instance;
+            let registered = registered_beside(shared, server);
+            let registered = registered.filter(|_| status == StatusCode::MISDIRECTED_REQUEST);
             tracing::info!(
-                server = %id, %status, asked, tokens = all.now(), peak = all.peak(), count,
+                server = %id, addr = %server.addr, %status, asked, tokens = all.now(),
+                peak = all.peak(), count, instance = instance.as_deref().map(loggable), registered,
                 "engine refused reservation"
             );
             if status != StatusCode::MISDIRECTED_REQUEST {
@@ -368,6 +372,17 @@
     None
 }
 
+/// Another server that is registered at the address of one, or the same one at another stage.
+fn registered_beside(shared: &Shared, server: &Server) -> Option<String> {
+    let registry = shared.registry.borrow();
+    let is_other = |s: &&Server| s.id != server.id || s.stage != server.stage;
+    let other = registry.all().filter(|s| s.addr == server.addr).find(is_other)?;
+    Some(match other.stage {
+        Some(stage) => format!("{} {stage:?}", other.id),
+        None => other.id.to_string(),
+    })
+}
+
 /// The headroom that a request had to leave, and whether latency goals alone decided, for the log.
 fn log_urgency(shared: &Shared, intake: &Intake, demand: &Demand) -> (u32, bool) {
     let demand_now = UrgencySnapshot::new(shared, &intake.service, &intake.levels);
@@ -430,9 +445,11 @@
     intake: &Intake,
     spec: &Engine,
     demand: &Demand,
+    state: &StreamState,
     server: &Server,
     joined_at: Timestamp,
 ) {
+    let hold = state.named_memory().hold.map(|(id, _)| loggable(id));
     let free = free_percent(shared, intake, spec);
     let work = shared.engine_load(&server.id);
     let ms = shared.now().since(joined_at).as_millis() as u64;
@@ -448,7 +465,7 @@
         count = work.count, ms, gives = demand.value, free, factor, factor_age,
         version = server.version.as_ref().map(SoftwareVersion::as_str),
         resumes = intake.resumed_attempt(),
-        account = intake.account.as_ref().map(Account::as_str), config, roster, age, "placed"
+        account = intake.account.as_ref().map(Account::as_str), hold, config, roster, age, "placed"
     );
     shared.metrics.time("gateway.place_ms", ms);
 }
--- a/crates/daemon/src/gateway/stream/migration.rs
+++ b/crates/daemon/src/gateway/stream/migration.rs
@@ -25,7 +25,7 @@
 use crate::gateway::announcements;
 use crate::gateway::engine_life::EngineLife;
 use crate::gateway::intake::Intake;
-use crate::gateway::pool::{ConnWatch, ExchangeError, ServerAnswer};
+use crate::gateway::pool::{ConnWatch, ExchangeError, ServerAnswer, loggable};
 use crate::gateway::quarantine;
 use crate::gateway::retries;
 use crate::gateway::shared::{Shared, SnapshotVersion};
@@ -168,7 +168,8 @@
     let reply = result.as_ref().map(|answer| &answer.reply);
     tracing::info!(
         id = intake.id(), server = %migration.source.id, target = %migration.target.id, ms,
-        result = ?reply, generated = state.generated, "run copied"
+        result = ?reply, generated = state.generated, addr = %migration.source.addr,
+        handle = copied_handle(reply), "run copied"
     );
     let Ok(MoveAnswer { reply: MoveReply::Copied { handle, .. }, watch }) = result else {
         return Some(false);
@@ -252,14 +253,16 @@
     last: bool,
 ) -> oneshot::Receiver<CallResult> {
     let (sender, receiver) = oneshot::channel();
-    let req = engine::move_run(&source.id, intake.id(), target, last);
-    let task = run_call(shared.clone(), source.clone(), req, last, sender);
+    let id = intake.id().to_owned();
+    let req = engine::move_run(&source.id, &id, target, last);
+    let task = run_call(shared.clone(), id, source.clone(), req, last, sender);
     compio::runtime::spawn(task).detach();
     receiver
 }
 
 async fn run_call(
     shared: Rc<Shared>,
+    id: String,
     source: Server,
     req: Request<Bytes>,
     last: bool,
@@ -283,7 +286,7 @@
         }
     };
     if let Some(Ok(MoveAnswer { reply: MoveReply::Copied { handle, .. }, watch })) = unused {
-        release_copy(&shared, &source, &EngineLife::new(source.id.clone(), watch), &handle);
+        release_copy(&shared, &id, &source, &EngineLife::new(source.id.clone(), watch), &handle);
     }
 }
 
@@ -302,7 +305,8 @@
     let reply = result.as_ref().map(|answer| &answer.reply);
     tracing::info!(
         id = intake.id(), server = %migration.source.id, target = %migration.target.id, ms,
-        result = ?reply, generated = state.generated, "run stopped for migration"
+        result = ?reply, generated = state.generated, addr = %migration.source.addr,
+        handle = copied_handle(reply), "run stopped for migration"
     );
     let until = prefill::handle_until(intake, now);
     let (reply, watch) = match result {
@@ -405,7 +409,7 @@
         return;
     };
     if let Copy::Complete { handle, source, .. } = &migration.copy {
-        release_copy(shared, &migration.source, source, handle);
+        release_copy(shared, state.id(), &migration.source, source, handle);
     }
     forget_target(shared, state, failed);
 }
@@ -451,9 +455,23 @@
     }
 }
 
-fn release_copy(shared: &Shared, source: &Server, life: &EngineLife, handle: &str) {
+fn release_copy(shared: &Shared, id: &str, source: &Server, life: &EngineLife, handle: &str) {
     let req = engine::release_handle(&source.id, handle);
-    send_release(shared, life, source.addr, req);
+    let released = send_release(shared, life, source.addr, req);
+    tracing::info!(
+        id, server = %source.id, addr = %source.addr, handle = loggable(handle), copy = true, released,
+        "handle dropped"
+    );
+}
+
+/// The handle that the result of a call brought, for the log.
+fn copied_handle<'a>(result: Result<&'a MoveReply, &ExchangeError>) -> Option<&'a str> {
+    match result {
+        Ok(MoveReply::Copied { handle, .. } | MoveReply::NoCapacity { handle: Some(handle) }) => {
+            Some(loggable(handle))
+        }
+        _ => None,
+    }
 }
 
 fn spec(intake: &Intake) -> Option<&Engine> {
--- a/crates/daemon/src/gateway/stream/state.rs
+++ b/crates/daemon/src/gateway/stream/state.rs
@@ -21,8 +21,9 @@
 use super::{STALL_TIMEOUT, wasted_prefill};
 use crate::gateway::announcements;
 use crate::gateway::engine_life::EngineLife;
+use crate::gateway::pool::loggable;
 use crate::gateway::quarantine::{EARLY_WINDOW, RunStage, Sent};
-use crate::gateway::send::NamedLives;
+use crate::gateway::send::NamedMemory;
 use crate::gateway::shared::Shared;
 
 /// Timeout of releasing a reservation or a prompt handle; both also expire by themselves.
@@ -105,6 +106,8 @@
     pub first_event_at: Option<Timestamp>,
     /// When the head or the last event of the current attempt came.
     pub heard_at: Option<Timestamp>,
+    /// The current attempt was accepted, which used the memory that it named.
+    pub accepted: bool,
     /// The answer of the current attempt went on past its beginning.
     pub sound: bool,
     /// Longest gap before an event, including the gap between the response head and the first
@@ -132,11 +135,17 @@
             generated: 0,
             first_event_at: None,
             heard_at: None,
+            accepted: false,
             sound: false,
             longest_gap: Duration::ZERO,
         }
     }
 
+    /// Id of the caller's attempt.
+    pub fn id(&self) -> &str {
+        &self.id
+    }
+
     /// The current attempt, sent at `at`, as it stands now. One that stalled got no further than its
     /// last event.
     pub fn sent<'a>(&self, server: &'a Server, at: Timestamp, now: Timestamp) -> Sent<'a> {
@@ -161,8 +170,21 @@
         }
     }
 
+    /// The memory that a request names now.
+    pub fn named_memory(&self) -> NamedMemory<'_> {
+        let handle = self.prefill_handle.as_ref();
+        NamedMemory {
+            hold: self.hold().map(|hold| (hold.id.as_str(), &hold.life)),
+            handle: handle.map(|handle| handle.handle.as_str()),
+            source: handle.map(|handle| (handle.issuer.id(), handle.addr)),
+            is_copy: self.has_unused_copy(),
+            keeper: handle.map(|handle| &handle.keeper),
+        }
+    }
+
     /// The engine accepted the request, which uses up the reservation and the handle.
     pub fn mark_used(&mut self) {
+        self.accepted = true;
         if let Some(reservation) = &mut self.reservation {
             reservation.hold = None;
         }
@@ -173,14 +195,6 @@
         self.reservation.as_ref()?.hold.as_ref()
     }
 
-    /// The lives of the engines that gave the names of the reservation and the prompt.
-    pub fn named_lives(&self) -> NamedLives<'_> {
-        NamedLives {
-            prompt: self.prefill_handle.as_ref().map(|handle| &handle.keeper),
-            reservation: self.hold().map(|hold| &hold.life),
-        }
-    }
-
     /// Records how many tokens the answer has.
     pub fn record_generated(&mut self, shared: &Shared, prompt: u64, generated: u64) {
         self.generated = generated;
@@ -225,12 +239,12 @@
 
     /// Has the engine that keeps the prompt's memory ended?
     pub fn has_lost_prompt(&self, shared: &Shared) -> bool {
-        self.named_lives().prompt.is_some_and(|life| life.has_ended(shared))
+        self.prefill_handle.as_ref().is_some_and(|handle| handle.keeper.has_ended(shared))
     }
 
     /// Has the engine ended that gave the reservation its name?
     pub fn has_lost_hold(&self, shared: &Shared) -> bool {
-        self.named_lives().reservation.is_some_and(|life| life.has_ended(shared))
+        self.hold().is_some_and(|hold| hold.life.has_ended(shared))
     }
 
     /// Forgets the name of a reservation whose engine has ended: the next life of the engine doesn't
@@ -261,7 +275,12 @@
             }
             let issuer = &prefill_handle.issuer;
             let req = engine::release_handle(issuer.id(), &prefill_handle.handle);
-            send_release(shared, issuer, prefill_handle.addr, req);
+            let released = send_release(shared, issuer, prefill_handle.addr, req);
+            tracing::info!(
+                id = self.id, server = %issuer.id(), addr = %prefill_handle.addr,
+                handle = loggable(&prefill_handle.handle), wasted = ?cause,
+                copy = prefill_handle.is_copy.then_some(true), released, "handle dropped"
+            );
         }
     }
 
@@ -294,17 +313,23 @@
     }
 }
 
-/// Releases memory that an engine named in this life, in a task of its own.
-pub fn send_release(shared: &Shared, life: &EngineLife, addr: SocketAddr, req: Request<Bytes>) {
+/// Releases memory that an engine named in this life, in a task of its own; false if the engine is not
+/// called.
+pub fn send_release(
+    shared: &Shared,
+    life: &EngineLife,
+    addr: SocketAddr,
+    req: Request<Bytes>,
+) -> bool {
     if life.has_ended(shared) {
         // The next life may have given the name to another request.
-        return;
+        return false;
     }
     let id = life.id();
     if announcements::is_unavailable(shared, id) || shared.limits.borrow().of(id).is_some() {
         // The engine asked for a back-off or has a request limit, and the memory is freed when it
         // expires.
-        return;
+        return false;
     }
     let pool = shared.pool.clone();
     compio::runtime::spawn(async move {
@@ -314,4 +339,5 @@
         }
     })
     .detach();
+    true
 }
