Stand-ins: a foreign prompt is reported with its maker's life and the run's own exchanges there

Cause: a failed check said "made for another attempt" only.

Change: a violation names the owner, the incarnation that made the prompt, its age, how often the victim was itself sent to that engine and what was made for it there. An engine can end for a chosen time at the same address, with the registration of the ended incarnation beside the new one's, and counts the reservations that it answers with 421. What counts as a violation is as before.

--- a/crates/standins/src/fleet/backend.rs
+++ b/crates/standins/src/fleet/backend.rs
@@ -164,6 +164,8 @@
     pub cancelled: u64,
     /// Refused reservations.
     pub refused_holds: u64,
+    /// Reservations asked of another incarnation.
+    pub misdirected_holds: u64,
     /// Calls of migrations: the attempt, and whether it was the last call.
     pub moves: Vec<(String, bool)>,
     /// Engines and handles that runs named, by attempt.
@@ -370,6 +372,26 @@
         }
     }
 
+    /// Ends as a killed process does, unless it is down, and starts an incarnation under another name at the same
+    /// address after `downtime`. The registration of the one that ended expires, if need be beside the new one's.
+    pub async fn end_for(self: &Rc<Self>, downtime: Duration) {
+        if !self.is_up() {
+            return;
+        }
+        let previous = self.server.borrow().clone();
+        let (store, expired) = (self.store.borrow().clone(), previous.clone());
+        compio::runtime::spawn(async move {
+            compio::time::sleep(REGISTRATION_TTL).await;
+            if let Some(store) = store {
+                store.unregister(&expired);
+            }
+        })
+        .detach();
+        self.end().await;
+        compio::time::sleep(downtime.saturating_sub(RESTART_TIME)).await;
+        self.start_incarnation(&previous).await;
+    }
+
     /// Ends, and starts an incarnation of this version under another name at the same address, which
     /// it registers.
     pub async fn replace_with(self: &Rc<Self>, version: &str) {
@@ -537,6 +559,10 @@
                 self.record_lost_prefill(&work);
                 simulation::rejection_headers(&work.attempt)
             }
+            Some(BackendCall::Reserve { .. }) => {
+                self.observed.borrow_mut().misdirected_holds += 1;
+                HeaderMap::new()
+            }
             _ => HeaderMap::new(),
         };
         response(simulation::WRONG_INSTANCE.as_u16(), headers, Vec::new())
@@ -692,7 +718,12 @@
                 return response(503, HeaderMap::new(), Vec::new());
             };
             self.copies.borrow_mut().insert(handle.clone(), target);
-            self.observed.borrow_mut().ownership.on_copy(&handle, attempt, target);
+            self.observed.borrow_mut().ownership.on_copy(
+                &handle,
+                attempt,
+                &self.server.borrow().id,
+                target,
+            );
             match fault {
                 Fault::CopiesLate => compio::time::sleep(LATE_COPY).await,
                 Fault::CopiesSilently => std::future::pending().await,
@@ -724,8 +755,8 @@
                 let kept = self.next_name("hold");
                 let until = Instant::now() + self.spec.handle_ttl;
                 self.holds.borrow_mut().insert(kept.clone(), (1, until));
-                let addr = self.server.borrow().addr;
-                self.observed.borrow_mut().ownership.on_copy(&kept, attempt, addr);
+                let Server { id, addr, .. } = self.server.borrow().clone();
+                self.observed.borrow_mut().ownership.on_copy(&kept, attempt, &id, addr);
                 reply(503, &kept, created)
             }
             _ => reply(200, &handle, created),
@@ -740,7 +771,7 @@
         seen.prefill_count += 1;
         *seen.prefills.entry(work.attempt.clone()).or_default() += 1;
         let handle = self.next_name("handle");
-        seen.ownership.on_handle(&handle, &work.attempt);
+        seen.ownership.on_handle(&handle, &work.attempt, &self.server.borrow().id);
         drop(seen);
         self.handles.borrow_mut().insert(handle.clone(), Instant::now() + self.spec.handle_ttl);
         let head = simulation::response_headers(&ResponseHead {
--- a/crates/standins/src/fleet/ownership.rs
+++ b/crates/standins/src/fleet/ownership.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 use std::time::Instant;
 
+use ebonyloft_router::catalog::ServerId;
+
 use super::backend::BackendServer;
 
 /// Prompts and copies that a backend server made, and what its runs named.
@@ -20,6 +22,8 @@
 struct Made {
     handle: String,
     attempt: String,
+    /// The incarnation that made it.
+    maker: ServerId,
     at: Instant,
     /// The only engine that can use it. Targets name the copies that are made for them, so that two
     /// may have the same name.
@@ -37,18 +41,24 @@
 
 impl Ownership {
     /// Records a prompt that was made for an attempt.
-    pub fn on_handle(&mut self, handle: &str, attempt: &str) {
-        self.record_made(handle, attempt, None);
+    pub fn on_handle(&mut self, handle: &str, attempt: &str, maker: &ServerId) {
+        self.record_made(handle, attempt, maker, None);
     }
 
     /// Records a copy of a run, which only the engine `user` can use.
-    pub fn on_copy(&mut self, handle: &str, attempt: &str, user: SocketAddr) {
-        self.record_made(handle, attempt, Some(user));
+    pub fn on_copy(&mut self, handle: &str, attempt: &str, maker: &ServerId, user: SocketAddr) {
+        self.record_made(handle, attempt, maker, Some(user));
     }
 
-    fn record_made(&mut self, handle: &str, attempt: &str, user: Option<SocketAddr>) {
-        let (handle, attempt) = (handle.to_owned(), attempt.to_owned());
-        self.made.push(Made { handle, attempt, at: Instant::now(), user });
+    fn record_made(
+        &mut self,
+        handle: &str,
+        attempt: &str,
+        maker: &ServerId,
+        user: Option<SocketAddr>,
+    ) {
+        let (handle, attempt, maker) = (handle.to_owned(), attempt.to_owned(), maker.clone());
+        self.made.push(Made { handle, attempt, maker, at: Instant::now(), user });
     }
 
     /// Records a handle of the engine `source` that a run of an attempt named.
@@ -63,27 +73,45 @@
     }
 }
 
-/// Runs that were told to use what belongs to another attempt, over all backend servers of a deployment.
+/// Runs that were told to use what belongs to another attempt, over all backend servers of a deployment. For a
+/// handle: whose it was, the incarnation that made it, and the run's own exchanges with the engine there.
 pub fn violations<'a>(backends: impl Iterator<Item = &'a BackendServer> + Clone) -> Vec<String> {
-    let made: HashMap<SocketAddr, Vec<Made>> = backends
-        .clone()
-        .map(|b| (b.server.borrow().addr, b.observed.borrow().ownership.made.clone()))
-        .collect();
-    backends.flat_map(|backend| violations_at(backend, &made)).collect()
+    let makers: HashMap<SocketAddr, &BackendServer> =
+        backends.clone().map(|b| (b.server.borrow().addr, b)).collect();
+    backends.flat_map(|backend| violations_at(backend, &makers)).collect()
 }
 
-fn violations_at(backend: &BackendServer, made: &HashMap<SocketAddr, Vec<Made>>) -> Vec<String> {
+fn violations_at(
+    backend: &BackendServer,
+    makers: &HashMap<SocketAddr, &BackendServer>,
+) -> Vec<String> {
     let mut out = Vec::new();
     let (seen, addr) = (backend.observed.borrow(), backend.server.borrow().addr);
     for Named { source, handle, attempt, at } in &seen.ownership.named {
+        let Some(maker) = makers.get(source) else {
+            out.push(format!("{attempt} used {handle} of {source}, where no server is"));
+            continue;
+        };
+        let there = maker.observed.borrow();
         // What the name meant when it was named.
         let is_meant = |made: &&Made| {
             made.handle == *handle && made.at <= *at && made.user.is_none_or(|user| user == addr)
         };
-        let meant = made.get(source).and_then(|made| made.iter().rfind(is_meant));
-        if meant.is_none_or(|meant| meant.attempt != *attempt) {
-            out.push(format!("{attempt} used {handle} of {source}, made for another attempt"));
-        }
+        let owner = match there.ownership.made.iter().rfind(is_meant) {
+            Some(meant) if meant.attempt == *attempt => continue,
+            Some(Made { attempt, maker, at: made_at, .. }) => {
+                let age = at.duration_since(*made_at).as_millis();
+                format!("made for {attempt} by {maker}, {age} ms before")
+            }
+            None => "made for no attempt".to_owned(),
+        };
+        let own = there.ownership.made.iter().filter(|made| made.attempt == *attempt);
+        let own: Vec<_> = own.map(|made| format!("{} by {}", made.handle, made.maker)).collect();
+        let sent = there.priorities.get(attempt).map_or(0, Vec::len);
+        out.push(format!(
+            "{attempt} used {handle} of {source}, {owner}; sent there itself {sent} times, made there for \
+             it {own:?}"
+        ));
     }
     let mut takers: HashMap<(u64, &str), &str> = HashMap::new();
     for (life, hold, attempt) in &seen.ownership.reservations {
