Stand-ins: a reservation that a server's life has not given yet belongs to nobody

Cause: the check took the first run that names a reservation for its owner.

Change: a run counts as using a reservation only if that life has given the name by then. As strict as before for every reservation that exists: a second run that names one is reported, also once it is used up. Names of no reservation are still counted (unknown_holds).

--- a/crates/standins/src/fleet/backend.rs
+++ b/crates/standins/src/fleet/backend.rs
@@ -681,6 +681,7 @@
             return response(503, HeaderMap::new(), Vec::new());
         }
         let name = self.next_name("hold");
+        self.observed.borrow_mut().ownership.on_held(self.lives.get(), &name);
         holds.insert(name.clone(), (tokens, now + ttl));
         response(200, HeaderMap::new(), simulation::reservation_body(&name))
     }
@@ -753,6 +754,7 @@
             Fault::KeepsMemory => {
                 self.release_copy(&handle).await;
                 let kept = self.next_name("hold");
+                self.observed.borrow_mut().ownership.on_held(self.lives.get(), &kept);
                 let until = Instant::now() + self.spec.handle_ttl;
                 self.holds.borrow_mut().insert(kept.clone(), (1, until));
                 let Server { id, addr, .. } = self.server.borrow().clone();
--- a/crates/standins/src/fleet/ownership.rs
+++ b/crates/standins/src/fleet/ownership.rs
@@ -1,6 +1,6 @@
 //! Whose prompts and reservations the runs of backend servers used.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::Instant;
 
@@ -13,6 +13,8 @@
 pub struct Ownership {
     made: Vec<Made>,
     named: Vec<Named>,
+    /// Reservations that were made, each with the server's life.
+    held: HashSet<(u64, String)>,
     /// Reservations that runs named, each with the server's life and the attempt.
     reservations: Vec<(u64, String, String)>,
 }
@@ -67,9 +69,17 @@
         self.named.push(Named { source, handle, attempt, at: Instant::now() });
     }
 
-    /// Records a reservation that a run of an attempt named in this life of the server.
+    /// Records a reservation that was made in this life of the server.
+    pub fn on_held(&mut self, life: u64, hold: &str) {
+        self.held.insert((life, hold.to_owned()));
+    }
+
+    /// Records a reservation that a run of an attempt named in this life of the server. A name that this life has not
+    /// given so far is nobody's.
     pub fn on_reservation(&mut self, life: u64, hold: &str, attempt: &str) {
-        self.reservations.push((life, hold.to_owned(), attempt.to_owned()));
+        if self.held.contains(&(life, hold.to_owned())) {
+            self.reservations.push((life, hold.to_owned(), attempt.to_owned()));
+        }
     }
 }
 
