--- a/crates/daemon/tests/pool.rs
+++ b/crates/daemon/tests/pool.rs
@@ -1,7 +1,7 @@
 //! Calls over slow links, and answers that belong to another exchange on a kept connection.
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
@@ -354,3 +354,58 @@
         assert_eq!(pool.take_stray_count(), 0);
     });
 }
+
+/// Does the connection of a call count as broken some time after its answer?
+fn breaks(answer: fn(&mut TcpStream, usize, usize)) -> bool {
+    let server = ScriptedServer::start(answer);
+    let mut has_broken = false;
+    with_pool(async |pool| {
+        let req = Request::new(Bytes::new());
+        let answer = pool.call_server(server.addr, req, PAUSE_MAX).await.expect("an answer");
+        assert!(!answer.watch.has_broken());
+        compio::time::sleep(SETTLE).await;
+        has_broken = answer.watch.has_broken();
+    });
+    has_broken
+}
+
+fn write_and_close(stream: &mut TcpStream, parts: &[Vec<u8>]) {
+    write(stream, parts);
+    thread::sleep(SETTLE / 3);
+    // The pool may have closed the connection.
+    let _ = stream.shutdown(Shutdown::Both);
+}
+
+#[test]
+fn a_connection_that_the_other_end_closes_has_broken() {
+    assert!(breaks(|stream, _, _| write_and_close(stream, &[answer(None, "1")])));
+}
+
+#[test]
+fn a_connection_that_stays_open_has_not_broken() {
+    assert!(!breaks(|stream, _, _| write(stream, &[answer(None, "1")])));
+}
+
+#[test]
+fn a_connection_whose_close_was_announced_has_not_broken() {
+    assert!(!breaks(|stream, _, _| {
+        let head = b"HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 1\r\n\r\n1";
+        write_and_close(stream, &[head.to_vec()]);
+    }));
+}
+
+#[test]
+fn a_connection_whose_close_ends_an_answer_has_not_broken() {
+    assert!(!breaks(|stream, _, _| {
+        write_and_close(stream, &[b"HTTP/1.1 200 OK\r\n\r\n1".to_vec()]);
+    }));
+}
+
+#[test]
+fn a_connection_closed_here_after_a_second_answer_has_not_broken() {
+    assert!(!breaks(|stream, _, _| {
+        write(stream, &[answer(None, "1")]);
+        thread::sleep(SETTLE / 3);
+        write(stream, &[answer(None, "1")]);
+    }));
+}
