Streams: an engine whose answer was displaced stays in use

What callers saw: after one second answer an engine got no prompts for 1.5 s, and no runs for as long; decode engines read the prompts themselves at half the speed.

Cause: an attempt that met another exchange's answer counted as a fault of its engine. The engine answers, and for ten seconds each exchange there has a connection of its own, on which no second answer can come first.

Change: it is no fault. The same prompt isn't sent to that engine again.

--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -275,7 +275,9 @@
                 cause = Cause::Overload;
                 shared.engines.borrow_mut().rejected(now, &server.id);
             }
-            AttemptOutcome::Unsent | AttemptOutcome::Lost | AttemptOutcome::Mismatched => {
+            // The engine answers, and a new connection carries no other answers.
+            AttemptOutcome::Mismatched => cause = Cause::Lost,
+            AttemptOutcome::Unsent | AttemptOutcome::Lost => {
                 cause = Cause::Lost;
                 shared.engines.borrow_mut().on_fault(now, &server.id);
             }
--- a/crates/daemon/src/gateway/stream/prefill.rs
+++ b/crates/daemon/src/gateway/stream/prefill.rs
@@ -81,7 +81,7 @@
     let node = shared.node();
     let remote = state.reservation.as_ref().and_then(|reservation| reservation.remote.as_ref());
     let remote_engine = remote.map(|remote| remote.prefill_engine.clone());
-    let mut ended = Vec::new();
+    let mut excluded = Vec::new();
     for n in 0..ENGINES_MAX {
         let now = shared.now();
         let zone = state.reservation.as_ref().map_or_else(|| &node.zone, |r| &r.server.zone);
@@ -90,7 +90,15 @@
             Some(named) => named.clone().filter(|_| n == 0),
             None => {
                 let prompt = urgency::prompt(intake, now, state.begun);
-                pick(shared, &intake.service, prompt, zone, now, shared.gateways_in_scope(), &ended)
+                pick(
+                    shared,
+                    &intake.service,
+                    prompt,
+                    zone,
+                    now,
+                    shared.gateways_in_scope(),
+                    &excluded,
+                )
             }
         };
         let Some((server, ready_at)) = picked else {
@@ -98,7 +106,7 @@
         };
         if shared.registry.borrow().has_ended(&server.id) {
             // Its registration has not expired, and its handles can't be used.
-            ended.push(server.id);
+            excluded.push(server.id);
             continue;
         }
         if !limits::acquire(shared, &server.id, 1).await {
@@ -113,11 +121,12 @@
         if prefill_at(shared, intake, state, &server, ready_at, remote_engine.is_some()).await {
             return;
         }
+        excluded.push(server.id);
     }
 }
 
 /// Picks a prefill engine for an answer written in `zone`, as one of `gateways` gateways that do
-/// so, apart from those that have `ended`; returns it and when it would have read the prompt.
+/// so, apart from those `excluded`; returns it and when it would have read the prompt.
 fn pick(
     shared: &Shared,
     service: &str,
@@ -125,7 +134,7 @@
     zone: &str,
     now: Timestamp,
     gateways: usize,
-    ended: &[ServerId],
+    excluded: &[ServerId],
 ) -> Option<(Server, Timestamp)> {
     let headroom = urgency::prefill_headroom(shared, service, prompt);
     let (registry, engines) = (shared.registry.borrow(), shared.engines.borrow());
@@ -134,7 +143,7 @@
         .ready(service)
         .filter(|s| s.stage == Some(Stage::Prefill) && !engines.faulty(now, &s.id))
         .filter(|s| own.as_ref().is_none_or(|own| s.zone == *own))
-        .filter(|s| !announcements::is_unavailable(shared, &s.id) && !ended.contains(&s.id))
+        .filter(|s| !announcements::is_unavailable(shared, &s.id) && !excluded.contains(&s.id))
         .collect();
     let (load_reports, speeds) = (shared.load_reports.borrow(), shared.engine_speeds.borrow());
     let speed_factors = speeds.prefill_factors(now, service, prefill_engines.iter().copied());
@@ -242,8 +251,9 @@
         retries::on_accepted(shared, intake);
         return true;
     }
-    // A back-off is no fault of the engine.
-    if !announcements::is_unavailable(shared, &server.id) {
+    // A back-off is no fault of the engine, and one whose answer was displaced does answer.
+    let is_displaced = outcome == AttemptOutcome::Mismatched;
+    if !is_displaced && !announcements::is_unavailable(shared, &server.id) {
         engines.on_fault(done, &server.id);
     }
     drop(engines);
--- a/crates/standins/tests/late_answers.rs
+++ b/crates/standins/tests/late_answers.rs
@@ -95,6 +95,19 @@
     assert_prefill_is_not_mixed_up(false);
 }
 
+/// Guards against prompts that are kept from an engine that answers, only because it answers twice.
+#[test]
+fn a_second_answer_to_a_prefill_leaves_its_engine_in_use() {
+    with_fleet(spec(), async |fleet| {
+        answer_twice(fleet, CallKind::Prefill, true);
+        send_summaries(&fleet.caller(0), 6).await;
+        assert_ne!(deliveries(fleet), [], "no second answer was sent");
+        let prefill = fleet.backends[0].observed.borrow();
+        let is_read = |n: &usize| prefill.prefills.contains_key(&format!("s{n}"));
+        assert_eq!((2..6).filter(is_read).count(), 4);
+    });
+}
+
 fn assert_rejection_is_not_believed(with_id: bool) {
     with_fleet(spec(), async |fleet| {
         let (caller, server) = (fleet.caller(0), plain_server(fleet).clone());
