Ingress: a request whose id is not one text value is refused with 400

What callers saw: 502 for each attempt, by reading: the server echoes what it got, such an echo names no attempt, and the run is taken for lost although it may have ended well. Where a server echoes the first of several ids, the caller got an answer that another exchange could have displaced.

Change: the id is judged as its echo will be, before the request is read.

Evidence: with two ids, the request ran and was answered 200 by a stand-in that echoes the first; now 400, and nothing arrives at a server, also with an id that is not text. 81 tests of pool, late_answers, gateway, prompt_handles and framing pass.

--- a/crates/daemon/src/gateway/ingress.rs
+++ b/crates/daemon/src/gateway/ingress.rs
@@ -14,6 +14,7 @@
 use ebonyloft_platform::headers::{self, Resumes};
 use ebonyloft_router::accounts::Credential;
 use ebonyloft_router::catalog::{Config, Kind, Limits, Route};
+use ebonyloft_router::correlation::Echo;
 use ebonyloft_router::part_blame::PromptParts;
 use ebonyloft_router::request_digest::RequestDigest;
 use ebonyloft_router::stream_origin::Origin;
@@ -152,6 +153,10 @@
     let (Some(host), None) = (host, hosts.next()) else {
         return Err(refuse(Cause::Malformed));
     };
+    // Its answer could not be told from others.
+    if headers::parse_echo(req.headers()) == Echo::Malformed {
+        return Err(refuse(Cause::Malformed));
+    }
     let Some(route) =
         routes::find(&config, host, req.uri().path()).map(|r| route_index(&config, r))
     else {
--- a/crates/standins/tests/gateway.rs
+++ b/crates/standins/tests/gateway.rs
@@ -18,6 +18,7 @@
 };
 use ebonyloftd::gateway::pool::ExchangeError;
 use hyper::Request;
+use hyper::header::HeaderValue;
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -36,6 +37,25 @@
     fleet.backends.iter().map(|r| r.reservation_count() + r.running() as usize).sum()
 }
 
+/// Guards against a request that runs although its answer can't be told from another's.
+#[test]
+fn a_request_whose_id_is_not_one_text_value_is_refused() {
+    with_fleet(FleetSpec::default(), async |fleet| {
+        let caller = fleet.caller(0);
+        let ids: [&[&[u8]]; 2] = [&[b"a", b"b"], &[b"\xe9"]];
+        for values in ids {
+            let mut req = caller.summary_request(SUMMARY, "s1");
+            req.headers_mut().remove("attempt-id");
+            for value in values {
+                let value = HeaderValue::from_bytes(value).expect("a valid value");
+                req.headers_mut().append("attempt-id", value);
+            }
+            assert_eq!(caller.send(req).await.expect("an answer").status, 400, "{values:?}");
+        }
+        assert_eq!(arrival_count(fleet), 0);
+    });
+}
+
 #[test]
 fn all_four_request_kinds_run_once_and_are_answered_completely() {
     with_fleet(FleetSpec::default(), async |fleet| {
