--- a/crates/standins/tests/zones.rs
+++ b/crates/standins/tests/zones.rs
@@ -3,9 +3,18 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
+use ebonyloft_router::answer_length::AnswerLengths;
+use ebonyloft_router::part_blame::PromptParts;
 use ebonyloft_standins::eventually;
 use ebonyloft_standins::fleet::backend::BackendSpec;
-use ebonyloft_standins::fleet::{CHECK, Fleet, FleetSpec, SUMMARY, config, store, with_fleet};
+use ebonyloft_standins::fleet::{
+    CHECK, ENGINE_SERVICE, Fleet, FleetSpec, PEER_PORT, SUMMARY, config, store, with_fleet,
+};
+use ebonyloftd::clock::Clock;
+use ebonyloftd::gateway::pool::Pool;
+use ebonyloftd::gateway::stream::overflow::{Grant, PATH, ReservationRequest};
+use hyper::{Method, Request, StatusCode};
 
 const SECOND: Duration = Duration::from_secs(1);
 /// Time after which gateways that are not zone leaders have stopped following the store.
@@ -298,3 +307,56 @@
         assert_eq!(response.status(), 200);
     });
 }
+
+/// Calls the first gateway as one of another zone does.
+async fn call_gateway(
+    fleet: &Fleet,
+    method: Method,
+    path: &str,
+    body: Vec<u8>,
+) -> (StatusCode, Bytes) {
+    let mut req = Request::new(Bytes::from(body));
+    *req.method_mut() = method;
+    *req.uri_mut() = path.parse().expect("a valid path");
+    let addr = (fleet.gateways[0].ip, PEER_PORT).into();
+    Pool::new(Clock::default()).call(addr, req, SECOND).await.expect("an answer")
+}
+
+async fn request_grant(fleet: &Fleet) -> Grant {
+    let request = ReservationRequest {
+        id: "a".to_owned(),
+        service: ENGINE_SERVICE.to_owned(),
+        prompt: 3_000,
+        made: 0,
+        growth: AnswerLengths::default().expect(500, None),
+        gives: 1.0,
+        begun: false,
+        first: 900,
+        precedence: None,
+        software: None,
+        parts: PromptParts::default(),
+    };
+    let mut body = Vec::new();
+    ciborium::into_writer(&request, &mut body).expect("plain fields encode");
+    let (status, body) = call_gateway(fleet, Method::POST, PATH, body).await;
+    assert_eq!(status, StatusCode::OK);
+    ciborium::from_reader(&body[..]).expect("a grant")
+}
+
+/// Guards against a release that ends the reservation of another request, which the next life of the
+/// gateway has made.
+#[test]
+fn a_grant_of_an_earlier_life_of_a_gateway_releases_nothing() {
+    let spec = FleetSpec { gateways: 1, decode_engines: 1, threads: true, ..FleetSpec::default() };
+    with_fleet(spec, async |fleet| {
+        let earlier = request_grant(fleet).await;
+        fleet.kill(0);
+        fleet.restart_gateways(&[0]).await;
+        let grant = request_grant(fleet).await;
+        let release = async |grant: &Grant| {
+            call_gateway(fleet, Method::DELETE, &format!("{PATH}/{}", grant.id), Vec::new()).await.0
+        };
+        assert_eq!(release(&earlier).await, StatusCode::NOT_FOUND);
+        assert_eq!(release(&grant).await, StatusCode::OK);
+    });
+}
