Pool: a connection to a server carries no call to a peer, or the reverse

Calls to peers and the store are not compared with what their connection carried before, since those answer each exchange once. Connections are kept by address alone: where the address of a server becomes a peer's, a connection that was kept could have brought a server's second answer to such a call.

--- a/crates/router/src/correlation.rs
+++ b/crates/router/src/correlation.rs
@@ -64,23 +64,26 @@
 pub struct Correlation {
     /// Hashes of the attempts.
     attempts: Vec<u64>,
-    /// All exchanges, the current one included.
+    /// All exchanges with a backend server, the current one included.
     exchanges: usize,
+    /// It is a connection to a peer or the store.
+    is_trusted: bool,
     /// The answer to a call without effect may have been another exchange's, and its own may follow.
     is_uncertain: bool,
 }
 
 impl Correlation {
     /// May the connection carry this exchange? Not if a second answer to an earlier one could pass
-    /// for its answer.
+    /// for its answer, or if the other end was another kind of process for an earlier one.
     pub fn may_carry(&self, exchange: Exchange<'_>) -> bool {
         match exchange {
+            Exchange::Trusted => self.exchanges == 0,
+            _ if self.is_trusted => false,
             Exchange::Attempt(id) => {
                 !self.attempts.contains(&stable_hash(id)) && !self.is_exhausted()
             }
             Exchange::Unnamed => self.exchanges == 0,
             Exchange::Unread => !self.is_exhausted(),
-            Exchange::Trusted => true,
         }
     }
 
@@ -92,6 +95,7 @@
     /// Starts an exchange.
     pub fn begin(&mut self, exchange: Exchange<'_>) {
         if exchange == Exchange::Trusted {
+            self.is_trusted = true;
             return;
         }
         self.exchanges += 1;
--- a/crates/router/tests/correlation.rs
+++ b/crates/router/tests/correlation.rs
@@ -84,6 +84,15 @@
     assert!(correlation.is_answer(Exchange::Trusted, Echo::Absent));
 }
 
+/// The address of a peer may have been a server's, or become one's.
+#[test]
+fn a_connection_that_a_server_answered_on_is_not_trusted() {
+    for first in [Exchange::Attempt("a"), Exchange::Unnamed, Exchange::Unread] {
+        assert!(!after(&[first]).may_carry(Exchange::Trusted), "{first:?}");
+        assert!(!after(&[Exchange::Trusted]).may_carry(first), "{first:?}");
+    }
+}
+
 /// Guards against a call without effect that reads another's second answer and leaves its own to the next one.
 #[test]
 fn a_call_without_effect_on_a_used_connection_is_its_last_exchange() {
