Gateway: counters of handles made, used and dropped

How many handles no run used could be seen in wasted tokens only, without those of copies. Three counters, one of them a handle: made, and used or dropped.

--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -439,7 +439,7 @@
         );
     }
     state.heard_at = Some(shared.now());
-    state.mark_used();
+    state.mark_used(shared);
     shared.engines.borrow_mut().on_accepted(&server.id);
     let end = relay::relay(shared, intake, head, state, out, splitter).await;
     match (end, &state.reservation) {
--- a/crates/daemon/src/gateway/stream/migration.rs
+++ b/crates/daemon/src/gateway/stream/migration.rs
@@ -311,7 +311,7 @@
         Ok(MoveReply::NoCapacity { handle: Some(handle) }) => {
             let source = migration.source.clone();
             forget_target(shared, state, true);
-            state.prefill_handle = Some(copy_handle(&source, handle, until));
+            state.keep_handle(shared, copy_handle(&source, handle, until));
             state.moves += 1;
             remove_movable(shared, state);
             Handover::Done
@@ -369,7 +369,7 @@
     state.reservation =
         Some(Reservation { server: target, hold_id: None, memory, length_forecast, remote: None });
     shared.migrations.borrow_mut().end(&source.id);
-    state.prefill_handle = Some(copy_handle(&source, handle, until));
+    state.keep_handle(shared, copy_handle(&source, handle, until));
     state.moves += 1;
 }
 
--- a/crates/daemon/src/gateway/stream/prefill.rs
+++ b/crates/daemon/src/gateway/stream/prefill.rs
@@ -234,7 +234,7 @@
             shared.service_estimates(&intake.service).prefill_speed.observe(work, prompt, usual);
         }
         let (id, addr) = (server.id.clone(), server.addr);
-        state.prefill_handle = Some(PrefillHandle {
+        let prefill_handle = PrefillHandle {
             id,
             addr,
             handle,
@@ -242,7 +242,8 @@
             is_copy: false,
             is_rejected: false,
             tokens: prompt,
-        });
+        };
+        state.keep_handle(shared, prefill_handle);
         retries::on_accepted(shared, intake);
         return true;
     }
--- a/crates/daemon/src/gateway/stream/state.rs
+++ b/crates/daemon/src/gateway/stream/state.rs
@@ -159,6 +159,12 @@
         }
     }
 
+    /// Keeps a handle until a run uses it.
+    pub fn keep_handle(&mut self, shared: &Shared, handle: PrefillHandle) {
+        shared.metrics.count("gateway.handle.made", 1);
+        self.prefill_handle = Some(handle);
+    }
+
     /// The memory that a request names now.
     pub fn named_memory(&self) -> NamedMemory<'_> {
         let handle = self.prefill_handle.as_ref();
@@ -172,8 +178,11 @@
     }
 
     /// The engine accepted the request, which uses up the reservation and the handle.
-    pub fn mark_used(&mut self) {
+    pub fn mark_used(&mut self, shared: &Shared) {
         self.accepted = true;
+        if self.prefill_handle.is_some() {
+            shared.metrics.count("gateway.handle.used", 1);
+        }
         if let Some(reservation) = &mut self.reservation {
             reservation.hold_id = None;
         }
@@ -248,6 +257,7 @@
             }
             let req = engine::release_handle(&prefill_handle.id, &prefill_handle.handle);
             let released = send_release(shared, &prefill_handle.id, prefill_handle.addr, req);
+            shared.metrics.count("gateway.handle.dropped", 1);
             tracing::info!(
                 id = self.id, server = %prefill_handle.id, addr = %prefill_handle.addr,
                 handle = loggable(&prefill_handle.handle), wasted = ?cause,
