Soak: gateways' logs show that no run names another request's handle

The soak asked the engines' stand-ins only whose handles their runs used. With second answers, and whenever logs are on, it now also gives the gateways' logs of the run to the check that operators use; runs that share a log file judge their own part of it. Logs of the short run go to the temporary folder and are removed if it passes.

--- a/crates/daemon/tests/soak/cluster.rs
+++ b/crates/daemon/tests/soak/cluster.rs
@@ -11,6 +11,7 @@
 use std::time::{Duration, Instant};
 
 use compio::net::TcpListener;
+use ebonyloft_core::handle_audit::HandleAudit;
 use ebonyloft_platform::simulation::{self, AccountSpec};
 use ebonyloft_platform::store::CONFIG_KEY;
 use ebonyloft_router::catalog::{Server, ServerId, SoftwareVersion, Stage};
@@ -92,6 +93,14 @@
     ip: Ipv4Addr,
     child: RefCell<Child>,
     file: PathBuf,
+    log: Option<Log>,
+}
+
+/// The log of a gateway; all its lives append to it.
+struct Log {
+    path: PathBuf,
+    /// Length that earlier runs left.
+    start: usize,
 }
 
 /// All processes, stand-ins and counters of a run.
@@ -139,6 +148,12 @@
         self.kinds.contains(&22)
     }
 
+    /// Folder of the gateways' logs. Second answers are looked for in the logs too.
+    fn log_folder(&self) -> Option<PathBuf> {
+        let folder = std::env::var_os("EBONYLOFT_SOAK_LOGS").map(PathBuf::from);
+        folder.or_else(|| self.has_duplicates().then(std::env::temp_dir))
+    }
+
     /// Are engines of several versions side by side, and do callers take up streams that break off?
     pub fn has_versions(&self) -> bool {
         self.kinds.contains(&20)
@@ -184,6 +199,7 @@
         }
         cluster.check_idle().await;
         cluster.kill_gateways();
+        cluster.check_logs();
         cluster.expectations.borrow().count_second_answers(&cluster)
     })
 }
@@ -230,7 +246,9 @@
             store.register(&runner.server.borrow());
             runners.push((runner, switch));
         }
-        let start = |n: usize| Gateway::start(ip(100 + n as u8), ip(2 + n as u8 % 2));
+        let logs = plan.log_folder();
+        let start =
+            |n: usize| Gateway::start(ip(100 + n as u8), ip(2 + n as u8 % 2), logs.as_deref());
         let gateways = (0..plan.gateways).map(start).collect();
         Cluster {
             plan,
@@ -356,6 +374,24 @@
         self.expectations.borrow().check(self);
     }
 
+    /// Checks that no gateway named a handle or a reservation of another request.
+    fn check_logs(&self) {
+        let mut audit = HandleAudit::default();
+        let logs: Vec<&Log> = self.gateways.iter().filter_map(|g| g.log.as_ref()).collect();
+        for log in &logs {
+            let bytes = std::fs::read(&log.path).expect("the log of a gateway");
+            let text = String::from_utf8_lossy(&bytes[log.start..]);
+            text.lines().for_each(|line| audit.add_text(line));
+        }
+        let (seed, report) = (self.plan.seed, audit.report());
+        println!("seed {seed}: {report:?}");
+        assert!(report.violations.is_empty(), "seed {seed}: {report:#?}");
+        assert!(logs.is_empty() || report.named > 0, "seed {seed}: no run in the logs");
+        if std::env::var_os("EBONYLOFT_SOAK_LOGS").is_none() {
+            logs.iter().for_each(|log| std::fs::remove_file(&log.path).expect("its removal"));
+        }
+    }
+
     fn kill_gateways(&self) {
         for gateway in &self.gateways {
             gateway.kill();
@@ -371,7 +407,7 @@
 }
 
 impl Gateway {
-    fn start(ip: Ipv4Addr, store: Ipv4Addr) -> Gateway {
+    fn start(ip: Ipv4Addr, store: Ipv4Addr, logs: Option<&Path>) -> Gateway {
         let file = std::env::temp_dir().join(format!("ebonyloft-soak-{ip}.toml"));
         let text = format!(
             "node_name = \"front-{ip}\"\nzone = \"a\"\nip_address = \"{ip}\"\nport_range = [7660, 7675]\n\
@@ -381,7 +417,8 @@
             REVOKE_BOUND.as_millis()
         );
         std::fs::write(&file, text).expect("a settings file");
-        Gateway { ip, child: RefCell::new(spawn(&file)), file }
+        let log = logs.map(|folder| Log::open(folder.join(format!("ebonyloft-soak-{ip}.log"))));
+        Gateway { ip, child: RefCell::new(spawn(&file, log.as_ref())), file, log }
     }
 
     /// Sends a signal to the process.
@@ -395,7 +432,7 @@
     pub fn restart_if_ended(&self) {
         let mut child = self.child.borrow_mut();
         if child.try_wait().is_ok_and(|ended| ended.is_some()) {
-            *child = spawn(&self.file);
+            *child = spawn(&self.file, self.log.as_ref());
         }
     }
 
@@ -406,10 +443,10 @@
     }
 }
 
-fn spawn(file: &Path) -> Child {
-    let (level, output) = match std::env::var("EBONYLOFT_SOAK_LOGS") {
-        Ok(folder) => ("info", Stdio::from(open_log(&folder, file))),
-        Err(_) => ("warn", Stdio::null()),
+fn spawn(file: &Path, log: Option<&Log>) -> Child {
+    let (level, output) = match log {
+        Some(log) => ("info", Stdio::from(log.append())),
+        None => ("warn", Stdio::null()),
     };
     Command::new(env!("CARGO_BIN_EXE_ebonyloftd"))
         .arg("gateway")
@@ -421,11 +458,15 @@
         .expect("a gateway process")
 }
 
-/// Opens the log of the gateway with this settings file; its lives append to the same log.
-fn open_log(folder: &str, settings: &Path) -> File {
-    let name = format!("{}.log", settings.file_stem().expect("a file name").display());
-    let path = Path::new(folder).join(name);
-    File::options().append(true).create(true).open(path).expect("a log file")
+impl Log {
+    fn open(path: PathBuf) -> Log {
+        let start = std::fs::metadata(&path).map_or(0, |known| known.len() as usize);
+        Log { path, start }
+    }
+
+    fn append(&self) -> File {
+        File::options().append(true).create(true).open(&self.path).expect("a log file")
+    }
 }
 
 /// Starts a relay that listens at `front` and forwards to `target`.
