--- a/crates/daemon/src/gateway/stream/migration.rs
+++ b/crates/daemon/src/gateway/stream/migration.rs
@@ -325,7 +325,7 @@
             let addr = migration.source.addr;
             forget_target(shared, state, true);
             let keeper = issuer.clone();
-            state.prefill_handle = Some(copy_handle(addr, handle, issuer, keeper, until));
+            state.keep_handle(shared, copy_handle(addr, handle, issuer, keeper, until));
             state.moves += 1;
             remove_movable(shared, state);
             Handover::Done
@@ -387,7 +387,7 @@
     state.reservation =
         Some(Reservation { server: target, hold: None, memory, length_forecast, remote: None });
     shared.migrations.borrow_mut().end(&source.id);
-    state.prefill_handle = Some(copy_handle(source.addr, handle, issuer, keeper, until));
+    state.keep_handle(shared, copy_handle(source.addr, handle, issuer, keeper, until));
     state.moves += 1;
 }
 
--- a/crates/daemon/src/gateway/stream/prefill.rs
+++ b/crates/daemon/src/gateway/stream/prefill.rs
@@ -245,8 +245,7 @@
         }
         let watch = answer.as_ref().map(|a| a.watch.clone()).unwrap_or_default();
         let life = EngineLife::new(server.id.clone(), watch);
-        let until = handle_until(intake, done);
-        state.prefill_handle = Some(PrefillHandle {
+        let prefill_handle = PrefillHandle {
             keeper: life.clone(),
             issuer: life,
             addr: server.addr,
@@ -255,7 +254,8 @@
             is_copy: false,
             is_rejected: false,
             tokens: prompt,
-        });
+        };
+        state.keep_handle(shared, prefill_handle);
         retries::on_accepted(shared, intake);
         return true;
     }
