Gateway: lines of a migration name the engine that keeps the copy as holder

The lines of a migration name the target as `target`, which the log format uses for the module of a line and writes last: a reader of the JSON gets the module, and the check of handles would have compared copies by it. The engine that keeps a copy is now in `holder`, which also tells a copy at the target from memory that the source kept; `target` stays as it is. The id that a prefill's answer names is logged whole, as ids are, so that a long one is not taken for another request's.

--- a/crates/core/src/handle_audit.rs
+++ b/crates/core/src/handle_audit.rs
@@ -162,12 +162,9 @@
     memory(Kind::Prompt, text(line, issuer), "", text(line, "handle"))
 }
 
-/// The copy that a migration's call brought. Without capacity at the target the run's own engine keeps it.
+/// The copy that a migration's call brought.
 fn copy(line: &Line) -> Option<Memory> {
-    let source = text(line, "server");
-    let is_kept = text(line, "result").starts_with("Ok(NoCapacity");
-    let holder = if is_kept { source } else { text(line, "target") };
-    memory(Kind::Copy, source, holder, text(line, "handle"))
+    memory(Kind::Copy, text(line, "server"), text(line, "holder"), text(line, "handle"))
 }
 
 fn named_handle(line: &Line) -> Option<Memory> {
--- a/crates/core/tests/handle_audit.rs
+++ b/crates/core/tests/handle_audit.rs
@@ -78,10 +78,10 @@
 #[test]
 fn copies_of_runs_belong_to_their_runs() {
     let log = r#"
-{"message":"run copied","id":"a","server":"i-2@7","target":"i-3@8","handle":"c1","result":"Ok(Copied { .. })"}
-{"message":"run stopped for migration","id":"a","server":"i-2@7","target":"i-3@8","handle":"c1","result":"Ok(Copied { .. })"}
-{"message":"run copied","id":"b","server":"i-2@7","target":"i-4@9","handle":"c1","result":"Ok(Copied { .. })"}
-{"message":"run stopped for migration","id":"c","server":"i-2@7","target":"i-4@9","handle":"c2","result":"Ok(NoCapacity { .. })"}
+{"message":"run copied","id":"a","server":"i-2@7","holder":"i-3@8","handle":"c1"}
+{"message":"run stopped for migration","id":"a","server":"i-2@7","holder":"i-3@8","handle":"c1"}
+{"message":"run copied","id":"b","server":"i-2@7","holder":"i-4@9","handle":"c1"}
+{"message":"run stopped for migration","id":"c","server":"i-2@7","holder":"i-2@7","handle":"c2"}
 {"message":"run sent","id":"a","server":"i-3@8","handle":"c1","source":"i-2@7","copy":true}
 {"message":"run sent","id":"c","server":"i-2@7","handle":"c2","source":"i-2@7","copy":true}
 "#;
--- a/crates/daemon/src/gateway/stream/migration.rs
+++ b/crates/daemon/src/gateway/stream/migration.rs
@@ -157,10 +157,11 @@
     };
     let now = shared.now();
     let ms = now.since(migration.started_at).as_millis() as u64;
+    let (handle, holder) = copied_memory(&result, &migration.source, &migration.target).unzip();
     tracing::info!(
         id = intake.id(), server = %migration.source.id, target = %migration.target.id, ms,
         ?result, generated = state.generated, addr = %migration.source.addr,
-        handle = copied_handle(&result), "run copied"
+        handle, holder = holder.map(tracing::field::display), "run copied"
     );
     match result {
         Ok(MoveReply::Copied { handle, .. }) => {
@@ -295,10 +296,11 @@
     };
     let now = shared.now();
     let ms = now.since(migration.started_at).as_millis() as u64;
+    let (handle, holder) = copied_memory(&result, &migration.source, &migration.target).unzip();
     tracing::info!(
         id = intake.id(), server = %migration.source.id, target = %migration.target.id, ms,
         ?result, generated = state.generated, addr = %migration.source.addr,
-        handle = copied_handle(&result), "run stopped for migration"
+        handle, holder = holder.map(tracing::field::display), "run stopped for migration"
     );
     let until = prefill::handle_until(intake, now);
     match result {
@@ -440,12 +442,15 @@
     );
 }
 
-/// The handle that the result of a call brought, for the log.
-fn copied_handle(result: &CallResult) -> Option<&str> {
+/// The handle that the result of a call brought and the engine that keeps its memory, for the log.
+fn copied_memory<'a>(
+    result: &'a CallResult,
+    source: &'a Server,
+    target: &'a Server,
+) -> Option<(&'a str, &'a ServerId)> {
     match result {
-        Ok(MoveReply::Copied { handle, .. } | MoveReply::NoCapacity { handle: Some(handle) }) => {
-            Some(loggable(handle))
-        }
+        Ok(MoveReply::Copied { handle, .. }) => Some((loggable(handle), &target.id)),
+        Ok(MoveReply::NoCapacity { handle: Some(handle) }) => Some((loggable(handle), &source.id)),
         _ => None,
     }
 }
--- a/crates/daemon/src/gateway/stream/prefill.rs
+++ b/crates/daemon/src/gateway/stream/prefill.rs
@@ -212,7 +212,7 @@
         id = intake.id(), server = %server.id, fate = ?outcome, prompt, queue = work.unread, ms, foretold = predicted_ms,
         rate, factor, factor_age, slowness, handle = handle.as_deref().map(loggable),
         addr = handle.is_some().then(|| tracing::field::display(server.addr)), kept_ms,
-        named = answer.as_ref().and_then(|a| a.named.as_deref()).map(loggable),
+        named = answer.as_ref().and_then(|a| a.named.as_deref()),
         conn = conn_use.map(|c| c.number), carried = conn_use.map(|c| c.carried),
         config, roster, age, "prefill ended"
     );
