--- a/crates/daemon/src/gateway/stream/migration.rs
+++ b/crates/daemon/src/gateway/stream/migration.rs
@@ -166,10 +166,11 @@
     let now = shared.now();
     let ms = now.since(migration.started_at).as_millis() as u64;
     let reply = result.as_ref().map(|answer| &answer.reply);
+    let (handle, holder) = copied_memory(reply, &migration.source, &migration.target).unzip();
     tracing::info!(
         id = intake.id(), server = %migration.source.id, target = %migration.target.id, ms,
         result = ?reply, generated = state.generated, addr = %migration.source.addr,
-        handle = copied_handle(reply), "run copied"
+        handle, holder = holder.map(tracing::field::display), "run copied"
     );
     let Ok(MoveAnswer { reply: MoveReply::Copied { handle, .. }, watch }) = result else {
         return Some(false);
@@ -303,10 +304,11 @@
     let now = shared.now();
     let ms = now.since(migration.started_at).as_millis() as u64;
     let reply = result.as_ref().map(|answer| &answer.reply);
+    let (handle, holder) = copied_memory(reply, &migration.source, &migration.target).unzip();
     tracing::info!(
         id = intake.id(), server = %migration.source.id, target = %migration.target.id, ms,
         result = ?reply, generated = state.generated, addr = %migration.source.addr,
-        handle = copied_handle(reply), "run stopped for migration"
+        handle, holder = holder.map(tracing::field::display), "run stopped for migration"
     );
     let until = prefill::handle_until(intake, now);
     let (reply, watch) = match result {
@@ -464,12 +466,15 @@
     );
 }
 
-/// The handle that the result of a call brought, for the log.
-fn copied_handle<'a>(result: Result<&'a MoveReply, &ExchangeError>) -> Option<&'a str> {
+/// The handle that the result of a call brought and the engine that keeps its memory, for the log.
+fn copied_memory<'a>(
+    result: Result<&'a MoveReply, &ExchangeError>,
+    source: &'a Server,
+    target: &'a Server,
+) -> Option<(&'a str, &'a ServerId)> {
     match result {
-        Ok(MoveReply::Copied { handle, .. } | MoveReply::NoCapacity { handle: Some(handle) }) => {
-            Some(loggable(handle))
-        }
+        Ok(MoveReply::Copied { handle, .. }) => Some((loggable(handle), &target.id)),
+        Ok(MoveReply::NoCapacity { handle: Some(handle) }) => Some((loggable(handle), &source.id)),
         _ => None,
     }
 }
