Router: crashes are refuted by sound answers of this gateway alone

Cause: a gateway that learned of a crash refuted it by any sound answer that it knew of, also by those that peers had told it. The age of a fact does not include its time in transit (1 to 20 ms in the search), and the latest time wins, so each crash moved the answer's time on at all gateways.

Change: a gateway notes which sound answers are its own, and refutes by these only. A peer that has not learned of them gets them with the exchange of states, or from the gateway that received them.

--- a/crates/check/src/part_blame/gateway.rs
+++ b/crates/check/src/part_blame/gateway.rs
@@ -33,10 +33,12 @@
     AnySoftware,
     /// Whole requests are no candidates.
     PartsOnly,
+    /// Gateways also refute crashes by sound answers of their peers.
+    Repeats,
 }
 
 /// All mutants.
-pub const MUTANTS: [Mutant; 9] = [
+pub const MUTANTS: [Mutant; 10] = [
     Mutant::ByRequest,
     Mutant::Alone,
     Mutant::Forgets,
@@ -46,6 +48,7 @@
     Mutant::NoRounds,
     Mutant::AnySoftware,
     Mutant::PartsOnly,
+    Mutant::Repeats,
 ];
 
 /// State of one incarnation of a gateway.
@@ -202,6 +205,9 @@
         }
         let refutations: Vec<PartUpdate> =
             updates.iter().filter_map(|update| self.blame.refutation(now, update)).collect();
+        if self.mutant == Some(Mutant::Repeats) {
+            self.adopt_sound(now, updates);
+        }
         let changes = self.blame.apply_all(now, updates);
         self.changes.extend(changes);
         if !publishes || self.mutant == Some(Mutant::NeverSound) {
@@ -216,6 +222,16 @@
         }
     }
 
+    /// Treats sound answers of peers like those received here.
+    fn adopt_sound(&mut self, now: Timestamp, updates: &[PartUpdate]) {
+        for update in updates {
+            if let PartFact::Sound(software, parts) = &update.fact {
+                let at = now.before(Duration::from_millis(update.age));
+                self.blame.on_sound(at, parts, *software);
+            }
+        }
+    }
+
     /// Records a fact observed here, and queues it to be published to all gateways.
     pub fn record(&mut self, now: Timestamp, ago: Duration, fact: PartFact) {
         self.record_all(now, vec![PartUpdate { age: ago.as_millis() as u64, fact }]);
--- a/crates/router/src/part_blame.rs
+++ b/crates/router/src/part_blame.rs
@@ -154,6 +154,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Sound {
     at: Timestamp,
+    /// The latest one received by this gateway.
+    own_at: Option<Timestamp>,
     /// Another one came within `SOUND_TTL` before it.
     repeated: bool,
 }
@@ -469,6 +471,9 @@
     ) -> Option<PartFact> {
         for part in &parts.parts {
             self.insert_sound(now, *part, software, now);
+            if let Some(sound) = self.sound.get_mut(&(*part, software)) {
+                sound.own_at = sound.own_at.max(Some(now));
+            }
         }
         let mut needed = parts.clone();
         needed.parts.retain(|part| self.has_blame(Candidate::Part(*part), software));
@@ -504,8 +509,9 @@
             self.evict_sound(now);
         }
         let repeated = before.is_some_and(|sound| sound.repeated || sound.at.after(SOUND_TTL) > at);
+        let own_at = before.and_then(|sound| sound.own_at);
         let at = before.map_or(at, |sound| sound.at.max(at));
-        self.sound.insert((part, software), Sound { at, repeated });
+        self.sound.insert((part, software), Sound { at, own_at, repeated });
     }
 
     /// Drops sound parts that have expired, then those seen once, then the older half.
--- a/crates/router/src/part_blame/sharing.rs
+++ b/crates/router/src/part_blame/sharing.rs
@@ -14,7 +14,8 @@
 
 impl PartBlame {
     /// The update by which peers learn that parts of a crash that one of them reported were sound at this gateway, or
-    /// shortly before; asked before the update is applied, and only for what is not known yet.
+    /// shortly before; asked before the update is applied, and only for what is not known yet. What peers reported is
+    /// not repeated: its age does not include the time in transit, so that it would become later each time.
     pub fn refutation(&self, now: Timestamp, update: &PartUpdate) -> Option<PartUpdate> {
         let PartFact::Crashed(server, software, parts) = &update.fact else {
             return None;
@@ -25,12 +26,12 @@
             return None;
         }
         let crashed_at = now.before(Duration::from_millis(update.age));
-        let sound = |part: &PartDigest| self.sound.get(&(*part, *software)).copied();
+        let sound_at = |part: &PartDigest| self.sound.get(&(*part, *software))?.own_at;
         let refutes = |part: &&PartDigest| {
-            sound(part).is_some_and(|sound| sound.at.after(SOUND_TTL) > crashed_at)
+            sound_at(part).is_some_and(|sound_at| sound_at.after(SOUND_TTL) > crashed_at)
         };
         let refuted: Vec<PartDigest> = parts.parts.iter().filter(refutes).copied().collect();
-        let at = refuted.iter().filter_map(sound).map(|sound| sound.at).min()?;
+        let at = refuted.iter().filter_map(sound_at).min()?;
         let parts = PromptParts { request: 0, parts: refuted };
         let age = now.since(at).as_millis() as u64;
         Some(PartUpdate { age, fact: PartFact::Sound(*software, parts) })
--- a/crates/router/tests/part_blame.rs
+++ b/crates/router/tests/part_blame.rs
@@ -241,3 +241,14 @@
         }
     }
 }
+
+#[test]
+fn a_sound_answer_does_not_become_later_each_time_that_peers_repeat_it() {
+    let (mut own, mut peer) = (Gateway::new(), Gateway::new());
+    own.sound(&[BAD]);
+    peer.apply(PartFact::Sound(software("1"), request(99, &[BAD])));
+    let report = PartUpdate { age: 5, fact: crash(1, &request(1, &[BAD])) };
+    let refuted = own.blame.refutation(own.now, &report).map(|update| update.fact);
+    assert!(matches!(refuted, Some(PartFact::Sound(..))), "{refuted:?}");
+    assert_eq!(peer.blame.refutation(peer.now, &report), None);
+}
