Router: sound parts are not blamed while gateways report no crashes

Cause: the gateways of that release send a crashing part without end and report nothing, so that of most crashes only bystanders are known. The evidence is not wrong, it lacks the cause.

Change: load reports and zone summaries say whether their sender reports crashes by part (one flag; gateways of the landed release that send a checksum of parts need none). While a gateway does not, and for PEER_TIMEOUT after, crashes do not count for a part that was sound within a minute before. A gateway that starts cannot tell what served before, so that this holds for crashes before its start as well. Confirmed parts are not touched.

Two tests that build a ZoneSummary name the new field.

--- a/crates/check/src/part_blame/gateway.rs
+++ b/crates/check/src/part_blame/gateway.rs
@@ -35,10 +35,12 @@
     PartsOnly,
     /// Gateways also refute crashes by sound answers of their peers.
     Repeats,
+    /// Crashes are taken to name their cause while gateways serve that report none.
+    TrustsOlder,
 }
 
 /// All mutants.
-pub const MUTANTS: [Mutant; 10] = [
+pub const MUTANTS: [Mutant; 11] = [
     Mutant::ByRequest,
     Mutant::Alone,
     Mutant::Forgets,
@@ -49,6 +51,7 @@
     Mutant::AnySoftware,
     Mutant::PartsOnly,
     Mutant::Repeats,
+    Mutant::TrustsOlder,
 ];
 
 /// State of one incarnation of a gateway.
@@ -81,10 +84,14 @@
 }
 
 impl GatewayProcess {
-    /// A gateway without any state.
-    pub fn new(incarnation: u32, probes: u64, mutant: Option<Mutant>) -> Self {
+    /// A gateway that starts without any state.
+    pub fn new(now: Timestamp, incarnation: u32, probes: u64, mutant: Option<Mutant>) -> Self {
+        let blame = match mutant {
+            Some(Mutant::TrustsOlder) => PartBlame::default(),
+            _ => PartBlame::new(now),
+        };
         GatewayProcess {
-            blame: PartBlame::default(),
+            blame,
             lost_attempts: LostAttempts::default(),
             divergence: DivergenceDetector::default(),
             incarnation,
@@ -222,6 +229,13 @@
         }
     }
 
+    /// A peer of the release before is serving.
+    pub fn on_older_peer(&mut self, now: Timestamp) {
+        if self.mutant != Some(Mutant::TrustsOlder) {
+            self.blame.on_silent_peer(now);
+        }
+    }
+
     /// Treats sound answers of peers like those received here.
     fn adopt_sound(&mut self, now: Timestamp, updates: &[PartUpdate]) {
         for update in updates {
--- a/crates/check/src/part_blame/simulation.rs
+++ b/crates/check/src/part_blame/simulation.rs
@@ -181,7 +181,7 @@
 impl Simulation {
     pub(super) fn new(spec: BlameSpec) -> Self {
         let gateways = (0..spec.gateways).map(|n| {
-            let mut gateway = GatewayProcess::new(1, (n as u64) << 40, spec.mutant);
+            let mut gateway = GatewayProcess::new(START, 1, (n as u64) << 40, spec.mutant);
             gateway.older = spec.fault() == Fault::OlderRelease && n % 2 == 1;
             gateway
         });
@@ -806,7 +806,7 @@
         let now = self.queue.now();
         let incarnation = self.gateways[n].incarnation + 1;
         let probes = (n as u64) << 40 | u64::from(incarnation) << 20;
-        self.gateways[n] = GatewayProcess::new(incarnation, probes, self.spec.mutant);
+        self.gateways[n] = GatewayProcess::new(now, incarnation, probes, self.spec.mutant);
         self.gateways[n].in_touch_at = now.after(CONTACT);
         if self.starts_empty() {
             return;
@@ -916,7 +916,13 @@
                 let to = (from + 1 + self.rng.random_range(0..self.gateways.len() - 1))
                     % self.gateways.len();
                 let (a, b) = (&self.gateways[from], &self.gateways[to]);
-                if !a.is_reachable(now) || !b.is_reachable(now) || a.older || b.older {
+                if !a.is_reachable(now) || !b.is_reachable(now) {
+                    continue;
+                }
+                if a.older || b.older {
+                    if a.older {
+                        self.gateways[to].on_older_peer(now);
+                    }
                     continue;
                 }
                 let same = sums[from] == sums[to];
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -170,6 +170,7 @@
         fleet,
         gossip_checksum: gossip::checksum(shared),
         part_checksum: shared.part_blame.borrow().checksum(),
+        part_facts: !shared.part_blame.borrow().has_silent_peer(shared.now()),
         capacities: capacities(shared),
         speeds: speeds::zone_report(shared),
     }
@@ -202,6 +203,7 @@
         engine_loads: engines.engine_loads(),
         gossip_checksum: gossip::checksum(shared),
         part_checksum: shared.part_blame.borrow().checksum(),
+        part_facts: true,
         unreachable: quota::unreachable_gateways(shared),
         shapes: BTreeMap::new(),
         arrivals: stream::urgency::reported_rates(shared, shared.now()),
@@ -246,7 +248,7 @@
                 let theirs = (summary.gossip_checksum, summary.part_checksum);
                 gossip::compare_checksums(&shared, &summary.name, from, theirs);
                 let is_other_zone = summary.zone != shared.node().zone;
-                shared.zone_summaries.borrow_mut().on_summary(shared.now(), summary);
+                on_zone_summary(&shared, summary);
                 let theirs = Versions { config, roster, fleet };
                 state_sync::fetch_newer(&shared, from, is_other_zone, theirs);
             }
@@ -265,10 +267,21 @@
     }
 }
 
+fn on_zone_summary(shared: &Shared, summary: ZoneSummary) {
+    if !summary.part_facts {
+        shared.part_blame.borrow_mut().on_silent_zone(shared.now());
+    }
+    shared.zone_summaries.borrow_mut().on_summary(shared.now(), summary);
+}
+
 fn on_load_report(shared: &Rc<Shared>, from: SocketAddr, report: LoadReport) {
     let LoadReport { config, roster, fleet, .. } = report;
     let theirs = (report.gossip_checksum, report.part_checksum);
     gossip::compare_checksums(shared, &report.name, from, theirs);
+    // A gateway that sends a checksum of parts but does not say that it reports crashes does report them.
+    if !report.part_facts && report.part_checksum == 0 {
+        shared.part_blame.borrow_mut().on_silent_peer(shared.now());
+    }
     shared.back_off(&report.changing);
     let is_other_zone = {
         let (node, fleet) = (shared.node(), shared.fleet.borrow());
@@ -280,7 +293,7 @@
     }
     let mut report = report;
     for summary in report.zone_summaries.drain(..).filter(|d| d.zone != shared.node().zone) {
-        shared.zone_summaries.borrow_mut().on_summary(shared.now(), summary);
+        on_zone_summary(shared, summary);
     }
     speeds::on_load_report(shared, &report);
     let (name, account_uses) = (report.name.clone(), std::mem::take(&mut report.account_uses));
--- a/crates/daemon/src/gateway/shared.rs
+++ b/crates/daemon/src/gateway/shared.rs
@@ -276,7 +276,7 @@
             back_offs: RefCell::default(),
             limits: RefCell::default(),
             quarantine: RefCell::default(),
-            part_blame: RefCell::default(),
+            part_blame: RefCell::new(PartBlame::new(clock.now())),
             lost_attempts: RefCell::default(),
             background_waiters: Waiters::default(),
             outgoing_gossip: RefCell::default(),
--- a/crates/router/src/load_report.rs
+++ b/crates/router/src/load_report.rs
@@ -25,7 +25,7 @@
 use crate::stages::ShapeReport;
 use crate::stream_origin::table::OriginRecord;
 use crate::urgency::arrivals::ArrivalRates;
-use crate::varint::is_zero;
+use crate::varint::{is_false, is_zero};
 use crate::zone_leader::{HigherRanked, LEADER_TIMEOUT, StoreLink};
 use crate::zones::ZoneSummary;
 
@@ -124,6 +124,9 @@
     /// know no parts.
     #[serde(rename = "p", default, skip_serializing_if = "is_zero")]
     pub part_checksum: u64,
+    /// Whether the sender reports crashes with the parts of its prompts.
+    #[serde(rename = "b", default, skip_serializing_if = "is_false")]
+    pub part_facts: bool,
     /// Hashes of the gateways that the sender can't reach.
     #[serde(rename = "m", default, skip_serializing_if = "BTreeSet::is_empty")]
     pub unreachable: UnreachableGateways,
--- a/crates/router/src/part_blame.rs
+++ b/crates/router/src/part_blame.rs
@@ -12,7 +12,8 @@
 //! all crashes in which it was a candidate: they no longer count for others. Whole requests are candidates as well:
 //! one that crashes servers by itself does not bring blame on its parts, and is refused by `quarantine`.
 //!
-//! A part that was sound shortly before a crash is suspected only at the second round. Evidence belongs to one
+//! A part that was sound shortly before a crash is suspected only at the second round, and not at all while gateways
+//! serve that report no crashes: the cause may be in a request of theirs. Evidence belongs to one
 //! software: a part that is confirmed at another one is probed, and one crash suffices.
 
 mod facts;
@@ -26,6 +27,7 @@
 
 pub use self::facts::{PartDigest, PartFact, PartUpdate, PromptParts};
 use crate::catalog::ServerId;
+use crate::load_report::PEER_TIMEOUT;
 use crate::stream_origin::SoftwareId;
 
 /// Time after its first event at which an answer counts as past its beginning; a run that breaks off before has
@@ -176,6 +178,10 @@
     confirmed: BTreeMap<PartDigest, BTreeMap<SoftwareId, Timestamp>>,
     sound: BTreeMap<(PartDigest, SoftwareId), Sound>,
     released: BTreeMap<PartDigest, Timestamp>,
+    /// Crashes up to then may lack the part that caused them.
+    incomplete_until: Timestamp,
+    /// Until when a peer that reports no crashes may serve.
+    silent_until: Timestamp,
     /// Histories have changed since established candidates were last found.
     changed: bool,
     /// When they may be found again.
@@ -192,6 +198,11 @@
 }
 
 impl PartBlame {
+    /// State of a gateway that starts: it cannot tell whether all gateways reported crashes before.
+    pub fn new(now: Timestamp) -> Self {
+        PartBlame { incomplete_until: now, ..PartBlame::default() }
+    }
+
     /// How a request is treated; `software` is what its servers may run.
     pub fn state(&self, now: Timestamp, parts: &PromptParts, software: &[SoftwareId]) -> PartState {
         if let Some((part, until)) = self.refused(now, parts, software) {
@@ -252,7 +263,35 @@
     fn counting(&self, key: Key) -> impl Iterator<Item = (&ServerId, &Crash)> {
         let servers = self.rows.get(&key).map_or(&[][..], |row| &row.crashes);
         let crashes = servers.iter().filter_map(|server| Some((server, self.crashes.get(server)?)));
-        crashes.filter(move |(server, crash)| !self.is_explained(server, crash, key))
+        crashes.filter(move |(server, crash)| {
+            !self.may_lack_cause(crash, key) && !self.is_explained(server, crash, key)
+        })
+    }
+
+    /// Whether a part that was sound shortly before may have ended beside a cause that nobody reported.
+    fn may_lack_cause(&self, crash: &Crash, key: Key) -> bool {
+        crash.at <= self.incomplete_until && self.was_sound(key, crash.at)
+    }
+
+    /// Notes a gateway that serves and reports no crashes.
+    pub fn on_silent_peer(&mut self, now: Timestamp) {
+        self.silent_until = now.after(PEER_TIMEOUT);
+        self.doubt_until(self.silent_until);
+    }
+
+    /// Notes an availability zone in which such a gateway serves.
+    pub fn on_silent_zone(&mut self, now: Timestamp) {
+        self.doubt_until(now.after(PEER_TIMEOUT));
+    }
+
+    /// Whether this gateway lately heard a gateway that reports no crashes.
+    pub fn has_silent_peer(&self, now: Timestamp) -> bool {
+        self.silent_until > now
+    }
+
+    fn doubt_until(&mut self, until: Timestamp) {
+        self.incomplete_until = self.incomplete_until.max(until);
+        self.changed |= !self.crashes.is_empty();
     }
 
     /// Whether another candidate explains the crash: one that is confirmed, or, for a part that was sound shortly
--- a/crates/router/src/varint.rs
+++ b/crates/router/src/varint.rs
@@ -44,3 +44,8 @@
 pub(crate) fn is_zero(sum: &u64) -> bool {
     *sum == 0
 }
+
+/// Is a flag unset? Unset flags are left out of messages.
+pub(crate) fn is_false(flag: &bool) -> bool {
+    !flag
+}
--- a/crates/router/src/zones.rs
+++ b/crates/router/src/zones.rs
@@ -18,7 +18,7 @@
 use crate::engine_speeds::SpeedReport;
 use crate::fleet::Fleet;
 use crate::memory_threshold::FREE_TIGHT;
-use crate::varint::is_zero;
+use crate::varint::{is_false, is_zero};
 
 /// Number of gateways from which on zones decide separately, however small they are: reports among
 /// all gateways then cost more than sharing all engines gains.
@@ -168,6 +168,9 @@
     /// know no parts.
     #[serde(rename = "p", default, skip_serializing_if = "is_zero")]
     pub part_checksum: u64,
+    /// Whether all gateways that the sender hears report crashes with the parts of their prompts.
+    #[serde(rename = "r", default, skip_serializing_if = "is_false")]
+    pub part_facts: bool,
     /// Free capacity of its zone, by service.
     #[serde(rename = "e")]
     pub capacities: Vec<ServiceCapacity>,
--- a/crates/router/tests/part_blame.rs
+++ b/crates/router/tests/part_blame.rs
@@ -4,6 +4,7 @@
 
 use ebonyloft_core::time::Timestamp;
 use ebonyloft_router::catalog::{ServerId, SoftwareVersion};
+use ebonyloft_router::load_report::PEER_TIMEOUT;
 use ebonyloft_router::part_blame::{
     PARTS_MAX, PartBlame, PartChange, PartDigest, PartFact, PartState, PartUpdate, PromptParts,
     ROUND, SETTLE_TIME,
@@ -252,3 +253,33 @@
     assert!(matches!(refuted, Some(PartFact::Sound(..))), "{refuted:?}");
     assert_eq!(peer.blame.refutation(peer.now, &report), None);
 }
+
+#[test]
+fn a_sound_part_is_not_blamed_while_gateways_report_no_crashes() {
+    let mut gateway = Gateway::new();
+    gateway.sound(&[FIRST]);
+    for server in 1..9 {
+        gateway.wait(ROUND);
+        gateway.blame.on_silent_peer(gateway.now);
+        gateway.apply(crash(server, &request(server, &[FIRST])));
+    }
+    assert_eq!(gateway.state(&[FIRST]), PartState::Free);
+    assert_eq!(gateway.confirmed(), [0; 0]);
+    gateway.wait(PEER_TIMEOUT);
+    gateway.crash_each(9..14, &[FIRST]);
+    assert!(gateway.is_refused(&[FIRST]), "all gateways report crashes again");
+}
+
+#[test]
+fn a_gateway_that_starts_blames_no_sound_part_for_crashes_before() {
+    let (mut peer, start) = (Gateway::new(), NOW.after(ROUND * 9));
+    peer.sound(&[FIRST]);
+    peer.crash_each(1..8, &[FIRST]);
+    peer.now = start;
+    assert!(peer.is_refused(&[FIRST]));
+    let mut started = Gateway { now: start, blame: PartBlame::new(start) };
+    started.blame.apply_all(start, &peer.blame.updates(start));
+    assert_eq!(started.state(&[FIRST]), PartState::Free);
+    started.crash_each(8..13, &[FIRST]);
+    assert!(started.is_refused(&[FIRST]));
+}
--- a/crates/router/tests/urgency.rs
+++ b/crates/router/tests/urgency.rs
@@ -434,6 +434,7 @@
         fleet: 1,
         gossip_checksum: 0,
         part_checksum: 0,
+        part_facts: true,
         speeds: Default::default(),
         capacities: vec![capacity],
     };
--- a/crates/router/tests/zones.rs
+++ b/crates/router/tests/zones.rs
@@ -27,6 +27,7 @@
         fleet: 1,
         gossip_checksum: 0,
         part_checksum: 0,
+        part_facts: true,
         capacities: vec![ServiceCapacity {
             service: "llm".into(),
             free,
