Router: a sound answer ends only probes that began before it

Cause: each report of a sound answer took its parts out of all probes and investigations, also a report of an answer from long before. Gateways repeat their sound answers of the last minute at each crash, so that each crash ended the probes that were meant to be the only ones.

Change: a probe notes when it was announced; an answer from before tells nothing about it. The new test fails without.

--- a/crates/router/src/part_blame.rs
+++ b/crates/router/src/part_blame.rs
@@ -165,6 +165,7 @@
 /// A running probe or investigation.
 #[derive(Clone, Debug)]
 struct Hold {
+    since: Timestamp,
     until: Timestamp,
     parts: Vec<PartDigest>,
 }
--- a/crates/router/src/part_blame/record.rs
+++ b/crates/router/src/part_blame/record.rs
@@ -27,10 +27,10 @@
                     self.record_sound(now, at, *software, parts, &mut changes);
                 }
                 PartFact::Trying(number, parts) => {
-                    self.hold(now, *number, parts, at.after(PROBE_TIMEOUT));
+                    self.hold(now, *number, parts, (at, at.after(PROBE_TIMEOUT)));
                 }
                 PartFact::Lost(number, parts) => {
-                    self.hold(now, *number, parts, at.after(INVESTIGATION_HOLD));
+                    self.hold(now, *number, parts, (at, at.after(INVESTIGATION_HOLD)));
                 }
                 PartFact::Over(number) => self.release_hold(now, *number),
                 PartFact::Confirmed(software, part) => {
@@ -43,12 +43,18 @@
         changes
     }
 
-    fn hold(&mut self, now: Timestamp, number: u64, parts: &[PartDigest], until: Timestamp) {
+    fn hold(
+        &mut self,
+        now: Timestamp,
+        number: u64,
+        parts: &[PartDigest],
+        (since, until): (Timestamp, Timestamp),
+    ) {
         if until <= now || self.over.contains_key(&number) || self.holds.len() >= HOLDS_MAX {
             return;
         }
         let parts = parts.iter().take(PARTS_MAX).copied().collect();
-        self.holds.entry(number).or_insert(Hold { until, parts });
+        self.holds.entry(number).or_insert(Hold { since, until, parts });
     }
 
     /// The end may be received before the beginning, which is sent twice.
@@ -165,8 +171,10 @@
                 changes.push(PartChange::Cleared(part));
             }
         }
-        let sound: Vec<PartDigest> = parts.parts.clone();
-        self.holds.values_mut().for_each(|hold| hold.parts.retain(|part| !sound.contains(part)));
+        // An answer from before a probe tells nothing about the probe.
+        for hold in self.holds.values_mut().filter(|hold| hold.since <= at) {
+            hold.parts.retain(|part| !parts.parts.contains(part));
+        }
         self.holds.retain(|_, hold| !hold.parts.is_empty());
     }
 
--- a/crates/router/tests/part_blame.rs
+++ b/crates/router/tests/part_blame.rs
@@ -283,3 +283,20 @@
     started.crash_each(8..13, &[FIRST]);
     assert!(started.is_refused(&[FIRST]));
 }
+
+#[test]
+fn a_sound_answer_from_before_a_probe_does_not_end_it() {
+    let mut gateway = Gateway::new();
+    gateway.crash_each(1..3, &[BAD]);
+    gateway.wait(ROUND);
+    let fact = gateway.blame.probe(&request(3, &[BAD]), &[software("1")], 7);
+    gateway.apply(fact);
+    gateway.wait(ROUND);
+    let held = gateway.state(&[BAD]);
+    assert!(matches!(held, PartState::Held(_)), "{held:?}");
+    let sound = PartFact::Sound(software("1"), request(4, &[BAD]));
+    gateway.blame.apply_all(gateway.now, &[PartUpdate { age: 900, fact: sound.clone() }]);
+    assert_eq!(gateway.state(&[BAD]), held);
+    gateway.apply(sound);
+    assert_eq!(gateway.state(&[BAD]), PartState::Free);
+}
