Router: a probe of parts is announced before it begins

Cause: a confirmed part is probed at a version without evidence, by one gateway at a time.

Change: a probe begins ANNOUNCE_TIME (40 ms, chosen: twice the longest transit of the search) after it was announced, unless another one of the same parts with a lower number is known by then. The one that yields waits like any other.

--- a/crates/check/src/part_blame/gateway.rs
+++ b/crates/check/src/part_blame/gateway.rs
@@ -1,6 +1,6 @@
 //! One simulated gateway: the decisions of `ebonyloft-router`, and the rules that a mutant leaves out.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
 use ebonyloft_core::time::Timestamp;
@@ -37,10 +37,14 @@
     Repeats,
     /// Crashes are taken to name their cause while gateways serve that report none.
     TrustsOlder,
+    /// A probe begins without giving precedence to one that another gateway announced.
+    ProbesAtOnce,
+    /// A sound answer ends probes that began after it as well.
+    EndsProbes,
 }
 
 /// All mutants.
-pub const MUTANTS: [Mutant; 11] = [
+pub const MUTANTS: [Mutant; 13] = [
     Mutant::ByRequest,
     Mutant::Alone,
     Mutant::Forgets,
@@ -52,6 +56,8 @@
     Mutant::PartsOnly,
     Mutant::Repeats,
     Mutant::TrustsOlder,
+    Mutant::ProbesAtOnce,
+    Mutant::EndsProbes,
 ];
 
 /// State of one incarnation of a gateway.
@@ -80,6 +86,8 @@
     pub probes: u64,
     /// Lost runs under investigation.
     runs: HashMap<u64, (PromptParts, SoftwareId)>,
+    /// Probes and investigations of peers, kept for a mutant only.
+    held: BTreeMap<u64, Vec<PartDigest>>,
     mutant: Option<Mutant>,
 }
 
@@ -103,6 +111,7 @@
             changes: Vec::new(),
             probes,
             runs: HashMap::new(),
+            held: BTreeMap::new(),
             mutant,
         }
     }
@@ -117,7 +126,7 @@
         self.is_reachable(now) && self.in_touch_at <= now
     }
 
-    /// Decides how a request is treated, and starts the probe of a suspect.
+    /// Decides how a request is treated, and announces the probe of a suspect.
     pub fn admit(
         &mut self,
         now: Timestamp,
@@ -137,6 +146,15 @@
         (state, Some(self.probes))
     }
 
+    /// Whether a probe that was announced may begin; ends it otherwise.
+    pub fn begins(&mut self, now: Timestamp, probe: u64) -> bool {
+        if self.mutant == Some(Mutant::ProbesAtOnce) || !self.blame.yields(now, probe) {
+            return true;
+        }
+        self.record(now, Duration::ZERO, PartFact::Over(probe));
+        false
+    }
+
     /// Whether a request may be sent to a server of this software.
     pub fn may_send(&self, now: Timestamp, parts: &PromptParts, software: SoftwareId) -> bool {
         self.older || !self.blame.is_refused(now, parts, software)
@@ -215,6 +233,9 @@
         if self.mutant == Some(Mutant::Repeats) {
             self.adopt_sound(now, updates);
         }
+        if self.mutant == Some(Mutant::EndsProbes) {
+            self.end_probes(now, updates);
+        }
         let changes = self.blame.apply_all(now, updates);
         self.changes.extend(changes);
         if !publishes || self.mutant == Some(Mutant::NeverSound) {
@@ -246,6 +267,25 @@
         }
     }
 
+    /// Ends all probes of parts of which an answer is reported.
+    fn end_probes(&mut self, now: Timestamp, updates: &[PartUpdate]) {
+        for update in updates {
+            match &update.fact {
+                PartFact::Trying(number, parts) | PartFact::Lost(number, parts) => {
+                    self.held.insert(*number, parts.clone());
+                }
+                PartFact::Sound(_, sound) => {
+                    let is_sound = |part: &PartDigest| sound.parts().contains(part);
+                    let ended = self.held.extract_if(.., |_, parts| parts.iter().any(is_sound));
+                    let over: Vec<PartUpdate> =
+                        ended.map(|(number, _)| PartFact::Over(number).now()).collect();
+                    self.blame.apply_all(now, &over);
+                }
+                _ => {}
+            }
+        }
+    }
+
     /// Records a fact observed here, and queues it to be published to all gateways.
     pub fn record(&mut self, now: Timestamp, ago: Duration, fact: PartFact) {
         self.record_all(now, vec![PartUpdate { age: ago.as_millis() as u64, fact }]);
--- a/crates/check/src/part_blame/simulation.rs
+++ b/crates/check/src/part_blame/simulation.rs
@@ -7,7 +7,7 @@
 use ebonyloft_router::catalog::{Server, ServerId, SoftwareVersion, Stage};
 use ebonyloft_router::lost_attempts::{LostAttempt, ProbeResult};
 use ebonyloft_router::part_blame::{
-    PartDigest, PartFact, PartState, PartUpdate, PromptParts, SOUND_AFTER,
+    ANNOUNCE_TIME, PartDigest, PartFact, PartState, PartUpdate, PromptParts, SOUND_AFTER,
 };
 use ebonyloft_router::request_digest::RequestDigest;
 use ebonyloft_router::stream_origin::SoftwareId;
@@ -468,6 +468,13 @@
         if !process.is_reachable(now) || process.incarnation != incarnation {
             return;
         }
+        if let Some(probe) = request.probe.take()
+            && process.begins(now, probe)
+        {
+            request.probe = Some(probe);
+            return self.send(gateway, incarnation, request, true);
+        }
+        let process = &mut self.gateways[gateway];
         let (state, probe) = process.admit(now, &request.parts, &software);
         match state {
             PartState::Refused { .. } => return,
@@ -480,6 +487,10 @@
         }
         request.probe = probe;
         self.publish_updates(gateway);
+        if probe.is_some() {
+            let event = Event::Admit(gateway, incarnation, request);
+            return self.queue.schedule(ANNOUNCE_TIME, event);
+        }
         self.send(gateway, incarnation, request, true);
     }
 
--- a/crates/check/tests/part_blame.rs
+++ b/crates/check/tests/part_blame.rs
@@ -5,6 +5,9 @@
 /// Seeds tried at four gateways, for the guarantees and for each mutant.
 const SEEDS: u64 = 66;
 
+/// Seeds further on that show what the first ones don't.
+const FURTHER_SEEDS: [u64; 5] = [72, 74, 404, 435, 930];
+
 /// Faults under which the guarantees do not hold yet; each has a test of its own.
 fn is_open(fault: Fault) -> bool {
     matches!(fault, Fault::FirstPart | Fault::OlderRelease)
@@ -50,8 +53,8 @@
 #[test]
 fn each_rule_is_needed() {
     for mutant in MUTANTS {
-        let mut specs =
-            (0..SEEDS).map(|seed| BlameSpec { gateways: 4, seed, mutant: Some(mutant) });
+        let seeds = (0..SEEDS).chain(FURTHER_SEEDS);
+        let mut specs = seeds.map(|seed| BlameSpec { gateways: 4, seed, mutant: Some(mutant) });
         let found = specs.any(|spec| {
             let sound = run(BlameSpec { mutant: None, ..spec }).violation().is_none();
             sound && run(spec).violation().is_some()
--- a/crates/daemon/src/gateway/part_blame.rs
+++ b/crates/daemon/src/gateway/part_blame.rs
@@ -12,7 +12,8 @@
 use ebonyloft_router::catalog::{Server, ServerId};
 use ebonyloft_router::lost_attempts::LostAttempt;
 use ebonyloft_router::part_blame::{
-    CONFIRMED_TTL, PartChange, PartDigest, PartFact, PartState, PartUpdate, PromptParts,
+    ANNOUNCE_TIME, CONFIRMED_TTL, PartChange, PartDigest, PartFact, PartState, PartUpdate,
+    PromptParts,
 };
 use ebonyloft_router::stream_origin::SoftwareId;
 use serde::{Deserialize, Serialize};
@@ -55,6 +56,11 @@
 }
 
 impl Probe {
+    /// Whether another gateway's probe of the same parts comes first.
+    fn yields(&self, shared: &Shared) -> bool {
+        shared.part_blame.borrow().yields(shared.now(), self.number)
+    }
+
     /// Ends the probe, so that the next one may begin if the parts are still suspected.
     pub fn close(self, shared: &Shared) {
         publish(shared, vec![PartFact::Over(self.number).now()]);
@@ -69,13 +75,24 @@
     }
     let software = software(shared, intake);
     let state = || shared.part_blame.borrow().state(shared.now(), &intake.parts, &software);
-    quarantine::wait_while(shared, || matches!(state(), PartState::Held(_))).await;
-    match state() {
-        PartState::Free => Ok(None),
-        PartState::Suspect => Ok(Some(start_probe(shared, intake, &software))),
-        PartState::Held(until) => Err(refuse(shared, intake, None, Cause::Suspect, until)),
-        PartState::Refused { part, until } => {
-            Err(refuse(shared, intake, Some(part), Cause::Quarantined, until))
+    loop {
+        quarantine::wait_while(shared, || matches!(state(), PartState::Held(_))).await;
+        match state() {
+            PartState::Free => return Ok(None),
+            PartState::Suspect => {
+                let probe = announce_probe(shared, intake, &software);
+                compio::time::sleep(ANNOUNCE_TIME).await;
+                if !probe.yields(shared) {
+                    return Ok(Some(probe));
+                }
+                probe.close(shared);
+            }
+            PartState::Held(until) => {
+                return Err(refuse(shared, intake, None, Cause::Suspect, until));
+            }
+            PartState::Refused { part, until } => {
+                return Err(refuse(shared, intake, Some(part), Cause::Quarantined, until));
+            }
         }
     }
 }
@@ -85,7 +102,7 @@
     intake.parts.is_empty() || shared.part_blame.borrow().is_quiet()
 }
 
-fn start_probe(shared: &Shared, intake: &Intake, software: &[SoftwareId]) -> Probe {
+fn announce_probe(shared: &Shared, intake: &Intake, software: &[SoftwareId]) -> Probe {
     let number = shared.random_id();
     let fact = shared.part_blame.borrow().probe(&intake.parts, software, number);
     tracing::info!(
--- a/crates/router/src/part_blame.rs
+++ b/crates/router/src/part_blame.rs
@@ -49,6 +49,9 @@
 pub const CONFIRMED_TTL: Duration = Duration::from_secs(3_600);
 /// How long a probe excludes others if no result of it is received.
 pub const PROBE_TIMEOUT: Duration = Duration::from_millis(3_000);
+/// Time from the announcement of a probe to its beginning, in which gateways that announced one of the same parts learn
+/// of each other.
+pub const ANNOUNCE_TIME: Duration = Duration::from_millis(40);
 /// How long a lost run holds back others while its server is investigated.
 pub const INVESTIGATION_HOLD: Duration = Duration::from_millis(600);
 /// How long all gateways take at most to report their runs at a crashed server; nothing is confirmed before.
@@ -488,6 +491,17 @@
         PartFact::Trying(number, suspects)
     }
 
+    /// Whether an announced probe leaves precedence to one of the same parts that another gateway announced as well;
+    /// asked once `ANNOUNCE_TIME` has passed.
+    pub fn yields(&self, now: Timestamp, number: u64) -> bool {
+        let Some(own) = self.holds.get(&number) else {
+            return false;
+        };
+        let mut others =
+            self.holds.iter().filter(|(other, hold)| **other < number && hold.until > now);
+        others.any(|(_, hold)| hold.parts.iter().any(|part| own.parts.contains(part)))
+    }
+
     /// The fact that a run was lost when it had just begun, if any of its parts is to be held back while its server
     /// is investigated.
     pub fn loss(
--- a/crates/router/tests/part_blame.rs
+++ b/crates/router/tests/part_blame.rs
@@ -6,8 +6,8 @@
 use ebonyloft_router::catalog::{ServerId, SoftwareVersion};
 use ebonyloft_router::load_report::PEER_TIMEOUT;
 use ebonyloft_router::part_blame::{
-    PARTS_MAX, PartBlame, PartChange, PartDigest, PartFact, PartState, PartUpdate, PromptParts,
-    ROUND, SETTLE_TIME,
+    ANNOUNCE_TIME, PARTS_MAX, PartBlame, PartChange, PartDigest, PartFact, PartState, PartUpdate,
+    PromptParts, ROUND, SETTLE_TIME,
 };
 use ebonyloft_router::request_digest::RequestDigest;
 use ebonyloft_router::stream_origin::SoftwareId;
@@ -300,3 +300,18 @@
     gateway.apply(sound);
     assert_eq!(gateway.state(&[BAD]), PartState::Free);
 }
+
+#[test]
+fn of_two_probes_that_are_announced_at_once_one_begins() {
+    let mut gateway = Gateway::new();
+    gateway.crash_each(1..3, &[BAD]);
+    for number in [7, 8] {
+        let fact = gateway.blame.probe(&request(number, &[BAD]), &[software("1")], number);
+        gateway.apply(fact);
+    }
+    gateway.wait(ANNOUNCE_TIME);
+    assert!(!gateway.blame.yields(gateway.now, 7));
+    assert!(gateway.blame.yields(gateway.now, 8));
+    gateway.apply(PartFact::Over(7));
+    assert!(!gateway.blame.yields(gateway.now, 8));
+}
