--- a/crates/check/src/part_blame/simulation.rs
+++ b/crates/check/src/part_blame/simulation.rs
@@ -7,7 +7,7 @@
 use ebonyloft_router::catalog::{Server, ServerId, SoftwareVersion, Stage};
 use ebonyloft_router::lost_attempts::{LostAttempt, ProbeResult};
 use ebonyloft_router::part_blame::{
-    PartDigest, PartFact, PartState, PartUpdate, PromptParts, SOUND_AFTER,
+    ANNOUNCE_TIME, PartDigest, PartFact, PartState, PartUpdate, PromptParts, SOUND_AFTER,
 };
 use ebonyloft_router::request_digest::RequestDigest;
 use ebonyloft_router::stream_origin::SoftwareId;
@@ -181,7 +181,7 @@
 impl Simulation {
     pub(super) fn new(spec: BlameSpec) -> Self {
         let gateways = (0..spec.gateways).map(|n| {
-            let mut gateway = GatewayProcess::new(1, (n as u64) << 40, spec.mutant);
+            let mut gateway = GatewayProcess::new(START, 1, (n as u64) << 40, spec.mutant);
             gateway.older = spec.fault() == Fault::OlderRelease && n % 2 == 1;
             gateway
         });
@@ -468,6 +468,13 @@
         if !process.is_reachable(now) || process.incarnation != incarnation {
             return;
         }
+        if let Some(probe) = request.probe.take()
+            && process.begins(now, probe)
+        {
+            request.probe = Some(probe);
+            return self.send(gateway, incarnation, request, true);
+        }
+        let process = &mut self.gateways[gateway];
         let (state, probe) = process.admit(now, &request.parts, &software);
         match state {
             PartState::Refused { .. } => return,
@@ -480,6 +487,10 @@
         }
         request.probe = probe;
         self.publish_updates(gateway);
+        if probe.is_some() {
+            let event = Event::Admit(gateway, incarnation, request);
+            return self.queue.schedule(ANNOUNCE_TIME, event);
+        }
         self.send(gateway, incarnation, request, true);
     }
 
@@ -806,7 +817,7 @@
         let now = self.queue.now();
         let incarnation = self.gateways[n].incarnation + 1;
         let probes = (n as u64) << 40 | u64::from(incarnation) << 20;
-        self.gateways[n] = GatewayProcess::new(incarnation, probes, self.spec.mutant);
+        self.gateways[n] = GatewayProcess::new(now, incarnation, probes, self.spec.mutant);
         self.gateways[n].in_touch_at = now.after(CONTACT);
         if self.starts_empty() {
             return;
@@ -916,7 +927,13 @@
                 let to = (from + 1 + self.rng.random_range(0..self.gateways.len() - 1))
                     % self.gateways.len();
                 let (a, b) = (&self.gateways[from], &self.gateways[to]);
-                if !a.is_reachable(now) || !b.is_reachable(now) || a.older || b.older {
+                if !a.is_reachable(now) || !b.is_reachable(now) {
+                    continue;
+                }
+                if a.older || b.older {
+                    if a.older {
+                        self.gateways[to].on_older_peer(now);
+                    }
                     continue;
                 }
                 let same = sums[from] == sums[to];
--- a/crates/router/src/part_blame.rs
+++ b/crates/router/src/part_blame.rs
@@ -12,7 +12,8 @@
 //! all crashes in which it was a candidate: they no longer count for others. Whole requests are candidates as well:
 //! one that crashes servers by itself does not bring blame on its parts, and is refused by `quarantine`.
 //!
-//! A part that was sound shortly before a crash is suspected only at the second round. Evidence belongs to one
+//! A part that was sound shortly before a crash is suspected only at the second round, and not at all while gateways
+//! serve that report no crashes: the cause may be in a request of theirs. Evidence belongs to one
 //! software: a part that is confirmed at another one is probed, and one crash suffices.
 
 mod facts;
@@ -26,6 +27,7 @@
 
 pub use self::facts::{PartDigest, PartFact, PartUpdate, PromptParts};
 use crate::catalog::ServerId;
+use crate::load_report::PEER_TIMEOUT;
 use crate::stream_origin::SoftwareId;
 
 /// Time after its first event at which an answer counts as past its beginning; a run that breaks off before has
@@ -47,6 +49,9 @@
 pub const CONFIRMED_TTL: Duration = Duration::from_secs(3_600);
 /// How long a probe excludes others if no result of it is received.
 pub const PROBE_TIMEOUT: Duration = Duration::from_millis(3_000);
+/// Time from the announcement of a probe to its beginning, in which gateways that announced one of the same parts learn
+/// of each other.
+pub const ANNOUNCE_TIME: Duration = Duration::from_millis(40);
 /// How long a lost run holds back others while its server is investigated.
 pub const INVESTIGATION_HOLD: Duration = Duration::from_millis(600);
 /// How long all gateways take at most to report their runs at a crashed server; nothing is confirmed before.
@@ -154,6 +159,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Sound {
     at: Timestamp,
+    /// The latest one received by this gateway.
+    own_at: Option<Timestamp>,
     /// Another one came within `SOUND_TTL` before it.
     repeated: bool,
 }
@@ -161,6 +168,7 @@
 /// A running probe or investigation.
 #[derive(Clone, Debug)]
 struct Hold {
+    since: Timestamp,
     until: Timestamp,
     parts: Vec<PartDigest>,
 }
@@ -168,12 +176,16 @@
 /// What is known of parts and crashes.
 #[derive(Clone, Debug, Default)]
 pub struct PartBlame {
-    crashes: HashMap<ServerId, Crash>,
-    rows: HashMap<Key, Row>,
+    crashes: BTreeMap<ServerId, Crash>,
+    rows: BTreeMap<Key, Row>,
     /// Confirmed parts, with the time of their last crash at each software.
-    confirmed: HashMap<PartDigest, BTreeMap<SoftwareId, Timestamp>>,
-    sound: HashMap<(PartDigest, SoftwareId), Sound>,
-    released: HashMap<PartDigest, Timestamp>,
+    confirmed: BTreeMap<PartDigest, BTreeMap<SoftwareId, Timestamp>>,
+    sound: BTreeMap<(PartDigest, SoftwareId), Sound>,
+    released: BTreeMap<PartDigest, Timestamp>,
+    /// Crashes up to then may lack the part that caused them.
+    incomplete_until: Timestamp,
+    /// Until when a peer that reports no crashes may serve.
+    silent_until: Timestamp,
     /// Histories have changed since established candidates were last found.
     changed: bool,
     /// When they may be found again.
@@ -190,6 +202,11 @@
 }
 
 impl PartBlame {
+    /// State of a gateway that starts: it cannot tell whether all gateways reported crashes before.
+    pub fn new(now: Timestamp) -> Self {
+        PartBlame { incomplete_until: now, ..PartBlame::default() }
+    }
+
     /// How a request is treated; `software` is what its servers may run.
     pub fn state(&self, now: Timestamp, parts: &PromptParts, software: &[SoftwareId]) -> PartState {
         if let Some((part, until)) = self.refused(now, parts, software) {
@@ -250,7 +267,35 @@
     fn counting(&self, key: Key) -> impl Iterator<Item = (&ServerId, &Crash)> {
         let servers = self.rows.get(&key).map_or(&[][..], |row| &row.crashes);
         let crashes = servers.iter().filter_map(|server| Some((server, self.crashes.get(server)?)));
-        crashes.filter(move |(server, crash)| !self.is_explained(server, crash, key))
+        crashes.filter(move |(server, crash)| {
+            !self.may_lack_cause(crash, key) && !self.is_explained(server, crash, key)
+        })
+    }
+
+    /// Whether a part that was sound shortly before may have ended beside a cause that nobody reported.
+    fn may_lack_cause(&self, crash: &Crash, key: Key) -> bool {
+        crash.at <= self.incomplete_until && self.was_sound(key, crash.at)
+    }
+
+    /// Notes a gateway that serves and reports no crashes.
+    pub fn on_silent_peer(&mut self, now: Timestamp) {
+        self.silent_until = now.after(PEER_TIMEOUT);
+        self.doubt_until(self.silent_until);
+    }
+
+    /// Notes an availability zone in which such a gateway serves.
+    pub fn on_silent_zone(&mut self, now: Timestamp) {
+        self.doubt_until(now.after(PEER_TIMEOUT));
+    }
+
+    /// Whether this gateway lately heard a gateway that reports no crashes.
+    pub fn has_silent_peer(&self, now: Timestamp) -> bool {
+        self.silent_until > now
+    }
+
+    fn doubt_until(&mut self, until: Timestamp) {
+        self.incomplete_until = self.incomplete_until.max(until);
+        self.changed |= !self.crashes.is_empty();
     }
 
     /// Whether another candidate explains the crash: one that is confirmed, or, for a part that was sound shortly
@@ -446,6 +491,17 @@
         PartFact::Trying(number, suspects)
     }
 
+    /// Whether an announced probe leaves precedence to one of the same parts that another gateway announced as well;
+    /// asked once `ANNOUNCE_TIME` has passed.
+    pub fn yields(&self, now: Timestamp, number: u64) -> bool {
+        let Some(own) = self.holds.get(&number) else {
+            return false;
+        };
+        let mut others =
+            self.holds.iter().filter(|(other, hold)| **other < number && hold.until > now);
+        others.any(|(_, hold)| hold.parts.iter().any(|part| own.parts.contains(part)))
+    }
+
     /// The fact that a run was lost when it had just begun, if any of its parts is to be held back while its server
     /// is investigated.
     pub fn loss(
@@ -469,6 +525,9 @@
     ) -> Option<PartFact> {
         for part in &parts.parts {
             self.insert_sound(now, *part, software, now);
+            if let Some(sound) = self.sound.get_mut(&(*part, software)) {
+                sound.own_at = sound.own_at.max(Some(now));
+            }
         }
         let mut needed = parts.clone();
         needed.parts.retain(|part| self.has_blame(Candidate::Part(*part), software));
@@ -504,8 +563,9 @@
             self.evict_sound(now);
         }
         let repeated = before.is_some_and(|sound| sound.repeated || sound.at.after(SOUND_TTL) > at);
+        let own_at = before.and_then(|sound| sound.own_at);
         let at = before.map_or(at, |sound| sound.at.max(at));
-        self.sound.insert((part, software), Sound { at, repeated });
+        self.sound.insert((part, software), Sound { at, own_at, repeated });
     }
 
     /// Drops sound parts that have expired, then those seen once, then the older half.
--- a/crates/router/tests/part_blame.rs
+++ b/crates/router/tests/part_blame.rs
@@ -4,9 +4,10 @@
 
 use ebonyloft_core::time::Timestamp;
 use ebonyloft_router::catalog::{ServerId, SoftwareVersion};
+use ebonyloft_router::load_report::PEER_TIMEOUT;
 use ebonyloft_router::part_blame::{
-    PARTS_MAX, PartBlame, PartChange, PartDigest, PartFact, PartState, PartUpdate, PromptParts,
-    ROUND, SETTLE_TIME,
+    ANNOUNCE_TIME, PARTS_MAX, PartBlame, PartChange, PartDigest, PartFact, PartState, PartUpdate,
+    PromptParts, ROUND, SETTLE_TIME,
 };
 use ebonyloft_router::request_digest::RequestDigest;
 use ebonyloft_router::stream_origin::SoftwareId;
@@ -241,3 +242,76 @@
         }
     }
 }
+
+#[test]
+fn a_sound_answer_does_not_become_later_each_time_that_peers_repeat_it() {
+    let (mut own, mut peer) = (Gateway::new(), Gateway::new());
+    own.sound(&[BAD]);
+    peer.apply(PartFact::Sound(software("1"), request(99, &[BAD])));
+    let report = PartUpdate { age: 5, fact: crash(1, &request(1, &[BAD])) };
+    let refuted = own.blame.refutation(own.now, &report).map(|update| update.fact);
+    assert!(matches!(refuted, Some(PartFact::Sound(..))), "{refuted:?}");
+    assert_eq!(peer.blame.refutation(peer.now, &report), None);
+}
+
+#[test]
+fn a_sound_part_is_not_blamed_while_gateways_report_no_crashes() {
+    let mut gateway = Gateway::new();
+    gateway.sound(&[FIRST]);
+    for server in 1..9 {
+        gateway.wait(ROUND);
+        gateway.blame.on_silent_peer(gateway.now);
+        gateway.apply(crash(server, &request(server, &[FIRST])));
+    }
+    assert_eq!(gateway.state(&[FIRST]), PartState::Free);
+    assert_eq!(gateway.confirmed(), [0; 0]);
+    gateway.wait(PEER_TIMEOUT);
+    gateway.crash_each(9..14, &[FIRST]);
+    assert!(gateway.is_refused(&[FIRST]), "all gateways report crashes again");
+}
+
+#[test]
+fn a_gateway_that_starts_blames_no_sound_part_for_crashes_before() {
+    let (mut peer, start) = (Gateway::new(), NOW.after(ROUND * 9));
+    peer.sound(&[FIRST]);
+    peer.crash_each(1..8, &[FIRST]);
+    peer.now = start;
+    assert!(peer.is_refused(&[FIRST]));
+    let mut started = Gateway { now: start, blame: PartBlame::new(start) };
+    started.blame.apply_all(start, &peer.blame.updates(start));
+    assert_eq!(started.state(&[FIRST]), PartState::Free);
+    started.crash_each(8..13, &[FIRST]);
+    assert!(started.is_refused(&[FIRST]));
+}
+
+#[test]
+fn a_sound_answer_from_before_a_probe_does_not_end_it() {
+    let mut gateway = Gateway::new();
+    gateway.crash_each(1..3, &[BAD]);
+    gateway.wait(ROUND);
+    let fact = gateway.blame.probe(&request(3, &[BAD]), &[software("1")], 7);
+    gateway.apply(fact);
+    gateway.wait(ROUND);
+    let held = gateway.state(&[BAD]);
+    assert!(matches!(held, PartState::Held(_)), "{held:?}");
+    let sound = PartFact::Sound(software("1"), request(4, &[BAD]));
+    gateway.blame.apply_all(gateway.now, &[PartUpdate { age: 900, fact: sound.clone() }]);
+    assert_eq!(gateway.state(&[BAD]), held);
+    gateway.apply(sound);
+    assert_eq!(gateway.state(&[BAD]), PartState::Free);
+}
+
+#[test]
+fn of_two_probes_that_are_announced_at_once_one_begins() {
+    let mut gateway = Gateway::new();
+    gateway.crash_each(1..3, &[BAD]);
+    for number in [7, 8] {
+        let fact = gateway.blame.probe(&request(number, &[BAD]), &[software("1")], number);
+        gateway.apply(fact);
+    }
+    gateway.wait(ANNOUNCE_TIME);
+    assert!(!gateway.blame.yields(gateway.now, 7));
+    assert!(gateway.blame.yields(gateway.now, 8));
+    gateway.apply(PartFact::Over(7));
+    assert!(!gateway.blame.yields(gateway.now, 8));
+}
