Stand-ins: a moved run gets its own copy when several runs move to one engine

The last call of a migration looked for any copy at the target, so that two runs moved from one engine to another at the same time would have got each other's copy: the check of owners would have blamed the gateway. Copies are now found by target and attempt, and their names tell the engines apart. A run that ended after a later run of the same attempt had begun took the later run's entry with it, so that the later one could no longer be moved and panicked at its next event; each run now removes its own. Engines call each other over new connections, as gateways do, so that relays which answer twice don't mix up their copies.

--- a/crates/standins/src/fleet/backend.rs
+++ b/crates/standins/src/fleet/backend.rs
@@ -223,10 +223,10 @@
     handles: RefCell<HashMap<String, Instant>>,
     used_tokens: Cell<u64>,
     last_name: Cell<u64>,
-    /// Last event of each stream in process by attempt, and whether it is to stop.
-    streams: RefCell<HashMap<String, (u64, bool)>>,
-    /// Engine that holds the copy of a run, by handle.
-    copies: RefCell<HashMap<String, SocketAddr>>,
+    /// Streams in process by attempt.
+    streams: RefCell<HashMap<String, Rc<StreamEntry>>>,
+    /// Engine that holds the copy of a run, and the run's attempt, by handle.
+    copies: RefCell<HashMap<String, (SocketAddr, String)>>,
     pool: Pool,
 }
 
@@ -640,10 +640,10 @@
 
     async fn release_copy(&self, handle: &str) {
         let target = self.copies.borrow_mut().remove(handle);
-        if let Some(target) = target {
+        if let Some((target, _)) = target {
             let req = engine::release_reservation(&ServerId::default(), handle);
             // The target may have crashed.
-            let _ = self.pool.call(target, req, MOVE_TIMEOUT).await;
+            let _ = self.pool.call_server(target, req, MOVE_TIMEOUT).await;
         }
     }
 
@@ -657,20 +657,21 @@
         let reply = |status, handle: &str, created| {
             response(status, HeaderMap::new(), simulation::move_body(handle, created))
         };
-        let Some((created, _)) = self.streams.borrow().get(attempt).copied() else {
+        let Some(stream) = self.streams.borrow().get(attempt).cloned() else {
             return response(404, HeaderMap::new(), Vec::new());
         };
+        let created = stream.last.get();
         let fault = self.fault.get();
         if !last {
             let req =
                 engine::reserve(&ServerId::default(), 1, self.spec.handle_ttl.as_millis() as u64);
-            let held = self.pool.call(target, req, MOVE_TIMEOUT).await;
+            let held = self.pool.call_server(target, req, MOVE_TIMEOUT).await;
             let Some(handle) =
-                held.ok().and_then(|(status, body)| engine::parse_reservation(status, &body))
+                held.ok().and_then(|(_, status, body)| engine::parse_reservation(status, &body))
             else {
                 return response(503, HeaderMap::new(), Vec::new());
             };
-            self.copies.borrow_mut().insert(handle.clone(), target);
+            self.copies.borrow_mut().insert(handle.clone(), (target, attempt.to_owned()));
             self.observed.borrow_mut().ownership.on_handle(&handle, attempt);
             match fault {
                 Fault::CopiesLate => compio::time::sleep(LATE_COPY).await,
@@ -686,15 +687,14 @@
             }
             return reply(200, &handle, created);
         }
-        if let Some((_, is_stopped)) = self.streams.borrow_mut().get_mut(attempt) {
-            *is_stopped = true;
-        }
-        while self.streams.borrow().contains_key(attempt) {
+        stream.is_stopped.set(true);
+        while !stream.has_ended.get() {
             compio::time::sleep(Duration::from_millis(1)).await;
         }
+        let created = stream.last.get();
         let handle = {
-            let copies = self.copies.borrow();
-            copies.iter().find(|(_, to)| **to == target).map(|(h, _)| h.clone()).unwrap_or_default()
+            let (copies, to) = (self.copies.borrow(), (target, attempt.to_owned()));
+            copies.iter().find(|(_, copy)| **copy == to).map(|(h, _)| h.clone()).unwrap_or_default()
         };
         match fault {
             Fault::StopsSilently => std::future::pending().await,
@@ -876,7 +876,8 @@
 
     fn next_name(&self, kind: &str) -> String {
         self.last_name.set(self.last_name.get() + 1);
-        format!("{kind}{}", self.last_name.get())
+        // An engine tells the copies that it made at several engines apart.
+        format!("{kind}-{}-{}", self.addr.ip(), self.last_name.get())
     }
 }
 
@@ -945,32 +946,47 @@
     }
 }
 
+/// A stream in process.
+#[derive(Default)]
+struct StreamEntry {
+    /// Its last event.
+    last: Cell<u64>,
+    /// It is to stop.
+    is_stopped: Cell<bool>,
+    has_ended: Cell<bool>,
+}
+
 /// Entry of a stream in process, removed on drop.
 struct StreamGuard<'a> {
     backend: &'a BackendServer,
     attempt: String,
+    entry: Rc<StreamEntry>,
 }
 
 impl<'a> StreamGuard<'a> {
     fn start(backend: &'a BackendServer, attempt: &str, last: u64) -> Self {
-        backend.streams.borrow_mut().insert(attempt.to_owned(), (last, false));
-        StreamGuard { backend, attempt: attempt.to_owned() }
+        let entry = Rc::new(StreamEntry { last: Cell::new(last), ..StreamEntry::default() });
+        backend.streams.borrow_mut().insert(attempt.to_owned(), entry.clone());
+        StreamGuard { backend, attempt: attempt.to_owned(), entry }
     }
 
     fn is_stopped(&self) -> bool {
-        self.backend.streams.borrow()[&self.attempt].1
+        self.entry.is_stopped.get()
     }
 
     fn on_event(&self, id: u64) {
-        if let Some((last, _)) = self.backend.streams.borrow_mut().get_mut(&self.attempt) {
-            *last = id;
-        }
+        self.entry.last.set(id);
     }
 }
 
 impl Drop for StreamGuard<'_> {
+    /// A later run of the attempt may have taken its place.
     fn drop(&mut self) {
-        self.backend.streams.borrow_mut().remove(&self.attempt);
+        self.entry.has_ended.set(true);
+        let mut streams = self.backend.streams.borrow_mut();
+        if streams.get(&self.attempt).is_some_and(|entry| Rc::ptr_eq(entry, &self.entry)) {
+            streams.remove(&self.attempt);
+        }
     }
 }
 
