Stand-ins: engines that carry out stage orders, a peer of several gateways, sizes of prompts

So far an engine recorded orders and kept its stage. Now it can carry them out: it rejects work meanwhile, registers with its new stage, keeps the fencing token, answers 409 while it changes, 200 if it has the stage, 412 to an older token, and forgets all of it with its incarnation. Faults: answers late or never, acts seconds later. Without carry_out_orders nothing changes for the tests that exist.

--- a/crates/standins/src/fleet/backend.rs
+++ b/crates/standins/src/fleet/backend.rs
@@ -3,6 +3,8 @@
 //! It simulates processing times without a model, and records what ran, what was cancelled and what is
 //! still reserved.
 
+mod orders;
+
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -24,6 +26,8 @@
 use hyper::body::{Frame, Incoming};
 use hyper::{HeaderMap, Request, Response, StatusCode};
 
+pub use self::orders::OrderFault;
+use self::orders::Orders;
 use super::listener::Listener;
 use super::ownership::Ownership;
 use super::store::Store;
@@ -227,6 +231,7 @@
     streams: RefCell<HashMap<String, Rc<StreamEntry>>>,
     /// Engine that holds the copy of a run, and the run's attempt, by handle.
     copies: RefCell<HashMap<String, (SocketAddr, String)>>,
+    orders: Orders,
     pool: Pool,
 }
 
@@ -256,6 +261,7 @@
             last_name: Cell::default(),
             streams: RefCell::default(),
             copies: RefCell::default(),
+            orders: Orders::default(),
             pool: Pool::new(Clock::default()),
         });
         backend.listen().await;
@@ -503,7 +509,7 @@
             }
             Some(BackendCall::Order { stage, fence, .. }) => {
                 self.observed.borrow_mut().orders.push((stage, fence));
-                response(202, HeaderMap::new(), Vec::new())
+                self.on_order(stage, fence).await
             }
             Some(BackendCall::Work(work)) => self.admit(work, marker).await,
         }
@@ -553,7 +559,8 @@
         }
         let full = self.running.get() >= self.spec.slots;
         let rejects_run = self.fault.get() == Fault::Changes && !work.prefill;
-        if full || rejects_run || self.fault.get() == Fault::Sheds {
+        let rejects_all = self.fault.get() == Fault::Sheds || self.is_changing_stage();
+        if full || rejects_run || rejects_all {
             self.record_lost_prefill(&work);
             return response(503, simulation::rejection_headers(&work.attempt), Vec::new());
         }
@@ -629,7 +636,7 @@
         let slots = holds.len() as u32 + self.running.get();
         let full = reserved + self.used_tokens.get() + tokens > self.spec.memory_tokens
             || slots >= self.spec.slots;
-        if full || self.fault.get() == Fault::Full {
+        if full || self.fault.get() == Fault::Full || self.is_changing_stage() {
             self.observed.borrow_mut().refused_holds += 1;
             return response(503, HeaderMap::new(), Vec::new());
         }
--- a/crates/standins/src/fleet/caller.rs
+++ b/crates/standins/src/fleet/caller.rs
@@ -149,8 +149,13 @@
 
     /// Returns a request for a summary.
     pub fn summary_request(&self, path: &str, attempt: &str) -> Request<Bytes> {
+        self.sized_request(path, attempt, (3_000, 2_040))
+    }
+
+    /// Returns a request for a summary with these tokens: in the prompt, and the most in the answer.
+    pub fn sized_request(&self, path: &str, attempt: &str, tokens: (u64, u64)) -> Request<Bytes> {
         let body = Bytes::from(vec![b'x'; 3_000]);
-        let (patience, tokens) = (self.summary_timeout, Some((3_000, 2_040)));
+        let (patience, tokens) = (self.summary_timeout, Some(tokens));
         simulation::caller_request(&CallerRequest {
             host: HOST,
             path,
--- a/crates/standins/src/fleet/peer.rs
+++ b/crates/standins/src/fleet/peer.rs
@@ -93,8 +93,12 @@
 
     /// Sends gossip datagrams to a gateway until the process ends.
     pub async fn send_gossip(self: Rc<Self>, to: IpAddr) {
+        self.send_gossip_to_all(vec![to]).await;
+    }
+
+    /// Sends the same datagrams to several gateways.
+    pub async fn send_gossip_to_all(self: Rc<Self>, gateways: Vec<IpAddr>) {
         let socket = UdpSocket::bind(self.addr).await.expect("a free address");
-        let to = SocketAddr::new(to, self.addr.port());
         for seq in 1.. {
             let State { versions, settle_ms, .. } = *self.state.borrow();
             let engine_loads = self.state.borrow().engine_loads.clone();
@@ -114,7 +118,10 @@
             let mut bytes = Vec::new();
             ciborium::into_writer(&GossipMessage::Share(share), &mut bytes)
                 .expect("encodable share");
-            let _ = socket.send_to(bytes, to).await;
+            for ip in &gateways {
+                // Fails while the gateway is down.
+                let _ = socket.send_to(bytes.clone(), SocketAddr::new(*ip, self.addr.port())).await;
+            }
             compio::time::sleep(GOSSIP_INTERVAL).await;
         }
     }
