Soak: runs that are moved, stage orders and restarts, beside second answers and stops of all gateways

Second answers were never played beside moves of runs, orders to engines or the loss of all gateways. New kinds of fault, 25 to 31, and a plan of them: engines that a stand-in gateway reports as nearly full, so that runs are moved from there; the five faults of migrations; engines that start again at their address, under their name or another, while a copy is kept; orders answered late, never or carried out later; prompts that get longer and shorter; SIGTERM to one gateway or all; second answers of all servers to all kinds of call. The configuration has two urgency levels, so that the default setting moves runs. Runs print copies, moves, orders, changed stages and answers that leave open whether a request ran. The plans that exist draw the same faults as before.

--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -15,12 +15,15 @@
 mod cluster;
 #[path = "soak/faults.rs"]
 mod faults;
+#[path = "soak/moves.rs"]
+mod moves;
 
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use self::cluster::{
-    ACCOUNT_KINDS, BASIC_KINDS, CRASH_KINDS, DRAINING_KINDS, DUPLICATE_KINDS, GENERAL_KINDS, Plan,
-    RATE_LIMIT_KINDS, REGISTRATION_KINDS, RESPONSE_KINDS, VERSION_KINDS, run_plan,
+    ACCOUNT_KINDS, BASIC_KINDS, CRASH_KINDS, DRAINING_KINDS, DUPLICATE_KINDS, GENERAL_KINDS,
+    MOVE_KINDS, Plan, RATE_LIMIT_KINDS, REGISTRATION_KINDS, RESPONSE_KINDS, VERSION_KINDS,
+    run_counted, run_plan,
 };
 
 /// Seeds that failed once, each with the fault that it found.
@@ -32,7 +35,7 @@
 ];
 
 /// Kinds of faults of the plans that each seed plays by hand, one after the other.
-const PLANS: [&[u32]; 8] = [
+const PLANS: [&[u32]; 9] = [
     GENERAL_KINDS,
     DRAINING_KINDS,
     RESPONSE_KINDS,
@@ -41,6 +44,7 @@
     ACCOUNT_KINDS,
     VERSION_KINDS,
     DUPLICATE_KINDS,
+    MOVE_KINDS,
 ];
 
 fn env_number(name: &str) -> Option<u64> {
@@ -93,6 +97,16 @@
     assert!(while_due > 0, "no second answer came while another was due");
 }
 
+/// Guards against runs that go on from another run's copy, prompt or reservation.
+#[test]
+fn moves_and_orders_in_a_short_run() {
+    let plan = Plan { seed: 25, faults: Duration::from_secs(8), gateways: 3, kinds: MOVE_KINDS };
+    let counts = [run_counted(plan), run_counted(Plan { seed: 26, ..plan })];
+    assert!(counts.iter().any(|c| c.moved > 0), "no run was moved: {counts:?}");
+    assert!(counts.iter().any(|c| c.orders > 0), "no engine was ordered: {counts:?}");
+    assert!(counts.iter().any(|c| c.second_answers > 0), "no second answer: {counts:?}");
+}
+
 #[test]
 fn seeds_that_failed_keep_the_promises() {
     for (seed, found) in REGRESSION_SEEDS {
--- a/crates/daemon/tests/soak/callers.rs
+++ b/crates/daemon/tests/soak/callers.rs
@@ -32,6 +32,8 @@
     taken_up: (usize, usize),
     /// Refused ones of them, by the stated cause.
     refused: BTreeMap<String, usize>,
+    /// Answers with status 502 to requests that may run only once, by path.
+    uncertain: BTreeMap<&'static str, usize>,
 }
 
 impl Expectations {
@@ -58,10 +60,10 @@
         );
         let (served, counted) = (self.served, self.counted);
         let (taken_up, continued) = self.taken_up;
-        let refused = &self.refused;
+        let (refused, uncertain) = (&self.refused, &self.uncertain);
         println!(
             "seed {seed}: {served} of {counted} served, {continued} of {taken_up} take-ups went on \
-             {refused:?}; \
+             {refused:?}; run or not is unknown {uncertain:?}; \
              checked {drains} drains, {crashes} crashing requests, {accounts} keys and quotas"
         );
     }
@@ -69,26 +71,27 @@
     /// Prints the second answers by what was due when they came, and returns how many came while
     /// another answer was due.
     pub fn count_second_answers(&self, cluster: &Cluster) -> usize {
-        let mut counts: BTreeMap<String, usize> = BTreeMap::new();
+        let (mut counts, mut while_due) = (BTreeMap::<String, usize>::new(), 0);
         for delivery in cluster.duplicators.iter().flat_map(|d| d.deliveries()) {
             let name = match delivery.due {
-                None => "idle".to_owned(),
+                None => format!("{:?} while idle", delivery.kind),
                 Some(due) => format!("{:?} at {due:?}", delivery.kind),
             };
             *counts.entry(name).or_default() += 1;
+            while_due += usize::from(delivery.due.is_some());
         }
         let seed = cluster.plan.seed;
         if cluster.plan.has_duplicates() {
             println!("seed {seed}: second answers {counts:?}");
         }
-        counts.iter().filter(|(name, _)| *name != "idle").map(|(_, count)| count).sum()
+        while_due
     }
 }
 
 /// Sends requests to one gateway until the run ends; connections are reused until they break.
 pub async fn send_requests(cluster: Rc<Cluster>, n: usize) {
     let mut rng = ChaCha8Rng::seed_from_u64(cluster.plan.seed << 8 | n as u64);
-    let caller = cluster.caller(n / 2);
+    let caller = cluster.caller(n / cluster.plan.callers_each());
     let mut count = 0;
     while cluster.callers_running.get() {
         count += 1;
@@ -104,7 +107,11 @@
         let request = async {
             match path {
                 CHECK | LOOKUP => caller.call(path, &attempt).await,
-                _ => caller.send_until(caller.summary_request(path, &attempt), read_max).await,
+                _ => {
+                    let request =
+                        caller.sized_request(path, &attempt, cluster.summary_tokens.get());
+                    caller.send_until(request, read_max).await
+                }
             }
         };
         // One in ten callers disconnects early.
@@ -197,7 +204,13 @@
     format!("{{\"valid\":true,\"attempt\":\"{attempt}\"}}")
 }
 
-fn check_answer(cluster: &Cluster, path: &str, attempt: &str, answer: &Answer, is_counted: bool) {
+fn check_answer(
+    cluster: &Cluster,
+    path: &'static str,
+    attempt: &str,
+    answer: &Answer,
+    is_counted: bool,
+) {
     let seed = cluster.plan.seed;
     check_owner(cluster, attempt, answer);
     match answer.status {
@@ -241,10 +254,15 @@
         500 => {
             assert!(answer.header("server-stamp").is_some(), "seed {seed}: a 500 from the gateway")
         }
-        502 => assert!(
-            answer.header("server-stamp").is_none(),
-            "seed {seed}: a 502 with a server-stamp"
-        ),
+        502 => {
+            assert!(
+                answer.header("server-stamp").is_none(),
+                "seed {seed}: a 502 with a server-stamp"
+            );
+            if path == CHECK || path == ONCE_SUMMARY {
+                *cluster.expectations.borrow_mut().uncertain.entry(path).or_default() += 1;
+            }
+        }
         // A backend server itself answers 504 once the deadline of a request has passed.
         504 => {}
         other => panic!("seed {seed}: {attempt} got {other}"),
--- a/crates/daemon/tests/soak/cluster.rs
+++ b/crates/daemon/tests/soak/cluster.rs
@@ -17,15 +17,18 @@
 use ebonyloft_standins::fleet::backend::{self, BackendServer, BackendSpec};
 use ebonyloft_standins::fleet::caller::Caller;
 use ebonyloft_standins::fleet::duplicates::Duplicator;
+use ebonyloft_standins::fleet::peer::Peer;
 use ebonyloft_standins::fleet::store::{self, Store};
 use ebonyloft_standins::fleet::{
     CHECK, ENGINE_SERVICE, FleetSpec, ONCE_SUMMARY, PLAIN_SERVICE, SUMMARY, config,
 };
 use ebonyloft_standins::relay::{self, RelaySwitch};
+use ebonyloftd::settings::MigrationSetting;
 use rustix::process::{Pid, Signal, kill_process};
 
 use crate::callers::{Expectations, send_requests};
 use crate::faults::inject_faults;
+use crate::moves;
 
 /// Time after the last fault within which every gateway must serve again.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(12);
@@ -33,6 +36,9 @@
 /// Time after a fault that outdates server lists until all gateways are up to date again.
 const SETTLE_TIME: Duration = Duration::from_secs(4);
 
+/// Tokens of summaries: in the prompt, and the most in the answer.
+pub const SUMMARY_TOKENS: (u64, u64) = (3_000, 2_040);
+
 /// Parameters of one run.
 #[derive(Clone, Copy, Debug)]
 pub struct Plan {
@@ -73,6 +79,12 @@
 /// Servers that answer twice, with faults of gateways, of the store, of network paths and of servers.
 pub const DUPLICATE_KINDS: &[u32] =
     &[0, 1, 2, 3, 4, 6, 8, 9, 10, 11, 12, 15, 16, 22, 22, 22, 22, 22, 22, 22];
+/// Runs that are moved, stage orders and engines that start again, with second answers and with gateways that
+/// are stopped and killed, one by one and all at once.
+pub const MOVE_KINDS: &[u32] = &[
+    0, 3, 4, 6, 8, 10, 16, 21, 25, 25, 25, 25, 25, 26, 26, 26, 26, 27, 27, 28, 28, 28, 29, 29, 30,
+    31, 31, 31, 31, 31,
+];
 /// Versions that engines are replaced by.
 pub const VERSIONS: [&str; 5] = ["v1", "v2", "v3", "v4", "v5"];
 
@@ -122,6 +134,10 @@
     /// runners; none unless the plan needs them.
     pub duplicators: Vec<Rc<Duplicator>>,
     pub gateways: Vec<Gateway>,
+    /// Reports memory in use at engines, as one more gateway; none unless the plan needs it.
+    pub peer: Option<Rc<Peer>>,
+    /// Tokens of summaries: in the prompt, and the most in the answer.
+    pub summary_tokens: Cell<(u64, u64)>,
     pub expectations: RefCell<Expectations>,
     pub config_version: Cell<u64>,
     /// Callers send requests while this is true.
@@ -136,7 +152,17 @@
 
     /// Do servers answer twice?
     pub fn has_duplicates(&self) -> bool {
-        self.kinds.contains(&22)
+        self.kinds.contains(&22) || self.kinds.contains(&31)
+    }
+
+    /// Callers of each gateway.
+    pub fn callers_each(&self) -> usize {
+        if self.has_moves() { 4 } else { 2 }
+    }
+
+    /// Are runs moved, and do engines carry out stage orders?
+    pub fn has_moves(&self) -> bool {
+        self.kinds.contains(&25)
     }
 
     /// Are engines of several versions side by side, and do callers take up streams that break off?
@@ -147,7 +173,11 @@
 
 /// A configuration as an operator writes it, with the given revocable keys.
 fn configuration(version: u64, plan: Plan, keys: &BTreeSet<String>) -> Vec<u8> {
-    let config = config(version, &FleetSpec::default());
+    let migration = if plan.has_moves() { MigrationSetting::Auto } else { MigrationSetting::Off };
+    let mut config = config(version, &FleetSpec { migration, ..FleetSpec::default() });
+    if plan.has_moves() {
+        moves::adapt_config(&mut config);
+    }
     if !plan.needs_keys() {
         return simulation::config(&config);
     }
@@ -166,14 +196,30 @@
     simulation::config_with_accounts(&config, &accounts)
 }
 
+/// What happened in a run.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Counts {
+    /// Second answers that came while another answer was due.
+    pub second_answers: usize,
+    /// Runs that went on from a copy of their memory.
+    pub moved: usize,
+    /// Stage orders that reached an engine.
+    pub orders: usize,
+}
+
 /// Runs one plan. Failures name the seed. Returns the number of second answers that came while another
 /// answer was due.
 pub fn run_plan(plan: Plan) -> usize {
+    run_counted(plan).second_answers
+}
+
+/// Runs one plan and counts what happened. Failures name the seed.
+pub fn run_counted(plan: Plan) -> Counts {
     let runtime = compio::runtime::Runtime::new().expect("a runtime");
     runtime.block_on(async {
         let cluster = Rc::new(Cluster::start(plan).await);
         cluster.wait_ready().await;
-        let callers: Vec<_> = (0..plan.gateways * 2)
+        let callers: Vec<_> = (0..plan.gateways * plan.callers_each())
             .map(|n| compio::runtime::spawn(send_requests(cluster.clone(), n)))
             .collect();
         inject_faults(&cluster).await;
@@ -184,7 +230,8 @@
         }
         cluster.check_idle().await;
         cluster.kill_gateways();
-        cluster.expectations.borrow().count_second_answers(&cluster)
+        let second_answers = cluster.expectations.borrow().count_second_answers(&cluster);
+        Counts { second_answers, ..moves::count(&cluster) }
     })
 }
 
@@ -203,6 +250,9 @@
         if plan.has_versions() {
             stages.extend([Some(Stage::Decode); 4]);
         }
+        if plan.has_moves() {
+            stages = moves::FIRST_STAGES.to_vec();
+        }
         for (i, stage) in stages.into_iter().enumerate() {
             let host = 10 + i as u8;
             let server = Server {
@@ -214,9 +264,16 @@
                 draining: false,
                 stage,
                 // The engines that are added for several versions come in pairs.
-                version: SoftwareVersion::new(VERSIONS[i.saturating_sub(3) / 2]),
+                version: SoftwareVersion::new(match plan.has_moves() {
+                    true => VERSIONS[0],
+                    false => VERSIONS[i.saturating_sub(3) / 2],
+                }),
             };
-            let runner = BackendServer::start(server, BackendSpec::default()).await;
+            let spec = if plan.has_moves() { moves::engine_spec() } else { BackendSpec::default() };
+            let runner = BackendServer::start(server, spec).await;
+            if plan.has_moves() && stage.is_some() {
+                runner.carry_out_orders(moves::CHANGE_TIME);
+            }
             let front: SocketAddr = (ip(host + 20), 8_147).into();
             let mut target: SocketAddr = (ip(host), 8_147).into();
             if plan.has_duplicates() {
@@ -231,7 +288,12 @@
             runners.push((runner, switch));
         }
         let start = |n: usize| Gateway::start(ip(100 + n as u8), ip(2 + n as u8 % 2));
-        let gateways = (0..plan.gateways).map(start).collect();
+        let gateways: Vec<Gateway> = (0..plan.gateways).map(start).collect();
+        let mut peer = None;
+        if plan.has_moves() {
+            let addresses = gateways.iter().map(|gateway| gateway.ip.into()).collect();
+            peer = Some(moves::start_peer(ip(4), addresses).await);
+        }
         Cluster {
             plan,
             store,
@@ -247,6 +309,8 @@
             runners,
             duplicators,
             gateways,
+            peer,
+            summary_tokens: Cell::new(SUMMARY_TOKENS),
             expectations: RefCell::default(),
             config_version: Cell::new(1),
             callers_running: Cell::new(true),
@@ -399,6 +463,11 @@
         }
     }
 
+    /// Has the process ended?
+    pub fn has_ended(&self) -> bool {
+        self.child.borrow_mut().try_wait().is_ok_and(|ended| ended.is_some())
+    }
+
     fn kill(&self) {
         self.signal(Signal::KILL);
         let _ = self.child.borrow_mut().wait();
--- a/crates/daemon/tests/soak/faults.rs
+++ b/crates/daemon/tests/soak/faults.rs
@@ -20,6 +20,7 @@
     Cluster, Gateway, QUOTA, QUOTA_KEY, REVOKE_BOUND, RUNNER_FAULTS, STORE_FAULTS, TOKENS_PER_CALL,
     VERSIONS,
 };
+use crate::moves;
 
 /// Invalid values of a server registration in the store.
 const INVALID_REGISTRATIONS: [&[u8]; 4] = [
@@ -159,6 +160,7 @@
             duplicator.set(&[]);
         }
         17 => check_rate_limit(cluster, runner, rng.random_range(2..9)).await,
+        kind @ 25..=31 => moves::inject(cluster, kind, &mut rng, duration).await,
         _ => {
             let name = runner.server.borrow().id.name.clone();
             let value = INVALID_REGISTRATIONS[rng.random_range(0..INVALID_REGISTRATIONS.len())];
@@ -171,7 +173,7 @@
 }
 
 /// Answers that a server sends twice: those to most kinds of call.
-fn random_duplicates(rng: &mut ChaCha8Rng) -> Vec<Duplicate> {
+pub fn random_duplicates(rng: &mut ChaCha8Rng) -> Vec<Duplicate> {
     let mut rules = Vec::new();
     for kind in CallKind::ALL {
         let moment = match rng.random_range(0..4) {
