Soak: engines start again in series, also those that hold prompts; orders answered twice

An engine that starts again counts its names anew, and after hundreds of names the next life does not soon give one that a gateway still holds. Restarts now come up to three in a row, and at prefill engines too.

--- a/crates/daemon/tests/soak/moves.rs
+++ b/crates/daemon/tests/soak/moves.rs
@@ -7,10 +7,12 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use ebonyloft_platform::simulation::CallKind;
 use ebonyloft_router::catalog::{Config, Stage};
 use ebonyloft_router::engine_load::EngineLoad;
 use ebonyloft_router::forecast::MemoryForecast;
 use ebonyloft_standins::fleet::backend::{BackendServer, BackendSpec, Fault, OrderFault};
+use ebonyloft_standins::fleet::duplicates::Duplicate;
 use ebonyloft_standins::fleet::peer::Peer;
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
@@ -88,7 +90,7 @@
             let fault = ORDER_FAULTS[rng.random_range(0..ORDER_FAULTS.len())];
             let set_all = |fault| engines(cluster).for_each(|engine| engine.set_order_fault(fault));
             set_all(fault);
-            compio::time::sleep(duration * 2).await;
+            answer_twice(cluster, rng, duration * 2, |rule| rule.kind == CallKind::Order).await;
             set_all(OrderFault::None);
         }
         29 => {
@@ -100,14 +102,24 @@
             let gateways = &cluster.gateways[..];
             stop(cluster, if rng.random() { &gateways[one..=one] } else { gateways }).await;
         }
-        _ => {
-            for duplicator in &cluster.duplicators {
-                duplicator.set(&random_duplicates(rng));
-            }
-            compio::time::sleep(duration).await;
-            cluster.duplicators.iter().for_each(|duplicator| duplicator.set(&[]));
-        }
+        _ => answer_twice(cluster, rng, duration, |_| true).await,
+    }
+}
+
+/// All servers answer calls of random kinds twice for a while, if the rule is `wanted`.
+async fn answer_twice(
+    cluster: &Cluster,
+    rng: &mut ChaCha8Rng,
+    duration: Duration,
+    wanted: impl Fn(&Duplicate) -> bool,
+) {
+    for duplicator in &cluster.duplicators {
+        let mut rules = random_duplicates(rng);
+        rules.retain(&wanted);
+        duplicator.set(&rules);
     }
+    compio::time::sleep(duration).await;
+    cluster.duplicators.iter().for_each(|duplicator| duplicator.set(&[]));
 }
 
 /// Counts the moves, orders and their effects, and prints them.
@@ -161,8 +173,8 @@
     peer.set_load(&id, EngineLoad::default());
 }
 
-/// An engine whose runs are moved, or one that holds a copy, starts again at its address: under its name, under
-/// another one, or after a crash.
+/// While runs are moved from an engine, it, one that holds copies or one that holds prompts starts again at its
+/// address, up to three times in series.
 async fn restart_during_move(cluster: &Cluster, rng: &mut ChaCha8Rng, duration: Duration) {
     let Some(source) = busiest(cluster) else {
         return;
@@ -173,24 +185,39 @@
         while copies(&source) == before && started_at.elapsed() < duration {
             compio::time::sleep(ms(1)).await;
         }
-        compio::time::sleep(ms(rng.random_range(0..80))).await;
-        let others = engines(cluster).filter(|e| !Rc::ptr_eq(e, &source) && e.is_up());
-        let target = others.max_by_key(|e| e.reservation_count()).unwrap_or(&source);
-        let ends = if rng.random() { &source } else { target };
-        if !ends.is_up() {
-            return;
-        }
-        let index = cluster.runners.iter().position(|(runner, _)| Rc::ptr_eq(runner, ends));
-        ends.server.borrow_mut().stage = index.and_then(|i| FIRST_STAGES[i]);
-        match rng.random_range(0..3) {
-            0 => ends.restart_as(VERSIONS[0]).await,
-            1 => ends.replace_with(VERSIONS[0]).await,
-            _ => ends.crash("the end of a life"),
+        let with_stage = |stage| {
+            let others = engines(cluster).filter(|e| !Rc::ptr_eq(e, &source));
+            let others = others.filter(move |e| e.server.borrow().stage == Some(stage));
+            others.max_by_key(|e| e.reservation_count()).unwrap_or(&source)
+        };
+        let stages = [Stage::Decode, Stage::Prefill];
+        let ends = match rng.random_range(0..3) {
+            2 => &source,
+            n => with_stage(stages[n]),
+        };
+        for _ in 0..rng.random_range(1..4) {
+            compio::time::sleep(ms(rng.random_range(0..80))).await;
+            start_again(cluster, ends, rng.random_range(0..3)).await;
+            compio::time::sleep(ms(rng.random_range(0..400))).await;
         }
     };
     futures_util::join!(fill(cluster, &source, duration), restart);
 }
 
+/// Starts an engine again with its first stage: under its name, under another one, or after a crash.
+async fn start_again(cluster: &Cluster, engine: &Rc<BackendServer>, how: u32) {
+    if !engine.is_up() {
+        return;
+    }
+    let index = cluster.runners.iter().position(|(runner, _)| Rc::ptr_eq(runner, engine));
+    engine.server.borrow_mut().stage = index.and_then(|i| FIRST_STAGES[i]);
+    match how {
+        0 => engine.restart_as(VERSIONS[0]).await,
+        1 => engine.replace_with(VERSIONS[0]).await,
+        _ => engine.crash("the end of a life"),
+    }
+}
+
 /// Stops gateways by SIGTERM at the same time; each starts again once it has ended.
 async fn stop(cluster: &Cluster, gateways: &[Gateway]) {
     cluster.mark_stale(STOP_TIMEOUT);
