--- a/crates/daemon/src/gateway/stream/admission.rs
+++ b/crates/daemon/src/gateway/stream/admission.rs
@@ -4,7 +4,7 @@
 
 use ebonyloft_core::ids::Account;
 use ebonyloft_core::time::Timestamp;
-use ebonyloft_platform::engine;
+use ebonyloft_platform::{engine, headers};
 use ebonyloft_router::answer_length::LengthForecast;
 use ebonyloft_router::catalog::{Engine, Server, ServerId, SoftwareVersion, Stage};
 use ebonyloft_router::demand::Demand;
@@ -15,15 +15,18 @@
 use ebonyloft_router::registry::ServerRegistry;
 use ebonyloft_router::stream_origin::Origin;
 use futures_util::future::select;
+use hyper::StatusCode;
 
 use super::shares::{self, ShareClaim};
-use super::state::{Reservation, StreamState};
+use super::state::{Hold, Reservation, StreamState};
 use super::urgency::{self, UrgencySnapshot};
 use super::{StreamError, overflow, prefill, retry_at};
 use crate::gateway::announcements;
 use crate::gateway::answer::Cause;
+use crate::gateway::engine_life::EngineLife;
 use crate::gateway::intake::Intake;
 use crate::gateway::limits;
+use crate::gateway::pool::{ServerAnswer, loggable};
 use crate::gateway::quarantine;
 use crate::gateway::shared::{Shared, SnapshotVersion};
 use crate::gateway::speeds;
@@ -88,7 +91,7 @@
             {
                 leave_queue(shared, state);
                 shares::on_admitted(shared, claim, &demand);
-                log_placed(shared, intake, spec, &demand, &server, joined_at);
+                log_placed(shared, intake, spec, &demand, state, &server, joined_at);
                 return Ok(server);
             }
             continue;
@@ -101,7 +104,7 @@
                     urgency::on_admitted(shared, &intake.service, &intake.levels, &demand);
                     leave_queue(shared, state);
                     shares::on_admitted(shared, claim, &demand);
-                    log_placed(shared, intake, spec, &demand, &server, joined_at);
+                    log_placed(shared, intake, spec, &demand, state, &server, joined_at);
                     return Ok(server);
                 }
             }
@@ -301,14 +304,14 @@
     let server = shared.registry.borrow().get(id).cloned()?;
     state.reservation = Some(Reservation {
         server: server.clone(),
-        hold_id: None,
+        hold: None,
         memory,
         length_forecast,
         remote: None,
     });
     let hold = reserve(shared, spec, &server, memory).await;
     if let (Some(reservation), Some(hold)) = (&mut state.reservation, hold) {
-        reservation.hold_id = Some(hold);
+        reservation.hold = Some(hold);
         return Some(server);
     }
     state.reservation = None;
@@ -322,7 +325,7 @@
     spec: &Engine,
     server: &Server,
     memory: MemoryForecast,
-) -> Option<String> {
+) -> Option<Hold> {
     let id = &server.id;
     if !limits::acquire(shared, id, REQUESTS_PER_ANSWER).await {
         return None;
@@ -333,23 +336,29 @@
     let answer = announcements::call(shared, server, req, RESERVE_TIMEOUT).await;
     let now = shared.now();
     let hold =
-        answer.as_ref().ok().and_then(|(status, body)| engine::parse_reservation(*status, body));
-    if hold.is_some() {
-        return hold;
+        answer.as_ref().ok().and_then(|a| Some((engine::parse_reservation(a.status, &a.body)?, a)));
+    if let Some((hold, answer)) = hold {
+        return Some(Hold { id: hold, life: EngineLife::new(id.clone(), answer.watch.clone()) });
     }
     let work = shared.engine_load(id);
     let mut engines = shared.engines.borrow_mut();
     engines.on_released(now, id, memory, false);
     match answer {
-        Ok((status, _)) => {
+        Ok(ServerAnswer { status, headers, .. }) => {
             let EngineLoad { memory: all, count, .. } = work;
             let asked = memory.reserved();
+            let instance = headers::parse_reply(status, &headers).instance;
+            let registered = registered_beside(shared, server);
+            let registered = registered.filter(|_| status == StatusCode::MISDIRECTED_REQUEST);
             tracing::info!(
-                server = %id, %status, asked, tokens = all.now(), peak = all.peak(), count,
+                server = %id, addr = %server.addr, %status, asked, tokens = all.now(),
+                peak = all.peak(), count, instance = instance.as_deref().map(loggable), registered,
                 "engine refused reservation"
             );
-            shared.metrics.count("gateway.hold.full", 1);
-            engines.on_full(now, id);
+            if status != StatusCode::MISDIRECTED_REQUEST {
+                shared.metrics.count("gateway.hold.full", 1);
+                engines.on_full(now, id);
+            }
         }
         Err(e) => {
             tracing::info!(server = %id, error = %e, "can't reach engine");
@@ -363,6 +372,17 @@
     None
 }
 
+/// Another server that is registered at the address of one, or the same one at another stage.
+fn registered_beside(shared: &Shared, server: &Server) -> Option<String> {
+    let registry = shared.registry.borrow();
+    let is_other = |s: &&Server| s.id != server.id || s.stage != server.stage;
+    let other = registry.all().filter(|s| s.addr == server.addr).find(is_other)?;
+    Some(match other.stage {
+        Some(stage) => format!("{} {stage:?}", other.id),
+        None => other.id.to_string(),
+    })
+}
+
 /// The headroom that a request had to leave, and whether latency goals alone decided, for the log.
 fn log_urgency(shared: &Shared, intake: &Intake, demand: &Demand) -> (u32, bool) {
     let demand_now = UrgencySnapshot::new(shared, &intake.service, &intake.levels);
@@ -425,9 +445,11 @@
     intake: &Intake,
     spec: &Engine,
     demand: &Demand,
+    state: &StreamState,
     server: &Server,
     joined_at: Timestamp,
 ) {
+    let hold = state.named_memory().hold.map(|(id, _)| loggable(id));
     let free = free_percent(shared, intake, spec);
     let work = shared.engine_load(&server.id);
     let ms = shared.now().since(joined_at).as_millis() as u64;
@@ -443,7 +465,7 @@
         count = work.count, ms, gives = demand.value, free, factor, factor_age,
         version = server.version.as_ref().map(SoftwareVersion::as_str),
         resumes = intake.resumed_attempt(),
-        account = intake.account.as_ref().map(Account::as_str), config, roster, age, "placed"
+        account = intake.account.as_ref().map(Account::as_str), hold, config, roster, age, "placed"
     );
     shared.metrics.time("gateway.place_ms", ms);
 }
