Gateway: a release of another zone ends no grant of a later life

What callers saw: nothing at once. A gateway that starts again counted the ids of its grants from 1. A gateway of another zone that released a grant of the life before ended the reservation of another request, whose memory at the engine was no longer counted while it ran, so that the zone granted more than its engines have.

Cause: the id of a grant is valid in one life of the gateway that gave it, and another life gave it again.

Change: ids of grants are drawn at random.

--- a/crates/daemon/src/gateway/stream/incoming.rs
+++ b/crates/daemon/src/gateway/stream/incoming.rs
@@ -39,16 +39,16 @@
 /// Reservations here that serve requests of other zones.
 #[derive(Default)]
 pub struct IncomingReservations {
-    next: u64,
     open: HashMap<u64, oneshot::Sender<()>>,
 }
 
 impl IncomingReservations {
-    fn insert(&mut self) -> (u64, oneshot::Receiver<()>) {
-        self.next += 1;
+    /// Adds a reservation; its id must differ from those of earlier lives of this gateway, which may
+    /// still be released.
+    fn insert(&mut self, id: u64) -> oneshot::Receiver<()> {
         let (done_sender, done) = oneshot::channel();
-        self.open.insert(self.next, done_sender);
-        (self.next, done)
+        self.open.insert(id, done_sender);
+        done
     }
 }
 
@@ -141,7 +141,8 @@
         shared.engines.borrow_mut().on_prefill_sent(&prefill_engine.id, prompt);
     }
     shared.request_report();
-    let (id, done) = shared.incoming.borrow_mut().insert();
+    let id = shared.random_id();
+    let done = shared.incoming.borrow_mut().insert(id);
     let mut reservation = IncomingReservation {
         server: server.id.clone(),
         memory,
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -60,7 +60,8 @@
 const READY_PORT: u16 = 8_140;
 /// Path prefix of checks that need no API key in a deployment with client accounts.
 pub const OPEN_PREFIX: &str = "/open/";
-const PEER_PORT: u16 = 7_660;
+/// Port at which gateways call each other.
+pub const PEER_PORT: u16 = 7_660;
 const STORE_PORT: u16 = 8_142;
 const RUNNER_PORT: u16 = 8_147;
 /// Port of backend servers that stand behind a relay.
--- a/crates/standins/tests/zones.rs
+++ b/crates/standins/tests/zones.rs
@@ -1,11 +1,21 @@
 //! Several gateways per zone over real sockets: which of them follow the store, how the others receive its
 //! changes, and how a zone without engines overflows to another zone.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytes::Bytes;
+use ebonyloft_router::answer_length::AnswerLengths;
+use ebonyloft_router::part_blame::PromptParts;
 use ebonyloft_standins::eventually;
 use ebonyloft_standins::fleet::backend::BackendSpec;
-use ebonyloft_standins::fleet::{CHECK, Fleet, FleetSpec, SUMMARY, config, store, with_fleet};
+use ebonyloft_standins::fleet::{
+    CHECK, ENGINE_SERVICE, Fleet, FleetSpec, PEER_PORT, SUMMARY, config, store, with_fleet,
+};
+use ebonyloftd::clock::Clock;
+use ebonyloftd::gateway::pool::Pool;
+use ebonyloftd::gateway::stream::overflow::{self, Grant, ReservationRequest};
+use hyper::{Request, StatusCode};
 
 const SECOND: Duration = Duration::from_secs(1);
 /// Time after which gateways that are not zone leaders have stopped following the store.
@@ -298,3 +308,48 @@
         assert_eq!(response.status(), 200);
     });
 }
+
+/// Guards against a release that ends a reservation which the next life of the gateway has granted.
+#[test]
+fn a_grant_of_a_gateway_before_its_restart_is_not_released_after_it() {
+    with_fleet(FleetSpec { threads: true, ..empty_fleet() }, async |fleet| {
+        two_zones(fleet, &BackendSpec::default()).await;
+        let pool = Pool::new(Clock::default());
+        let addr = (fleet.gateways[1].ip, PEER_PORT).into();
+        let grant = request_grant(&pool, addr).await;
+        fleet.kill(1);
+        fleet.restart_gateways(&[1]).await;
+        let later = request_grant(&pool, addr).await;
+        assert_eq!(release(&pool, addr, grant.id).await, 404);
+        assert_eq!(release(&pool, addr, later.id).await, 200);
+    });
+}
+
+/// Asks the gateway at `addr` for a reservation.
+async fn request_grant(pool: &Pool, addr: SocketAddr) -> Grant {
+    let request = ReservationRequest {
+        id: "s1".to_owned(),
+        service: ENGINE_SERVICE.to_owned(),
+        prompt: 1_000,
+        made: 0,
+        growth: AnswerLengths::default().expect(100, None),
+        gives: 1.0,
+        begun: false,
+        first: 2_000,
+        precedence: None,
+        software: None,
+        parts: PromptParts::default(),
+    };
+    let mut bytes = Vec::new();
+    ciborium::into_writer(&request, &mut bytes).expect("an encodable request");
+    let req = Request::post(overflow::PATH).body(bytes.into()).expect("a valid request");
+    let (status, body) = pool.call(addr, req, SECOND).await.expect("an answer");
+    assert_eq!(status, StatusCode::OK);
+    ciborium::from_reader(&body[..]).expect("a grant")
+}
+
+async fn release(pool: &Pool, addr: SocketAddr, id: u64) -> u16 {
+    let req = Request::delete(format!("{}/{id}", overflow::PATH));
+    let req = req.body(Bytes::new()).expect("a valid request");
+    pool.call(addr, req, SECOND).await.expect("an answer").0.as_u16()
+}
