Pool: a connection on which a name depends stays open while it is not reused

What callers saw: a stream could still go on from the prompt of another request, or use up its reservation, after an engine had started again under its name and address.

Cause: the end of an engine's life is seen at the connection that brought the name, and the pool closed that connection itself. Each reservation closes the oldest idle connection to its engine, which is the one of the reservation before; after an answer of another exchange, connections are closed after each use for ten seconds, so that nothing was noticed just where second answers are about.

Change: a connection that is watched is retired rather than closed: it carries nothing more and is closed when the watch is given up or it was idle for as long as any other. Reservations pass over watched idle connections. Only exchanges that bring a handle are watched. Retired connections are open beside others, at most one for each name in use; bytes that arrive on one are recorded as an answer of no exchange, which they were not on a closed one.

Evidence: two new tests fail before: "b used the reservation hold1 of a" (a and another request reserve at one gateway, then the engine starts again) and "a used handle2 of ..., made for another attempt" (two second answers, then the same). Now the 55 tests of pool, prompt_handles, late_answers and migration pass; the two five times in five.

--- a/crates/daemon/src/gateway/pool.rs
+++ b/crates/daemon/src/gateway/pool.rs
@@ -49,6 +49,9 @@
 /// How long connections to an address that sent a stray answer are not reused.
 const NO_REUSE: Duration = Duration::from_secs(10);
 
+/// References to the state of a watch that a connection itself has: its own, and its task's.
+const OWN_WATCHES: usize = 2;
+
 /// Longest part of an id that is logged, in bytes.
 const LOGGED_ID_MAX: usize = 64;
 
@@ -155,6 +158,11 @@
         self.watch.clone()
     }
 
+    /// Does something depend on the life of the process at the other end?
+    fn is_watched(&self) -> bool {
+        Rc::strong_count(&self.watch.0) > OWN_WATCHES
+    }
+
     /// Closes the socket.
     pub fn close(self) {
         drop(self.task);
@@ -202,6 +210,8 @@
 pub struct Pool {
     clock: Clock,
     idle: RefCell<HashMap<SocketAddr, Vec<Conn>>>,
+    /// Connections that carry no more exchanges and are open because they are watched.
+    retired: RefCell<Vec<Conn>>,
     strays: Rc<Strays>,
     /// Connections opened so far.
     opened: Cell<u64>,
@@ -210,7 +220,13 @@
 impl Pool {
     /// An empty pool.
     pub fn new(clock: Clock) -> Self {
-        Pool { clock, idle: RefCell::default(), strays: Rc::default(), opened: Cell::default() }
+        Pool {
+            clock,
+            idle: RefCell::default(),
+            retired: RefCell::default(),
+            strays: Rc::default(),
+            opened: Cell::default(),
+        }
     }
 
     /// A connection that may carry the exchange and was idle for at most `idle_max`, or a new one.
@@ -233,18 +249,28 @@
 
     /// Returns a connection to the pool if it is still open.
     pub fn put_back(&self, mut conn: Conn) {
+        let now = self.clock.now();
+        conn.idle_since = now;
         if conn.sender.is_closed()
             || conn.correlation.is_exhausted()
-            || self.strays.has_recent(conn.addr, self.clock.now())
+            || self.strays.has_recent(conn.addr, now)
         {
-            return;
+            return self.retire(conn);
         }
-        conn.idle_since = self.clock.now();
         let mut idle = self.idle.borrow_mut();
         let idle_conns = idle.entry(conn.addr).or_default();
         idle_conns.push(conn);
         if idle_conns.len() > IDLE_PER_ADDR {
-            idle_conns.remove(0);
+            self.retire(idle_conns.remove(0));
+        }
+    }
+
+    /// Ends the use of a connection, and closes it unless it is watched.
+    fn retire(&self, conn: Conn) {
+        if conn.is_watched() && !conn.sender.is_closed() {
+            self.retired.borrow_mut().push(conn);
+        } else {
+            conn.close();
         }
     }
 
@@ -272,7 +298,7 @@
             "answer of another exchange ignored"
         );
         self.strays.record(conn.addr, self.clock.now());
-        self.close_idle(conn.addr);
+        self.retire_idle(conn.addr);
         conn.close();
         Err(ExchangeError::Mismatched)
     }
@@ -383,19 +409,29 @@
         self.idle.borrow_mut().remove(&addr);
     }
 
+    fn retire_idle(&self, addr: SocketAddr) {
+        let idle_conns = self.idle.borrow_mut().remove(&addr).unwrap_or_default();
+        idle_conns.into_iter().for_each(|conn| self.retire(conn));
+    }
+
+    /// Closes the idle connection that was used least recently of those that are not watched.
     fn close_oldest_idle(&self, addr: SocketAddr) {
-        let oldest = match self.idle.borrow_mut().get_mut(&addr) {
-            Some(idle_conns) if !idle_conns.is_empty() => idle_conns.remove(0),
-            _ => return,
+        let mut idle = self.idle.borrow_mut();
+        let Some(idle_conns) = idle.get_mut(&addr) else {
+            return;
         };
-        oldest.close();
+        if let Some(at) = idle_conns.iter().position(|conn| !conn.is_watched()) {
+            idle_conns.remove(at).close();
+        }
     }
 
-    /// Closes connections that were idle for too long.
+    /// Closes connections that were idle for too long, and retired ones that are not watched any more.
     pub fn expire(&self, now: Timestamp) {
+        let is_recent = |c: &Conn| now.since(c.idle_since) < IDLE_MAX && !c.sender.is_closed();
+        self.retired.borrow_mut().retain(|c| c.is_watched() && is_recent(c));
         let mut idle = self.idle.borrow_mut();
         for idle_conns in idle.values_mut() {
-            idle_conns.retain(|c| now.since(c.idle_since) < IDLE_MAX && !c.sender.is_closed());
+            idle_conns.retain(is_recent);
         }
         idle.retain(|_, idle_conns| !idle_conns.is_empty());
         self.strays.until.borrow_mut().retain(|_, until| *until > now);
@@ -408,7 +444,7 @@
         exchange: Exchange<'_>,
     ) -> Option<Conn> {
         if self.strays.has_recent(addr, self.clock.now()) {
-            self.close_idle(addr);
+            self.retire_idle(addr);
             return None;
         }
         let now = self.clock.now();
@@ -421,6 +457,7 @@
         if now.since(conn.idle_since) <= idle_max && conn.sender.is_ready() {
             return Some(conn);
         }
+        self.retire(conn);
         None
     }
 
--- a/crates/daemon/src/gateway/send.rs
+++ b/crates/daemon/src/gateway/send.rs
@@ -81,7 +81,7 @@
     pub body: Bytes,
     /// What its status and headers say.
     pub reply: Reply,
-    /// The connection that it came over.
+    /// The connection that it came over, if it was to carry a handle.
     pub watch: ConnWatch,
     /// Id of the attempt that it names, if it was to carry a handle.
     pub named: Option<String>,
@@ -230,7 +230,10 @@
             conn.close();
             return Err(outcome);
         }
-        let watch = conn.watch();
+        let watch = match expect {
+            Expect::Signature => ConnWatch::default(),
+            Expect::Handle => conn.watch(),
+        };
         shared.pool.put_back(conn);
         Ok((outcome, CompleteAnswer { status, headers, body, reply, watch, named, conn_use }))
     };
--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -50,6 +50,7 @@
 use super::keys;
 use super::limits;
 use super::part_blame;
+use super::pool::ConnWatch;
 use super::quarantine::{self, RunStage};
 use super::retries;
 use super::send::{self, Expect, Head};
@@ -486,7 +487,6 @@
         conn.close();
         return None;
     }
-    let watch = conn.watch();
     if outcome != AttemptOutcome::Lost {
         shared.pool.put_back(conn);
     }
@@ -495,7 +495,7 @@
         headers,
         body,
         reply,
-        watch,
+        watch: ConnWatch::default(),
         named: None,
         conn_use,
     })
--- a/crates/standins/tests/prompt_handles.rs
+++ b/crates/standins/tests/prompt_handles.rs
@@ -4,10 +4,12 @@
 use std::time::Duration;
 
 use compio::runtime::JoinHandle;
+use ebonyloft_platform::simulation::CallKind;
 use ebonyloft_router::catalog::{Server, ServerId};
 use ebonyloft_standins::eventually;
 use ebonyloft_standins::fleet::backend::{BackendServer, BackendSpec, Fault};
 use ebonyloft_standins::fleet::caller::Answer;
+use ebonyloft_standins::fleet::duplicates::{Duplicate, Moment};
 use ebonyloft_standins::fleet::{
     Fleet, FleetSpec, PLAIN_SERVICE, SUMMARY, config, ownership, with_fleet,
 };
@@ -178,3 +180,65 @@
         assert!(calls <= 1, "{calls} calls");
     });
 }
+
+/// Guards against the same where another request has reserved at the engine meanwhile.
+#[test]
+fn a_reservation_is_not_used_once_its_engine_has_started_again_after_another_reservation() {
+    with_fleet(spec(Duration::from_millis(300)), async |fleet| {
+        let (prefill, decode) = (fleet.backends[0].clone(), fleet.backends[1].clone());
+        let first = send(fleet, 0, "a");
+        assert!(eventually(SECOND, || prefill.running() == 1).await, "no prefill has begun");
+        let other = send(fleet, 0, "c");
+        assert!(eventually(SECOND, || prefill.running() == 2).await, "no second prefill");
+        decode.restart_unregistered().await;
+        let second = send(fleet, 1, "b");
+        assert!(eventually(SECOND, || decode.reservation_count() == 1).await, "none reserved");
+        for task in [first, other, second] {
+            assert_whole(task).await;
+        }
+        assert_own(fleet);
+        assert_eq!(decode.observed.borrow().unknown_holds, 0);
+    });
+}
+
+/// Guards against a foreign prompt where the connection that brought the handle is not used again, because
+/// the engine answers twice.
+#[test]
+fn a_handle_is_not_used_once_an_engine_that_answered_twice_has_started_again() {
+    let spec = FleetSpec {
+        gateways: 2,
+        decode_engines: 2,
+        duplicators: true,
+        ..spec(Duration::from_millis(40))
+    };
+    with_fleet(spec.clone(), async |fleet| {
+        keep_handles_longer(fleet, &spec).await;
+        let [prefill, rejecting, full] = [0, 1, 2].map(|n| fleet.backends[n].clone());
+        let moment = Moment::BeforeNext;
+        let twice = Duplicate { kind: CallKind::Prefill, moment, with_id: true };
+        fleet.duplicators[0].set(&[twice]);
+        for attempt in ["s1", "s2"] {
+            assert_whole(send(fleet, 0, attempt)).await;
+        }
+        assert_ne!(fleet.duplicators[0].deliveries().len(), 0, "no second answer was sent");
+        fleet.duplicators[0].set(&[]);
+        // The engine was left alone after its displaced answer.
+        compio::time::sleep(2 * SECOND).await;
+        rejecting.set_fault(Fault::Changes);
+        full.set_fault(Fault::Full);
+        let first = send(fleet, 0, "a");
+        let is_rejected = || rejecting.observed.borrow().arrivals.contains_key("a");
+        assert!(eventually(SECOND, is_rejected).await, "no run was rejected");
+        assert_eq!(prefills(&prefill, "a"), 1);
+        prefill.restart_unregistered().await;
+        // Names that the handle of the first may have.
+        let names = ["b1", "b2", "b3", "b4"];
+        let tasks = names.map(|attempt| send(fleet, 1, attempt));
+        let are_read = || names.iter().all(|attempt| prefills(&prefill, attempt) == 1);
+        assert!(eventually(SECOND, are_read).await, "not all prefills have ended");
+        full.set_fault(Fault::None);
+        assert_whole(first).await;
+        drop(tasks);
+        assert_own(fleet);
+    });
+}
