--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -277,7 +277,9 @@
                 cause = Cause::Overload;
                 shared.engines.borrow_mut().rejected(now, &server.id);
             }
-            AttemptOutcome::Unsent | AttemptOutcome::Lost | AttemptOutcome::Mismatched => {
+            // The engine answers, and a new connection carries no other answers.
+            AttemptOutcome::Mismatched => cause = Cause::Lost,
+            AttemptOutcome::Unsent | AttemptOutcome::Lost => {
                 cause = Cause::Lost;
                 shared.engines.borrow_mut().on_fault(now, &server.id);
             }
@@ -448,7 +450,7 @@
         );
     }
     state.heard_at = Some(shared.now());
-    state.mark_used();
+    state.mark_used(shared);
     shared.engines.borrow_mut().on_accepted(&server.id);
     let end = relay::relay(shared, intake, head, state, out, splitter).await;
     match (end, &state.reservation) {
--- a/crates/daemon/src/gateway/stream/incoming.rs
+++ b/crates/daemon/src/gateway/stream/incoming.rs
@@ -39,12 +39,11 @@
 /// Reservations here that serve requests of other zones.
 #[derive(Default)]
 pub struct IncomingReservations {
+    /// By the ids of the grants, which the next life of this gateway must not give again.
     open: HashMap<u64, oneshot::Sender<()>>,
 }
 
 impl IncomingReservations {
-    /// Adds a reservation; its id must differ from those of earlier lives of this gateway, which may
-    /// still be released.
     fn insert(&mut self, id: u64) -> oneshot::Receiver<()> {
         let (done_sender, done) = oneshot::channel();
         self.open.insert(id, done_sender);
--- a/crates/daemon/tests/soak/cluster.rs
+++ b/crates/daemon/tests/soak/cluster.rs
@@ -11,6 +11,7 @@
 use std::time::{Duration, Instant};
 
 use compio::net::TcpListener;
+use ebonyloft_core::handle_audit::HandleAudit;
 use ebonyloft_platform::simulation::{self, AccountSpec};
 use ebonyloft_platform::store::CONFIG_KEY;
 use ebonyloft_router::catalog::{Server, ServerId, SoftwareVersion, Stage};
@@ -33,6 +34,9 @@
 /// Time after a fault that outdates server lists until all gateways are up to date again.
 const SETTLE_TIME: Duration = Duration::from_secs(4);
 
+/// Most engines of one stage.
+const ENGINES_MAX: usize = 9;
+
 /// Parameters of one run.
 #[derive(Clone, Copy, Debug)]
 pub struct Plan {
@@ -73,6 +77,12 @@
 /// Servers that answer twice, with faults of gateways, of the store, of network paths and of servers.
 pub const DUPLICATE_KINDS: &[u32] =
     &[0, 1, 2, 3, 4, 6, 8, 9, 10, 11, 12, 15, 16, 22, 22, 22, 22, 22, 22, 22];
+/// Engines that end and start again at the same address, and gateways that lose power all at once, with other
+/// faults of gateways, of the store, of network paths and of servers.
+pub const ENDING_KINDS: &[u32] = &[0, 4, 6, 11, 21, 21, 23, 23, 23, 23, 23, 23, 23];
+/// These, and servers that answer twice, prefill engines above all.
+pub const FOREIGN_PROMPT_KINDS: &[u32] =
+    &[0, 4, 6, 11, 21, 21, 22, 22, 23, 23, 23, 23, 24, 24, 24, 24, 24, 24];
 /// Versions that engines are replaced by.
 pub const VERSIONS: [&str; 5] = ["v1", "v2", "v3", "v4", "v5"];
 
@@ -92,6 +102,14 @@
     ip: Ipv4Addr,
     child: RefCell<Child>,
     file: PathBuf,
+    log: Option<Log>,
+}
+
+/// The log of a gateway; all its lives append to it.
+struct Log {
+    path: PathBuf,
+    /// Length that earlier runs left.
+    start: usize,
 }
 
 /// All processes, stand-ins and counters of a run.
@@ -136,7 +154,38 @@
 
     /// Do servers answer twice?
     pub fn has_duplicates(&self) -> bool {
-        self.kinds.contains(&22)
+        self.kinds.contains(&22) || self.kinds.contains(&24)
+    }
+
+    /// Do engines end and start again at the same address?
+    pub fn has_ending_engines(&self) -> bool {
+        self.kinds.contains(&23)
+    }
+
+    /// Stages of the backend servers; more engines where they end, for more gateways.
+    fn stages(&self) -> Vec<Option<Stage>> {
+        let (prefill, decode) = (Some(Stage::Prefill), Some(Stage::Decode));
+        if self.has_ending_engines() {
+            let engines = (2 + self.gateways / 2).min(ENGINES_MAX);
+            let stages = [vec![prefill; engines], vec![decode; engines], vec![None]];
+            return stages.concat();
+        }
+        let mut stages = vec![prefill, decode, decode, None, None];
+        if self.has_versions() {
+            stages.extend([decode; 4]);
+        }
+        stages
+    }
+
+    /// Callers that send their requests one after the other, at each gateway.
+    pub fn callers(&self) -> usize {
+        if self.has_ending_engines() { 4 } else { 2 }
+    }
+
+    /// Folder of the gateways' logs. Second answers are looked for in the logs too.
+    fn log_folder(&self) -> Option<PathBuf> {
+        let folder = std::env::var_os("EBONYLOFT_SOAK_LOGS").map(PathBuf::from);
+        folder.or_else(|| self.has_duplicates().then(std::env::temp_dir))
     }
 
     /// Are engines of several versions side by side, and do callers take up streams that break off?
@@ -173,7 +222,7 @@
     runtime.block_on(async {
         let cluster = Rc::new(Cluster::start(plan).await);
         cluster.wait_ready().await;
-        let callers: Vec<_> = (0..plan.gateways * 2)
+        let callers: Vec<_> = (0..plan.gateways * plan.callers())
             .map(|n| compio::runtime::spawn(send_requests(cluster.clone(), n)))
             .collect();
         inject_faults(&cluster).await;
@@ -184,6 +233,7 @@
         }
         cluster.check_idle().await;
         cluster.kill_gateways();
+        cluster.check_logs();
         cluster.expectations.borrow().count_second_answers(&cluster)
     })
 }
@@ -198,12 +248,7 @@
         let store_relay = start_relay((ip(2), 8_142).into(), (ip(1), 8_142).into()).await;
         let second_relay = start_relay((ip(3), 8_142).into(), (ip(2), 8_142).into()).await;
         let (mut runners, mut duplicators) = (Vec::new(), Vec::new());
-        let mut stages =
-            vec![Some(Stage::Prefill), Some(Stage::Decode), Some(Stage::Decode), None, None];
-        if plan.has_versions() {
-            stages.extend([Some(Stage::Decode); 4]);
-        }
-        for (i, stage) in stages.into_iter().enumerate() {
+        for (i, stage) in plan.stages().into_iter().enumerate() {
             let host = 10 + i as u8;
             let server = Server {
                 id: ServerId::new(format!("i-{host}"), 0),
@@ -214,7 +259,10 @@
                 draining: false,
                 stage,
                 // The engines that are added for several versions come in pairs.
-                version: SoftwareVersion::new(VERSIONS[i.saturating_sub(3) / 2]),
+                version: match plan.has_versions() {
+                    true => SoftwareVersion::new(VERSIONS[i.saturating_sub(3) / 2]),
+                    false => SoftwareVersion::new(VERSIONS[0]),
+                },
             };
             let runner = BackendServer::start(server, BackendSpec::default()).await;
             let front: SocketAddr = (ip(host + 20), 8_147).into();
@@ -230,7 +278,9 @@
             store.register(&runner.server.borrow());
             runners.push((runner, switch));
         }
-        let start = |n: usize| Gateway::start(ip(100 + n as u8), ip(2 + n as u8 % 2));
+        let logs = plan.log_folder();
+        let start =
+            |n: usize| Gateway::start(ip(100 + n as u8), ip(2 + n as u8 % 2), logs.as_deref());
         let gateways = (0..plan.gateways).map(start).collect();
         Cluster {
             plan,
@@ -356,6 +406,24 @@
         self.expectations.borrow().check(self);
     }
 
+    /// Checks that no gateway named a handle or a reservation of another request.
+    fn check_logs(&self) {
+        let mut audit = HandleAudit::default();
+        let logs: Vec<&Log> = self.gateways.iter().filter_map(|g| g.log.as_ref()).collect();
+        for log in &logs {
+            let bytes = std::fs::read(&log.path).expect("the log of a gateway");
+            let text = String::from_utf8_lossy(&bytes[log.start..]);
+            text.lines().for_each(|line| audit.add_text(line));
+        }
+        let (seed, report) = (self.plan.seed, audit.report());
+        println!("seed {seed}: {report:?}");
+        assert!(report.violations.is_empty(), "seed {seed}: {report:#?}");
+        assert!(logs.is_empty() || report.named > 0, "seed {seed}: no run in the logs");
+        if std::env::var_os("EBONYLOFT_SOAK_LOGS").is_none() {
+            logs.iter().for_each(|log| std::fs::remove_file(&log.path).expect("its removal"));
+        }
+    }
+
     fn kill_gateways(&self) {
         for gateway in &self.gateways {
             gateway.kill();
@@ -371,7 +439,7 @@
 }
 
 impl Gateway {
-    fn start(ip: Ipv4Addr, store: Ipv4Addr) -> Gateway {
+    fn start(ip: Ipv4Addr, store: Ipv4Addr, logs: Option<&Path>) -> Gateway {
         let file = std::env::temp_dir().join(format!("ebonyloft-soak-{ip}.toml"));
         let text = format!(
             "node_name = \"front-{ip}\"\nzone = \"a\"\nip_address = \"{ip}\"\nport_range = [7660, 7675]\n\
@@ -381,7 +449,8 @@
             REVOKE_BOUND.as_millis()
         );
         std::fs::write(&file, text).expect("a settings file");
-        Gateway { ip, child: RefCell::new(spawn(&file)), file }
+        let log = logs.map(|folder| Log::open(folder.join(format!("ebonyloft-soak-{ip}.log"))));
+        Gateway { ip, child: RefCell::new(spawn(&file, log.as_ref())), file, log }
     }
 
     /// Sends a signal to the process.
@@ -395,7 +464,7 @@
     pub fn restart_if_ended(&self) {
         let mut child = self.child.borrow_mut();
         if child.try_wait().is_ok_and(|ended| ended.is_some()) {
-            *child = spawn(&self.file);
+            *child = spawn(&self.file, self.log.as_ref());
         }
     }
 
@@ -406,10 +475,10 @@
     }
 }
 
-fn spawn(file: &Path) -> Child {
-    let (level, output) = match std::env::var("EBONYLOFT_SOAK_LOGS") {
-        Ok(folder) => ("info", Stdio::from(open_log(&folder, file))),
-        Err(_) => ("warn", Stdio::null()),
+fn spawn(file: &Path, log: Option<&Log>) -> Child {
+    let (level, output) = match log {
+        Some(log) => ("info", Stdio::from(log.append())),
+        None => ("warn", Stdio::null()),
     };
     Command::new(env!("CARGO_BIN_EXE_ebonyloftd"))
         .arg("gateway")
@@ -421,11 +490,15 @@
         .expect("a gateway process")
 }
 
-/// Opens the log of the gateway with this settings file; its lives append to the same log.
-fn open_log(folder: &str, settings: &Path) -> File {
-    let name = format!("{}.log", settings.file_stem().expect("a file name").display());
-    let path = Path::new(folder).join(name);
-    File::options().append(true).create(true).open(path).expect("a log file")
+impl Log {
+    fn open(path: PathBuf) -> Log {
+        let start = std::fs::metadata(&path).map_or(0, |known| known.len() as usize);
+        Log { path, start }
+    }
+
+    fn append(&self) -> File {
+        File::options().append(true).create(true).open(&self.path).expect("a log file")
+    }
 }
 
 /// Starts a relay that listens at `front` and forwards to `target`.
--- a/crates/standins/tests/zones.rs
+++ b/crates/standins/tests/zones.rs
@@ -1,7 +1,6 @@
 //! Several gateways per zone over real sockets: which of them follow the store, how the others receive its
 //! changes, and how a zone without engines overflows to another zone.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -14,8 +13,8 @@
 };
 use ebonyloftd::clock::Clock;
 use ebonyloftd::gateway::pool::Pool;
-use ebonyloftd::gateway::stream::overflow::{self, Grant, ReservationRequest};
-use hyper::{Request, StatusCode};
+use ebonyloftd::gateway::stream::overflow::{Grant, PATH, ReservationRequest};
+use hyper::{Method, Request, StatusCode};
 
 const SECOND: Duration = Duration::from_secs(1);
 /// Time after which gateways that are not zone leaders have stopped following the store.
@@ -309,47 +308,55 @@
     });
 }
 
-/// Guards against a release that ends a reservation which the next life of the gateway has granted.
-#[test]
-fn a_grant_of_a_gateway_before_its_restart_is_not_released_after_it() {
-    with_fleet(FleetSpec { threads: true, ..empty_fleet() }, async |fleet| {
-        two_zones(fleet, &BackendSpec::default()).await;
-        let pool = Pool::new(Clock::default());
-        let addr = (fleet.gateways[1].ip, PEER_PORT).into();
-        let grant = request_grant(&pool, addr).await;
-        fleet.kill(1);
-        fleet.restart_gateways(&[1]).await;
-        let later = request_grant(&pool, addr).await;
-        assert_eq!(release(&pool, addr, grant.id).await, 404);
-        assert_eq!(release(&pool, addr, later.id).await, 200);
-    });
+/// Calls the first gateway as one of another zone does.
+async fn call_gateway(
+    fleet: &Fleet,
+    method: Method,
+    path: &str,
+    body: Vec<u8>,
+) -> (StatusCode, Bytes) {
+    let mut req = Request::new(Bytes::from(body));
+    *req.method_mut() = method;
+    *req.uri_mut() = path.parse().expect("a valid path");
+    let addr = (fleet.gateways[0].ip, PEER_PORT).into();
+    Pool::new(Clock::default()).call(addr, req, SECOND).await.expect("an answer")
 }
 
-/// Asks the gateway at `addr` for a reservation.
-async fn request_grant(pool: &Pool, addr: SocketAddr) -> Grant {
+async fn request_grant(fleet: &Fleet) -> Grant {
     let request = ReservationRequest {
-        id: "s1".to_owned(),
+        id: "a".to_owned(),
         service: ENGINE_SERVICE.to_owned(),
-        prompt: 1_000,
+        prompt: 3_000,
         made: 0,
-        growth: AnswerLengths::default().expect(100, None),
+        growth: AnswerLengths::default().expect(500, None),
         gives: 1.0,
         begun: false,
-        first: 2_000,
+        first: 900,
         precedence: None,
         software: None,
         parts: PromptParts::default(),
     };
-    let mut bytes = Vec::new();
-    ciborium::into_writer(&request, &mut bytes).expect("an encodable request");
-    let req = Request::post(overflow::PATH).body(bytes.into()).expect("a valid request");
-    let (status, body) = pool.call(addr, req, SECOND).await.expect("an answer");
+    let mut body = Vec::new();
+    ciborium::into_writer(&request, &mut body).expect("plain fields encode");
+    let (status, body) = call_gateway(fleet, Method::POST, PATH, body).await;
     assert_eq!(status, StatusCode::OK);
     ciborium::from_reader(&body[..]).expect("a grant")
 }
 
-async fn release(pool: &Pool, addr: SocketAddr, id: u64) -> u16 {
-    let req = Request::delete(format!("{}/{id}", overflow::PATH));
-    let req = req.body(Bytes::new()).expect("a valid request");
-    pool.call(addr, req, SECOND).await.expect("an answer").0.as_u16()
+/// Guards against a release that ends the reservation of another request, which the next life of the
+/// gateway has made.
+#[test]
+fn a_grant_of_an_earlier_life_of_a_gateway_releases_nothing() {
+    let spec = FleetSpec { gateways: 1, decode_engines: 1, threads: true, ..FleetSpec::default() };
+    with_fleet(spec, async |fleet| {
+        let earlier = request_grant(fleet).await;
+        fleet.kill(0);
+        fleet.restart_gateways(&[0]).await;
+        let grant = request_grant(fleet).await;
+        let release = async |grant: &Grant| {
+            call_gateway(fleet, Method::DELETE, &format!("{PATH}/{}", grant.id), Vec::new()).await.0
+        };
+        assert_eq!(release(&earlier).await, StatusCode::NOT_FOUND);
+        assert_eq!(release(&grant).await, StatusCode::OK);
+    });
 }
