Stand-ins: names start anew where the connections of a life close; the other case has a test of its own

Cause: fault 11 starts a life without closing a connection, as no process that ends does, and made it repeat names too. Names are a life's; what tells the gateway of its end in time is the close. Where nothing closes (a proxy that keeps its callers' connections), only the registration tells, and a run that was sent before can't be called back.

--- a/crates/standins/src/fleet/backend.rs
+++ b/crates/standins/src/fleet/backend.rs
@@ -367,6 +367,7 @@
     /// Starts a new incarnation at the same address, without the state of the previous one.
     async fn start_incarnation(self: &Rc<Self>, previous: &Server) {
         self.forget();
+        self.repeat_names();
         self.leaving.set(false);
         self.restarts.set(self.restarts.get() + 1);
         let base = previous.id.name.split('+').next().unwrap_or_default();
@@ -436,6 +437,7 @@
         let listener = self.listener.take();
         compio::runtime::spawn(async move { drop(listener) }).detach();
         compio::time::sleep(RESTART_TIME).await;
+        self.repeat_names();
     }
 
     /// Sets the fault of all later requests.
@@ -443,19 +445,24 @@
         self.fault.set(fault);
     }
 
-    /// Starts a new incarnation under the same name; reservations and handles are lost.
+    /// Starts a new incarnation under the same name behind the open connections; reservations and handles
+    /// are lost.
     pub fn restart(&self) {
         self.forget();
         self.server.borrow_mut().id.born += 1;
     }
 
-    /// Ends a life: the next one knows nothing of it, and gives the same names.
+    /// Ends a life: the next one knows nothing of it.
     fn forget(&self) {
         self.holds.borrow_mut().clear();
         self.handles.borrow_mut().clear();
         self.copies.borrow_mut().clear();
         self.away_until.set(None);
         self.lives.set(self.lives.get() + 1);
+    }
+
+    /// Gives the names of reservations and handles again, from the first on.
+    pub fn repeat_names(&self) {
         self.last_name.set(0);
     }
 
--- a/crates/standins/tests/prompt_handles.rs
+++ b/crates/standins/tests/prompt_handles.rs
@@ -166,6 +166,23 @@
     });
 }
 
+/// Guards against the same where the connections outlast the engine's life.
+#[test]
+fn a_reservation_is_not_used_at_a_next_life_behind_the_same_connections() {
+    with_fleet(spec(Duration::from_millis(300)), async |fleet| {
+        let (prefill, decode) = (fleet.backends[0].clone(), fleet.backends[1].clone());
+        let first = send(fleet, 0, "a");
+        assert!(eventually(SECOND, || prefill.running() == 1).await, "no prefill has begun");
+        decode.restart();
+        decode.repeat_names();
+        let second = send(fleet, 1, "b");
+        assert!(eventually(SECOND, || decode.reservation_count() == 1).await, "none reserved");
+        assert_whole(first).await;
+        assert_whole(second).await;
+        assert_own(fleet);
+    });
+}
+
 /// Guards against an engine that is asked for each request although another one is at its address.
 #[test]
 fn a_replaced_engine_is_asked_for_one_reservation() {
