--- a/crates/daemon/src/gateway/send.rs
+++ b/crates/daemon/src/gateway/send.rs
@@ -44,28 +44,38 @@
 pub struct NamedMemory<'a> {
     /// Id of a reservation at the engine that it is sent to, and the life in which it is valid.
     pub hold: Option<(&'a str, &'a EngineLife)>,
-    /// Handle of the prompt's memory.
-    pub handle: Option<&'a str>,
-    /// The engine that issued the handle, and its address.
-    pub source: Option<(&'a ServerId, SocketAddr)>,
+    /// The prompt's memory.
+    pub prompt: Option<NamedPrompt<'a>>,
+}
+
+/// The memory of a prompt that a request names.
+#[derive(Clone, Copy, Debug)]
+pub struct NamedPrompt<'a> {
+    /// Its handle.
+    pub handle: &'a str,
+    /// The engine that issued the handle.
+    pub issuer: &'a ServerId,
+    /// Address of that engine.
+    pub addr: SocketAddr,
+    /// The life of the engine that keeps the memory.
+    pub keeper: &'a EngineLife,
     /// It is the handle of a run that was moved.
     pub is_copy: bool,
-    /// The life of the engine that keeps the prompt's memory.
-    pub keeper: Option<&'a EngineLife>,
 }
 
 impl NamedMemory<'_> {
     /// Logs that the request is sent; nothing if it names no memory.
     fn log_sent(&self, intake: &Intake, to: &Server, conn_use: ConnUse) {
-        if self.hold.is_none() && self.handle.is_none() {
+        if self.hold.is_none() && self.prompt.is_none() {
             return;
         }
-        let (source, addr) = self.source.unzip();
-        let (source, addr) =
-            (source.map(tracing::field::display), addr.map(tracing::field::display));
+        let prompt = self.prompt.as_ref();
         tracing::info!(
             id = intake.id(), server = %to.id, hold = self.hold.map(|(id, _)| loggable(id)),
-            handle = self.handle.map(loggable), source, addr, copy = self.is_copy.then_some(true),
+            handle = prompt.map(|p| loggable(p.handle)),
+            source = prompt.map(|p| tracing::field::display(p.issuer)),
+            addr = prompt.map(|p| tracing::field::display(p.addr)),
+            copy = prompt.and_then(|p| p.is_copy.then_some(true)),
             conn = conn_use.number, carried = conn_use.carried, "run sent"
         );
     }
@@ -81,12 +91,18 @@
     pub body: Bytes,
     /// What its status and headers say.
     pub reply: Reply,
-    /// The connection that it came over, if it was to carry a handle.
-    pub watch: ConnWatch,
-    /// Id of the attempt that it names, if it was to carry a handle.
+    /// Where a handle in it comes from; none unless it was to carry one.
+    pub origin: Option<HandleOrigin>,
+}
+
+/// Where a handle comes from.
+pub struct HandleOrigin {
+    /// Id of the attempt that the answer names.
     pub named: Option<String>,
     /// The connection as it was before this exchange.
     pub conn_use: ConnUse,
+    /// Tells whether the connection has broken since.
+    pub watch: ConnWatch,
 }
 
 /// Sends a request and waits for the head of its answer. It is not sent if a life in which something
@@ -118,7 +134,7 @@
         shared.pool.put_back(conn);
         return Err(AttemptOutcome::Unsent);
     }
-    if let Some(life) = memory.keeper.filter(|life| life.has_ended(shared)) {
+    if let Some(life) = memory.prompt.map(|p| p.keeper).filter(|life| life.has_ended(shared)) {
         let (id, source) = (intake.id(), life.id());
         tracing::info!(id, server = %to.id, %source, "not sent: the engine with the prompt has ended");
         shared.pool.put_back(conn);
@@ -208,10 +224,11 @@
         let outcome = AttemptOutcome::from_reply(&reply);
         let (status, headers) =
             (response.status(), headers::forwarded_to_caller(response.headers()));
-        let named = match expect {
-            Expect::Signature => None,
-            Expect::Handle => headers::parse_echo(response.headers()).id().map(str::to_owned),
-        };
+        let origin = (expect == Expect::Handle).then(|| HandleOrigin {
+            named: headers::parse_echo(response.headers()).id().map(str::to_owned),
+            conn_use,
+            watch: conn.watch(),
+        });
         let is_framed = http::is_framed(response.headers());
         let body = match response.into_body().collect().await {
             Ok(body) => body.to_bytes(),
@@ -230,12 +247,8 @@
             conn.close();
             return Err(outcome);
         }
-        let watch = match expect {
-            Expect::Signature => ConnWatch::default(),
-            Expect::Handle => conn.watch(),
-        };
         shared.pool.put_back(conn);
-        Ok((outcome, CompleteAnswer { status, headers, body, reply, watch, named, conn_use }))
+        Ok((outcome, CompleteAnswer { status, headers, body, reply, origin }))
     };
     match compio::time::timeout(limit, attempt).await {
         Ok(Ok((outcome, answer))) => (outcome, Some(answer)),
--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -50,7 +50,6 @@
 use super::keys;
 use super::limits;
 use super::part_blame;
-use super::pool::ConnWatch;
 use super::quarantine::{self, RunStage};
 use super::retries;
 use super::send::{self, Expect, Head};
@@ -476,7 +475,7 @@
     head: Head,
     outcome: AttemptOutcome,
 ) -> Option<send::CompleteAnswer> {
-    let Head { reply, response, conn, conn_use } = head;
+    let Head { reply, response, conn, .. } = head;
     let (status, headers) = (response.status(), headers::forwarded_to_caller(response.headers()));
     let is_framed = http::is_framed(response.headers());
     let read = compio::time::timeout(STALL_TIMEOUT, response.into_body().collect()).await;
@@ -497,8 +496,6 @@
         headers,
         body,
         reply,
-        watch: ConnWatch::default(),
-        named: None,
-        conn_use,
+        origin: None,
     })
 }
--- a/crates/daemon/src/gateway/stream/prefill.rs
+++ b/crates/daemon/src/gateway/stream/prefill.rs
@@ -217,13 +217,13 @@
     let handle = prefilled.and_then(|a| engine::parse_prefill_result(&a.body));
     let until = handle_until(intake, done);
     let kept_ms = handle.is_some().then(|| until.since(done).as_millis() as u64);
-    let conn_use = answer.as_ref().map(|a| a.conn_use);
+    let origin = answer.as_ref().and_then(|a| a.origin.as_ref());
     tracing::info!(
         id = intake.id(), server = %server.id, fate = ?outcome, prompt, queue = work.unread, ms, foretold = predicted_ms,
         rate, factor, factor_age, slowness, handle = handle.as_deref().map(loggable),
         addr = handle.is_some().then(|| tracing::field::display(server.addr)), kept_ms,
-        named = answer.as_ref().and_then(|a| a.named.as_deref()),
-        conn = conn_use.map(|c| c.number), carried = conn_use.map(|c| c.carried),
+        named = origin.and_then(|o| o.named.as_deref()),
+        conn = origin.map(|o| o.conn_use.number), carried = origin.map(|o| o.conn_use.carried),
         config, roster, age, "prefill ended"
     );
     if outcome != AttemptOutcome::Mismatched {
@@ -243,7 +243,7 @@
             );
             shared.service_estimates(&intake.service).prefill_speed.observe(work, prompt, usual);
         }
-        let watch = answer.as_ref().map(|a| a.watch.clone()).unwrap_or_default();
+        let watch = origin.map(|o| o.watch.clone()).unwrap_or_default();
         let life = EngineLife::new(server.id.clone(), watch);
         let prefill_handle = PrefillHandle {
             keeper: life.clone(),
--- a/crates/daemon/src/gateway/stream/state.rs
+++ b/crates/daemon/src/gateway/stream/state.rs
@@ -23,7 +23,7 @@
 use crate::gateway::engine_life::EngineLife;
 use crate::gateway::pool::loggable;
 use crate::gateway::quarantine::{EARLY_WINDOW, RunStage, Sent};
-use crate::gateway::send::NamedMemory;
+use crate::gateway::send::{NamedMemory, NamedPrompt};
 use crate::gateway::shared::Shared;
 
 /// Timeout of releasing a reservation or a prompt handle; both also expire by themselves.
@@ -178,13 +178,15 @@
 
     /// The memory that a request names now.
     pub fn named_memory(&self) -> NamedMemory<'_> {
-        let handle = self.prefill_handle.as_ref();
         NamedMemory {
             hold: self.hold().map(|hold| (hold.id.as_str(), &hold.life)),
-            handle: handle.map(|handle| handle.handle.as_str()),
-            source: handle.map(|handle| (handle.issuer.id(), handle.addr)),
-            is_copy: self.has_unused_copy(),
-            keeper: handle.map(|handle| &handle.keeper),
+            prompt: self.prefill_handle.as_ref().map(|prompt| NamedPrompt {
+                handle: &prompt.handle,
+                issuer: prompt.issuer.id(),
+                addr: prompt.addr,
+                keeper: &prompt.keeper,
+                is_copy: prompt.is_copy,
+            }),
         }
     }
 
