Soak: what an engine issued that started again under its name is judged by its owners, not by the logs

Cause: the check knows a life by the incarnation that a gateway had heard of. An engine that starts again under its name counts anew before that, so that two lives look like one; the check was wrong.

Change: names that started more than once are left out of the check over the logs in the soak. The owners at the engines, which know the lives, judge them as before, and an answer that named another request is still reported, also of these.

--- a/crates/core/src/handle_audit.rs
+++ b/crates/core/src/handle_audit.rs
@@ -109,6 +109,15 @@
         }
     }
 
+    /// Leaves out what engines of this name issued: one that starts again under its name gives names again, and
+    /// the lines tell its lives apart only as far as gateways had heard. Answers that named another request stay.
+    pub fn exclude(&mut self, engine: &str) {
+        let is_kept = |memory: &Memory| memory.issuer.split('@').next() != Some(engine);
+        for seen in [&mut self.received, &mut self.named, &mut self.dropped] {
+            seen.retain(|memory, _| is_kept(memory));
+        }
+    }
+
     /// Judges all lines together.
     pub fn report(&self) -> AuditReport {
         let mut violations = self.foreign_answers.clone();
--- a/crates/core/tests/handle_audit.rs
+++ b/crates/core/tests/handle_audit.rs
@@ -111,3 +111,24 @@
 "#;
     assert_eq!(audit(log), AuditReport { named: 2, unaccounted: 2, ..AuditReport::default() });
 }
+
+/// Guards against a false alarm about an engine that gave its names again, and against one that hides answers to other
+/// requests.
+#[test]
+fn an_excluded_engine_is_judged_by_the_ids_in_its_answers_only() {
+    let log = r#"
+{"message":"prefill ended","id":"a","server":"i-1@5","handle":"p1","named":"a"}
+{"message":"prefill ended","id":"b","server":"i-1@5","handle":"p1","named":"b"}
+{"message":"prefill ended","id":"c","server":"i-1@5","handle":"p2","named":"d"}
+{"message":"placed","id":"a","server":"i-12@5","hold":"h1"}
+{"message":"placed","id":"b","server":"i-12@5","hold":"h1"}
+"#;
+    let mut audit = HandleAudit::default();
+    log.lines().for_each(|line| audit.add_text(line));
+    audit.exclude("i-1");
+    let expected = [
+        "the handle p2 of i-1@5 was received by c in an answer to d",
+        "the reservation h1 of i-12@5 was received by the requests a and b",
+    ];
+    assert_eq!(audit.report().violations, expected);
+}
