--- a/crates/cli/src/cmd/handles.rs
+++ b/crates/cli/src/cmd/handles.rs
@@ -16,8 +16,11 @@
 
 Use it if a stream seems to go on from another request's prompt. Give the logs of all gateways, in any
 order: what was received at a gateway whose log is missing, or by a line that was dropped, is counted as
-unaccounted for and not judged. An engine whose registration does not state its start has one name in all
-its lives; check the logs of each life by themselves.";
+unaccounted for and not judged.
+
+An engine that starts again may give its names to other requests. Its lives are told apart by the start that
+its registration states, once a gateway has heard of it: what the engine gave between its start and then looks
+like another request's. An answer that named another request is reported with its id.";
 
 /// Arguments.
 #[derive(clap::Args, Debug)]
