--- a/crates/check/tests/part_blame.rs
+++ b/crates/check/tests/part_blame.rs
@@ -42,6 +42,24 @@
     assert_holds(4, 149..150, |fault| fault == Fault::Upgrade);
 }
 
+/// Guards against a part that begins to crash servers and still reaches others, on seeds beyond the usual ones.
+#[test]
+fn a_part_that_was_sound_before_reaches_no_others_on_further_seeds() {
+    let seeds =
+        [(3, 41), (3, 228), (3, 800), (3, 833), (4, 547), (4, 1_097), (8, 338), (8, 371), (8, 734)];
+    for (gateways, seed) in seeds {
+        assert_holds(gateways, seed..seed + 1, |fault| fault == Fault::FirstPart);
+    }
+}
+
+/// Guards against blame on sound parts beside gateways that report no crashes, on seeds beyond the usual ones.
+#[test]
+fn gateways_of_the_release_before_bring_no_blame_on_further_seeds() {
+    for (gateways, seed) in [(3, 956), (4, 164), (4, 274), (4, 945), (8, 296)] {
+        assert_holds(gateways, seed..seed + 1, |fault| fault == Fault::OlderRelease);
+    }
+}
+
 #[test]
 fn a_seed_gives_the_same_run_each_time() {
     for seed in [10, 43, 149] {
