Gateway: what stands at an address is looked up for calls answered 421 only, and before the registry forgets it

The line of a refused reservation looked through all registrations for each refusal, also those for lack of memory, which are frequent under load, and threw the result away unless the status was 421. There it came too late: the call had just removed the server from the registry, so that the same server at another stage was never named, which is what the line was to tell apart. Found by reading; no test of its own. The look-up is made where a 421 is noticed, for all calls of the gateway's own, in a line of its own; other refusals make none.

One predicate for connections that are kept, instead of two; a stand-in's replacement ends its life as the others do.

--- a/crates/daemon/src/gateway/announcements.rs
+++ b/crates/daemon/src/gateway/announcements.rs
@@ -16,7 +16,7 @@
 
 use super::call;
 use super::limits;
-use super::pool::{ExchangeError, ServerAnswer};
+use super::pool::{ExchangeError, ServerAnswer, loggable};
 use super::quarantine;
 use super::shared::{Shared, SnapshotVersion};
 
@@ -108,10 +108,28 @@
     let sent = shared.now();
     let answer = shared.pool.call_server(to.addr, req, limit).await?;
     let reply = headers::parse_reply(answer.status, &answer.headers);
-    match reply.moved {
-        true => call::on_replaced(shared, &to.id),
-        false => quarantine::on_alive(shared, &to.id, sent),
+    if reply.moved {
+        // The registry forgets the server next.
+        let registered = registered_beside(shared, to);
+        tracing::info!(
+            server = %to.id, addr = %to.addr, instance = reply.instance.as_deref().map(loggable),
+            registered, "another server or stage at the address"
+        );
+        call::on_replaced(shared, &to.id);
+    } else {
+        quarantine::on_alive(shared, &to.id, sent);
     }
     on_answer(shared, &to.id, sent, &reply);
     Ok(answer)
 }
+
+/// Another server that is registered at the address of one, or the same one at another stage.
+fn registered_beside(shared: &Shared, server: &Server) -> Option<String> {
+    let registry = shared.registry.borrow();
+    let is_other = |s: &&Server| s.id != server.id || s.stage != server.stage;
+    let other = registry.all().filter(|s| s.addr == server.addr).find(is_other)?;
+    Some(match other.stage {
+        Some(stage) => format!("{} {stage:?}", other.id),
+        None => other.id.to_string(),
+    })
+}
--- a/crates/daemon/src/gateway/pool.rs
+++ b/crates/daemon/src/gateway/pool.rs
@@ -158,6 +158,11 @@
         self.watch.clone()
     }
 
+    /// Is it open, and has it been idle for no longer than connections are kept?
+    fn is_recent(&self, now: Timestamp) -> bool {
+        now.since(self.idle_since) < IDLE_MAX && !self.sender.is_closed()
+    }
+
     /// Does something depend on the life of the process at the other end?
     fn is_watched(&self) -> bool {
         Rc::strong_count(&self.watch.0) > OWN_WATCHES
@@ -427,11 +432,10 @@
 
     /// Closes connections that were idle for too long, and retired ones that are not watched any more.
     pub fn expire(&self, now: Timestamp) {
-        let is_recent = |c: &Conn| now.since(c.idle_since) < IDLE_MAX && !c.sender.is_closed();
-        self.retired.borrow_mut().retain(|c| c.is_watched() && is_recent(c));
+        self.retired.borrow_mut().retain(|c| c.is_watched() && c.is_recent(now));
         let mut idle = self.idle.borrow_mut();
         for idle_conns in idle.values_mut() {
-            idle_conns.retain(is_recent);
+            idle_conns.retain(|c| c.is_recent(now));
         }
         idle.retain(|_, idle_conns| !idle_conns.is_empty());
         self.strays.until.borrow_mut().retain(|_, until| *until > now);
@@ -450,7 +454,7 @@
         let now = self.clock.now();
         let mut idle = self.idle.borrow_mut();
         let idle_conns = idle.get_mut(&addr)?;
-        idle_conns.retain(|c| now.since(c.idle_since) < IDLE_MAX && !c.sender.is_closed());
+        idle_conns.retain(|c| c.is_recent(now));
         // The most recently used one is the least likely to have been closed by the other end.
         let at = idle_conns.iter().rposition(|c| c.correlation.may_carry(exchange))?;
         let conn = idle_conns.remove(at);
--- a/crates/daemon/src/gateway/stream/admission.rs
+++ b/crates/daemon/src/gateway/stream/admission.rs
@@ -4,7 +4,7 @@
 
 use ebonyloft_core::ids::Account;
 use ebonyloft_core::time::Timestamp;
-use ebonyloft_platform::{engine, headers};
+use ebonyloft_platform::engine;
 use ebonyloft_router::answer_length::LengthForecast;
 use ebonyloft_router::catalog::{Engine, Server, ServerId, SoftwareVersion, Stage};
 use ebonyloft_router::demand::Demand;
@@ -344,16 +344,12 @@
     let mut engines = shared.engines.borrow_mut();
     engines.on_released(now, id, memory, false);
     match answer {
-        Ok(ServerAnswer { status, headers, .. }) => {
+        Ok(ServerAnswer { status, .. }) => {
             let EngineLoad { memory: all, count, .. } = work;
             let asked = memory.reserved();
-            let instance = headers::parse_reply(status, &headers).instance;
-            let registered = registered_beside(shared, server);
-            let registered = registered.filter(|_| status == StatusCode::MISDIRECTED_REQUEST);
             tracing::info!(
                 server = %id, addr = %server.addr, %status, asked, tokens = all.now(),
-                peak = all.peak(), count, instance = instance.as_deref().map(loggable), registered,
-                "engine refused reservation"
+                peak = all.peak(), count, "engine refused reservation"
             );
             if status != StatusCode::MISDIRECTED_REQUEST {
                 shared.metrics.count("gateway.hold.full", 1);
@@ -372,17 +368,6 @@
     None
 }
 
-/// Another server that is registered at the address of one, or the same one at another stage.
-fn registered_beside(shared: &Shared, server: &Server) -> Option<String> {
-    let registry = shared.registry.borrow();
-    let is_other = |s: &&Server| s.id != server.id || s.stage != server.stage;
-    let other = registry.all().filter(|s| s.addr == server.addr).find(is_other)?;
-    Some(match other.stage {
-        Some(stage) => format!("{} {stage:?}", other.id),
-        None => other.id.to_string(),
-    })
-}
-
 /// The headroom that a request had to leave, and whether latency goals alone decided, for the log.
 fn log_urgency(shared: &Shared, intake: &Intake, demand: &Demand) -> (u32, bool) {
     let demand_now = UrgencySnapshot::new(shared, &intake.service, &intake.levels);
--- a/crates/standins/src/fleet/backend.rs
+++ b/crates/standins/src/fleet/backend.rs
@@ -232,7 +232,7 @@
     used_tokens: Cell<u64>,
     /// Its lives before this one.
     lives: Cell<u64>,
-    /// Number in the last name of a reservation or handle; each life counts anew.
+    /// Number in the last name of a reservation or handle.
     last_name: Cell<u64>,
     /// Streams in process by attempt.
     streams: RefCell<HashMap<String, Rc<StreamEntry>>>,
@@ -405,9 +405,7 @@
     /// Ends, and starts an incarnation of this version under another name at the same address, which
     /// it registers.
     pub async fn replace_with(self: &Rc<Self>, version: &str) {
-        let listener = self.listener.take();
-        compio::runtime::spawn(async move { drop(listener) }).detach();
-        compio::time::sleep(RESTART_TIME).await;
+        self.end().await;
         let previous = self.server.borrow().clone();
         if let Some(store) = &*self.store.borrow() {
             store.unregister(&previous);
