--- a/crates/check/src/specs/exchanges.rs
+++ b/crates/check/src/specs/exchanges.rs
@@ -98,9 +98,7 @@
 
 impl Connection {
     fn correlation(&self) -> Correlation {
-        let mut correlation = Correlation::default();
-        self.carried.iter().for_each(|exchange| correlation.begin(EXCHANGES[*exchange]));
-        correlation
+        super::correlation(&EXCHANGES, &self.carried)
     }
 
     fn begin(&mut self, exchange: usize) {
--- a/crates/check/src/specs/handles.rs
+++ b/crates/check/src/specs/handles.rs
@@ -129,9 +129,7 @@
 
 impl Connection {
     fn correlation(&self) -> Correlation {
-        let mut correlation = Correlation::default();
-        self.carried.iter().for_each(|exchange| correlation.begin(REQUESTS[*exchange]));
-        correlation
+        super::correlation(&REQUESTS, &self.carried)
     }
 
     fn begin(&mut self, exchange: usize) {
--- a/crates/cli/tests/handles.rs
+++ b/crates/cli/tests/handles.rs
@@ -1,7 +1,9 @@
 //! `ebonyloft handles`: checks in logs that handles and reservations belong to one request each.
 
-use std::io::Write;
-use std::process::{Command, Output, Stdio};
+#[path = "support/command.rs"]
+mod command;
+
+use std::process::Output;
 
 const LOG: &str = r#"
   9.10 front-a {"timestamp":"2026-07-06T12:57:55.1Z","message":"placed","id":"a","server":"i-2@7","hold":"h1"}
@@ -11,15 +13,7 @@
 "#;
 
 fn handles(input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_ebonyloft"))
-        .arg("handles")
-        .stdin(Stdio::piped())
-        .stdout(Stdio::piped())
-        .stderr(Stdio::piped())
-        .spawn()
-        .expect("the command");
-    child.stdin.take().expect("its input").write_all(input.as_bytes()).expect("input that is read");
-    child.wait_with_output().expect("its end")
+    command::run(&["handles"], input)
 }
 
 #[test]
--- a/crates/cli/tests/trace.rs
+++ b/crates/cli/tests/trace.rs
@@ -1,7 +1,9 @@
 //! `ebonyloft trace`: finds out from a request's id what happened to it.
 
-use std::io::Write;
-use std::process::{Command, Output, Stdio};
+#[path = "support/command.rs"]
+mod command;
+
+use std::process::Output;
 
 const LOG: &str = r#"
   9.10 front-a {"timestamp":"2026-07-06T12:57:55.2Z","level":"INFO","message":"request refused","id":"b2","cause":"Overload","verdict":"NotRun"}
@@ -12,16 +14,7 @@
 "#;
 
 fn trace(args: &[&str], input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_ebonyloft"))
-        .arg("trace")
-        .args(args)
-        .stdin(Stdio::piped())
-        .stdout(Stdio::piped())
-        .stderr(Stdio::piped())
-        .spawn()
-        .expect("the command");
-    child.stdin.take().expect("its input").write_all(input.as_bytes()).expect("input that is read");
-    child.wait_with_output().expect("its end")
+    command::run(&[&["trace"], args].concat(), input)
 }
 
 #[test]
