Retry budget: a process that starts again counts what its predecessors used

Callers' requests were sent again more often than the bound allows after several gateways had been killed within one window: a process that starts forgot what its predecessor had sent and used the share of its VM once more.

Gateways report requests and retries of the window with their load, peers keep the last report of each process, and a process that starts asks for it. Where nobody knows, it uses a fifth of what its own requests and time allow, which holds for any number of restarts. At the first start of the whole system there is nothing to be known.

The stand-ins' fleet no longer says that the whole system starts for the first time when one gateway is started again.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -206,6 +206,7 @@
         shared.pool.expire(now);
         shared.metrics.count("gateway.stray_answers", shared.pool.take_stray_count());
         shared.load_reports.borrow_mut().expire(now);
+        shared.peer_uses.borrow_mut().expire(now, shared.node().bounds.budget_window);
         shared.fair_shares.borrow_mut().expire(now);
         shared.zone_summaries.borrow_mut().expire(now);
         shared.fleet.borrow_mut().expire(now);
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -27,6 +27,7 @@
 use super::keys;
 use super::origins;
 use super::quota;
+use super::retries;
 use super::shared::Shared;
 use super::speeds;
 use super::state_sync;
@@ -210,6 +211,8 @@
         speeds: SpeedReport::default(),
         zone_summaries: Vec::new(),
         account_uses: BTreeMap::new(),
+        retry_uses: shared.retry_uses(shared.now()),
+        asks_past: shared.asks_past(shared.now()),
     }
 }
 
@@ -262,6 +265,7 @@
             Ok(GossipMessage::Notes(received)) => {
                 gossip::apply(&shared, &received, &from.to_string())
             }
+            Ok(GossipMessage::Past(past)) => retries::on_past_report(&shared, from, past),
             Err(e) => tracing::warn!(%from, len, error = %e, "can't decode datagram"),
         }
     }
@@ -297,7 +301,15 @@
     }
     speeds::on_load_report(shared, &report);
     let (name, account_uses) = (report.name.clone(), std::mem::take(&mut report.account_uses));
+    let incarnation = report.incarnation;
+    let (retry_uses, asks_past) = (std::mem::take(&mut report.retry_uses), report.asks_past);
     let is_newest = shared.load_reports.borrow_mut().on_report(shared.now(), report);
+    if is_newest {
+        shared.peer_uses.borrow_mut().on_report(shared.now(), &name, incarnation, &retry_uses);
+        if asks_past {
+            retries::send_past(shared, from, &name, incarnation);
+        }
+    }
     // A repeated or overtaken report must not bring back older figures. Those of another zone are of
     // other engines.
     if is_newest && !(is_other_zone && shared.scope() == Scope::Zone) {
--- a/crates/daemon/src/gateway/retries.rs
+++ b/crates/daemon/src/gateway/retries.rs
@@ -2,7 +2,11 @@
 //!
 //! Decisions are made in `ebonyloft_router::budget`.
 
+use std::net::SocketAddr;
+
+use ebonyloft_router::budget::predecessors::PastReport;
 use ebonyloft_router::budget::{Arrivals, NextSend};
+use ebonyloft_router::load_report::GossipMessage;
 
 use super::intake::Intake;
 use super::shared::Shared;
@@ -39,10 +43,28 @@
     granted
 }
 
+/// Tells a peer that has started what its predecessors used, if any are known.
+pub fn send_past(shared: &Shared, to: SocketAddr, name: &str, incarnation: u64) {
+    let window = shared.node().bounds.budget_window;
+    let past = shared.peer_uses.borrow().past(shared.now(), window, name, incarnation);
+    if let Some(past) = past {
+        shared.queue_message(to, GossipMessage::Past(past));
+    }
+}
+
+/// Handles what a peer knows of earlier processes of this VM.
+pub fn on_past_report(shared: &Shared, from: SocketAddr, past: PastReport) {
+    if shared.on_past_report(past.clone()) {
+        tracing::info!(peer = %from, ?past, "retries of earlier processes");
+    }
+}
+
 /// Commits the reserved budget as a request is sent.
 pub fn commit(shared: &Shared, intake: &Intake) {
     if update_arrivals(intake, Arrivals::send) {
         shared.retry_budget(&intake.service).commit(shared.now());
+        // The peers must know of it before this process can be killed.
+        shared.request_report();
     }
 }
 
--- a/crates/daemon/src/gateway/shared.rs
+++ b/crates/daemon/src/gateway/shared.rs
@@ -12,6 +12,7 @@
 use ebonyloft_router::admission_queue::AdmissionQueue;
 use ebonyloft_router::back_offs::BackOffs;
 use ebonyloft_router::budget::Budget;
+use ebonyloft_router::budget::predecessors::{PastReport, PeerUses, Predecessors, WindowUses};
 use ebonyloft_router::caller_deadlines::CallerDeadlines;
 use ebonyloft_router::catalog::{Config, ServerId};
 use ebonyloft_router::divergence::DivergenceDetector;
@@ -148,6 +149,10 @@
     pub incoming: RefCell<IncomingReservations>,
     /// Retry budgets, by service.
     budgets: RefCell<HashMap<String, Budget>>,
+    /// What earlier processes of this VM used of the retry budgets.
+    predecessors: RefCell<Predecessors>,
+    /// What peers reported of their retry budgets.
+    pub peer_uses: RefCell<PeerUses>,
     /// Registered gateways.
     pub fleet: RefCell<Fleet>,
     /// Whether this gateway follows the store as a zone leader, and whether as the first one.
@@ -229,6 +234,8 @@
     ) -> Rc<Self> {
         let pool = Rc::new(Pool::new(clock));
         let store = StoreClient::new(pool.clone(), node.store);
+        // Before the first start of the whole system there were no retries.
+        let known_from = if node.first_start { Timestamp::default() } else { clock.now() };
         let (outbox, outbox_receiver) = mpsc::unbounded();
         Rc::new(Shared {
             clock,
@@ -268,6 +275,8 @@
             zone_summaries: RefCell::default(),
             incoming: RefCell::default(),
             budgets: RefCell::default(),
+            predecessors: RefCell::new(Predecessors::new(known_from)),
+            peer_uses: RefCell::new(PeerUses::new(known_from)),
             fleet: RefCell::default(),
             role: RefCell::new(LeaderState::unranked()),
             joined_at: Cell::default(),
@@ -510,12 +519,40 @@
 
     /// Retry budget of a service.
     pub fn retry_budget(&self, service: &str) -> RefMut<'_, Budget> {
-        let new = || Budget::new(self.started_at);
+        let new = || {
+            let predecessors = self.predecessors.borrow();
+            let mut budget = Budget::new(self.started_at);
+            budget.inherit(predecessors.known_from(), predecessors.of_service(service));
+            budget
+        };
         RefMut::map(self.budgets.borrow_mut(), |all| {
             all.entry(service.to_owned()).or_insert_with(new)
         })
     }
 
+    /// What this process has used of the retry budgets in the current window.
+    pub fn retry_uses(&self, now: Timestamp) -> WindowUses {
+        let window = self.node().bounds.budget_window;
+        let mut budgets = self.budgets.borrow_mut();
+        let uses = budgets.iter_mut().map(|(name, b)| (name, b.window_use(now, window)));
+        uses.filter_map(|(name, used)| Some((name.clone(), used?))).collect()
+    }
+
+    /// Must peers be asked what earlier processes of this VM used?
+    pub fn asks_past(&self, now: Timestamp) -> bool {
+        self.predecessors.borrow().must_ask(now, self.node().bounds.budget_window)
+    }
+
+    /// Applies what a peer knows of earlier processes of this VM; false if it tells nothing new.
+    pub fn on_past_report(&self, report: PastReport) -> bool {
+        let mut predecessors = self.predecessors.borrow_mut();
+        let changed = predecessors.on_past_report(self.now(), report);
+        for (service, budget) in self.budgets.borrow_mut().iter_mut() {
+            budget.inherit(predecessors.known_from(), predecessors.of_service(service));
+        }
+        changed
+    }
+
     /// Load of all gateways, this one included, at an engine.
     pub fn engine_load(&self, id: &ServerId) -> EngineLoad {
         let peers = self.load_reports.borrow().peer_load(self.now(), id);
--- a/crates/router/src/budget.rs
+++ b/crates/router/src/budget.rs
@@ -5,40 +5,62 @@
 //! of its own requests and, divided by the count of live gateways, its share of the fixed number, so the sum
 //! keeps the bound without messages between gateways.
 //!
+//! A process that starts again knows nothing of its predecessor's retries, which may still be in the window.
+//! Peers tell it (`predecessors`). Until its knowledge covers a whole window it uses only what the
+//! predecessors left unused for certain.
+//!
 //! Whether a send was a retry is known only later: a prompt that an engine accepts is none, but a lost prompt
 //! makes the run that follows it one. Each request therefore reserves what its next send may cost
 //! (`Arrivals`) and releases what it did not use.
 
+pub mod predecessors;
+
 use std::collections::VecDeque;
 use std::time::Duration;
 
 use ebonyloft_core::time::Timestamp;
 
 use crate::node::Bounds;
+use predecessors::{PastUse, WindowUse};
 
 /// Fraction of the bound that is used. The rest covers retries in flight when a window is counted, and
 /// callers that are spread unevenly over the gateways.
 pub const USED_FRACTION: f64 = 0.8;
 
-/// Fraction of the fixed number that is available at process start. The previous process may have used all of
-/// its share, which this one can't know; 0.8 plus a quarter of 0.8 still equals the bound.
-pub const START_FRACTION: f64 = 0.25;
+/// Fraction that is used while retries of predecessors may be in the window that nobody knows of. They are at
+/// most `USED_FRACTION` of the bound, and all processes that started since share the rest: each adds only what
+/// its own requests and its own time allow.
+pub const UNKNOWN_FRACTION: f64 = 1.0 - USED_FRACTION;
 
 /// Sliding window of requests and retries of one service at one gateway.
 #[derive(Clone, Debug)]
 pub struct Budget {
-    /// Process start; the fixed number grows to its full size within one window.
-    started_at: Timestamp,
+    /// Time from which on all requests and retries of this VM are known.
+    known_from: Timestamp,
     requests: VecDeque<Timestamp>,
     retries: VecDeque<Timestamp>,
     /// Retries that are reserved and not committed.
     reserved: usize,
+    /// What predecessors on this VM have used.
+    past: Vec<PastUse>,
 }
 
 impl Budget {
     /// An empty window of a process that started at `started_at`.
     pub fn new(started_at: Timestamp) -> Self {
-        Budget { started_at, requests: VecDeque::new(), retries: VecDeque::new(), reserved: 0 }
+        Budget {
+            known_from: started_at,
+            requests: VecDeque::new(),
+            retries: VecDeque::new(),
+            reserved: 0,
+            past: Vec::new(),
+        }
+    }
+
+    /// Replaces what is known of predecessors: all that they have used since `known_from`.
+    pub fn inherit(&mut self, known_from: Timestamp, past: Vec<PastUse>) {
+        self.known_from = self.known_from.min(known_from);
+        self.past = past;
     }
 
     /// Counts a caller's request for the service.
@@ -87,11 +109,23 @@
     pub fn available(&mut self, now: Timestamp, bounds: &Bounds, gateways: usize) -> f64 {
         self.expire(now, bounds.budget_window);
         let window = bounds.budget_window.as_secs_f64().max(1e-3);
-        let age = now.since(self.started_at).as_secs_f64();
-        let start_fraction = (START_FRACTION + age / window).min(1.0);
-        let fixed = start_fraction * bounds.budget_extra / gateways.max(1) as f64;
-        let share = bounds.budget_ratio * self.requests.len() as f64;
-        (fixed + share) * USED_FRACTION - (self.retries.len() + self.reserved) as f64
+        let known = (now.since(self.known_from).as_secs_f64() / window).min(1.0);
+        let fraction = if known < 1.0 { UNKNOWN_FRACTION } else { USED_FRACTION };
+        let (mut requests, mut retries) = (self.requests.len() as f64, self.retries.len() as f64);
+        for past in &self.past {
+            let (earned, spent) = past.in_window(now, bounds.budget_window);
+            requests += earned;
+            retries += spent;
+        }
+        let fixed = known * bounds.budget_extra / gateways.max(1) as f64;
+        (fixed + bounds.budget_ratio * requests) * fraction - retries - self.reserved as f64
+    }
+
+    /// The own requests and committed retries in the window, to be reported to peers; `None` without retries.
+    pub fn window_use(&mut self, now: Timestamp, window: Duration) -> Option<WindowUse> {
+        self.expire(now, window);
+        let retries = self.retries.len() as u32;
+        (retries > 0).then_some(WindowUse { requests: self.requests.len() as u32, retries })
     }
 
     /// Requests, committed retries and reserved retries in the window, as of the last expiry.
--- a/crates/router/src/load_report.rs
+++ b/crates/router/src/load_report.rs
@@ -10,6 +10,7 @@
 use ebonyloft_core::time::Timestamp;
 use serde::{Deserialize, Serialize};
 
+use crate::budget::predecessors::{PastReport, WindowUses};
 use crate::catalog::ServerId;
 use crate::engine_load::EngineLoad;
 use crate::engine_speeds::SpeedReport;
@@ -146,6 +147,12 @@
     /// Use of the sender's largest accounts by hash of the service's name, when it has changed.
     #[serde(rename = "a", default, skip_serializing_if = "BTreeMap::is_empty")]
     pub account_uses: BTreeMap<u32, AccountUses>,
+    /// Use of the retry budgets in the current window, of services with retries.
+    #[serde(rename = "e", default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub retry_uses: WindowUses,
+    /// Whether the sender asks what its predecessors used of the retry budgets.
+    #[serde(rename = "x", default, skip_serializing_if = "is_false")]
+    pub asks_past: bool,
 }
 
 /// Gossip state: what gateways know besides the store and exchange with each other.
@@ -214,6 +221,8 @@
     /// Reply: the number of the query, the version in force, and the milliseconds since it was
     /// known to be the newest.
     Held(u64, u64, u64),
+    /// What earlier processes of the recipient's VM used of the retry budgets.
+    Past(PastReport),
 }
 
 #[derive(Clone, Debug)]
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -276,7 +276,8 @@
 
     /// Starts a gateway in place of the one with the index `replaced`, or as one more.
     fn start_gateway(&mut self, host: u8, zone: &str, replaced: Option<usize>) {
-        let node = self.gateway_node(host, zone);
+        let mut node = self.gateway_node(host, zone);
+        node.first_start = replaced.is_none();
         let ip = node.ip;
         let name = node.name.clone();
         let options = Options {
--- a/crates/standins/tests/gateway.rs
+++ b/crates/standins/tests/gateway.rs
@@ -6,6 +6,7 @@
 use compio::BufResult;
 use compio::net::UdpSocket;
 use compio::runtime::JoinHandle;
+use ebonyloft_router::budget::predecessors::WindowUse;
 use ebonyloft_router::catalog::{Split, Stage};
 use ebonyloft_router::load_report::{GossipMessage, LoadReport};
 use ebonyloft_standins::eventually;
@@ -525,9 +526,56 @@
             panic!("there are no client accounts")
         }
         GossipMessage::Age(_) | GossipMessage::Held(..) => panic!("there are no keys to revoke"),
+        GossipMessage::Past(_) => panic!("no peer asked for its earlier processes"),
     }
 }
 
+/// Guards against a process that starts again without knowing what its predecessor used of the retry budget.
+#[test]
+fn gateways_tell_a_process_what_its_predecessor_used() {
+    with_fleet(FleetSpec { gateways: 1, ..FleetSpec::default() }, async |fleet| {
+        let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a socket");
+        let addr = socket.local_addr().expect("its address");
+        let registration = format!("{{\"addr\":\"{addr}\",\"zone\":\"a\"}}");
+        fleet.store.put("ebonyloft/gateways/p0", registration.as_bytes(), 0);
+        let receive = async || {
+            let BufResult(received, buffer) = socket.recv_from(Vec::with_capacity(8 << 10)).await;
+            let (len, from) = received.expect("a datagram");
+            let message = ciborium::from_reader::<GossipMessage, _>(&buffer[..len]);
+            (message.expect("a datagram that can be read"), from)
+        };
+        let send = async |message: GossipMessage, to| {
+            let mut bytes = Vec::new();
+            ciborium::into_writer(&message, &mut bytes).expect("an encodable message");
+            socket.send_to(bytes, to).await.0.expect("a datagram that is sent");
+        };
+        let first = compio::time::timeout(8 * SECOND, receive()).await.expect("a first report");
+        let (GossipMessage::Share(report), gateway) = first else { panic!("no load report") };
+        assert!(!report.asks_past, "the whole fleet starts for the first time");
+
+        let retry_uses = [("summaries".to_owned(), WindowUse { requests: 20, retries: 7 })]
+            .into_iter()
+            .collect();
+        let report =
+            LoadReport { name: "p0".into(), incarnation: 1, retry_uses, ..LoadReport::default() };
+        send(GossipMessage::Share(report.clone()), gateway).await;
+        let next = LoadReport { name: "p0".into(), incarnation: 2, asks_past: true, ..report };
+        compio::time::sleep(SECOND * 4 / 10).await;
+        send(GossipMessage::Share(next), gateway).await;
+        let told = async {
+            loop {
+                if let (GossipMessage::Past(past), _) = receive().await {
+                    return past;
+                }
+            }
+        };
+        let past = compio::time::timeout(SECOND, told).await.expect("what the predecessor used");
+        let [process] = &past.processes[..] else { panic!("{past:?}") };
+        assert_eq!(process.incarnation, 1);
+        assert_eq!(process.uses["summaries"], WindowUse { requests: 20, retries: 7 });
+    });
+}
+
 /// A gossip round among 200 peers takes more than a second; new work is reported without waiting for it.
 #[test]
 fn new_work_is_reported_at_once() {
