--- a/crates/check/src/accounts/simulation.rs
+++ b/crates/check/src/accounts/simulation.rs
@@ -164,7 +164,7 @@
         };
         let mut fleet = Fleet::default();
         let list = names.iter().enumerate().map(|(i, n)| (n.clone(), member(i))).collect();
-        fleet.replace(START, list, 1);
+        fleet.replace(START, list, 1.into());
         let hosts = names.iter().map(|name| Host {
             process: GatewayProcess::new(START, name, spec.mutant),
             incarnation: 0,
--- a/crates/check/src/answers/simulation.rs
+++ b/crates/check/src/answers/simulation.rs
@@ -669,7 +669,8 @@
         let server = self.backends[n].server.clone();
         for gateway in self.gateways.iter_mut() {
             let entry = Registration::Server(server.clone());
-            let change = Change { name: server.id.name.clone(), entry, revision: self.next_id + 1 };
+            let change =
+                Change { name: server.id.name.clone(), entry, revision: (self.next_id + 1).into() };
             gateway.registry.apply(change, true);
         }
     }
@@ -701,7 +702,7 @@
         for backend in 0..self.backends.len() {
             let server = self.backends[backend].server.clone();
             let name = server.id.name.clone();
-            let change = Change { name, entry: Registration::Server(server), revision: 1 };
+            let change = Change { name, entry: Registration::Server(server), revision: 1.into() };
             self.gateways[n].registry.apply(change, true);
         }
         if !self.starts_empty() {
--- a/crates/check/src/gateways/simulation.rs
+++ b/crates/check/src/gateways/simulation.rs
@@ -15,6 +15,7 @@
 use ebonyloft_router::membership::{self, JoinStep, Joining, SilenceTracker};
 use ebonyloft_router::node::{Bounds, Excess};
 use ebonyloft_router::registry::{Change, Registration};
+use ebonyloft_router::revision::Revision;
 use ebonyloft_router::zone_leader::{LEADER_TIMEOUT, LeaderState, StoreLink};
 use ebonyloft_router::zones::{self, Scope};
 use rand::{Rng, SeedableRng};
@@ -54,14 +55,35 @@
 enum Event {
     Boot(usize),
     Join(Id),
-    Listed { to: Id, list: BTreeMap<String, Gateway>, revision: u64 },
-    Registered { to: Id, revision: u64 },
+    Listed {
+        to: Id,
+        list: BTreeMap<String, Gateway>,
+        revision: Revision,
+    },
+    Registered {
+        to: Id,
+        revision: Revision,
+    },
     Upkeep(Id, u64),
     Report(Id, u64),
-    Arrive { to: usize, from: usize, report: Rc<LoadReport> },
-    Fetched { to: Id, part: FetchKind, update: Option<Update> },
+    Arrive {
+        to: usize,
+        from: usize,
+        report: Rc<LoadReport>,
+    },
+    Fetched {
+        to: Id,
+        part: FetchKind,
+        update: Option<Update>,
+    },
     Follow(Id),
-    Followed { to: Id, list: BTreeMap<String, Gateway>, revision: u64, servers: u64, fleet: u64 },
+    Followed {
+        to: Id,
+        list: BTreeMap<String, Gateway>,
+        revision: Revision,
+        servers: Revision,
+        fleet: Revision,
+    },
     WatchEnd(Id, u64),
     Window,
     StoreBack,
@@ -73,8 +95,8 @@
 
 /// What a peer answers to a fetch.
 struct Update {
-    servers: Option<u64>,
-    fleet: Option<(BTreeMap<String, Gateway>, u64)>,
+    servers: Option<Revision>,
+    fleet: Option<(BTreeMap<String, Gateway>, Revision)>,
 }
 
 struct Host {
@@ -88,15 +110,15 @@
     fleet: Fleet,
     complete_at: Option<Timestamp>,
     /// Revision of the known list of backend servers.
-    servers: u64,
+    servers: Revision,
     reports: LoadReports,
     fetches: Fetches,
     silence: SilenceTracker,
-    seen_at: Option<u64>,
+    seen_at: Option<Revision>,
     /// Following the store: a call or watch is under way.
     following: bool,
     /// Revision to watch from; none before a list was read.
-    from: Option<u64>,
+    from: Option<Revision>,
     watch: u64,
     is_waiting: bool,
     store_away: bool,
@@ -124,7 +146,7 @@
     window_at: Timestamp,
     is_measuring: bool,
     followers: usize,
-    target: u64,
+    target: Revision,
 }
 
 /// Runs one plan.
@@ -160,7 +182,7 @@
         version: SoftwareVersion::new("v1.1"),
     };
     let name = server.id.name.clone();
-    Change { name, entry: Registration::Server(server), revision: 1_218 }
+    Change { name, entry: Registration::Server(server), revision: Revision::new(0, 1_218) }
 }
 
 impl Host {
@@ -177,7 +199,7 @@
             role: LeaderState::unranked(),
             fleet: Fleet::default(),
             complete_at: None,
-            servers: 0,
+            servers: Revision::default(),
             reports: LoadReports::default(),
             fetches: Fetches::default(),
             silence: SilenceTracker::default(),
@@ -235,7 +257,7 @@
             window_at,
             is_measuring: spec.phase == Phase::Start,
             followers: 0,
-            target: 0,
+            target: Revision::default(),
         };
         simulation.store.change_server();
         simulation.target = simulation.store.server_revision;
@@ -360,7 +382,7 @@
         }
     }
 
-    fn on_listed(&mut self, i: usize, list: BTreeMap<String, Gateway>, revision: u64) {
+    fn on_listed(&mut self, i: usize, list: BTreeMap<String, Gateway>, revision: Revision) {
         let host = &mut self.hosts[i];
         let current = list.get(&host.name) == Some(&host.own);
         host.seen_at = if current { Some(revision) } else { host.seen_at };
@@ -377,7 +399,7 @@
         self.schedule(Duration::ZERO, Event::Join(self.id(i)));
     }
 
-    fn on_registered(&mut self, i: usize, revision: u64) {
+    fn on_registered(&mut self, i: usize, revision: Revision) {
         let draw = self.rng.random();
         let host = &mut self.hosts[i];
         host.seen_at = Some(revision);
@@ -528,9 +550,9 @@
         &mut self,
         i: usize,
         list: BTreeMap<String, Gateway>,
-        revision: u64,
-        servers: u64,
-        fleet: u64,
+        revision: Revision,
+        servers: Revision,
+        fleet: Revision,
     ) {
         let now = self.now;
         let host = &mut self.hosts[i];
@@ -567,7 +589,7 @@
         }
     }
 
-    fn set_lists(&mut self, i: usize, servers: u64) {
+    fn set_lists(&mut self, i: usize, servers: Revision) {
         let now = self.now;
         let target = self.target;
         let host = &mut self.hosts[i];
@@ -677,7 +699,8 @@
         let changes = match servers {
             None => 0,
             Some(_) if is_first => self.spec.servers as u64,
-            Some(revision) => (revision - own.servers).min(self.spec.servers as u64),
+            Some(revision) => (revision.number().saturating_sub(own.servers.number()))
+                .min(self.spec.servers as u64),
         };
         let listed = fleet.as_ref().map_or(0, |(list, _)| list.len() as u64);
         let bytes = changes * self.server_bytes + listed * self.gateway_bytes;
--- a/crates/check/src/gateways/store.rs
+++ b/crates/check/src/gateways/store.rs
@@ -5,6 +5,7 @@
 
 use ebonyloft_core::time::Timestamp;
 use ebonyloft_router::fleet::Gateway;
+use ebonyloft_router::revision::Revision;
 
 /// Time of an answer without its transfer.
 const LATENCY: Duration = Duration::from_millis(4);
@@ -19,11 +20,11 @@
 #[derive(Default)]
 pub struct Store {
     gateways: BTreeMap<String, Gateway>,
-    revision: u64,
+    revision: Revision,
     /// Revision of the last change of a gateway's registration.
-    pub fleet_revision: u64,
+    pub fleet_revision: Revision,
     /// Revision of the last change of a backend server's registration.
-    pub server_revision: u64,
+    pub server_revision: Revision,
     link_free_at: Timestamp,
     /// Does it answer?
     pub away: bool,
@@ -37,9 +38,13 @@
         self.link_free_at.after(LATENCY)
     }
 
+    fn next(&self) -> Revision {
+        Revision::new(self.revision.era(), self.revision.number() + 1)
+    }
+
     /// Writes a gateway's registration.
-    pub fn register(&mut self, name: &str, gateway: Gateway) -> u64 {
-        self.revision += 1;
+    pub fn register(&mut self, name: &str, gateway: Gateway) -> Revision {
+        self.revision = self.next();
         self.fleet_revision = self.revision;
         self.gateways.insert(name.to_owned(), gateway);
         self.revision
@@ -47,14 +52,14 @@
 
     /// Removes registrations.
     pub fn remove(&mut self, names: &[String]) {
-        self.revision += 1;
+        self.revision = self.next();
         self.fleet_revision = self.revision;
         self.gateways.retain(|name, _| !names.contains(name));
     }
 
     /// Changes a backend server's registration.
     pub fn change_server(&mut self) {
-        self.revision += 1;
+        self.revision = self.next();
         self.server_revision = self.revision;
     }
 
@@ -80,7 +85,7 @@
     }
 
     /// The current revision.
-    pub fn revision(&self) -> u64 {
+    pub fn revision(&self) -> Revision {
         self.revision
     }
 }
--- a/crates/check/src/specs/handles.rs
+++ b/crates/check/src/specs/handles.rs
@@ -194,7 +194,8 @@
 
     fn registry(&self) -> ServerRegistry {
         let mut registry = ServerRegistry::default();
-        let mut apply = |revision, entry| {
+        let mut apply = |revision: u64, entry| {
+            let revision = revision.into();
             let change = Change { name: "engine".to_owned(), entry, revision };
             registry.apply(change, true);
         };
--- a/crates/daemon/src/gateway/orders.rs
+++ b/crates/daemon/src/gateway/orders.rs
@@ -12,6 +12,7 @@
 use ebonyloft_router::catalog::{Server, ServerId, Stage};
 use ebonyloft_router::leadership::{self, LeaderRecord, Leadership, Order};
 use ebonyloft_router::registry::ServerRegistry;
+use ebonyloft_router::revision::Revision;
 use ebonyloft_router::stages::{Change, PlanContext, Planner, Shape};
 use ebonyloft_router::zones::Scope;
 
@@ -68,13 +69,14 @@
 }
 
 async fn acquire(shared: &Shared) -> Result<Option<Leadership>, StoreError> {
+    let era = shared.store.era();
     if shared.store.get(LOCK_KEY).await?.is_some() {
         shared.lock_available.set(false);
         return Ok(None);
     }
     let before = shared.store.get(LEADER_RECORD_KEY).await?;
-    let revision = before.as_ref().map_or(0, |i| i.revision);
-    let first = before.is_none();
+    let revision = before.as_ref().map_or_else(Revision::default, |i| i.revision);
+    let first = before.is_none() && shared.restored_at.get().is_none();
     let record = match before.and_then(|i| i.value) {
         Some(value) => serde_json::from_slice::<LeaderRecord>(&value).map_err(|e| {
             StoreError::Unknown { detail: format!("can't decode the leader record: {e}") }
@@ -84,16 +86,24 @@
     let sent = shared.now();
     let lease = shared.store.lease(leadership::LEASE).await?;
     let name = shared.node().name.clone();
-    let next = LeaderRecord { fence: record.fence + 1, holder: name };
+    let fence = leadership::next_fence(record.fence, era);
+    let next = LeaderRecord { fence, holder: name };
     let value = serde_json::to_vec(&next).expect("plain strings and numbers serialise");
     let writes = [
         Write { key: LOCK_KEY, value: &value, lease: lease.id },
         Write { key: LEADER_RECORD_KEY, value: &value, lease: 0 },
     ];
-    match shared.store.txn(&[(LOCK_KEY, 0), (LEADER_RECORD_KEY, revision)], &writes).await {
+    let none = Revision::default();
+    match shared.store.txn(&[(LOCK_KEY, none), (LEADER_RECORD_KEY, revision)], &writes).await {
+        // The fencing token may belong to a leader of this era, too.
+        Ok(written) if written.era() != era => {
+            shared.store.revoke(lease.id).await?;
+            Ok(None)
+        }
         Ok(_) => {
-            let gap = shared.node().bounds.order_gap;
             let now = shared.now();
+            let gap = shared.node().bounds.order_gap;
+            let gap = leadership::order_gap(gap, now, shared.restored_at.get());
             Ok(Some(Leadership::taken(sent, now, next.fence, lease.id, gap, first)))
         }
         Err(StoreError::Conflict) => Ok(None),
@@ -109,9 +119,17 @@
 
 async fn renew_and_order(shared: &Shared, planner: &mut Planner, mut leadership: Leadership) {
     let mut renew_at = shared.now().after(leadership::RENEW);
+    let era = shared.store.era();
     loop {
         compio::time::sleep(CHECK_INTERVAL).await;
         let now = shared.now();
+        if shared.store.era() != era {
+            tracing::info!(
+                fence = leadership.fence,
+                "the store may have lost the leadership lease"
+            );
+            return release(shared, leadership).await;
+        }
         if shared.is_stopping() {
             return release(shared, leadership).await;
         }
--- a/crates/daemon/src/gateway/origins/histories.rs
+++ b/crates/daemon/src/gateway/origins/histories.rs
@@ -11,6 +11,7 @@
 use ebonyloft_platform::store::{Item, StoreError, Write};
 use ebonyloft_router::catalog::{Config, Kind};
 use ebonyloft_router::divergence::stable_hash;
+use ebonyloft_router::revision::Revision;
 use ebonyloft_router::stream_origin::history::SoftwareHistory;
 use ebonyloft_router::stream_origin::{SoftwareId, Testimony};
 use ebonyloft_router::zones::Scope;
@@ -44,7 +45,7 @@
 pub struct ServiceHistory {
     own: SoftwareHistory,
     /// As read from the store, with its revision.
-    saved: Option<(SoftwareHistory, u64)>,
+    saved: Option<(SoftwareHistory, Revision)>,
     /// Rounds for which the store has been without what this gateway knows.
     unsaved_rounds: u32,
 }
@@ -171,7 +172,7 @@
 /// so only if the first one did not.
 async fn save_histories(shared: &Shared) {
     let leads = shared.role.borrow().leads();
-    let due: Vec<(u64, SoftwareHistory, u64)> = {
+    let due: Vec<(u64, SoftwareHistory, Revision)> = {
         let mut histories = shared.histories.borrow_mut();
         let due = histories.iter_mut().filter_map(|(id, history)| {
             let saved = history.saved.as_ref();
@@ -181,7 +182,13 @@
             }
             history.unsaved_rounds += 1;
             let is_due = leads || history.unsaved_rounds > STANDBY_ROUNDS;
-            is_due.then(|| (*id, history.own.clone(), saved.map_or(0, |(_, revision)| *revision)))
+            is_due.then(|| {
+                (
+                    *id,
+                    history.own.clone(),
+                    saved.map_or_else(Revision::default, |(_, revision)| *revision),
+                )
+            })
         });
         due.collect()
     };
@@ -203,6 +210,13 @@
     }
 }
 
+/// Handles the store's return from an older copy, before its list is applied: what it lacks is written again.
+pub fn on_restored(shared: &Shared) {
+    for history in shared.histories.borrow_mut().values_mut() {
+        history.saved = None;
+    }
+}
+
 /// Receives the store's histories.
 pub struct HistorySink(pub Rc<Shared>);
 
@@ -222,7 +236,7 @@
             }
             Err(e) => {
                 let revision = item.revision;
-                tracing::warn!(key = item.key, revision, error = %e, "invalid versions of a service");
+                tracing::warn!(key = item.key, %revision, error = %e, "invalid versions of a service");
                 // Overwritten by what this gateway observes.
                 let mut histories = self.0.histories.borrow_mut();
                 let history = histories.entry(id).or_default();
--- a/crates/daemon/src/gateway/origins/records.rs
+++ b/crates/daemon/src/gateway/origins/records.rs
@@ -138,7 +138,7 @@
             Ok(records) => records,
             Err(e) => {
                 let revision = item.revision;
-                return tracing::warn!(key = item.key, revision, error = %e, "invalid records of streams");
+                return tracing::warn!(key = item.key, %revision, error = %e, "invalid records of streams");
             }
         };
         let now = self.0.now();
--- a/crates/daemon/src/gateway/part_blame.rs
+++ b/crates/daemon/src/gateway/part_blame.rs
@@ -318,7 +318,7 @@
             Ok(record) => record,
             Err(e) => {
                 let revision = item.revision;
-                return tracing::warn!(key = item.key, revision, error = %e, "invalid quarantine record");
+                return tracing::warn!(key = item.key, %revision, error = %e, "invalid quarantine record");
             }
         };
         let now = self.0.now();
--- a/crates/daemon/src/gateway/pool.rs
+++ b/crates/daemon/src/gateway/pool.rs
@@ -209,6 +209,11 @@
     pub fn head_at(&self) -> Timestamp {
         self.head_at
     }
+
+    /// The headers of the answer.
+    pub fn headers(&self) -> &HeaderMap {
+        self.response.headers()
+    }
 }
 
 /// Idle connections, by address.
--- a/crates/daemon/src/gateway/registration.rs
+++ b/crates/daemon/src/gateway/registration.rs
@@ -11,6 +11,7 @@
 use ebonyloft_platform::store::{Consistency, Item, StoreError, TXN_KEYS_MAX, Write};
 use ebonyloft_router::fleet::Gateway;
 use ebonyloft_router::membership::{self, JoinStep, Joining, SilenceTracker};
+use ebonyloft_router::revision::Revision;
 use ebonyloft_router::zones::Scope;
 
 use super::orders;
@@ -32,11 +33,11 @@
 pub struct FleetSink(pub Rc<Shared>);
 
 impl Sink for FleetSink {
-    fn replace(&self, items: Vec<Item>, revision: u64) {
+    fn replace(&self, items: Vec<Item>, revision: Revision) {
         let locked = items.iter().any(|i| i.key == orders::LOCK_KEY && i.value.is_some());
         self.0.lock_available.set(!locked);
         let list = decode_all(&items);
-        tracing::info!(count = list.len(), revision, "list of gateways loaded");
+        tracing::info!(count = list.len(), %revision, "list of gateways loaded");
         self.0.fleet.borrow_mut().replace(self.0.now(), list, revision);
         self.0.request_report();
     }
@@ -53,7 +54,7 @@
         tracing::info!(
             peer = name,
             live = gateway.is_some(),
-            revision = item.revision,
+            revision = %item.revision,
             "gateway registration changed"
         );
         self.0.fleet.borrow_mut().apply(self.0.now(), name, gateway, item.revision);
@@ -77,7 +78,7 @@
         Err(e) => {
             let revision = item.revision;
             tracing::warn!(
-                key = item.key, revision, error = %e, "can't decode gateway registration"
+                key = item.key, %revision, error = %e, "can't decode gateway registration"
             );
             None
         }
@@ -125,7 +126,7 @@
 }
 
 /// Joins the fleet; returns the revision as of which this gateway is known to be registered.
-async fn join(shared: &Rc<Shared>) -> Option<u64> {
+async fn join(shared: &Rc<Shared>) -> Option<Revision> {
     let mut joining = Joining::new(shared.now());
     let (mut seen_at, mut is_new) = (None, false);
     loop {
@@ -140,7 +141,7 @@
                     let known = list.len();
                     shared.fleet.borrow_mut().add(list);
                     joining.on_list(shared.now(), current);
-                    tracing::info!(known, revision, current, "registrations read");
+                    tracing::info!(known, %revision, current, "registrations read");
                     ask_peers(shared);
                 }
                 Err(e) => on_join_failure(shared, &mut joining, &e),
@@ -172,7 +173,7 @@
 
 /// Reads the registrations whose names begin as this gateway's does, up to the last number; those
 /// of its zone are usually among them. The list may be stale and is not complete.
-async fn list_nearby(shared: &Shared) -> Result<(BTreeMap<String, Gateway>, u64), StoreError> {
+async fn list_nearby(shared: &Shared) -> Result<(BTreeMap<String, Gateway>, Revision), StoreError> {
     let own_key = format!("{GATEWAY_PREFIX}{}", shared.node().name);
     let start = own_key.trim_end_matches(|c: char| c.is_ascii_digit());
     let page = shared.store.list_until(GATEWAY_PREFIX, start, &own_key, Consistency::Stale).await?;
@@ -199,11 +200,11 @@
 }
 
 /// Writes this gateway's registration; returns the revision of the write.
-async fn register(shared: &Shared, own: &Gateway) -> Result<u64, StoreError> {
+async fn register(shared: &Shared, own: &Gateway) -> Result<Revision, StoreError> {
     let key = format!("{GATEWAY_PREFIX}{}", shared.node().name);
     let value = serde_json::to_vec(own).expect("an address and strings serialise");
     let revision = shared.store.txn(&[], &[Write { key: &key, value: &value, lease: 0 }]).await?;
-    tracing::info!(revision, "registration written");
+    tracing::info!(%revision, "registration written");
     Ok(revision)
 }
 
@@ -220,7 +221,7 @@
         let keys: Vec<&str> = keys.iter().map(String::as_str).collect();
         match shared.store.remove(&keys).await {
             Ok(revision) => {
-                tracing::info!(?names, revision, "registrations of silent gateways removed")
+                tracing::info!(?names, %revision, "registrations of silent gateways removed")
             }
             Err(e) => tracing::info!(?names, error = %e, "can't remove registrations"),
         }
--- a/crates/daemon/src/gateway/request_blame.rs
+++ b/crates/daemon/src/gateway/request_blame.rs
@@ -266,7 +266,7 @@
             Err(e) => {
                 let revision = item.revision;
                 return tracing::warn!(
-                    key = item.key, revision, error = %e, "invalid quarantine record"
+                    key = item.key, %revision, error = %e, "invalid quarantine record"
                 );
             }
         };
--- a/crates/daemon/src/gateway/shared.rs
+++ b/crates/daemon/src/gateway/shared.rs
@@ -38,6 +38,7 @@
 use ebonyloft_router::quota::ownership::Owners;
 use ebonyloft_router::registry::ServerRegistry;
 use ebonyloft_router::request_digest::RequestDigest;
+use ebonyloft_router::revision::Revision;
 use ebonyloft_router::shedding::{self, ReadLoad, Shedding};
 use ebonyloft_router::stage_changes::{STAGE_CHANGE_BACKOFF, StageChanges};
 use ebonyloft_router::staleness::ConfigStaleness;
@@ -190,7 +191,9 @@
     /// The softwares of services that stream, while this gateway follows the store.
     pub histories: RefCell<Histories>,
     /// Revision up to which the watch of the store has brought all changes.
-    pub watched_revision: Cell<Option<u64>>,
+    pub watched_revision: Cell<Option<Revision>>,
+    /// When the store last came back from an older copy, as far as this process knows.
+    pub restored_at: Cell<Option<Timestamp>>,
     /// Polls of the store beside the watch.
     pub polls: Cell<Polls>,
     /// Questions to peers about the software that began a stream, under way.
@@ -299,6 +302,7 @@
             origins: RefCell::default(),
             histories: RefCell::default(),
             watched_revision: Cell::default(),
+            restored_at: Cell::default(),
             polls: Cell::default(),
             origin_questions: Cell::new(0),
             divergence: RefCell::default(),
@@ -603,7 +607,7 @@
         let known_at = self.store_state.borrow().known_at();
         SnapshotVersion {
             config: self.config.borrow().as_ref().map_or(0, |c| c.version),
-            roster: self.registry.borrow().revision(),
+            roster: self.registry.borrow().revision().number(),
             age: self.now().since(known_at).as_millis() as u64,
         }
     }
--- a/crates/daemon/src/gateway/state_sync.rs
+++ b/crates/daemon/src/gateway/state_sync.rs
@@ -125,6 +125,7 @@
 async fn request_state(shared: &Shared, from: SocketAddr, known: Versions) -> Option<StateUpdate> {
     let mut req = Request::new(Bytes::new());
     let Versions { config, roster, fleet } = known;
+    let (roster, fleet) = (u64::from(roster), u64::from(fleet));
     let path = format!("{PATH}?{config}.{roster}.{fleet}");
     *req.uri_mut() = path.parse().expect("a path of numbers is valid");
     match shared.pool.call(from, req, FETCH_TIMEOUT).await {
@@ -151,6 +152,7 @@
             tracing::info!(version, peer = %from, "configuration in force");
         }
     }
+    super::watch::on_era(shared, update.versions.roster.era());
     let store_away = shared.store_state.borrow().is_away();
     if let Some(fleet) = update.fleet {
         let (now, revision) = (shared.now(), update.versions.fleet);
@@ -218,9 +220,9 @@
 }
 
 fn parse_versions(query: &str) -> Option<Versions> {
-    let mut parts = query.split('.').map(|part| part.parse().ok());
+    let mut parts = query.split('.').map(|part| part.parse::<u64>().ok());
     let mut next = || parts.next().flatten();
-    Some(Versions { config: next()?, roster: next()?, fleet: next()? })
+    Some(Versions { config: next()?, roster: next()?.into(), fleet: next()?.into() })
 }
 
 fn build_update(shared: &Shared, theirs: Versions) -> StateUpdate {
--- a/crates/daemon/src/gateway/store.rs
+++ b/crates/daemon/src/gateway/store.rs
@@ -1,13 +1,18 @@
 //! Client of the platform's metadata store.
+//!
+//! The era of the store is read from each answer here. Answers of an earlier era than the latest are not
+//! passed on, and conditions of an earlier era do not hold.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use ebonyloft_platform::store::{self, Consistency, Item, Lease, Page, StoreError, Write};
+use ebonyloft_platform::store::{self, Answer, Consistency, Item, Lease, Page, StoreError, Write};
 use ebonyloft_router::correlation::Exchange;
-use hyper::{Request, StatusCode};
+use ebonyloft_router::revision::Revision;
+use hyper::Request;
 
 use super::pool::{ExchangeError, PendingAnswer, Pool};
 
@@ -36,12 +41,19 @@
 pub struct StoreClient {
     pool: Rc<Pool>,
     addr: SocketAddr,
+    /// Latest era that an answer has had.
+    era: Rc<Cell<Option<u64>>>,
 }
 
 impl StoreClient {
     /// Creates a client of the store at `addr`.
     pub fn new(pool: Rc<Pool>, addr: SocketAddr) -> Self {
-        StoreClient { pool, addr }
+        StoreClient { pool, addr, era: Rc::default() }
+    }
+
+    /// Returns the latest era that an answer has had; 0 before the first answer, and of a store that has none.
+    pub fn era(&self) -> u64 {
+        self.era.get().unwrap_or_default()
     }
 
     /// Reads one key; none if it does not exist.
@@ -77,11 +89,14 @@
         age: Consistency,
         is_enough: impl Fn(&str) -> bool,
     ) -> Result<Page, StoreError> {
-        let mut all = Page { items: Vec::new(), has_more: true, revision: u64::MAX };
+        let mut all = Page { items: Vec::new(), has_more: true, revision: Revision::MAX };
         for _ in 0..PAGES_MAX {
             let after = all.items.last().map_or_else(|| start.to_owned(), |i| i.key.clone());
             let req = store::range(prefix, &after, age);
             let page = self.call(req, CALL_TIMEOUT, store::parse_page).await?;
+            if !all.items.is_empty() && page.revision.era() != all.revision.era() {
+                return Err(StoreError::Compacted);
+            }
             all.revision = all.revision.min(page.revision);
             all.has_more = page.has_more && !page.items.is_empty();
             all.items.extend(page.items);
@@ -95,9 +110,10 @@
     /// Changes of a prefix after a revision, without waiting for new ones. Used while the
     /// store is unreachable: its return is noticed within the time of a call, where a watch that
     /// began during the outage would only end after some three seconds.
-    pub async fn poll_changes(&self, prefix: &str, after: u64) -> Result<Page, StoreError> {
-        self.call(store::watch(prefix, after, POLL_WAIT_MS), CALL_TIMEOUT, store::parse_changes)
-            .await
+    pub async fn poll_changes(&self, prefix: &str, after: Revision) -> Result<Page, StoreError> {
+        let req = store::watch(prefix, after, POLL_WAIT_MS);
+        let page = self.call(req, CALL_TIMEOUT, store::parse_changes).await?;
+        same_era(page, after)
     }
 
     /// Changes of a prefix after a revision, as soon as there are any. Returns within `within`,
@@ -105,7 +121,7 @@
     pub async fn watch(
         &self,
         prefix: &str,
-        after: u64,
+        after: Revision,
         within: Duration,
     ) -> Result<WatchReply, StoreError> {
         let wait = within.saturating_sub(WATCH_SLACK).max(WATCH_MIN);
@@ -116,11 +132,14 @@
         Ok(WatchReply { reply, wait })
     }
 
-    /// Reads the body of a watch's answer.
-    pub async fn read_watch(&self, reply: PendingAnswer) -> Result<Page, StoreError> {
-        let (status, body) =
-            self.pool.finish_call(reply, CALL_TIMEOUT).await.map_err(store_error)?;
-        store::parse_changes(status, &body)
+    /// Reads the body of the answer to a watch for changes after a revision.
+    pub async fn read_watch(
+        &self,
+        reply: PendingAnswer,
+        after: Revision,
+    ) -> Result<Page, StoreError> {
+        let page = self.finish(reply, CALL_TIMEOUT, store::parse_changes).await?;
+        same_era(page, after)
     }
 
     /// Creates a lease.
@@ -136,9 +155,9 @@
 
     /// Revokes a lease, which deletes its keys.
     pub async fn revoke(&self, id: u64) -> Result<(), StoreError> {
-        self.call(store::revoke_lease(id), CALL_TIMEOUT, |status, _| match status.is_success() {
-            true => Ok(()),
-            false => Err(StoreError::Unknown { detail: format!("status {status}") }),
+        self.call(store::revoke_lease(id), CALL_TIMEOUT, |answer| match answer.status {
+            status if status.is_success() => Ok(()),
+            status => Err(StoreError::Unknown { detail: format!("status {status}") }),
         })
         .await
     }
@@ -146,14 +165,19 @@
     /// Writes if the keys are at the expected revisions.
     pub async fn txn(
         &self,
-        expected: &[(&str, u64)],
+        expected: &[(&str, Revision)],
         writes: &[Write<'_>],
-    ) -> Result<u64, StoreError> {
+    ) -> Result<Revision, StoreError> {
+        // Another value may have been written with this number since.
+        let is_gone = |(_, r): &(&str, Revision)| !r.is_zero() && r.era() != self.era();
+        if expected.iter().any(is_gone) {
+            return Err(StoreError::Conflict);
+        }
         self.call(store::txn(expected, writes), CALL_TIMEOUT, store::parse_commit).await
     }
 
     /// Removes keys; returns the revision of the removal.
-    pub async fn remove(&self, keys: &[&str]) -> Result<u64, StoreError> {
+    pub async fn remove(&self, keys: &[&str]) -> Result<Revision, StoreError> {
         self.call(store::remove(keys), CALL_TIMEOUT, store::parse_commit).await
     }
 
@@ -161,10 +185,34 @@
         &self,
         req: Request<Bytes>,
         limit: Duration,
-        read: impl Fn(StatusCode, &[u8]) -> Result<T, StoreError>,
+        read: impl Fn(Answer<'_>) -> Result<T, StoreError>,
     ) -> Result<T, StoreError> {
-        let (status, body) = self.pool.call(self.addr, req, limit).await.map_err(store_error)?;
-        read(status, &body)
+        let started = self.pool.start_call(self.addr, req, limit, Exchange::Trusted).await;
+        self.finish(started.map_err(store_error)?, limit, read).await
+    }
+
+    async fn finish<T>(
+        &self,
+        reply: PendingAnswer,
+        limit: Duration,
+        read: impl Fn(Answer<'_>) -> Result<T, StoreError>,
+    ) -> Result<T, StoreError> {
+        let era = store::era(reply.headers()).unwrap_or_else(|| self.era());
+        let (status, body) = self.pool.finish_call(reply, limit).await.map_err(store_error)?;
+        if era < self.era() {
+            let detail = format!("an answer of era {era} of the store came in era {}", self.era());
+            return Err(StoreError::Unknown { detail });
+        }
+        self.era.set(Some(era));
+        read(Answer { status, era, body: &body })
+    }
+}
+
+/// Changes after a revision of an earlier era lack what was written below its number.
+fn same_era(page: Page, after: Revision) -> Result<Page, StoreError> {
+    match page.revision.era() == after.era() {
+        true => Ok(page),
+        false => Err(StoreError::Compacted),
     }
 }
 
--- a/crates/daemon/src/gateway/watch.rs
+++ b/crates/daemon/src/gateway/watch.rs
@@ -14,6 +14,7 @@
 use ebonyloft_platform::store::{CONFIG_KEY, Consistency, Item, StoreError};
 use ebonyloft_platform::{config, servers};
 use ebonyloft_router::registry::{Change, Effect, Registration};
+use ebonyloft_router::revision::Revision;
 use ebonyloft_router::staleness::ConfigStaleness;
 
 use super::origins::{histories, records};
@@ -42,7 +43,7 @@
 pub trait Sink {
     /// Replaces all items of the prefix by those as of a revision. Unless a sink needs to know which
     /// items are gone, each one is applied.
-    fn replace(&self, items: Vec<Item>, _revision: u64) {
+    fn replace(&self, items: Vec<Item>, _revision: Revision) {
         items.into_iter().for_each(|item| self.apply(item));
     }
     /// Applies one change.
@@ -51,7 +52,7 @@
 
 /// Follows a prefix for as long as the process runs.
 pub async fn follow(shared: Rc<Shared>, prefix: &'static str, sink: Box<dyn Sink>) {
-    let mut from: Option<u64> = None;
+    let mut from: Option<Revision> = None;
     let mut backoff = BACKOFF_MIN;
     // The first list may be stale, since the watch from its revision brings it up to date. When
     // all gateways start at once, current lists would be delayed by the store's call limit.
@@ -78,7 +79,8 @@
                 }
             }
             Err(StoreError::Compacted) => {
-                tracing::info!(prefix, after = from, "history was compacted, listing again");
+                let after = from.unwrap_or_default();
+                tracing::info!(prefix, %after, "history was compacted, listing again");
                 from = None;
                 shared.watched_revision.set(None);
             }
@@ -107,11 +109,15 @@
     prefix: &str,
     age: Consistency,
     sink: &dyn Sink,
-) -> Result<u64, StoreError> {
+) -> Result<Revision, StoreError> {
     // A gateway without a complete registry sends no requests, so it needs no second watch.
     let known = shared.registry.borrow().is_complete();
     let known_at = shared.now();
     let page = roster_watch::during(shared, None, known, shared.store.list(prefix, age)).await?;
+    if page.revision.era() < shared.registry.borrow().revision().era() {
+        return Err(StoreError::Compacted);
+    }
+    on_era(shared, page.revision.era());
     sink.replace(page.items, page.revision);
     if age == Consistency::Current {
         on_store_answer(shared, prefix, known_at);
@@ -123,9 +129,9 @@
 async fn watch(
     shared: &Rc<Shared>,
     prefix: &str,
-    after: u64,
+    after: Revision,
     sink: &dyn Sink,
-) -> Result<u64, StoreError> {
+) -> Result<Revision, StoreError> {
     let mut known_at = shared.now();
     // After a stale list, too, changes are polled: until the first answer nothing is known to be
     // current.
@@ -137,7 +143,7 @@
             let WatchReply { reply, wait } =
                 shared.store.watch(prefix, after, watch_timeout(shared)).await?;
             known_at = reply.head_at();
-            let read = shared.store.read_watch(reply);
+            let read = shared.store.read_watch(reply, after);
             (roster_watch::during(shared, Some(after), true, read).await?, wait)
         }
     };
@@ -150,6 +156,20 @@
     Ok(page.revision.max(after))
 }
 
+/// Handles a list of a later era, before it is applied: the store came back from an older copy. Registrations
+/// that it lacks are written again, and what this gateway wrote may be gone.
+pub fn on_era(shared: &Shared, era: u64) {
+    let known = shared.registry.borrow().revision().era();
+    if era <= known || !shared.registry.borrow().is_complete() {
+        return;
+    }
+    tracing::warn!(era, known, "the store came back from an older copy");
+    shared.metrics.count("gateway.store.restored", 1);
+    shared.restored_at.set(Some(shared.now()));
+    shared.store_state.borrow_mut().on_restored(shared.now());
+    histories::on_restored(shared);
+}
+
 /// Marks the configuration as confirmed by the store, unless the newest one could not be decoded.
 fn confirm_config(shared: &Shared, confirm: impl FnOnce(&mut ConfigStaleness)) {
     if !shared.config_unreadable.get() {
@@ -208,7 +228,7 @@
 }
 
 impl Sink for PrefixRouter {
-    fn replace(&self, items: Vec<Item>, revision: u64) {
+    fn replace(&self, items: Vec<Item>, revision: Revision) {
         for (prefix, sink) in &self.0 {
             let own = items.iter().filter(|i| i.key.starts_with(prefix)).cloned().collect();
             sink.replace(own, revision);
@@ -236,11 +256,11 @@
             Ok(config) => {
                 let version = config.version;
                 if self.0.apply_config(config) {
-                    tracing::info!(version, revision = item.revision, "configuration in force");
+                    tracing::info!(version, revision = %item.revision, "configuration in force");
                 }
             }
             Err(e) => {
-                tracing::error!(revision = item.revision, error = %e, "can't decode configuration")
+                tracing::error!(revision = %item.revision, error = %e, "can't decode configuration")
             }
         }
     }
@@ -256,7 +276,7 @@
 }
 
 impl Sink for RosterSink {
-    fn replace(&self, items: Vec<Item>, revision: u64) {
+    fn replace(&self, items: Vec<Item>, revision: Revision) {
         let list: Vec<Change> = items.iter().map(change).collect();
         let settled = self.settled();
         let effects = self.0.registry.borrow_mut().replace(list, revision, settled);
@@ -285,7 +305,7 @@
         Some(Err(e)) => {
             let revision = item.revision;
             tracing::warn!(
-                server = name, revision, error = %e,
+                server = name, %revision, error = %e,
                 "can't decode registration of a backend server"
             );
             Registration::Wrong
@@ -295,7 +315,7 @@
 }
 
 /// Applies the consequences of a change of the server registry: connections, quarantine and log.
-pub fn apply_effect(shared: &Shared, name: &str, effect: Effect, revision: u64) {
+pub fn apply_effect(shared: &Shared, name: &str, effect: Effect, revision: Revision) {
     if effect == Effect::Stale {
         return;
     }
@@ -314,5 +334,5 @@
         quarantine::on_registered(shared, addr, &id);
     }
     let born = known.map(|(_, born)| born);
-    tracing::info!(server = name, ?effect, born, revision, "backend server registration changed");
+    tracing::info!(server = name, ?effect, born, %revision, "backend server registration changed");
 }
--- a/crates/daemon/src/gateway/watch/roster_watch.rs
+++ b/crates/daemon/src/gateway/watch/roster_watch.rs
@@ -13,9 +13,10 @@
 
 use ebonyloft_platform::servers;
 use ebonyloft_platform::store::{Consistency, StoreError};
+use ebonyloft_router::revision::Revision;
 use futures_util::future::{Either, select};
 
-use super::{BACKOFF_MAX, RosterSink, Sink, batch_delay, on_store_answer, watch_timeout};
+use super::{BACKOFF_MAX, RosterSink, Sink, batch_delay, on_era, on_store_answer, watch_timeout};
 use crate::gateway::shared::Shared;
 
 /// How long an answer may take before the second watch starts: as long as changes are batched.
@@ -26,7 +27,7 @@
 /// or from a new list if there is none.
 pub async fn during<T>(
     shared: &Rc<Shared>,
-    after: Option<u64>,
+    after: Option<Revision>,
     wanted: bool,
     answer: impl Future<Output = T>,
 ) -> T {
@@ -39,7 +40,7 @@
     }
 }
 
-async fn follow(shared: &Rc<Shared>, after: Option<u64>) -> Infallible {
+async fn follow(shared: &Rc<Shared>, after: Option<Revision>) -> Infallible {
     compio::time::sleep(START_DELAY).await;
     let sink = RosterSink(shared.clone());
     let mut from = after;
@@ -65,17 +66,22 @@
     }
 }
 
-async fn step(shared: &Shared, from: Option<u64>, sink: &RosterSink) -> Result<u64, StoreError> {
+async fn step(
+    shared: &Shared,
+    from: Option<Revision>,
+    sink: &RosterSink,
+) -> Result<Revision, StoreError> {
     let Some(after) = from else {
         let known_at = shared.now();
         let page = shared.store.list(servers::PREFIX, Consistency::Current).await?;
+        on_era(shared, page.revision.era());
         sink.replace(page.items, page.revision);
         on_store_answer(shared, servers::PREFIX, known_at);
         return Ok(page.revision);
     };
     let reply = shared.store.watch(servers::PREFIX, after, watch_timeout(shared)).await?.reply;
     let known_at = reply.head_at();
-    let page = shared.store.read_watch(reply).await?;
+    let page = shared.store.read_watch(reply, after).await?;
     for item in page.items {
         sink.apply(item);
     }
--- a/crates/router/benches/accounts.rs
+++ b/crates/router/benches/accounts.rs
@@ -31,7 +31,7 @@
     };
     let list: BTreeMap<_, _> = (0..count).map(|i| (format!("front-{i}"), gateway(i))).collect();
     let mut fleet = Fleet::default();
-    fleet.replace(Timestamp::default(), list, 1);
+    fleet.replace(Timestamp::default(), list, 1.into());
     fleet
 }
 
--- a/crates/router/src/fetches.rs
+++ b/crates/router/src/fetches.rs
@@ -12,6 +12,8 @@
 use ebonyloft_core::time::Timestamp;
 use serde::{Deserialize, Serialize};
 
+use crate::revision::Revision;
+
 /// Shortest time between two calls of one kind to the same peer, so that a peer that is always
 /// slightly ahead is not called after each of its messages.
 const PEER_INTERVAL: Duration = Duration::from_millis(150);
@@ -37,14 +39,15 @@
     /// Version of the configuration.
     pub config: u64,
     /// Revision of the list of backend servers.
-    pub roster: u64,
+    pub roster: Revision,
     /// Revision of the list of gateways.
-    pub fleet: u64,
+    pub fleet: Revision,
 }
 
 impl Versions {
     /// Nothing is newer than this.
-    const ALL: Versions = Versions { config: u64::MAX, roster: u64::MAX, fleet: u64::MAX };
+    const ALL: Versions =
+        Versions { config: u64::MAX, roster: Revision::MAX, fleet: Revision::MAX };
 
     /// The versions to send when only one kind is requested: the others are marked as up to date.
     pub fn asking(self, part: FetchKind) -> Versions {
@@ -78,7 +81,7 @@
     config: CallState,
     lists: CallState,
     /// Revisions of the local lists, and since when peers have had newer ones.
-    lists_known: (u64, u64),
+    lists_known: (Revision, Revision),
     behind_since: Option<Timestamp>,
 }
 
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -11,6 +11,7 @@
 use ebonyloft_core::time::Timestamp;
 use serde::{Deserialize, Serialize};
 
+use crate::revision::Revision;
 use crate::zone_leader::LEADERS_PER_ZONE;
 
 /// A gateway as registered.
@@ -36,13 +37,13 @@
     gateways: BTreeMap<String, Gateway>,
     /// Gateways whose registration is gone, with the time until which they count.
     lapsed: BTreeMap<String, Timestamp>,
-    revision: u64,
+    revision: Revision,
     edition: u64,
 }
 
 impl Fleet {
     /// Replaces the list with that of a revision, unless a newer one is known.
-    pub fn replace(&mut self, now: Timestamp, list: BTreeMap<String, Gateway>, revision: u64) {
+    pub fn replace(&mut self, now: Timestamp, list: BTreeMap<String, Gateway>, revision: Revision) {
         if revision < self.revision {
             return;
         }
@@ -58,7 +59,13 @@
     }
 
     /// Applies a new or removed registration.
-    pub fn apply(&mut self, now: Timestamp, name: &str, gateway: Option<Gateway>, revision: u64) {
+    pub fn apply(
+        &mut self,
+        now: Timestamp,
+        name: &str,
+        gateway: Option<Gateway>,
+        revision: Revision,
+    ) {
         if revision < self.revision {
             return;
         }
@@ -86,7 +93,7 @@
 
     /// Adds gateways from an incomplete list of unknown revision; any complete list replaces them.
     pub fn add(&mut self, list: BTreeMap<String, Gateway>) {
-        if self.revision > 0 {
+        if !self.revision.is_zero() {
             return;
         }
         for (name, gateway) in list {
@@ -106,7 +113,7 @@
     }
 
     /// Returns the revision of the last change.
-    pub fn revision(&self) -> u64 {
+    pub fn revision(&self) -> Revision {
         self.revision
     }
 
--- a/crates/router/src/leadership.rs
+++ b/crates/router/src/leadership.rs
@@ -20,6 +20,23 @@
 /// an order.
 pub const STOP_MARGIN: Duration = Duration::from_millis(1_000);
 
+/// Bits of a fencing token below the era of the store: more leaders than an era has.
+const ERA_SHIFT: u32 = 20;
+
+/// Returns the fencing token of the leader after the one with `last`. A store that comes back from a copy may
+/// have lost the last token; those of a later era are larger than all before.
+pub fn next_fence(last: u64, era: u64) -> u64 {
+    (last + 1).max(era << ERA_SHIFT)
+}
+
+/// Returns how long a new leader waits before its first order. The lease of its predecessor has expired, unless
+/// the store lost it at `restored_at`: the predecessor may then give orders for as long as its lease would have
+/// lasted.
+pub fn order_gap(gap: Duration, now: Timestamp, restored_at: Option<Timestamp>) -> Duration {
+    let lease = restored_at.map_or(Duration::ZERO, |at| at.after(LEASE).since(now));
+    gap + lease
+}
+
 /// An order to an engine to change its stage.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Order {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod request_digest;
 pub mod response_head;
 pub mod retry_after;
+pub mod revision;
 pub mod routes;
 pub mod sampling;
 pub mod shedding;
--- a/crates/router/src/load_report.rs
+++ b/crates/router/src/load_report.rs
@@ -23,6 +23,7 @@
 use crate::quota::ownership::{UnreachableGateways, gateway_number};
 use crate::quota::{LeaseRequest, LeaseResponse, LimitKey};
 use crate::report_timing::{LOAD_TIMEOUT, REPORT_INTERVAL};
+use crate::revision::Revision;
 use crate::stages::ShapeReport;
 use crate::stream_origin::table::OriginRecord;
 use crate::urgency::arrivals::ArrivalRates;
@@ -102,10 +103,10 @@
     pub config: u64,
     /// Revision up to which the sender knows the list of backend servers.
     #[serde(rename = "r")]
-    pub roster: u64,
+    pub roster: Revision,
     /// Revision up to which the sender knows the registered gateways.
     #[serde(rename = "g")]
-    pub fleet: u64,
+    pub fleet: Revision,
     /// How the sender learns of changes in the store.
     #[serde(rename = "k")]
     pub link: StoreLink,
@@ -251,7 +252,7 @@
 pub struct LoadReports {
     peers: HashMap<String, Peer>,
     /// Highest revision of the server registry that any peer has reported.
-    newest_roster: u64,
+    newest_roster: Revision,
 }
 
 impl LoadReports {
@@ -274,7 +275,7 @@
     }
 
     /// Returns the highest revision of the server registry that any peer has reported.
-    pub fn newest_roster(&self) -> u64 {
+    pub fn newest_roster(&self) -> Revision {
         self.newest_roster
     }
 
@@ -406,9 +407,11 @@
     /// Returns the time as of which a list of backend servers of this revision is known to be
     /// complete, by the reports of peers that follow the store and know nothing newer; `None` when
     /// there is no such report.
-    pub fn known_at(&self, now: Timestamp, roster: u64) -> Option<Timestamp> {
+    pub fn known_at(&self, now: Timestamp, roster: Revision) -> Option<Timestamp> {
         let recent = self.peers.values().filter(|p| now.since(p.received_at) < LEADER_TIMEOUT);
-        let not_newer = recent.filter(|p| p.report.roster <= roster);
+        // A peer that knows an earlier era only has not heard what the store lists now.
+        let has_era = |p: &&Peer| p.report.roster.era() == roster.era();
+        let not_newer = recent.filter(has_era).filter(|p| p.report.roster <= roster);
         let at = not_newer.filter_map(|p| match p.report.link {
             StoreLink::Heard { age, .. } => {
                 Some(p.received_at.before(Duration::from_millis(age.into())))
--- a/crates/router/src/membership.rs
+++ b/crates/router/src/membership.rs
@@ -14,6 +14,7 @@
 use ebonyloft_core::time::Timestamp;
 
 use crate::fleet::{Fleet, Gateway, by_rank};
+use crate::revision::Revision;
 use crate::zone_leader::LEADERS_PER_ZONE;
 
 /// Longest time, from the first list on, to wait for one with the own registration. After it the
@@ -120,7 +121,7 @@
 
 /// Must a gateway write its registration (again)? `seen_at` is the store's revision as of which it
 /// was last known to be registered as `own`; a list that is not newer proves nothing.
-pub fn must_register(fleet: &Fleet, name: &str, own: &Gateway, seen_at: Option<u64>) -> bool {
+pub fn must_register(fleet: &Fleet, name: &str, own: &Gateway, seen_at: Option<Revision>) -> bool {
     let is_newer = seen_at.is_none_or(|revision| fleet.revision() > revision);
     is_newer && fleet.registration(name) != Some(own)
 }
--- a/crates/router/src/registry.rs
+++ b/crates/router/src/registry.rs
@@ -3,6 +3,9 @@
 //! Registrations come from the store with revisions, and a lower revision never replaces a higher
 //! one. A registration that vanishes while the store is not trusted is kept until it is.
 //!
+//! A store that comes back from an older copy begins a new era with a complete list. What is known of an
+//! incarnation, that it is leaving or gone, outlives the era: the copy may be from before.
+//!
 //! A backend server also announces in its answers that it is leaving. This counts for the
 //! incarnation that announced it, whatever a store that is unreachable or behind says, and ends
 //! with that incarnation.
@@ -13,6 +16,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::catalog::{Server, ServerId};
+use crate::revision::Revision;
 
 /// Content of a registration.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -33,13 +37,13 @@
     /// Its new content.
     pub entry: Registration,
     /// Revision of the change.
-    pub revision: u64,
+    pub revision: Revision,
 }
 
 #[derive(Clone, Debug)]
 struct Registered {
     server: Server,
-    revision: u64,
+    revision: Revision,
     /// The registration vanished while the store was not trusted.
     unconfirmed: bool,
 }
@@ -72,14 +76,14 @@
     /// By name.
     known: BTreeMap<String, Registered>,
     /// Revisions of removals, so that an older registration does not come back.
-    removed: HashMap<String, u64>,
+    removed: HashMap<String, Revision>,
     /// Removals up to this revision may have been dropped.
-    dropped_revision: u64,
+    dropped_revision: Revision,
     /// Incarnations that announced themselves that they are leaving.
     leaving: BTreeSet<ServerId>,
     /// Incarnations that are gone and had announced that they leave.
     departed: BTreeSet<ServerId>,
-    revision: u64,
+    revision: Revision,
     complete: bool,
     changed_at: Timestamp,
 }
@@ -100,6 +104,9 @@
     }
 
     fn apply_change(&mut self, change: Change, settled: bool) -> Effect {
+        if change.revision.era() < self.revision.era() {
+            return Effect::Stale;
+        }
         if self.removed.get(&change.name).is_some_and(|r| *r >= change.revision) {
             return Effect::Stale;
         }
@@ -114,10 +121,16 @@
     pub fn replace(
         &mut self,
         list: Vec<Change>,
-        revision: u64,
+        revision: Revision,
         settled: bool,
     ) -> Vec<(String, Effect)> {
         let mut effects = Vec::new();
+        if revision.era() < self.revision.era() {
+            return effects;
+        }
+        if revision.era() > self.revision.era() {
+            self.begin_era(revision);
+        }
         let named: HashSet<&str> = list.iter().map(|c| c.name.as_str()).collect();
         let missing: Vec<String> = self
             .known
@@ -146,7 +159,7 @@
     pub fn catch_up(
         &mut self,
         changes: Vec<Change>,
-        revision: u64,
+        revision: Revision,
         settled: bool,
     ) -> Vec<(String, Effect)> {
         let mut effects = Vec::new();
@@ -223,7 +236,7 @@
     }
 
     /// Returns the highest revision seen.
-    pub fn revision(&self) -> u64 {
+    pub fn revision(&self) -> Revision {
         self.revision
     }
 
@@ -287,8 +300,9 @@
 
     /// Returns the changes after a revision, for another gateway; `None` when removals since then
     /// may have been dropped.
-    pub fn since(&self, after: u64) -> Option<Vec<Change>> {
-        if after < self.dropped_revision || after == 0 {
+    pub fn since(&self, after: Revision) -> Option<Vec<Change>> {
+        let is_older_era = after.era() < self.revision.era();
+        if after < self.dropped_revision || after.is_zero() || is_older_era {
             return None;
         }
         let removed = self.removed.iter().filter(|(_, revision)| **revision > after);
@@ -316,7 +330,16 @@
         self.known.is_empty()
     }
 
-    fn register(&mut self, name: String, server: Server, revision: u64) -> Effect {
+    /// Begins a new era with a list as of `revision`. Registrations up to there may be from before a server
+    /// announced that it leaves, or before its end; one that has ended is used again only if it writes a new one.
+    fn begin_era(&mut self, revision: Revision) {
+        let draining = self.known.values().filter(|k| k.server.draining);
+        self.leaving.extend(draining.map(|k| k.server.id.clone()));
+        self.removed.values_mut().for_each(|removed| *removed = revision);
+        self.revision = revision;
+    }
+
+    fn register(&mut self, name: String, server: Server, revision: Revision) -> Effect {
         let effect = match self.known.get(&name) {
             Some(k) if k.revision > revision => return Effect::Stale,
             Some(k) if k.server == server && !k.unconfirmed => Effect::Stale,
@@ -339,14 +362,14 @@
 
     /// An invalid entry is excluded even while the store is not trusted, because it is new
     /// information.
-    fn exclude(&mut self, name: &str, revision: u64) -> Effect {
+    fn exclude(&mut self, name: &str, revision: Revision) -> Effect {
         match self.remove(name, revision, true) {
             Effect::Gone => Effect::Wrong,
             other => other,
         }
     }
 
-    fn remove(&mut self, name: &str, revision: u64, settled: bool) -> Effect {
+    fn remove(&mut self, name: &str, revision: Revision, settled: bool) -> Effect {
         let Some(known) = self.known.get_mut(name) else {
             self.remember_removal(name, revision);
             return Effect::Stale;
@@ -366,7 +389,7 @@
     /// Removes the registered incarnation of this name as of its revision.
     fn end(&mut self, name: &str) {
         self.remember_departure(name);
-        let revision = self.known.remove(name).map_or(0, |k| k.revision);
+        let revision = self.known.remove(name).map_or_else(Revision::default, |k| k.revision);
         self.remember_removal(name, revision);
     }
 
@@ -385,7 +408,7 @@
         self.departed.insert(id);
     }
 
-    fn remember_removal(&mut self, name: &str, revision: u64) {
+    fn remember_removal(&mut self, name: &str, revision: Revision) {
         if self.removed.len() >= REMOVED_MAX {
             self.removed.clear();
             self.dropped_revision = self.revision;
--- a/crates/router/src/store_state.rs
+++ b/crates/router/src/store_state.rs
@@ -33,6 +33,11 @@
         returned
     }
 
+    /// Records that the store came back from an older copy: registrations that it lacks are written again.
+    pub fn on_restored(&mut self, now: Timestamp) {
+        self.trusted_at = self.trusted_at.max(now.after(REREGISTRATION_TIME));
+    }
+
     /// Records a failed or rejected call; true when the store counted as reachable before.
     pub fn on_failure(&mut self, now: Timestamp) -> bool {
         let was_reachable = self.unreachable_since.is_none();
--- a/crates/router/src/zones.rs
+++ b/crates/router/src/zones.rs
@@ -18,6 +18,7 @@
 use crate::engine_speeds::SpeedReport;
 use crate::fleet::Fleet;
 use crate::memory_threshold::FREE_TIGHT;
+use crate::revision::Revision;
 use crate::varint::{is_false, is_zero};
 
 /// Number of gateways from which on zones decide separately, however small they are: reports among
@@ -157,10 +158,10 @@
     pub config: u64,
     /// Revision up to which the sender knows the backend servers.
     #[serde(rename = "b")]
-    pub roster: u64,
+    pub roster: Revision,
     /// Revision up to which the sender knows the gateways.
     #[serde(rename = "g")]
-    pub fleet: u64,
+    pub fleet: Revision,
     /// Checksum of the sender's gossip state.
     #[serde(rename = "t", default, skip_serializing_if = "is_zero")]
     pub gossip_checksum: u64,
--- a/crates/router/tests/delegate.rs
+++ b/crates/router/tests/delegate.rs
@@ -49,7 +49,7 @@
     let power = |n| if n >= 4 { 500 } else { 90 };
     let of = |zone| (0..6).map(move |n| gateway(n, zone, power(n)));
     let mut fleet = Fleet::default();
-    fleet.replace(NOW, of("a").chain(of("b")).collect(), 9);
+    fleet.replace(NOW, of("a").chain(of("b")).collect(), 9.into());
     fleet
 }
 
@@ -97,23 +97,23 @@
 #[test]
 fn an_older_list_of_gateways_is_ignored() {
     let mut fleet = fleet();
-    fleet.replace(NOW, BTreeMap::new(), 8);
+    fleet.replace(NOW, BTreeMap::new(), 8.into());
     assert_eq!(fleet.all().len(), 12);
-    fleet.apply(NOW, "front-a-4", None, 8);
+    fleet.apply(NOW, "front-a-4", None, 8.into());
     assert_eq!(fleet.all().len(), 12);
-    fleet.apply(NOW, "front-a-4", None, 10);
-    assert_eq!((fleet.registered().len(), fleet.revision()), (11, 10));
+    fleet.apply(NOW, "front-a-4", None, 10.into());
+    assert_eq!((fleet.registered().len(), fleet.revision()), (11, 10.into()));
 }
 
 /// Registrations lapse when the store fails: the gateways still count and get gossip messages.
 #[test]
 fn a_gateway_with_a_lapsed_registration_counts_for_a_while() {
     let mut fleet = fleet();
-    fleet.replace(NOW, BTreeMap::new(), 10);
+    fleet.replace(NOW, BTreeMap::new(), 10.into());
     fleet.expire(NOW.after(LAPSE_GRACE / 2));
     assert_eq!(fleet.all().len(), 12);
     let (name, gateway) = gateway(4, "a", 500);
-    fleet.apply(NOW.after(LAPSE_GRACE / 2), &name, Some(gateway), 11);
+    fleet.apply(NOW.after(LAPSE_GRACE / 2), &name, Some(gateway), 11.into());
     fleet.expire(NOW.after(LAPSE_GRACE));
     assert_eq!(fleet.all().keys().collect::<Vec<_>>(), [&name]);
     assert_eq!(fleet.registered().len(), 1);
@@ -324,21 +324,27 @@
 #[test]
 fn a_list_from_peers_is_as_old_as_they_report() {
     let mut load_reports = LoadReports::default();
-    assert_eq!(load_reports.known_at(NOW, 9), None);
+    assert_eq!(load_reports.known_at(NOW, 9.into()), None);
     let link = |age| StoreLink::Heard { settles: 0, age };
     let peers =
         [("a", 9, link(400)), ("b", 8, link(300)), ("c", 10, link(0)), ("d", 9, StoreLink::Away)];
     for (name, roster, link) in peers {
         load_reports.on_report(
             NOW,
-            LoadReport { name: name.into(), seq: 1, roster, link, ..LoadReport::default() },
+            LoadReport {
+                name: name.into(),
+                seq: 1,
+                roster: roster.into(),
+                link,
+                ..LoadReport::default()
+            },
         );
     }
     let ago = |ms| Some(NOW.before(Duration::from_millis(ms)));
-    assert_eq!(load_reports.known_at(NOW, 9), ago(300));
-    assert_eq!(load_reports.known_at(NOW, 10), ago(0));
-    assert_eq!(load_reports.known_at(NOW, 7), None);
-    assert_eq!(load_reports.known_at(NOW.after(LEADER_TIMEOUT), 9), None);
+    assert_eq!(load_reports.known_at(NOW, 9.into()), ago(300));
+    assert_eq!(load_reports.known_at(NOW, 10.into()), ago(0));
+    assert_eq!(load_reports.known_at(NOW, 7.into()), None);
+    assert_eq!(load_reports.known_at(NOW.after(LEADER_TIMEOUT), 9.into()), None);
 }
 
 /// Guards against third and fourth leaders at the first start of a fleet: those that read the list of gateways first
--- a/crates/router/tests/membership.rs
+++ b/crates/router/tests/membership.rs
@@ -24,7 +24,7 @@
     let list: BTreeMap<String, Gateway> =
         (0..12).map(|n| (format!("{}-{n}", zone(n)), gateway(n, zone(n)))).collect();
     let mut fleet = Fleet::default();
-    fleet.replace(NOW, list, revision);
+    fleet.replace(NOW, list, revision.into());
     fleet
 }
 
@@ -98,15 +98,15 @@
 fn a_registration_that_vanished_or_changed_is_written_again() {
     let own = gateway(3, "a");
     let must = |fleet: &Fleet, own: &Gateway, seen_at| must_register(fleet, "a-3", own, seen_at);
-    assert!(!must(&fleet(9), &own, Some(9)));
+    assert!(!must(&fleet(9), &own, Some(9.into())));
     assert!(!must(&fleet(9), &own, None));
     let moved = Gateway { power: 200, ..own.clone() };
     assert!(must(&fleet(9), &moved, None), "the settings changed");
-    assert!(!must(&fleet(9), &moved, Some(10)), "the list is older than the write");
+    assert!(!must(&fleet(9), &moved, Some(10.into())), "the list is older than the write");
     let mut without = fleet(9);
-    without.apply(NOW, "a-3", None, 12);
-    assert!(must(&without, &own, Some(9)));
-    assert!(!must(&without, &own, Some(13)), "the list is older than the write");
+    without.apply(NOW, "a-3", None, 12.into());
+    assert!(must(&without, &own, Some(9.into())));
+    assert!(!must(&without, &own, Some(13.into())), "the list is older than the write");
     assert!(must(&Fleet::default(), &own, None));
 }
 
@@ -134,8 +134,8 @@
     let nearby = || BTreeMap::from([("a-9".to_owned(), gateway(9, "a"))]);
     let mut known = Fleet::default();
     known.add(nearby());
-    assert_eq!((known.all().len(), known.revision()), (1, 0));
-    known.replace(NOW, fleet(1).registered(), 1);
+    assert_eq!((known.all().len(), known.revision()), (1, 0.into()));
+    known.replace(NOW, fleet(1).registered(), 1.into());
     assert_eq!(known.registered().len(), 12);
     known.add(nearby());
     assert_eq!(known.registered().len(), 12);
--- a/crates/router/tests/pulls.rs
+++ b/crates/router/tests/pulls.rs
@@ -57,8 +57,8 @@
 
 #[test]
 fn a_call_requests_one_kind_only() {
-    let own = Versions { config: 3, roster: 40, fleet: 7 };
-    let theirs = Versions { config: 4, roster: 41, fleet: 7 };
+    let own = Versions { config: 3, roster: 40.into(), fleet: 7.into() };
+    let theirs = Versions { config: 4, roster: 41.into(), fleet: 7.into() };
     for (part, other) in
         [(FetchKind::Config, FetchKind::Lists), (FetchKind::Lists, FetchKind::Config)]
     {
@@ -73,8 +73,8 @@
 #[test]
 fn a_gateway_that_stays_behind_its_peers_fetches_from_them() {
     let mut fetches = Fetches::default();
-    let own = Versions { config: 3, roster: 40, fleet: 7 };
-    let theirs = Versions { roster: 41, ..own };
+    let own = Versions { config: 3, roster: 40.into(), fleet: 7.into() };
+    let theirs = Versions { roster: 41.into(), ..own };
     assert!(!fetches.is_behind(at(0), own, own));
     assert!(!fetches.is_behind(at(1_000), own, theirs));
     assert!(!fetches.is_behind(at(1_200), own, own), "another peer has nothing newer");
@@ -82,7 +82,7 @@
     assert!(!fetches.is_behind(at(1_499), own, theirs));
     assert!(fetches.is_behind(at(1_500), own, theirs));
     assert!(!fetches.is_behind(at(1_510), theirs, theirs), "it is up to date");
-    let newer = Versions { roster: 42, ..own };
+    let newer = Versions { roster: 42.into(), ..own };
     assert!(!fetches.is_behind(at(1_600), theirs, newer));
     assert!(fetches.is_behind(at(2_100), theirs, newer));
 }
@@ -91,7 +91,7 @@
 /// zones fetched a configuration of some hundred KB from it: 0.1 GB between zones in a day of 25 s.
 #[test]
 fn one_gateway_of_a_zone_fetches_from_another_zone() {
-    let own = Versions { config: 3, roster: 40, fleet: 7 };
+    let own = Versions { config: 3, roster: 40.into(), fleet: 7.into() };
     let mut gateways: Vec<Fetches> = vec![Fetches::default(); 78];
     let mut asked = |now| {
         let gateways = gateways.iter_mut().enumerate();
--- a/crates/router/tests/quota.rs
+++ b/crates/router/tests/quota.rs
@@ -44,7 +44,7 @@
     };
     let list: BTreeMap<String, Gateway> =
         (0..count).map(|i| (format!("front-{i}"), gateway(i))).collect();
-    fleet.replace(at(0), list, 1);
+    fleet.replace(at(0), list, 1.into());
     fleet
 }
 
@@ -200,7 +200,7 @@
     let mut list = fleet(8).all().clone();
     list.get_mut("front-0").expect("front-0 is in the list").power = 700;
     let mut fleet = Fleet::default();
-    fleet.replace(at(0), list, 1);
+    fleet.replace(at(0), list, 1.into());
     let mut owners = Owners::default();
     let ranked = |n: usize, owners: &mut Owners| {
         owners.ranked(&fleet, &LimitKey::account(&format!("account-{n}")))[0].clone()
@@ -242,7 +242,7 @@
     let fleet = fleet(29);
     let mut fewer = Fleet::default();
     let list = fleet.all().iter().filter(|(name, _)| *name != "front-7");
-    fewer.replace(at(0), list.map(|(n, g)| (n.clone(), g.clone())).collect(), 1);
+    fewer.replace(at(0), list.map(|(n, g)| (n.clone(), g.clone())).collect(), 1.into());
     for n in 0..200 {
         let account = LimitKey::account(&format!("account-{n}"));
         let before = Owners::default().ranked(&fleet, &account)[0].clone();
--- a/crates/router/tests/roster.rs
+++ b/crates/router/tests/roster.rs
@@ -4,6 +4,7 @@
 use ebonyloft_core::time::Timestamp;
 use ebonyloft_router::catalog::{Server, ServerId, Stage};
 use ebonyloft_router::registry::{Change, Effect, Registration, ServerRegistry};
+use ebonyloft_router::revision::Revision;
 use ebonyloft_router::store_state::{REREGISTRATION_TIME, StoreState};
 use proptest::prelude::*;
 
@@ -29,26 +30,34 @@
 }
 
 fn registered(n: u32, revision: u64) -> Change {
-    Change { name: name(n), entry: Registration::Server(server(n, false)), revision }
+    Change {
+        name: name(n),
+        entry: Registration::Server(server(n, false)),
+        revision: revision.into(),
+    }
 }
 
 fn leaving(n: u32, revision: u64) -> Change {
-    Change { name: name(n), entry: Registration::Server(server(n, true)), revision }
+    Change {
+        name: name(n),
+        entry: Registration::Server(server(n, true)),
+        revision: revision.into(),
+    }
 }
 
 fn removed(n: u32, revision: u64) -> Change {
-    Change { name: name(n), entry: Registration::Removed, revision }
+    Change { name: name(n), entry: Registration::Removed, revision: revision.into() }
 }
 
 /// An invalid entry written by another program.
 fn wrong(n: u32, revision: u64) -> Change {
-    Change { name: name(n), entry: Registration::Wrong, revision }
+    Change { name: name(n), entry: Registration::Wrong, revision: revision.into() }
 }
 
 /// A new incarnation under the same name.
 fn restarted(n: u32, revision: u64) -> Change {
     let server = Server { id: ServerId::new(name(n), 9), ..server(n, false) };
-    Change { name: name(n), entry: Registration::Server(server), revision }
+    Change { name: name(n), entry: Registration::Server(server), revision: revision.into() }
 }
 
 fn ready(registry: &ServerRegistry) -> usize {
@@ -80,7 +89,7 @@
     registry.apply(registered(1, 1), true);
     let successor = Server { addr: server(1, false).addr, ..server(2, false) };
     let entry = Registration::Server(successor);
-    registry.apply(Change { name: name(2), entry, revision: 2 }, true);
+    registry.apply(Change { name: name(2), entry, revision: 2.into() }, true);
     assert!(registry.has_ended(&id(1)));
     assert!(!registry.has_ended(&id(2)));
 }
@@ -93,7 +102,7 @@
     registry.apply(registered(1, 5), true);
     let successor = Server { addr: server(1, false).addr, ..server(2, false) };
     let entry = Registration::Server(successor);
-    registry.apply(Change { name: name(2), entry, revision: 10 }, true);
+    registry.apply(Change { name: name(2), entry, revision: 10.into() }, true);
     registry.apply(removed(1, 12), false);
     assert!(!registry.has_ended(&id(2)));
     assert!(registry.has_ended(&id(1)));
@@ -135,7 +144,7 @@
     assert_eq!(registry.announced_leaving().collect::<Vec<_>>(), [&id(1)]);
     // An older heartbeat, and a complete list.
     registry.apply(registered(1, 7), true);
-    registry.replace(vec![registered(1, 8), registered(2, 8)], 9, true);
+    registry.replace(vec![registered(1, 8), registered(2, 8)], 9.into(), true);
     assert_eq!(ready(&registry), 1);
     registry.apply(leaving(1, 10), true);
     assert_eq!(registry.announced_leaving().count(), 0, "the store reports it too");
@@ -185,7 +194,7 @@
 #[test]
 fn servers_that_left_are_known_by_name() {
     let mut registry = ServerRegistry::default();
-    registry.replace(vec![registered(1, 1), leaving(2, 2), registered(3, 3)], 3, true);
+    registry.replace(vec![registered(1, 1), leaving(2, 2), registered(3, 3)], 3.into(), true);
     registry.apply(removed(3, 4), true);
     let left: Vec<bool> = (1..=4).map(|n| registry.has_left(&name(n))).collect();
     assert_eq!(left, [false, true, true, false]);
@@ -207,7 +216,7 @@
 #[test]
 fn a_server_that_vanishes_in_a_store_outage_is_kept_until_the_store_is_trusted() {
     let mut registry = ServerRegistry::default();
-    registry.replace(vec![registered(1, 1), registered(2, 2)], 2, true);
+    registry.replace(vec![registered(1, 1), registered(2, 2)], 2.into(), true);
     assert_eq!(registry.apply(removed(1, 3), false), Effect::Unheard);
     assert_eq!(ready(&registry), 2);
     // One server registers again, the other does not.
@@ -227,8 +236,8 @@
 #[test]
 fn a_new_list_removes_servers_that_are_not_in_it() {
     let mut registry = ServerRegistry::default();
-    registry.replace(vec![registered(1, 1), registered(2, 2)], 2, true);
-    let effects = registry.replace(vec![registered(2, 2), registered(3, 9)], 10, true);
+    registry.replace(vec![registered(1, 1), registered(2, 2)], 2.into(), true);
+    let effects = registry.replace(vec![registered(2, 2), registered(3, 9)], 10.into(), true);
     assert!(effects.contains(&(name(1), Effect::Gone)));
     assert!(effects.contains(&(name(3), Effect::Joined)));
     assert_eq!(ready(&registry), 2);
@@ -238,7 +247,7 @@
 fn a_list_does_not_remove_servers_that_registered_after_it() {
     let mut registry = ServerRegistry::default();
     registry.apply(registered(7, 20), true);
-    registry.replace(vec![registered(1, 1)], 10, true);
+    registry.replace(vec![registered(1, 1)], 10.into(), true);
     assert_eq!(ready(&registry), 2);
 }
 
@@ -267,18 +276,18 @@
 #[test]
 fn an_invalid_entry_does_not_affect_the_others() {
     let mut registry = ServerRegistry::default();
-    registry.replace(vec![registered(1, 1), wrong(2, 2), registered(3, 3)], 3, true);
+    registry.replace(vec![registered(1, 1), wrong(2, 2), registered(3, 3)], 3.into(), true);
     assert_eq!(ready(&registry), 2);
     // A valid entry becomes invalid while the store is not trusted, and valid again.
     assert_eq!(registry.apply(wrong(1, 4), false), Effect::Wrong);
     assert_eq!(ready(&registry), 1);
     assert!(registry.remove_missing().is_empty());
     assert_eq!(registry.apply(registered(1, 5), true), Effect::Joined);
-    registry.replace(vec![registered(1, 5), wrong(3, 6)], 6, false);
+    registry.replace(vec![registered(1, 5), wrong(3, 6)], 6.into(), false);
     assert_eq!(ready(&registry), 1);
     // A gateway passes on what it uses, so the invalid entries are left out.
     let mut peer = ServerRegistry::default();
-    peer.replace(vec![registered(1, 5), registered(3, 3)], 3, true);
+    peer.replace(vec![registered(1, 5), registered(3, 3)], 3.into(), true);
     peer.replace(registry.changes(), registry.revision(), true);
     assert_eq!(ready(&peer), 1);
 }
@@ -339,20 +348,20 @@
 #[test]
 fn changes_since_a_revision_bring_another_gateway_up_to_date() {
     let mut registry = ServerRegistry::default();
-    registry.replace(vec![registered(1, 1), registered(2, 2), registered(3, 3)], 3, true);
+    registry.replace(vec![registered(1, 1), registered(2, 2), registered(3, 3)], 3.into(), true);
     let mut peer = ServerRegistry::default();
-    assert_eq!(registry.since(0), None, "a gateway without a list takes the complete one");
+    assert_eq!(registry.since(0.into()), None, "a gateway without a list takes the complete one");
     peer.replace(registry.changes(), registry.revision(), true);
     registry.apply(removed(1, 4), true);
     registry.apply(leaving(2, 5), true);
     registry.apply(registered(4, 6), true);
     registry.apply(wrong(3, 7), true);
-    let changes = registry.since(3).expect("removals are remembered");
+    let changes = registry.since(3.into()).expect("removals are remembered");
     assert_eq!(changes.len(), 4);
     peer.catch_up(changes, registry.revision(), true);
     assert_eq!(peer.changes(), registry.changes());
-    assert_eq!(peer.revision(), 7);
-    assert_eq!(registry.since(7), Some(Vec::new()));
+    assert_eq!(peer.revision(), 7.into());
+    assert_eq!(registry.since(7.into()), Some(Vec::new()));
 }
 
 /// A list that is read page by page may have entries newer than its revision. The changes in
@@ -360,10 +369,10 @@
 #[test]
 fn a_list_is_known_up_to_its_own_revision_only() {
     let mut registry = ServerRegistry::default();
-    registry.replace(vec![registered(1, 1), registered(2, 9)], 5, true);
-    assert_eq!(registry.revision(), 5);
+    registry.replace(vec![registered(1, 1), registered(2, 9)], 5.into(), true);
+    assert_eq!(registry.revision(), 5.into());
     registry.apply(removed(1, 7), true);
-    assert_eq!(registry.since(5).expect("remembered").len(), 2);
+    assert_eq!(registry.since(5.into()).expect("remembered").len(), 2);
 }
 
 /// A registration that vanished while the store was unreachable is passed on as removed; each
@@ -371,14 +380,14 @@
 #[test]
 fn a_server_that_vanished_in_a_store_outage_is_passed_on_as_removed() {
     let mut registry = ServerRegistry::default();
-    registry.replace(vec![registered(1, 1), registered(2, 2)], 2, true);
+    registry.replace(vec![registered(1, 1), registered(2, 2)], 2.into(), true);
     let mut peer = ServerRegistry::default();
-    peer.replace(registry.changes(), 2, true);
+    peer.replace(registry.changes(), 2.into(), true);
     assert_eq!(registry.apply(removed(1, 3), false), Effect::Unheard);
-    peer.catch_up(registry.since(2).expect("remembered"), 3, false);
+    peer.catch_up(registry.since(2.into()).expect("remembered"), 3.into(), false);
     assert_eq!(ready(&peer), 2);
     registry.apply(registered(1, 4), true);
-    peer.catch_up(registry.since(3).expect("remembered"), 4, true);
+    peer.catch_up(registry.since(3.into()).expect("remembered"), 4.into(), true);
     assert!(peer.remove_missing().is_empty());
     assert_eq!(ready(&peer), 2);
 }
@@ -405,3 +414,64 @@
     assert!(registry.has_left(&name(1)), "it is gone all the same");
     assert!(!registry.has_announced(&ServerId::new(name(5), 9)), "the new incarnation stays");
 }
+
+/// A list of a later era as of `number`.
+fn restored(registry: &mut ServerRegistry, list: Vec<Change>, number: u64, settled: bool) {
+    let in_era =
+        |change: Change| Change { revision: Revision::new(1, change.revision.number()), ..change };
+    let list = list.into_iter().map(in_era).collect();
+    registry.replace(list, Revision::new(1, number), settled);
+}
+
+fn ready_names(registry: &ServerRegistry) -> Vec<&str> {
+    registry.ready("llm").map(|s| s.id.name.as_str()).collect()
+}
+
+/// Guards against a copy of the store that brings back what has left or ended.
+#[test]
+fn a_copy_of_the_store_makes_no_server_ready_that_has_left() {
+    let mut registry = ServerRegistry::default();
+    let list = || vec![registered(1, 1), registered(2, 2), registered(3, 3)];
+    registry.replace(list(), 3.into(), true);
+    registry.apply(leaving(1, 4), true);
+    registry.apply(removed(2, 5), true);
+    restored(&mut registry, list(), 3, false);
+    assert_eq!(ready_names(&registry), [name(3)]);
+    assert_eq!(registry.revision(), Revision::new(1, 3));
+    let again = |n, number| Change { revision: Revision::new(1, number), ..registered(n, 0) };
+    assert_eq!(registry.apply(again(2, 4), true), Effect::Joined);
+    assert_eq!(ready_names(&registry), [name(2), name(3)]);
+}
+
+/// Guards against a list of the store that follows a peer's list of the same era and brings back what has ended.
+#[test]
+fn a_copy_read_after_the_list_of_a_peer_makes_no_server_ready_that_has_ended() {
+    let mut registry = ServerRegistry::default();
+    registry.replace(vec![registered(1, 1), registered(2, 2)], 2.into(), true);
+    registry.apply(removed(1, 3), true);
+    restored(&mut registry, vec![registered(2, 2)], 2, false);
+    restored(&mut registry, vec![registered(1, 1), registered(2, 2)], 2, false);
+    assert_eq!(ready_names(&registry), [name(2)]);
+}
+
+/// Guards against revisions that are given out again and taken for old ones.
+#[test]
+fn a_change_of_a_later_era_is_newer_whatever_its_number() {
+    let mut registry = ServerRegistry::default();
+    let list = || vec![registered(1, 1), registered(2, 2)];
+    registry.replace(list(), 2.into(), true);
+    registry.apply(registered(3, 9), true);
+    restored(&mut registry, list(), 2, false);
+    let left = Change { revision: Revision::new(1, 3), ..leaving(1, 0) };
+    assert_eq!(registry.apply(left, true), Effect::Leaving);
+    assert_eq!(registry.revision(), Revision::new(1, 3));
+    assert_eq!(registry.apply(registered(1, 10), true), Effect::Stale, "of the era before");
+    assert!(registry.since(9.into()).is_none(), "a peer of the era before gets the whole list");
+    assert_eq!(registry.since(Revision::new(1, 2)).map(|changes| changes.len()), Some(1));
+    // The copy lacks the third one, which is used until it is known to be gone.
+    assert_eq!(ready_names(&registry), [name(2), name(3)]);
+    registry.replace(list(), 20.into(), true);
+    assert_eq!(registry.revision(), Revision::new(1, 3), "a late list of the era before");
+    registry.remove_missing();
+    assert_eq!(ready_names(&registry), [name(2)]);
+}
--- a/crates/router/tests/stream_origin.rs
+++ b/crates/router/tests/stream_origin.rs
@@ -164,9 +164,9 @@
         entry: Registration::Server(server.clone()),
         revision,
     };
-    registry.apply(change(&server(1, "v1"), 1), true);
+    registry.apply(change(&server(1, "v1"), 1.into()), true);
     let origin = Origin::Software(software("v1"));
-    assert_eq!(registry.apply(change(&server(1, "v2"), 2), true), Effect::Changed);
+    assert_eq!(registry.apply(change(&server(1, "v2"), 2.into()), true), Effect::Changed);
     assert!(!registry.all().any(|server| origin.admits(server)));
 }
 
--- a/crates/router/tests/zones.rs
+++ b/crates/router/tests/zones.rs
@@ -23,8 +23,8 @@
         incarnation: 1,
         seq,
         config: 1,
-        roster: 1,
-        fleet: 1,
+        roster: 1.into(),
+        fleet: 1.into(),
         gossip_checksum: 0,
         part_checksum: 0,
         part_facts: true,
@@ -76,7 +76,7 @@
         (format!("g{n}"), Gateway { addr, zone: format!("z{}", n % 4), power: 90 })
     };
     let mut fleet = Fleet::default();
-    fleet.replace(NOW, (0..gateways).map(gateway).collect::<BTreeMap<_, _>>(), 1);
+    fleet.replace(NOW, (0..gateways).map(gateway).collect::<BTreeMap<_, _>>(), 1.into());
     fleet
 }
 
--- a/crates/standins/src/fleet/peer.rs
+++ b/crates/standins/src/fleet/peer.rs
@@ -76,6 +76,7 @@
     /// Adds a change of a backend server's registration at this revision.
     pub fn add_change(&self, name: &str, entry: Registration, revision: u64) {
         let mut state = self.state.borrow_mut();
+        let revision = revision.into();
         state.versions.roster = revision;
         state.changes.push(Change { name: name.to_owned(), entry, revision });
     }
@@ -137,7 +138,7 @@
         let belief = StateUpdate {
             versions: state.versions,
             config: state.config.clone().filter(|c| c.version > config),
-            roster: (state.versions.roster > roster).then(changes),
+            roster: (state.versions.roster > roster.into()).then(changes),
             fleet: None,
             settled: state.settle_ms == 0,
             age: 0,
--- a/crates/standins/src/fleet/store.rs
+++ b/crates/standins/src/fleet/store.rs
@@ -1,4 +1,5 @@
-//! The platform's metadata store with revisions, conditional writes, leases, watches and faults.
+//! The platform's metadata store with revisions, conditional writes, leases, watches, faults, and copies that it
+//! comes back from.
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
@@ -10,7 +11,7 @@
 use compio::net::TcpListener;
 use ebonyloft_platform::servers;
 use ebonyloft_platform::simulation::{self, StoreCall, StoreWrite};
-use ebonyloft_platform::store::Item;
+use ebonyloft_platform::store::{ERA, Item};
 use ebonyloft_router::catalog::Server;
 use ebonyloftd::http::{self, Body};
 use hyper::body::Incoming;
@@ -41,12 +42,13 @@
     Deaf,
 }
 
+#[derive(Clone)]
 struct Lease {
     expires_at: Instant,
     ttl: Duration,
 }
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct State {
     items: BTreeMap<String, (Item, u64)>,
     history: Vec<Item>,
@@ -61,6 +63,10 @@
 #[derive(Default)]
 pub struct Store {
     state: RefCell<State>,
+    /// Copy that the store may come back from.
+    copy: RefCell<Option<State>>,
+    /// Rises each time that it does.
+    era: Cell<u64>,
     fault: Cell<Fault>,
     /// Bytes a second at which bodies of answers are sent; unlimited if `None`.
     rate: Cell<Option<usize>>,
@@ -164,6 +170,23 @@
         state.history.clear();
     }
 
+    /// Keeps a copy of the current state.
+    pub fn keep_copy(&self) {
+        *self.copy.borrow_mut() = Some(self.state.borrow().clone());
+    }
+
+    /// Comes back from the copy: what was written since is gone, leases too, and revisions are given out again.
+    pub fn restore_copy(&self) {
+        let copy = self.copy.borrow().clone().expect("a copy was kept");
+        *self.state.borrow_mut() = copy;
+        self.era.set(self.era.get() + 1);
+    }
+
+    /// Returns the current revision.
+    pub fn revision(&self) -> u64 {
+        self.state.borrow().revision
+    }
+
     async fn handle(self: Rc<Self>, req: Request<Incoming>) -> Response<Body> {
         self.calls.set(self.calls.get() + 1);
         let (parts, body) = req.into_parts();
@@ -182,10 +205,12 @@
             }
         }
         let (status, body) = self.perform(call).await;
-        match self.rate.get() {
+        let mut response = match self.rate.get() {
             Some(rate) => respond(status, slow::body(body, rate)),
             None => answer(status, body),
-        }
+        };
+        response.headers_mut().insert(ERA, self.era.get().into());
+        response
     }
 
     async fn perform(&self, call: StoreCall) -> (u16, Vec<u8>) {
@@ -215,6 +240,7 @@
     async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> (u16, Vec<u8>) {
         let end = Instant::now() + wait;
         let _open = OpenWatch::count(&self.open_watches);
+        let era = self.era.get();
         loop {
             match self.fault.get() {
                 Fault::None => {}
@@ -224,7 +250,10 @@
             {
                 let mut state = self.state.borrow_mut();
                 state.expire_leases();
-                if after < state.compacted_revision {
+                if self.era.get() != era {
+                    return (503, Vec::new());
+                }
+                if after < state.compacted_revision || after > state.revision {
                     return (410, Vec::new());
                 }
                 let changes = state.changes_since(prefix, after);
@@ -256,7 +285,7 @@
 impl State {
     fn write(&mut self, key: &str, value: Option<Bytes>, lease: u64) {
         self.revision += 1;
-        let item = Item { key: key.to_owned(), value, revision: self.revision };
+        let item = Item { key: key.to_owned(), value, revision: self.revision.into() };
         self.history.push(item.clone());
         match item.value {
             Some(_) => drop(self.items.insert(key.to_owned(), (item, lease))),
@@ -282,7 +311,7 @@
     }
 
     fn changes_since(&self, prefix: &str, after: u64) -> Vec<Item> {
-        let is_newer = |i: &&Item| i.revision > after && i.key.starts_with(prefix);
+        let is_newer = |i: &&Item| i.revision.number() > after && i.key.starts_with(prefix);
         self.history.iter().filter(is_newer).cloned().collect()
     }
 
@@ -323,7 +352,7 @@
         remove: &[String],
     ) -> (u16, Vec<u8>) {
         let is_current = |(key, revision): &(String, u64)| {
-            self.items.get(key).map_or(0, |(i, _)| i.revision) == *revision
+            self.items.get(key).map_or(0, |(i, _)| i.revision.number()) == *revision
         };
         if !expected.iter().all(is_current) {
             return (412, b"{\"items\":[]}".to_vec());
