--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -23,7 +23,7 @@
 use self::cluster::{
     ACCOUNT_KINDS, BASIC_KINDS, CRASH_KINDS, DRAINING_KINDS, DUPLICATE_KINDS, ENDING_KINDS,
     FOREIGN_PROMPT_KINDS, GENERAL_KINDS, MOVE_KINDS, Plan, RATE_LIMIT_KINDS, REGISTRATION_KINDS,
-    RESPONSE_KINDS, VERSION_KINDS, run_counted, run_plan,
+    RESPONSE_KINDS, STORE_COPY_KINDS, VERSION_KINDS, run_counted, run_plan,
 };
 
 /// Seeds that failed once, each with the fault that it found.
@@ -35,7 +35,7 @@
 ];
 
 /// Kinds of faults of the plans that each seed plays by hand, one after the other.
-const PLANS: [&[u32]; 11] = [
+const PLANS: [&[u32]; 12] = [
     GENERAL_KINDS,
     DRAINING_KINDS,
     RESPONSE_KINDS,
@@ -47,6 +47,7 @@
     ENDING_KINDS,
     FOREIGN_PROMPT_KINDS,
     MOVE_KINDS,
+    STORE_COPY_KINDS,
 ];
 
 fn env_number(name: &str) -> Option<u64> {
@@ -125,6 +126,15 @@
     assert!(counts.iter().any(|c| c.second_answers > 0), "no second answer: {counts:?}");
 }
 
+/// Guards against revisions that are given out again, while gateways are killed and stopped.
+#[test]
+fn a_store_that_comes_back_from_a_copy_in_a_short_run() {
+    let faults = Duration::from_secs(8);
+    let plan = Plan { seed: 33, faults, gateways: 4, kinds: STORE_COPY_KINDS };
+    run_plan(plan);
+    run_plan(Plan { seed: 34, ..plan });
+}
+
 #[test]
 fn seeds_that_failed_keep_the_promises() {
     for (seed, found) in REGRESSION_SEEDS {
--- a/crates/daemon/tests/soak/callers.rs
+++ b/crates/daemon/tests/soak/callers.rs
@@ -99,7 +99,8 @@
 /// Sends requests to one gateway until the run ends; connections are reused until they break.
 pub async fn send_requests(cluster: Rc<Cluster>, n: usize) {
     let mut rng = ChaCha8Rng::seed_from_u64(cluster.plan.seed << 8 | n as u64);
-    let caller = cluster.caller(n / cluster.plan.callers());
+    let usual = cluster.caller(n / cluster.plan.callers());
+    let mut at_preferred = None;
     let mut count = 0;
     while cluster.callers_running.get() {
         count += 1;
@@ -115,6 +116,16 @@
         // Some callers lose their connection in the middle of a stream, and take it up.
         let breaks_off = cluster.plan.has_versions() && path == SUMMARY && rng.random_bool(0.6);
         let read_max = if breaks_off { rng.random_range(1..10) } else { usize::MAX };
+        let preferred = cluster.draw_preferred(&mut rng);
+        if let Some(gateway) = preferred
+            && !matches!(&at_preferred, Some((known, _)) if *known == gateway)
+        {
+            at_preferred = Some((gateway, cluster.caller(gateway)));
+        }
+        let caller = match &at_preferred {
+            Some((_, caller)) if preferred.is_some() => caller,
+            _ => &usual,
+        };
         let request = async {
             match path {
                 CHECK | LOOKUP => caller.call(path, &attempt).await,
--- a/crates/daemon/tests/soak/cluster.rs
+++ b/crates/daemon/tests/soak/cluster.rs
@@ -12,6 +12,7 @@
 
 use compio::net::TcpListener;
 use ebonyloft_core::handle_audit::HandleAudit;
+use ebonyloft_platform::servers;
 use ebonyloft_platform::simulation::{self, AccountSpec};
 use ebonyloft_platform::store::CONFIG_KEY;
 use ebonyloft_router::catalog::{Server, ServerId, SoftwareVersion, Stage};
@@ -25,6 +26,8 @@
 };
 use ebonyloft_standins::relay::{self, RelaySwitch};
 use ebonyloftd::settings::MigrationSetting;
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
 use rustix::process::{Pid, Signal, kill_process};
 
 use crate::callers::{Expectations, send_requests};
@@ -35,7 +38,7 @@
 pub const RECOVERY_TIMEOUT: Duration = Duration::from_secs(12);
 
 /// Time after a fault that outdates server lists until all gateways are up to date again.
-const SETTLE_TIME: Duration = Duration::from_secs(4);
+pub const SETTLE_TIME: Duration = Duration::from_secs(4);
 
 /// Most engines of one stage.
 const ENGINES_MAX: usize = 9;
@@ -94,6 +97,12 @@
     0, 3, 4, 6, 8, 10, 16, 21, 25, 25, 25, 25, 25, 26, 26, 26, 26, 27, 27, 28, 28, 28, 29, 29, 30,
     31, 31, 31, 31, 31,
 ];
+/// A store that comes back from an older copy, and most callers at one gateway, beside gateways that are killed,
+/// stopped and suspended, one by one and all at once, and other faults of the store and of network paths.
+pub const STORE_COPY_KINDS: &[u32] =
+    &[0, 0, 1, 1, 2, 3, 4, 5, 6, 8, 10, 13, 13, 21, 32, 32, 32, 32, 32, 33, 33, 33];
+/// Fraction of the callers that come to the preferred gateway.
+const PREFERENCE: f64 = 0.9;
 /// Versions that engines are replaced by.
 pub const VERSIONS: [&str; 5] = ["v1", "v2", "v3", "v4", "v5"];
 
@@ -146,6 +155,8 @@
     pub account_checks: Cell<u32>,
     /// Names of servers that announce a rate limit now.
     pub limited_servers: RefCell<HashSet<String>>,
+    /// The gateway that most callers come to, if there is one.
+    pub preferred_gateway: Cell<Option<usize>>,
     pub runners: Vec<(Rc<BackendServer>, RelaySwitch)>,
     /// Relays between the runners and their network paths that send answers twice, in the order of the
     /// runners; none unless the plan needs them.
@@ -215,6 +226,11 @@
     pub fn has_versions(&self) -> bool {
         self.kinds.contains(&20)
     }
+
+    /// Does the store come back from older copies?
+    pub fn has_store_copies(&self) -> bool {
+        self.kinds.contains(&32)
+    }
 }
 
 /// A configuration as an operator writes it, with the given revocable keys.
@@ -353,6 +369,7 @@
             flooding: Cell::default(),
             account_checks: Cell::default(),
             limited_servers: RefCell::default(),
+            preferred_gateway: Cell::default(),
             runners,
             duplicators,
             gateways,
@@ -372,6 +389,32 @@
         self.store.put(CONFIG_KEY, &text, 0);
     }
 
+    /// The gateway that the next request comes to, if most of them come to one.
+    pub fn draw_preferred(&self, rng: &mut ChaCha8Rng) -> Option<usize> {
+        self.preferred_gateway.get().filter(|_| rng.random_bool(PREFERENCE))
+    }
+
+    /// The store comes back from a copy, and the operator and the servers write again what is true now.
+    pub fn restore_store(&self) {
+        self.mark_stale(Duration::ZERO);
+        self.store.restore_copy();
+        self.configure(0);
+        for (runner, _) in self.runners.iter().filter(|(runner, _)| runner.is_up()) {
+            self.store.register(&runner.server.borrow());
+        }
+    }
+
+    /// Registrations of servers that have ended expire, as far as the copy has brought them back.
+    pub fn expire_registrations(&self) {
+        let current: HashSet<String> =
+            self.runners.iter().map(|(r, _)| r.server.borrow().id.name.clone()).collect();
+        for key in self.store.keys(servers::PREFIX) {
+            if !current.contains(servers::server_name(&key)) {
+                self.store.remove(&key);
+            }
+        }
+    }
+
     /// A caller of a gateway whose requests no quota limits.
     pub fn caller(&self, gateway: usize) -> Caller {
         let caller = Caller::new(self.address(gateway));
--- a/crates/daemon/tests/soak/faults.rs
+++ b/crates/daemon/tests/soak/faults.rs
@@ -17,8 +17,8 @@
 use rustix::process::Signal;
 
 use crate::cluster::{
-    Cluster, Gateway, QUOTA, QUOTA_KEY, REVOKE_BOUND, RUNNER_FAULTS, STORE_FAULTS, TOKENS_PER_CALL,
-    VERSIONS,
+    Cluster, Gateway, QUOTA, QUOTA_KEY, REVOKE_BOUND, RUNNER_FAULTS, SETTLE_TIME, STORE_FAULTS,
+    TOKENS_PER_CALL, VERSIONS,
 };
 use crate::moves;
 
@@ -174,6 +174,20 @@
             compio::time::sleep(duration).await;
             prefills().for_each(|(_, duplicator)| duplicator.set(&[]));
         }
+        32 => {
+            cluster.store.keep_copy();
+            compio::time::sleep(duration).await;
+            cluster.restore_store();
+            compio::time::sleep(ms(1_000)).await;
+            cluster.expire_registrations();
+            compio::time::sleep(SETTLE_TIME).await;
+            check_drain_in_store(cluster, runner).await;
+        }
+        33 => {
+            cluster.preferred_gateway.set(Some(rng.random_range(0..cluster.gateways.len())));
+            compio::time::sleep(duration * 2).await;
+            cluster.preferred_gateway.set(None);
+        }
         17 => check_rate_limit(cluster, runner, rng.random_range(2..9)).await,
         kind @ 25..=31 => moves::inject(cluster, kind, &mut rng, duration).await,
         _ => {
@@ -229,7 +243,7 @@
 
 /// Every second gateway is cut off from the store, and a backend server begins to leave. After the
 /// bound it must get no more requests from any gateway. Later it returns.
-async fn check_drain_in_store(cluster: &Cluster, runner: &BackendServer) {
+async fn check_drain_in_store(cluster: &Cluster, runner: &Rc<BackendServer>) {
     // One at a time per server: the end of another fault would register it as ready during this
     // check.
     if std::mem::replace(&mut runner.server.borrow_mut().draining, true) {
@@ -250,7 +264,11 @@
     }
     mute_switches.iter().for_each(|switch| switch.store(false, Ordering::Relaxed));
     runner.server.borrow_mut().draining = false;
-    cluster.store.register(&runner.server.borrow());
+    // A copy of the store may be from before: an incarnation that was known to leave is not used again.
+    match cluster.plan.has_store_copies() {
+        true => runner.crash("the end of a life"),
+        false => cluster.store.register(&runner.server.borrow()),
+    }
 }
 
 fn arrival_count(runner: &BackendServer) -> u64 {
