Orders: a leader whose store came back from a copy neither renews nor revokes its lease; closed connections leave ten requests a second

Leases are given out again after the store came back, so that a leader that gave up would have revoked another one's lease, and one whose renewal succeeded could have sent an order. It now stops before and after a renewal, and lets its lease expire. A list of an earlier era than peers know ends in a back-off in place of being asked for again at once. A gateway that closes connections reads ten requests a second in any case: with few requests an even share is less than one. No tests of their own.

--- a/crates/daemon/src/gateway/orders.rs
+++ b/crates/daemon/src/gateway/orders.rs
@@ -95,11 +95,8 @@
     ];
     let none = Revision::default();
     match shared.store.txn(&[(LOCK_KEY, none), (LEADER_RECORD_KEY, revision)], &writes).await {
-        // The fencing token may belong to a leader of this era, too.
-        Ok(written) if written.era() != era => {
-            shared.store.revoke(lease.id).await?;
-            Ok(None)
-        }
+        // The fencing token and the lease may be of the era before; the lease expires by itself.
+        Ok(written) if written.era() != era => Ok(None),
         Ok(_) => {
             let now = shared.now();
             let gap = shared.node().bounds.order_gap;
@@ -123,12 +120,8 @@
     loop {
         compio::time::sleep(CHECK_INTERVAL).await;
         let now = shared.now();
-        if shared.store.era() != era {
-            tracing::info!(
-                fence = leadership.fence,
-                "the store may have lost the leadership lease"
-            );
-            return release(shared, leadership).await;
+        if may_be_lost(shared, era, &leadership) {
+            return;
         }
         if shared.is_stopping() {
             return release(shared, leadership).await;
@@ -147,6 +140,9 @@
                 }
             }
         }
+        if may_be_lost(shared, era, &leadership) {
+            return;
+        }
         let now = shared.now();
         if leadership.lapsed(now) {
             return tracing::info!(fence = leadership.fence, "leadership lease may have expired");
@@ -160,6 +156,16 @@
     }
 }
 
+/// Has the store come back from a copy since `era`? The lease may be gone, and its id given out again.
+fn may_be_lost(shared: &Shared, era: u64, leadership: &Leadership) -> bool {
+    let is_lost = shared.store.era() != era;
+    if is_lost {
+        let fence = leadership.fence;
+        tracing::info!(fence, "the store may have lost the leadership lease");
+    }
+    is_lost
+}
+
 async fn release(shared: &Shared, leadership: Leadership) {
     if let Err(e) = shared.store.revoke(leadership.lease).await {
         tracing::info!(
--- a/crates/daemon/src/gateway/watch.rs
+++ b/crates/daemon/src/gateway/watch.rs
@@ -114,8 +114,10 @@
     let known = shared.registry.borrow().is_complete();
     let known_at = shared.now();
     let page = roster_watch::during(shared, None, known, shared.store.list(prefix, age)).await?;
-    if page.revision.era() < shared.registry.borrow().revision().era() {
-        return Err(StoreError::Compacted);
+    let known = shared.registry.borrow().revision().era();
+    if page.revision.era() < known {
+        let detail = format!("a list of era {}, while {known} is known", page.revision.era());
+        return Err(StoreError::Unknown { detail });
     }
     on_era(shared, page.revision.era());
     sink.replace(page.items, page.revision);
--- a/crates/router/src/shedding.rs
+++ b/crates/router/src/shedding.rs
@@ -27,8 +27,8 @@
 const EXCESS_MIN: f64 = 1.5;
 /// Factor on an even share that is read at least.
 const READ_MIN: f64 = 1.1;
-/// Rates below this are not reported, in requests a second: they overload no VM.
-const REPORTED_MIN: f64 = 10.0;
+/// Rate that overloads no VM, in requests a second: it is read in any case, and lower ones are not reported.
+const RATE_MIN: f64 = 10.0;
 /// Longest time between two observations that counts; a longer one is a suspension.
 const STEP_MAX: Duration = Duration::from_millis(500);
 
@@ -103,7 +103,7 @@
     /// Returns the rate that is reported to peers, in requests a second; zero if it is too low to matter.
     pub fn reported_rate(&self, now: Timestamp) -> u64 {
         let rate = self.read_rate(now);
-        if rate < REPORTED_MIN { 0 } else { rate as u64 }
+        if rate < RATE_MIN { 0 } else { rate as u64 }
     }
 
     /// Records that a task ran `delay` late; `even_share` is the rate that would be read if all requests were
@@ -122,10 +122,10 @@
     /// Largest fraction that may be closed with this even share.
     fn share_max(&self, now: Timestamp, even: f64) -> f64 {
         let offered = self.read.per_second(now) + self.closed.per_second(now);
-        if offered < REPORTED_MIN || offered <= even * EXCESS_MIN {
+        if offered <= RATE_MIN || offered <= even * EXCESS_MIN {
             return 0.0;
         }
-        (1.0 - even * READ_MIN / offered).clamp(0.0, 1.0)
+        (1.0 - (even * READ_MIN).max(RATE_MIN) / offered).clamp(0.0, 1.0)
     }
 
     /// Returns the fraction of new connections that are closed.
