Registry: a test of a gateway that starts after the store came back and gets its list from a peer

Found when the change was read as a whole: had unchanged servers kept the revision of the era before, a new gateway would have ignored them in a peer's list. They don't; the test holds that.

--- a/crates/router/tests/roster.rs
+++ b/crates/router/tests/roster.rs
@@ -454,6 +454,19 @@
     assert_eq!(ready_names(&registry), [name(2)]);
 }
 
+/// Guards against a peer that passes on unchanged servers as of the era before, which a new gateway ignores.
+#[test]
+fn a_gateway_that_starts_after_the_store_came_back_gets_all_servers_from_a_peer() {
+    let mut registry = ServerRegistry::default();
+    let list = || vec![registered(1, 1), registered(2, 2)];
+    registry.replace(list(), 3.into(), true);
+    restored(&mut registry, list(), 2, false);
+    let mut new = ServerRegistry::default();
+    new.replace(registry.changes(), registry.revision(), true);
+    assert_eq!(ready_names(&new), [name(1), name(2)]);
+    assert_eq!(registry.since(registry.revision()), Some(Vec::new()));
+}
+
 /// Guards against revisions that are given out again and taken for old ones.
 #[test]
 fn a_change_of_a_later_era_is_newer_whatever_its_number() {
