Gateway: closing of connections has a module of its own; no draw while nothing is closed

Found when the change was read as a whole: the glue stood in the state that all tasks share, and each request drew a random number although no connection is closed as a rule. No change of what is decided.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -27,6 +27,7 @@
 pub mod retries;
 pub mod send;
 pub mod shared;
+pub mod shedding;
 pub mod speeds;
 pub mod state_sync;
 pub mod store;
--- a/crates/daemon/src/gateway/ingress.rs
+++ b/crates/daemon/src/gateway/ingress.rs
@@ -31,7 +31,7 @@
 use super::answer::{self, Body, Cause};
 use super::intake::Intake;
 use super::shared::{Shared, SnapshotVersion};
-use super::{call, keys, origins, quarantine, quota, stream};
+use super::{call, keys, origins, quarantine, quota, shedding, stream};
 use crate::http;
 
 /// Hex digits of a key's digest in the log: enough to find the key, too few to confirm a guess.
@@ -64,9 +64,7 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                let draw = shared.random_fraction();
-                if shared.shedding.borrow_mut().closes(shared.now(), draw) {
-                    shared.metrics.count("gateway.connections.closed", 1);
+                if shedding::closes(&shared) {
                     drop(stream);
                     continue;
                 }
@@ -120,9 +118,7 @@
         Ok(intake) => process(&shared, intake).await,
         Err(refused) => refused,
     };
-    // An open connection would bring further requests past the choice of new ones.
-    let sheds = shared.random_fraction() < shared.shedding.borrow().share();
-    if chunked || sheds || shared.is_stopping() {
+    if chunked || shared.is_stopping() || shedding::closes_after_answer(&shared) {
         answer::close_after(&mut response);
     }
     response
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -29,6 +29,7 @@
 use super::quota;
 use super::retries;
 use super::shared::Shared;
+use super::shedding;
 use super::speeds;
 use super::state_sync;
 use super::stream::{self, incoming, overflow};
@@ -51,7 +52,7 @@
         let Pauses { shortest, idle } = load_report::pauses(recipients.len(), follows);
         let due = shared.now().after(shortest);
         compio::time::sleep(shortest).await;
-        shared.on_task_delay(shared.now().since(due));
+        shedding::on_task_delay(&shared, shared.now().since(due));
         let idle_pause = std::pin::pin!(compio::time::sleep(idle));
         select(shared.report_requested(), idle_pause).await;
         shared.clear_report_request();
--- a/crates/daemon/src/gateway/shared.rs
+++ b/crates/daemon/src/gateway/shared.rs
@@ -7,7 +7,6 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 
 use ebonyloft_core::time::Timestamp;
 use ebonyloft_router::admission_queue::AdmissionQueue;
@@ -39,7 +38,7 @@
 use ebonyloft_router::registry::ServerRegistry;
 use ebonyloft_router::request_digest::RequestDigest;
 use ebonyloft_router::revision::Revision;
-use ebonyloft_router::shedding::{self, ReadLoad, Shedding};
+use ebonyloft_router::shedding::Shedding;
 use ebonyloft_router::stage_changes::{STAGE_CHANGE_BACKOFF, StageChanges};
 use ebonyloft_router::staleness::ConfigStaleness;
 use ebonyloft_router::store_state::StoreState;
@@ -526,26 +525,6 @@
         }
     }
 
-    /// Records that a task of this process ran `delay` late.
-    pub fn on_task_delay(&self, delay: Duration) {
-        let now = self.now();
-        let (reports, fleet) = (self.load_reports.borrow(), self.fleet.borrow());
-        let power = |name: &str| fleet.all().get(name).map_or(0, |g| g.power);
-        let peers = reports
-            .read_rates(now)
-            .map(|(name, r)| ReadLoad { rate: r as f64, power: power(name) });
-        let mut shedding = self.shedding.borrow_mut();
-        let own = ReadLoad { rate: shedding.read_rate(now), power: self.node().power };
-        let even = shedding::even_share(own, peers);
-        let before = shedding.share();
-        shedding.on_delay(now, delay, even);
-        let share = shedding.share();
-        if (before > 0.0) != (share > 0.0) {
-            let (delay, read) = (delay.as_millis() as u64, own.rate);
-            tracing::info!(share, delay, read, even, "share of new connections that are closed");
-        }
-    }
-
     /// Retry budget of a service.
     pub fn retry_budget(&self, service: &str) -> RefMut<'_, Budget> {
         let new = || {
