--- a/crates/daemon/src/gateway/store.rs
+++ b/crates/daemon/src/gateway/store.rs
@@ -6,7 +6,7 @@
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use ebonyloft_platform::store::{self, Answer, Consistency, Item, Lease, Page, StoreError, Write};
@@ -127,8 +127,7 @@
         let wait = within.saturating_sub(WATCH_SLACK).max(WATCH_MIN);
         let req = store::watch(prefix, after, wait.as_millis() as u64);
         let limit = wait + WATCH_SLACK;
-        let started = self.pool.start_call(self.addr, req, limit, Exchange::Trusted).await;
-        let reply = started.map_err(store_error)?;
+        let reply = self.start(req, limit).await?;
         Ok(WatchReply { reply, wait })
     }
 
@@ -187,8 +186,21 @@
         limit: Duration,
         read: impl Fn(Answer<'_>) -> Result<T, StoreError>,
     ) -> Result<T, StoreError> {
+        self.finish(self.start(req, limit).await?, limit, read).await
+    }
+
+    /// Sends a call and waits for the head of its answer.
+    async fn start(
+        &self,
+        req: Request<Bytes>,
+        limit: Duration,
+    ) -> Result<PendingAnswer, StoreError> {
+        let sent = Instant::now();
         let started = self.pool.start_call(self.addr, req, limit, Exchange::Trusted).await;
-        self.finish(started.map_err(store_error)?, limit, read).await
+        started.map_err(|e| match e {
+            ExchangeError::Lost if sent.elapsed() >= limit => StoreError::Silent,
+            e => store_error(e),
+        })
     }
 
     async fn finish<T>(
@@ -220,7 +232,7 @@
     match e {
         ExchangeError::Unsent => StoreError::Rejected { status: 0 },
         ExchangeError::Lost | ExchangeError::Mismatched => {
-            StoreError::Unknown { detail: "no answer in time".to_owned() }
+            StoreError::Unknown { detail: "the connection ended".to_owned() }
         }
     }
 }
