Settings: the interval at which backend servers renew their registrations

What a vanished registration means depends on it. It was not read; where the settings name none, 1.2 s are assumed. Nothing uses it yet.

--- a/crates/check/src/gateways/simulation.rs
+++ b/crates/check/src/gateways/simulation.rs
@@ -13,7 +13,7 @@
 use ebonyloft_router::fleet::{Fleet, Gateway};
 use ebonyloft_router::load_report::{LoadReport, LoadReports, Pauses, pauses};
 use ebonyloft_router::membership::{self, JoinStep, Joining, SilenceTracker};
-use ebonyloft_router::node::{Bounds, Excess};
+use ebonyloft_router::node::{Bounds, DEFAULT_HEARTBEAT, Excess};
 use ebonyloft_router::registry::{Change, Registration};
 use ebonyloft_router::revision::Revision;
 use ebonyloft_router::zone_leader::{LEADER_TIMEOUT, LeaderState, StoreLink};
@@ -249,6 +249,7 @@
                 contact: seconds(6),
                 drain: seconds(5),
                 apply: seconds(5),
+                heartbeat: DEFAULT_HEARTBEAT,
                 revoke: None,
                 excess: Excess::default(),
             },
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -35,6 +35,9 @@
 /// store, 0.15 s to read the list, 0.2 s to publish it, 0.1 s to fetch it.
 const RELAY_TIME: Duration = Duration::from_millis(900);
 
+/// Heartbeat interval of a deployment that names none.
+pub const DEFAULT_HEARTBEAT: Duration = Duration::from_millis(1_200);
+
 /// Bounds that the deployment must keep.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Bounds {
@@ -54,6 +57,8 @@
     pub drain: Duration,
     /// Time after a change of the configuration within which it must be in force.
     pub apply: Duration,
+    /// Interval at which backend servers renew their registrations.
+    pub heartbeat: Duration,
     /// Time after a key was revoked from which on no request with it may run; `None` if VMs that are cut off
     /// are exempt.
     pub revoke: Option<Duration>,
--- a/crates/router/tests/budget.rs
+++ b/crates/router/tests/budget.rs
@@ -4,7 +4,7 @@
 
 use ebonyloft_core::time::Timestamp;
 use ebonyloft_router::budget::{Arrivals, Budget, NextSend, RequiredRetries};
-use ebonyloft_router::node::{Bounds, Excess};
+use ebonyloft_router::node::{Bounds, DEFAULT_HEARTBEAT, Excess};
 use proptest::prelude::*;
 
 fn bounds() -> Bounds {
@@ -17,6 +17,7 @@
         contact: Duration::from_secs(3),
         drain: Duration::from_secs(2),
         apply: Duration::from_secs(2),
+        heartbeat: DEFAULT_HEARTBEAT,
         revoke: None,
         excess: Excess::default(),
     }
--- a/crates/router/tests/budget_restarts.rs
+++ b/crates/router/tests/budget_restarts.rs
@@ -6,7 +6,7 @@
 use ebonyloft_core::time::Timestamp;
 use ebonyloft_router::budget::predecessors::{PeerUses, Predecessors};
 use ebonyloft_router::budget::{Budget, RequiredRetries};
-use ebonyloft_router::node::{Bounds, Excess};
+use ebonyloft_router::node::{Bounds, DEFAULT_HEARTBEAT, Excess};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -28,6 +28,7 @@
         contact: Duration::from_secs(3),
         drain: Duration::from_secs(2),
         apply: Duration::from_secs(2),
+        heartbeat: DEFAULT_HEARTBEAT,
         revoke: None,
         excess: Excess::default(),
     }
--- a/crates/router/tests/delegate.rs
+++ b/crates/router/tests/delegate.rs
@@ -6,7 +6,7 @@
 use ebonyloft_core::time::Timestamp;
 use ebonyloft_router::fleet::{Fleet, Gateway, LAPSE_GRACE};
 use ebonyloft_router::load_report::{LoadReport, LoadReports, Pauses, pauses};
-use ebonyloft_router::node::{Bounds, Excess};
+use ebonyloft_router::node::{Bounds, DEFAULT_HEARTBEAT, Excess};
 use ebonyloft_router::store_state::StoreState;
 use ebonyloft_router::zone_leader::{
     HigherRanked, JOIN_SPREAD, LEADER_TIMEOUT, LEADERS_PER_ZONE, LeaderState, STEP_DOWN_DELAY,
@@ -34,6 +34,7 @@
         contact: shortest + SECOND,
         drain: shortest,
         apply: shortest,
+        heartbeat: DEFAULT_HEARTBEAT,
         revoke: None,
         excess: Excess::default(),
     }
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -23,7 +23,7 @@
 use ebonyloft_router::catalog::{
     Config, Engine, Kind, Limits, Route, Server, ServerId, Service, SoftwareVersion, Split, Stage,
 };
-use ebonyloft_router::node::{Bounds, Excess, Node as NodeSettings};
+use ebonyloft_router::node::{Bounds, DEFAULT_HEARTBEAT, Excess, Node as NodeSettings};
 use ebonyloft_router::urgency::share::URGENT_SHARE;
 use ebonyloftd::gateway::{self, Options};
 use ebonyloftd::settings::MigrationSetting;
@@ -461,6 +461,7 @@
                 contact: Duration::from_secs(3),
                 drain: Duration::from_secs(2),
                 apply: Duration::from_secs(2),
+                heartbeat: DEFAULT_HEARTBEAT,
                 revoke: self.revoke,
                 excess: Excess::default(),
             },
