Registry: a removal is believed unless the store was silent long enough for registrations to lapse

Callers saw requests at servers up to 3 s after their removal, some lost with the server.

Cause: any failed call counted as an outage of the store, and so did a peer's report that it can't reach it. The next answer began 2.2 s in which no removal was trusted, from the store's return and not from the removal. Watches cut every 1.5 s made it last for good. Where the store rejects the gateways that follow it for all, the others adopted their report and distrusted their own first answer.

Why it works: a registration lapses three heartbeats after its last renewal, so none lapses in a silence of under 1.9 intervals. A silence is counted by this gateway's own calls; a removal that follows a shorter one is its owner's.

Tests that failed before: two at the stand-ins (cut_watches_..., a_watch_cut_...), three of the trust in virtual time; with the old rule as a mutant also a fleet of 4 gateways with cut watches and with rejected followers. With the opposite mutant, by which nothing lapses, servers_that_lapse_in_an_outage_stay_in_use fails. At 4, 29 and 300 gateways.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -199,10 +199,13 @@
         // view by when it applies their message; compared with an earlier timestamp, a missing
         // registration would never count as gone.
         let now = shared.now();
-        if shared.store_state.borrow().is_trusted(now) {
-            for server in shared.registry.borrow_mut().remove_missing() {
-                tracing::info!(server, "backend server is gone: it was not registered again");
-            }
+        let trusted = shared.store_state.borrow().is_trusted(now);
+        let gone = match trusted {
+            true => shared.registry.borrow_mut().remove_missing(),
+            false => shared.registry.borrow_mut().remove_overdue(now),
+        };
+        for server in gone {
+            tracing::info!(server, trusted, "backend server is gone: it was not registered again");
         }
         shared.pool.expire(now);
         shared.metrics.count("gateway.stray_answers", shared.pool.take_stray_count());
--- a/crates/daemon/src/gateway/shared.rs
+++ b/crates/daemon/src/gateway/shared.rs
@@ -240,6 +240,7 @@
     ) -> Rc<Self> {
         let pool = Rc::new(Pool::new(clock));
         let store = StoreClient::new(pool.clone(), node.store);
+        let store_state = StoreState::new(node.bounds.heartbeat);
         // Before the first start of the whole system there were no retries.
         let known_from = if node.first_start { Timestamp::default() } else { clock.now() };
         let (outbox, outbox_receiver) = mpsc::unbounded();
@@ -263,7 +264,7 @@
             token_leases: RefCell::default(),
             unresponsive_owners: RefCell::default(),
             pending_asks: RefCell::default(),
-            store_state: RefCell::default(),
+            store_state: RefCell::new(store_state),
             caller_deadlines: RefCell::default(),
             admission_queues: RefCell::default(),
             queue_waiters: Waiters::default(),
--- a/crates/daemon/src/gateway/watch.rs
+++ b/crates/daemon/src/gateway/watch.rs
@@ -64,6 +64,7 @@
             compio::time::sleep(ROLE_CHECK_INTERVAL).await;
             continue;
         }
+        let sent = shared.now();
         let step = match from {
             None => list(&shared, prefix, age, sink.as_ref()).await,
             Some(after) => watch(&shared, prefix, after, sink.as_ref()).await,
@@ -85,7 +86,7 @@
                 shared.watched_revision.set(None);
             }
             Err(e) => {
-                on_store_failure(&shared, prefix, &e);
+                on_store_failure(&shared, prefix, sent, &e);
                 compio::time::sleep(backoff.mul_f64(0.5 + shared.random_fraction())).await;
                 backoff = (backoff * 2).min(BACKOFF_MAX * backoff_factor(&shared));
             }
@@ -120,9 +121,12 @@
         return Err(StoreError::Unknown { detail });
     }
     on_era(shared, page.revision.era());
+    if age == Consistency::Current {
+        on_store_reached(shared, prefix, known_at);
+    }
     sink.replace(page.items, page.revision);
     if age == Consistency::Current {
-        on_store_answer(shared, prefix, known_at);
+        on_store_applied(shared, known_at);
         confirm_config(shared, |recency| recency.confirm(known_at));
     }
     Ok(page.revision)
@@ -150,10 +154,11 @@
         }
     };
     let empty = page.items.is_empty();
+    on_store_reached(shared, prefix, known_at);
     for item in page.items {
         sink.apply(item);
     }
-    on_store_answer(shared, prefix, known_at);
+    on_store_applied(shared, known_at);
     confirm_config(shared, |recency| recency.on_watch(known_at, sent, waited, empty));
     Ok(page.revision.max(after))
 }
@@ -189,17 +194,31 @@
     }
 }
 
-/// Records an answer of the store, whose content was current at `known_at`.
-fn on_store_answer(shared: &Shared, prefix: &str, known_at: Timestamp) {
-    if shared.store_state.borrow_mut().on_answer(shared.now(), known_at) {
-        tracing::info!(prefix, "store is reachable again");
+/// Records an answer of the store, before its content is applied, which is current as of `at`.
+fn on_store_reached(shared: &Shared, prefix: &str, at: Timestamp) {
+    let now = shared.now();
+    let away_since = shared.store_state.borrow().unreachable_since();
+    if shared.store_state.borrow_mut().on_reached(now, at) {
+        let silent_ms = away_since.map(|since| at.since(since).as_millis() as u64);
+        let trusted = shared.store_state.borrow().is_trusted(now);
+        let age = shared.snapshot_version().age;
+        tracing::info!(prefix, silent_ms, age, trusted, "store is reachable again");
         shared.metrics.count("gateway.store.back", 1);
     }
 }
 
-fn on_store_failure(shared: &Shared, prefix: &str, error: &StoreError) {
-    if shared.store_state.borrow_mut().on_failure(shared.now()) {
-        tracing::warn!(prefix, error = %error, "store is unreachable");
+/// Records that the content of an answer was applied, which is current as of `at`.
+fn on_store_applied(shared: &Shared, at: Timestamp) {
+    shared.store_state.borrow_mut().known(at);
+}
+
+/// Records a call that failed and was sent at `sent`.
+fn on_store_failure(shared: &Shared, prefix: &str, sent: Timestamp, error: &StoreError) {
+    let now = shared.now();
+    let since = if matches!(error, StoreError::Silent) { sent } else { now };
+    if shared.store_state.borrow_mut().on_failure(since) {
+        let silent_ms = now.since(since).as_millis() as u64;
+        tracing::warn!(prefix, error = %error, silent_ms, "store is unreachable");
         shared.metrics.count("gateway.store.away", 1);
     }
 }
@@ -335,6 +354,16 @@
     if let (Effect::Joined, Some((addr, id))) = (effect, joined_server) {
         quarantine::on_registered(shared, addr, &id);
     }
+    if effect == Effect::Unheard {
+        let (now, drain) = (shared.now(), shared.node().bounds.drain);
+        let until = shared.store_state.borrow().kept_until(now, drain);
+        if let Some(until) = until {
+            shared.registry.borrow_mut().keep_until(name, until);
+        }
+        let kept_ms = until.map(|until| until.since(now).as_millis() as u64);
+        tracing::info!(server = name, kept_ms, "registration may have lapsed: server is kept");
+    }
     let born = known.map(|(_, born)| born);
-    tracing::info!(server = name, ?effect, born, %revision, "backend server registration changed");
+    let age = shared.snapshot_version().age;
+    tracing::info!(server = name, ?effect, born, %revision, age, "backend server registration changed");
 }
--- a/crates/daemon/src/gateway/watch/roster_watch.rs
+++ b/crates/daemon/src/gateway/watch/roster_watch.rs
@@ -16,7 +16,10 @@
 use ebonyloft_router::revision::Revision;
 use futures_util::future::{Either, select};
 
-use super::{BACKOFF_MAX, RosterSink, Sink, batch_delay, on_era, on_store_answer, watch_timeout};
+use super::{
+    BACKOFF_MAX, RosterSink, Sink, batch_delay, on_era, on_store_applied, on_store_reached,
+    watch_timeout,
+};
 use crate::gateway::shared::Shared;
 
 /// How long an answer may take before the second watch starts: as long as changes are batched.
@@ -75,16 +78,18 @@
         let known_at = shared.now();
         let page = shared.store.list(servers::PREFIX, Consistency::Current).await?;
         on_era(shared, page.revision.era());
+        on_store_reached(shared, servers::PREFIX, known_at);
         sink.replace(page.items, page.revision);
-        on_store_answer(shared, servers::PREFIX, known_at);
+        on_store_applied(shared, known_at);
         return Ok(page.revision);
     };
     let reply = shared.store.watch(servers::PREFIX, after, watch_timeout(shared)).await?.reply;
     let known_at = reply.head_at();
     let page = shared.store.read_watch(reply, after).await?;
+    on_store_reached(shared, servers::PREFIX, known_at);
     for item in page.items {
         sink.apply(item);
     }
-    on_store_answer(shared, servers::PREFIX, known_at);
+    on_store_applied(shared, known_at);
     Ok(page.revision.max(after))
 }
--- a/crates/router/src/registry.rs
+++ b/crates/router/src/registry.rs
@@ -1,7 +1,8 @@
 //! Registry of the backend servers that this gateway uses.
 //!
 //! Registrations come from the store with revisions, and a lower revision never replaces a higher
-//! one. A registration that vanishes while the store is not trusted is kept until it is.
+//! one. A registration that vanishes while the store is not trusted is kept until it is, or until a
+//! deadline.
 //!
 //! A store that comes back from an older copy begins a new era with a complete list. What is known of an
 //! incarnation, that it is leaving or gone, outlives the era: the copy may be from before.
@@ -46,6 +47,8 @@
     revision: Revision,
     /// The registration vanished while the store was not trusted.
     unconfirmed: bool,
+    /// When the server counts as gone in any case, while its registration is unconfirmed.
+    kept_until: Timestamp,
 }
 
 /// Effect of a change on the registry.
@@ -172,15 +175,28 @@
         effects
     }
 
+    /// Sets until when a backend server is kept at most whose registration vanished while the store was
+    /// not trusted.
+    pub fn keep_until(&mut self, name: &str, until: Timestamp) {
+        if let Some(known) = self.known.get_mut(name).filter(|k| k.unconfirmed) {
+            known.kept_until = known.kept_until.min(until);
+        }
+    }
+
     /// Removes the backend servers whose registration is still missing now that the store is
     /// trusted.
     pub fn remove_missing(&mut self) -> Vec<String> {
-        let gone: Vec<String> = self
-            .known
-            .iter()
-            .filter(|(_, k)| k.unconfirmed)
-            .map(|(name, _)| name.clone())
-            .collect();
+        self.remove_unconfirmed(|_| true)
+    }
+
+    /// Removes the backend servers whose registration is missing and which are kept no longer.
+    pub fn remove_overdue(&mut self, now: Timestamp) -> Vec<String> {
+        self.remove_unconfirmed(|k| k.kept_until <= now)
+    }
+
+    fn remove_unconfirmed(&mut self, is_gone: impl Fn(&Registered) -> bool) -> Vec<String> {
+        let unconfirmed = self.known.iter().filter(|(_, k)| k.unconfirmed && is_gone(k));
+        let gone: Vec<String> = unconfirmed.map(|(name, _)| name.clone()).collect();
         for name in &gone {
             self.end(name);
         }
@@ -356,7 +372,8 @@
         self.departed.remove(&server.id);
         // Drops only what other incarnations of this name announced.
         self.leaving.retain(|id| id.name != name || *id == server.id);
-        self.known.insert(name, Registered { server, revision, unconfirmed: false });
+        let kept_until = Timestamp::NEVER;
+        self.known.insert(name, Registered { server, revision, unconfirmed: false, kept_until });
         effect
     }
 
--- a/crates/router/src/store_state.rs
+++ b/crates/router/src/store_state.rs
@@ -1,47 +1,104 @@
 //! Tracks whether the store is reachable and whether its registrations can be trusted.
 //!
-//! While the store is unreachable, registrations of healthy backend servers lapse. After its return
-//! they register again within about two seconds, so a missing one only counts as gone after that.
+//! A registration lapses when its server could not renew it for three heartbeat intervals, as in an outage
+//! of the store. The server registers again within about two seconds of the store's return, so a
+//! registration that is missing before then may have lapsed. One that vanishes at any other time was
+//! removed by its owner.
+//!
+//! A failed call alone is no outage: a watch may be cut at any time, and the store may reject some VMs
+//! while it serves the others. What counts is how long calls of this gateway were not answered. Peers that
+//! can't reach the store tell nothing of the servers' access to it, unless it fails this gateway as well.
 
 use std::time::Duration;
 
 use ebonyloft_core::time::Timestamp;
 
+use crate::node::DEFAULT_HEARTBEAT;
 use crate::zone_leader::StoreLink;
 
 /// How long after the store's return a missing backend server may still register again. The
 /// platform states about two seconds; a tenth is added for the transfer of the change.
 pub const REREGISTRATION_TIME: Duration = Duration::from_millis(2_200);
+/// Heartbeat intervals without a renewal after which a registration lapses.
+const LAPSE_INTERVALS: f64 = 3.0;
+/// Longest time between two renewals, in heartbeat intervals: servers keep the interval approximately.
+const RENEWAL_INTERVALS: f64 = 1.1;
+/// Silence of the store, in heartbeat intervals, below which at most one renewal of a server can fail.
+const BRIEF_INTERVALS: f64 = 0.25;
+/// How long before the drain timeout a gateway stops sending: requests are on their way, and servers are
+/// removed in rounds.
+const DRAIN_MARGIN: Duration = Duration::from_millis(500);
 
 /// Reachability of the store and age of the list of backend servers.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub struct StoreState {
+    heartbeat: Duration,
     unreachable_since: Option<Timestamp>,
+    /// Only peers have said so.
+    is_hearsay: bool,
+    /// Start and end of the last silence; silences with no time for a renewal between them are one.
+    silent_from: Timestamp,
+    silent_until: Timestamp,
     trusted_at: Timestamp,
+    /// Until when registrations that a copy of the store lacks may be written again.
+    restored_until: Timestamp,
     known_at: Timestamp,
 }
 
+impl Default for StoreState {
+    fn default() -> Self {
+        StoreState::new(DEFAULT_HEARTBEAT)
+    }
+}
+
 impl StoreState {
-    /// Records an answer of the store whose content is valid as of `known_at`; true when the store
-    /// was unreachable before.
+    /// State of a store that was never reached, where servers renew their registrations each `heartbeat`.
+    pub fn new(heartbeat: Duration) -> Self {
+        let never = Timestamp::default();
+        StoreState {
+            heartbeat,
+            unreachable_since: None,
+            is_hearsay: false,
+            silent_from: never,
+            silent_until: never,
+            trusted_at: never,
+            restored_until: never,
+            known_at: never,
+        }
+    }
+
+    /// Records an answer of the store whose content was applied and is valid as of `known_at`; true when
+    /// the store was unreachable before.
     pub fn on_answer(&mut self, now: Timestamp, known_at: Timestamp) -> bool {
+        let returned = self.on_reached(now, known_at);
         self.known(known_at);
-        let returned = self.unreachable_since.take().is_some();
-        if returned {
-            self.trusted_at = now.after(REREGISTRATION_TIME);
+        returned
+    }
+
+    /// Records an answer that the store gave at `at`, before its content is applied: whether removals in it
+    /// are trusted depends on how long the store was silent before. True when it was unreachable.
+    pub fn on_reached(&mut self, now: Timestamp, at: Timestamp) -> bool {
+        let returned = self.is_away();
+        if self.end_silence(at).is_some_and(|since| self.can_lapse_within(since, at)) {
+            self.trusted_at = self.trusted_at.max(now.after(REREGISTRATION_TIME));
         }
         returned
     }
 
     /// Records that the store came back from an older copy: registrations that it lacks are written again.
     pub fn on_restored(&mut self, now: Timestamp) {
-        self.trusted_at = self.trusted_at.max(now.after(REREGISTRATION_TIME));
+        self.restored_until = now.after(REREGISTRATION_TIME);
+        self.trusted_at = self.trusted_at.max(self.restored_until);
     }
 
-    /// Records a failed or rejected call; true when the store counted as reachable before.
-    pub fn on_failure(&mut self, now: Timestamp) -> bool {
+    /// Records a failed call: `since` it was cut off or rejected, or since it was sent if it was not
+    /// answered in time. True when the store counted as reachable before.
+    pub fn on_failure(&mut self, since: Timestamp) -> bool {
         let was_reachable = self.unreachable_since.is_none();
-        self.unreachable_since.get_or_insert(now);
+        // What peers said is confirmed: the store has been silent since they last reached it.
+        let since = if self.is_hearsay { self.known_at.min(since) } else { since };
+        self.is_hearsay = false;
+        self.unreachable_since = Some(self.unreachable_since.map_or(since, |s| s.min(since)));
         was_reachable
     }
 
@@ -51,11 +108,13 @@
         let before = self.is_away();
         match link {
             StoreLink::Indirect => {}
+            StoreLink::Away if before => {}
             StoreLink::Away => {
-                self.on_failure(now);
+                self.unreachable_since = Some(now);
+                self.is_hearsay = true;
             }
             StoreLink::Heard { settles, .. } => {
-                self.unreachable_since = None;
+                self.end_silence(now);
                 self.trusted_at = now.after(Duration::from_millis(settles.into()));
             }
         }
@@ -94,8 +153,47 @@
         self.unreachable_since.is_some()
     }
 
+    /// Returns since when the store has been unreachable, as far as this gateway knows.
+    pub fn unreachable_since(&self) -> Option<Timestamp> {
+        self.unreachable_since
+    }
+
     /// Does a missing registration mean that the backend server is gone?
     pub fn is_trusted(&self, now: Timestamp) -> bool {
         self.unreachable_since.is_none() && now >= self.trusted_at
     }
+
+    /// Returns until when a server may be kept whose registration has just vanished while it is not
+    /// known whether it lapsed; `None` if it may have vanished at any time of a silence. The list was
+    /// complete with it at `known_at`, so the server left later than that.
+    pub fn kept_until(&self, now: Timestamp, drain: Duration) -> Option<Timestamp> {
+        let is_silent = self.unreachable_since.is_some_and(|since| !self.is_brief(since, now));
+        let was_silent = self.known_at < self.silent_until || self.known_at == Timestamp::default();
+        if is_silent || was_silent || now < self.restored_until {
+            return None;
+        }
+        Some(self.known_at.after(drain).before(DRAIN_MARGIN))
+    }
+
+    /// Ends a silence of the store and returns its start; `None` if there was none that matters.
+    fn end_silence(&mut self, at: Timestamp) -> Option<Timestamp> {
+        self.is_hearsay = false;
+        let since = self.unreachable_since.take().filter(|since| !self.is_brief(*since, at))?;
+        let renewal = self.heartbeat.mul_f64(RENEWAL_INTERVALS);
+        if since.since(self.silent_until) >= renewal {
+            self.silent_from = since;
+        }
+        self.silent_until = at;
+        Some(self.silent_from)
+    }
+
+    /// Can a registration lapse because its server could not renew it between these times?
+    fn can_lapse_within(&self, since: Timestamp, at: Timestamp) -> bool {
+        at.since(since) >= self.heartbeat.mul_f64(LAPSE_INTERVALS - RENEWAL_INTERVALS)
+    }
+
+    /// Is a silence between these times too short to matter to renewals?
+    fn is_brief(&self, since: Timestamp, at: Timestamp) -> bool {
+        at.since(since) < self.heartbeat.mul_f64(BRIEF_INTERVALS)
+    }
 }
--- /dev/null
+++ b/crates/router/tests/removals.rs
@@ -0,0 +1,260 @@
+//! What the removal of a registration means: its owner took it away, or it lapsed while the store was silent.
+
+#[path = "removals/world.rs"]
+mod world;
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use ebonyloft_core::time::Timestamp;
+use ebonyloft_router::store_state::{REREGISTRATION_TIME, StoreState};
+use ebonyloft_router::zone_leader::{LEADERS_PER_ZONE, StoreLink};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use world::{Access, DRAIN, Plan, TICK, World};
+
+const NOW: Timestamp = Timestamp::from_millis(1_000_000);
+/// Servers renew their registrations as often as this.
+const HEARTBEAT: Duration = Duration::from_millis(1_200);
+
+fn at(ms: u64) -> Timestamp {
+    NOW.after(Duration::from_millis(ms))
+}
+
+/// A store that was heard at `at(0)`.
+fn heard() -> StoreState {
+    let mut state = StoreState::default();
+    state.on_answer(NOW, NOW);
+    state
+}
+
+/// Guards against a cut watch that is taken for an outage in which registrations lapse.
+#[test]
+fn a_removal_after_a_cut_watch_is_trusted() {
+    let mut state = heard();
+    assert!(state.on_failure(at(500)));
+    assert!(state.on_answer(at(560), at(555)));
+    assert!(state.is_trusted(at(560)), "a registration can't lapse within 60 ms");
+}
+
+/// Guards against cuts in a row, each of which delays the trust in removals once more.
+#[test]
+fn removals_are_trusted_however_often_watches_are_cut() {
+    let mut state = heard();
+    for ms in (1_000..30_000).step_by(250) {
+        state.on_failure(at(ms));
+        state.on_answer(at(ms + 90), at(ms + 85));
+        assert!(state.is_trusted(at(ms + 100)), "{ms}");
+    }
+}
+
+/// Guards against a gateway that can reach the store and takes its peers' loss of it for an outage.
+#[test]
+fn the_first_answer_to_a_gateway_refutes_an_outage_that_only_peers_reported() {
+    let mut state = heard();
+    assert!(state.adopt(at(1_200), StoreLink::Away));
+    assert!(state.on_answer(at(1_400), at(1_395)));
+    assert!(state.is_trusted(at(1_400)));
+}
+
+/// Guards against lapsed servers that are dropped because the outage was first reported by peers.
+#[test]
+fn an_outage_that_peers_reported_counts_from_their_last_answer_once_it_is_confirmed() {
+    let mut state = heard();
+    state.adopt(at(1_200), StoreLink::Away);
+    state.on_failure(at(1_500));
+    state.on_answer(at(2_600), at(2_600));
+    assert!(!state.is_trusted(at(2_600)), "2.6 s are enough for a registration to lapse");
+}
+
+/// Guards against lapsed servers that are dropped at the store's return.
+#[test]
+fn a_removal_in_an_outage_is_trusted_only_after_servers_had_time_to_register_again() {
+    for silence in [HEARTBEAT * 2, HEARTBEAT * 3, HEARTBEAT * 20] {
+        let mut state = heard();
+        state.on_failure(at(100));
+        let back = at(100).after(silence);
+        assert!(!state.is_trusted(back), "{silence:?}");
+        state.on_answer(back, back);
+        assert!(!state.is_trusted(back), "{silence:?}");
+        assert!(!state.is_trusted(back.after(Duration::from_secs(2))), "{silence:?}");
+        assert!(state.is_trusted(back.after(REREGISTRATION_TIME)), "{silence:?}");
+    }
+}
+
+/// Guards against a removed server that is kept for as long as peers of an earlier release report again and again
+/// that the store is not settled.
+#[test]
+fn a_server_is_kept_for_the_drain_timeout_at_most_while_peers_do_not_trust_the_store() {
+    let mut state = heard();
+    let link = StoreLink::Heard { settles: 2_200, age: 100 };
+    for ms in (200..10_000).step_by(200) {
+        state.adopt(at(ms), link);
+        state.known(at(ms - 100));
+        let until = state.kept_until(at(ms), DRAIN).expect("a deadline");
+        assert!(!state.is_trusted(at(ms)) && until < at(ms - 100).after(DRAIN), "{ms}");
+    }
+}
+
+/// Guards against lapsed servers that are dropped because they vanished long before the store's return.
+#[test]
+fn what_vanished_in_a_silence_is_kept_until_the_store_is_trusted() {
+    let mut state = heard();
+    state.on_failure(at(100));
+    assert_eq!(state.kept_until(at(5_000), DRAIN), None);
+    state.on_reached(at(5_000), at(5_000));
+    assert_eq!(state.kept_until(at(5_000), DRAIN), None);
+    // The list was complete after the return: what vanishes from now on has left.
+    state.known(at(5_000));
+    assert!(state.kept_until(at(5_300), DRAIN).is_some_and(|until| until < at(7_000)));
+}
+
+/// Guards against short outages in a row, in which a server misses one renewal after the other.
+#[test]
+fn outages_without_time_for_a_renewal_between_them_count_as_one() {
+    let mut state = heard();
+    for start in [1_000, 2_500] {
+        state.on_failure(at(start));
+        state.on_answer(at(start + 1_300), at(start + 1_300));
+    }
+    assert!(!state.is_trusted(at(3_800)), "no renewal for 2.8 s");
+    let mut state = heard();
+    for start in [1_000, 4_000] {
+        state.on_failure(at(start));
+        state.on_answer(at(start + 1_300), at(start + 1_300));
+    }
+    assert!(state.is_trusted(at(5_300)), "servers renewed between the outages");
+}
+
+/// Sizes of fleets, with the groups of gateways that follow the store together.
+const FLEETS: [(usize, usize); 3] = [(4, 1), (29, 4), (300, 4)];
+const SERVERS: usize = 8;
+/// When the store begins to treat calls differently.
+const TROUBLE_AT: Duration = Duration::from_secs(5);
+
+/// The store treats the gateways in a set, or all gateways and servers, in some way for a while.
+struct Trouble {
+    access: Access,
+    rejected: Option<BTreeSet<usize>>,
+    time: Duration,
+    cut_every: Option<Duration>,
+}
+
+impl Trouble {
+    fn is_on(&self, at: Duration) -> bool {
+        at >= TROUBLE_AT && at < TROUBLE_AT + self.time
+    }
+}
+
+impl Plan for Trouble {
+    fn gateway(&self, at: Duration, number: usize) -> Access {
+        let is_meant = self.rejected.as_ref().is_none_or(|set| set.contains(&number));
+        if self.is_on(at) && is_meant { self.access } else { Access::Served }
+    }
+
+    fn servers(&self, at: Duration) -> Access {
+        let is_meant = self.rejected.is_none();
+        if self.is_on(at) && is_meant { self.access } else { Access::Served }
+    }
+
+    fn cuts(&self, at: Duration) -> bool {
+        let every = self.cut_every.map(|every| every.as_millis());
+        every.is_some_and(|every| at.as_millis() % every < TICK.as_millis())
+    }
+}
+
+/// Plays a removal 0.4 s after the trouble begins; returns the latest use of the server by a gateway that
+/// the store serves.
+fn latest_use(world: &mut World, trouble: &Trouble) -> Duration {
+    let mut latest = Duration::ZERO;
+    let mut is_removed = false;
+    while world.elapsed() < TROUBLE_AT + Duration::from_secs(6) {
+        world.step(trouble);
+        if !is_removed && world.elapsed() >= TROUBLE_AT + Duration::from_millis(400) {
+            world.remove(0);
+            is_removed = true;
+        }
+        for n in 0..world.len() {
+            let is_cut_off = trouble.rejected.as_ref().is_some_and(|set| set.contains(&n));
+            latest = latest.max(world.late_use(n, 0).filter(|_| !is_cut_off).unwrap_or_default());
+        }
+    }
+    latest
+}
+
+/// Asserts that a removed server is left in time by the gateways that the store serves, while it treats a third
+/// of all in another way; `rejected` chooses those by the size of the fleet, its groups and a seed.
+fn assert_left_in_time(rejected: impl Fn(usize, usize, u64) -> BTreeSet<usize>) {
+    for (gateways, groups) in FLEETS {
+        for (seed, access) in (0..6).zip([Access::Silent, Access::Rejected].into_iter().cycle()) {
+            let mut world = World::new(gateways, groups, SERVERS, seed);
+            let rejected = Some(rejected(gateways, groups, seed));
+            let time = Duration::from_secs(5);
+            let trouble = Trouble { access, rejected, time, cut_every: None };
+            let latest = latest_use(&mut world, &trouble);
+            assert!(latest <= DRAIN, "{gateways} gateways, seed {seed}, {access:?}: {latest:?}");
+        }
+    }
+}
+
+/// Guards against gateways in touch with the store that keep a removed server while it rejects others, the ones
+/// that follow it for all.
+#[test]
+fn a_removed_server_is_left_in_time_while_the_store_rejects_some_gateways() {
+    assert_left_in_time(|gateways, groups, seed| {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let followers = 0..groups * LEADERS_PER_ZONE;
+        let others = followers.end..gateways;
+        followers.chain(others.filter(|_| rng.random_bool(0.3))).collect()
+    });
+}
+
+/// Guards against a zone whose gateways wait for each other while the store rejects the highest-ranked third.
+#[test]
+fn a_removed_server_is_left_in_time_while_the_store_rejects_the_highest_ranked_gateways() {
+    assert_left_in_time(|gateways, _, _| (0..(gateways / 3).max(LEADERS_PER_ZONE)).collect());
+}
+
+/// Guards against a removed server that is kept as long as watches are cut.
+#[test]
+fn a_removed_server_is_left_in_time_while_watches_are_cut() {
+    for (gateways, groups) in FLEETS {
+        for ms in [200, 700, 1_500] {
+            let mut world = World::new(gateways, groups, SERVERS, ms);
+            let cut_every = Some(Duration::from_millis(ms));
+            let (access, rejected, time) = (Access::Served, None, Duration::ZERO);
+            let trouble = Trouble { access, rejected, time, cut_every };
+            let latest = latest_use(&mut world, &trouble);
+            assert!(latest <= DRAIN, "{gateways} gateways, cut every {ms} ms: {latest:?}");
+        }
+    }
+}
+
+/// Guards against servers that only lapsed and are not used any more, in an outage and until they have
+/// registered again.
+#[test]
+fn servers_that_lapse_in_an_outage_stay_in_use() {
+    let mut lapses = 0;
+    for (gateways, groups) in FLEETS {
+        for (seed, access) in (0..6).zip([Access::Silent, Access::Rejected].into_iter().cycle()) {
+            for seconds in [2, 5] {
+                let mut world = World::new(gateways, groups, SERVERS, seed);
+                let time = Duration::from_secs(seconds);
+                let trouble = Trouble { access, rejected: None, time, cut_every: None };
+                while world.elapsed() < TROUBLE_AT + time + Duration::from_secs(4) {
+                    world.step(&trouble);
+                    for n in 0..gateways {
+                        let unused = (0..SERVERS).find(|s| !world.uses(n, *s));
+                        let at = world.elapsed();
+                        assert_eq!(
+                            unused, None,
+                            "{gateways}: gateway {n}, seed {seed}, {at:?} of {time:?}"
+                        );
+                    }
+                }
+                lapses += world.lapses();
+            }
+        }
+    }
+    assert!(lapses > 100, "{lapses} registrations lapsed");
+}
--- a/crates/router/tests/roster.rs
+++ b/crates/router/tests/roster.rs
@@ -226,6 +226,22 @@
     assert_eq!(ready(&registry), 1);
 }
 
+/// Guards against a server that stays in use for as long as the store is not trusted.
+#[test]
+fn a_server_that_vanished_is_kept_until_its_deadline() {
+    let mut registry = ServerRegistry::default();
+    registry.replace(vec![registered(1, 1), registered(2, 2)], 2.into(), true);
+    registry.apply(removed(1, 3), false);
+    let deadline = Timestamp::from_millis(5_000);
+    registry.keep_until(&name(1), deadline);
+    // A registered server has no deadline, and a later one does not replace an earlier one.
+    registry.keep_until(&name(2), deadline);
+    registry.keep_until(&name(1), Timestamp::NEVER);
+    assert!(registry.remove_overdue(Timestamp::from_millis(4_999)).is_empty());
+    assert_eq!(registry.remove_overdue(deadline), vec![name(1)]);
+    assert_eq!(ready(&registry), 1);
+}
+
 #[test]
 fn a_leaving_server_is_removed_even_in_a_store_outage() {
     let mut registry = ServerRegistry::default();
--- a/crates/standins/src/fleet/store.rs
+++ b/crates/standins/src/fleet/store.rs
@@ -75,6 +75,8 @@
     price: Cell<u64>,
     /// Watches that wait for changes now.
     open_watches: Rc<Cell<usize>>,
+    /// Rises each time that the waiting watches are cut.
+    cuts: Cell<u64>,
 }
 
 impl Store {
@@ -94,6 +96,11 @@
         self.fault.set(fault);
     }
 
+    /// Cuts the watches that wait now.
+    pub fn cut_watches(&self) {
+        self.cuts.set(self.cuts.get() + 1);
+    }
+
     /// Limits the bodies of later answers to `rate` bytes a second, as over a slow link.
     pub fn limit_bandwidth(&self, rate: usize) {
         self.rate.set(Some(rate));
@@ -240,8 +247,11 @@
     async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> (u16, Vec<u8>) {
         let end = Instant::now() + wait;
         let _open = OpenWatch::count(&self.open_watches);
-        let era = self.era.get();
+        let (era, cuts) = (self.era.get(), self.cuts.get());
         loop {
+            if self.cuts.get() != cuts {
+                return (503, Vec::new());
+            }
             match self.fault.get() {
                 Fault::None => {}
                 Fault::Deaf => return std::future::pending().await,
--- a/crates/standins/tests/leaving.rs
+++ b/crates/standins/tests/leaving.rs
@@ -205,6 +205,50 @@
     });
 }
 
+/// Guards against a cut watch that is taken for an outage of the store, after which no removal is trusted.
+///
+/// Watches were cut every 1.5 s. Requests went to servers until they ended, 3 s after their removal.
+#[test]
+fn cut_watches_do_not_keep_a_removed_server_in_use() {
+    let spec = FleetSpec { gateways: 2, prefill_engines: 2, ..FleetSpec::default() };
+    with_fleet(spec, async |fleet| {
+        compio::time::sleep(SECOND).await;
+        assert!(prefills_at_first_engine(fleet, "before", 10).await > 0, "the engine is used");
+        cut_watches_for(&fleet.store, SECOND * 3).await;
+        let removed = fleet.backends[0].server.borrow().clone();
+        fleet.store.unregister(&removed);
+        cut_watches_for(&fleet.store, LEAVING_BOUND).await;
+        assert_eq!(
+            prefills_at_first_engine(fleet, "after", 10).await,
+            0,
+            "prompts were sent to an engine that was removed"
+        );
+    });
+}
+
+/// The same for a single cut just before the removal.
+#[test]
+fn a_watch_cut_just_before_a_removal_does_not_keep_the_server_in_use() {
+    let spec = FleetSpec { gateways: 1, prefill_engines: 2, ..FleetSpec::default() };
+    with_fleet(spec, async |fleet| {
+        compio::time::sleep(SECOND).await;
+        fleet.store.cut_watches();
+        compio::time::sleep(SECOND / 20).await;
+        let removed = fleet.backends[0].server.borrow().clone();
+        fleet.store.unregister(&removed);
+        compio::time::sleep(LEAVING_BOUND).await;
+        assert_eq!(prefills_at_first_engine(fleet, "after", 10).await, 0);
+    });
+}
+
+/// Cuts the waiting watches every half second.
+async fn cut_watches_for(store: &store::Store, time: Duration) {
+    for _ in 0..time.as_millis() / 500 {
+        store.cut_watches();
+        compio::time::sleep(SECOND / 2).await;
+    }
+}
+
 /// Runs `body` with a gateway that follows two peers instead of the store; they have no updates yet.
 fn with_peers(body: impl AsyncFnOnce(&Fleet, &[Rc<Peer>])) {
     let spec = FleetSpec { gateways: 0, prefill_engines: 2, ..FleetSpec::default() };
