Registry: a gateway that listed everything passes on its whole list where it saw no changes

A removed server could stay in use at a gateway for good.

Cause: a gateway that has just started, or listed everything again, knows no removals from before its list. It answered peers that were behind with changes since their revision, without those removals, and they took the new revision for complete. By reading, while looking for beliefs about removals without their store state; not seen in a record.

Evidence: a_gateway_that_has_just_started_passes_on_its_whole_list failed before (the removed server is still known). For a list read again, a_gateway_that_lists_again_...: a server that came and went between two lists.

Why it works: ranges of revisions that a list skipped are remembered; a peer whose revision lies within one gets the whole list.

--- a/crates/router/src/registry.rs
+++ b/crates/router/src/registry.rs
@@ -82,6 +82,9 @@
     removed: HashMap<String, Revision>,
     /// Removals up to this revision may have been dropped.
     dropped_revision: Revision,
+    /// Ranges of revisions that were skipped by a complete list: what was registered and removed within
+    /// one was never seen.
+    skipped: Vec<(Revision, Revision)>,
     /// Incarnations that announced themselves that they are leaving.
     leaving: BTreeSet<ServerId>,
     /// Incarnations that are gone and had announced that they leave.
@@ -94,6 +97,8 @@
 /// Highest number of removals remembered: ids are never reused, and a delayed registration arrives
 /// within seconds.
 const REMOVED_MAX: usize = 4_096;
+/// Highest number of skipped ranges remembered: complete lists are rare.
+const SKIPPED_MAX: usize = 16;
 /// Number of leaving announcements after which those of unregistered incarnations are dropped.
 const LEAVING_MAX: usize = 4_096;
 /// Highest number of departures remembered: work on a server is given up within seconds of its end.
@@ -131,9 +136,11 @@
         if revision.era() < self.revision.era() {
             return effects;
         }
+        let before = self.revision;
         if revision.era() > self.revision.era() {
             self.begin_era(revision);
         }
+        self.skip(before, revision);
         let named: HashSet<&str> = list.iter().map(|c| c.name.as_str()).collect();
         let missing: Vec<String> = self
             .known
@@ -315,12 +322,15 @@
     }
 
     /// Returns the changes after a revision, for another gateway; `None` when removals since then
-    /// may have been dropped.
+    /// may have been dropped, or were never seen.
     pub fn since(&self, after: Revision) -> Option<Vec<Change>> {
         let is_older_era = after.era() < self.revision.era();
         if after < self.dropped_revision || after.is_zero() || is_older_era {
             return None;
         }
+        if self.skipped.iter().any(|(from, to)| *from < after && after < *to) {
+            return None;
+        }
         let removed = self.removed.iter().filter(|(_, revision)| **revision > after);
         let removed = removed.map(|(name, revision)| Change {
             name: name.clone(),
@@ -355,6 +365,18 @@
         self.revision = revision;
     }
 
+    /// Remembers that changes between two revisions were not seen.
+    fn skip(&mut self, from: Revision, to: Revision) {
+        if from >= to {
+            return;
+        }
+        if self.skipped.len() >= SKIPPED_MAX {
+            let (_, end) = self.skipped.remove(0);
+            self.dropped_revision = self.dropped_revision.max(end);
+        }
+        self.skipped.push((from, to));
+    }
+
     fn register(&mut self, name: String, server: Server, revision: Revision) -> Effect {
         let effect = match self.known.get(&name) {
             Some(k) if k.revision > revision => return Effect::Stale,
--- a/crates/router/tests/roster.rs
+++ b/crates/router/tests/roster.rs
@@ -259,6 +259,38 @@
     assert_eq!(ready(&registry), 2);
 }
 
+/// Guards against a removal that a peer never saw, as it started later, and so does not pass on: its changes
+/// since the older revision would be complete without it.
+#[test]
+fn a_gateway_that_has_just_started_passes_on_its_whole_list() {
+    let mut peer = ServerRegistry::default();
+    peer.replace(vec![registered(1, 1), registered(2, 2)], 2.into(), true);
+    // The first server is removed at revision 3; the gateway starts after that.
+    let mut started = ServerRegistry::default();
+    started.replace(vec![registered(2, 2), registered(3, 4)], 4.into(), true);
+    match started.since(peer.revision()) {
+        Some(changes) => peer.catch_up(changes, started.revision(), true),
+        None => peer.replace(started.changes(), started.revision(), true),
+    };
+    assert_eq!(peer.named(&name(1)), None, "a removed server stays in use for good");
+    // What it sees itself from then on, it passes on as changes.
+    started.apply(removed(2, 5), true);
+    assert_eq!(started.since(4.into()).map(|changes| changes.len()), Some(1));
+}
+
+/// The same for a gateway that lists everything again and never sees what came and went meanwhile.
+#[test]
+fn a_gateway_that_lists_again_passes_on_its_whole_list_for_what_it_skipped() {
+    let mut behind = ServerRegistry::default();
+    behind.replace(vec![registered(1, 1), registered(2, 2)], 2.into(), true);
+    let mut peer = behind.clone();
+    peer.apply(registered(3, 3), true);
+    // The third server is gone again before the list.
+    behind.replace(vec![registered(1, 1), registered(2, 2)], 5.into(), true);
+    assert_eq!(behind.since(3.into()), None);
+    assert_eq!(behind.since(2.into()), Some(Vec::new()), "who saw as much misses nothing");
+}
+
 #[test]
 fn a_list_does_not_remove_servers_that_registered_after_it() {
     let mut registry = ServerRegistry::default();
