Answers: bytes that are no answer and do not end are given up, by size, by pieces and by time

Callers of a gateway whose server sent bytes without an end would have waited until their deadline, and the gateway's memory would have grown at the rate of its link until the platform ended it.

Cause: bodies of answers were collected whole with only a time limit: of calls, of the gateway's own calls, of liveness checks. A stream kept bytes that complete no event, searched them from the start each time, took any bytes before a blank line for an event, and counted each byte as a sign of life. The rest of a stopped run was read for as long as bytes came. Interim answers were skipped for as long as they came. A rejection, known from its head, was read to its end.

An event is UTF-8 text of 256 kB at most; bytes that complete none for the stall timeout end the attempt, and another engine continues.

--- a/crates/daemon/src/gateway/pool.rs
+++ b/crates/daemon/src/gateway/pool.rs
@@ -9,23 +9,29 @@
 use std::error::Error;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use compio::net::TcpStream;
 use compio::runtime::JoinHandle;
 use cyper_core::HyperStream;
 use ebonyloft_core::time::Timestamp;
 use ebonyloft_platform::headers;
 use ebonyloft_router::correlation::{Correlation, Exchange};
+use futures_channel::mpsc;
+use futures_util::StreamExt;
+use futures_util::future::{Either, select};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
+use hyper::ext::on_informational;
 use hyper::header::CONNECTION;
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use snafu::Snafu;
 
+use super::answer_body::{self, AnswerBuffer, AnswerMemory, CALL_MAX, TRUSTED_MAX};
 use crate::clock::Clock;
 use crate::http::is_framed;
 
@@ -44,6 +50,10 @@
 /// A body that takes longer than this after its head is logged, since other data on the same link
 /// is delayed too.
 const BODY_SLOW: Duration = Duration::from_millis(100);
+/// Interim answers that an exchange may have.
+const INTERIM_MAX: usize = 16;
+/// Most bytes of an answer that are read at a time, and so the longest head.
+const READ_BUFFER_MAX: usize = 64 << 10;
 /// Idle connections kept per address.
 const IDLE_PER_ADDR: usize = 16;
 /// How long connections to an address that sent a stray answer are not reused.
@@ -143,8 +153,22 @@
     }
 
     async fn send(&mut self, req: Request<Bytes>) -> Result<Response<Incoming>, ExchangeError> {
-        let req = req.map(Full::new);
-        match self.sender.try_send_request(req).await {
+        let mut req = req.map(Full::new);
+        let (interim_sender, interim) = mpsc::unbounded();
+        on_informational(&mut req, move |_| {
+            // Fails once the exchange is given up.
+            let _ = interim_sender.unbounded_send(());
+        });
+        let sent = pin!(self.sender.try_send_request(req));
+        let result = match select(sent, interim.skip(INTERIM_MAX).into_future()).await {
+            Either::Left((result, _)) => result,
+            Either::Right(((None, _), sent)) => sent.await,
+            Either::Right(((Some(()), _), _)) => {
+                tracing::warn!(addr = %self.addr, "answer given up: interim answers do not end");
+                return Err(ExchangeError::Lost);
+            }
+        };
+        match result {
             Ok(response) => Ok(response),
             Err(mut e) => Err(match e.take_message() {
                 Some(_) => ExchangeError::Unsent,
@@ -202,6 +226,7 @@
     conn: Conn,
     response: Response<Incoming>,
     head_at: Timestamp,
+    body: AnswerBuffer,
 }
 
 impl PendingAnswer {
@@ -225,6 +250,7 @@
     strays: Rc<Strays>,
     /// Connections opened so far.
     opened: Cell<u64>,
+    answers: AnswerMemory,
 }
 
 impl Pool {
@@ -236,9 +262,15 @@
             retired: RefCell::default(),
             strays: Rc::default(),
             opened: Cell::default(),
+            answers: AnswerMemory::default(),
         }
     }
 
+    /// Memory of the answers of servers that are being read.
+    pub fn answers(&self) -> &AnswerMemory {
+        &self.answers
+    }
+
     /// A connection that may carry the exchange and was idle for at most `idle_max`, or a new one.
     pub async fn take(
         &self,
@@ -366,7 +398,11 @@
     ) -> Result<PendingAnswer, ExchangeError> {
         let started = compio::time::timeout(limit, self.begin_exchange(addr, req, exchange)).await;
         let (conn, response) = started.unwrap_or(Err(ExchangeError::Lost))?;
-        Ok(PendingAnswer { conn, response, head_at: self.clock.now() })
+        let body = match exchange {
+            Exchange::Trusted => AnswerBuffer::trusted(TRUSTED_MAX),
+            _ => self.answers.begin(CALL_MAX),
+        };
+        Ok(PendingAnswer { conn, response, head_at: self.clock.now(), body })
     }
 
     /// Second half of a call: reads the body; `limit` applies to each part. A limit on the whole
@@ -377,9 +413,8 @@
         pending: PendingAnswer,
         limit: Duration,
     ) -> Result<(StatusCode, Bytes), ExchangeError> {
-        let PendingAnswer { conn, response, head_at } = pending;
+        let PendingAnswer { conn, response, head_at, mut body } = pending;
         let status = response.status();
-        let mut body = BytesMut::new();
         let read =
             compio::time::timeout(BODY_TIMEOUT, read_body(response.into_body(), limit, &mut body));
         let read = read.await.unwrap_or(Err(ExchangeError::Lost));
@@ -390,7 +425,7 @@
         }
         read?;
         self.put_back(conn);
-        Ok((status, body.freeze()))
+        Ok((status, body.close()))
     }
 
     /// Calls an address over a new connection, to see whether a server answers there.
@@ -408,7 +443,7 @@
             return Reachability::Broken;
         };
         let (parts, body) = response.into_parts();
-        if body.collect().await.is_ok() {
+        if answer_body::read(body, self.answers.begin(CALL_MAX)).await.is_some() {
             self.put_back(conn);
         }
         Reachability::Answered(parts.status, parts.headers)
@@ -479,7 +514,8 @@
         // Without it small writes wait for acknowledgements; a failure to set it is harmless.
         let _ = stream.set_nodelay(true);
         let io = HyperStream::new_plain(stream);
-        let (sender, conn) = http1::handshake(io).await.map_err(|_| ExchangeError::Unsent)?;
+        let handshake = http1::Builder::new().max_buf_size(READ_BUFFER_MAX).handshake(io).await;
+        let (sender, conn) = handshake.map_err(|_| ExchangeError::Unsent)?;
         let (strays, clock) = (self.strays.clone(), self.clock);
         let watch = ConnWatch::default();
         let state = watch.0.clone();
@@ -516,14 +552,14 @@
 async fn read_body(
     mut body: Incoming,
     limit: Duration,
-    bytes: &mut BytesMut,
+    bytes: &mut AnswerBuffer,
 ) -> Result<(), ExchangeError> {
     loop {
         match compio::time::timeout(limit, body.frame()).await {
             Ok(None) => return Ok(()),
             Ok(Some(Ok(frame))) => {
-                if let Ok(data) = frame.into_data() {
-                    bytes.extend_from_slice(&data);
+                if frame.into_data().is_ok_and(|data| !bytes.push(&data)) {
+                    return Err(ExchangeError::Lost);
                 }
             }
             Ok(Some(Err(_))) | Err(_) => return Err(ExchangeError::Lost),
--- a/crates/daemon/src/gateway/send.rs
+++ b/crates/daemon/src/gateway/send.rs
@@ -10,11 +10,11 @@
 use ebonyloft_router::correlation::Exchange;
 use ebonyloft_router::outcome::{AttemptOutcome, Reply};
 use ebonyloft_router::response_head;
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::{HeaderMap, Request, Response, StatusCode};
 
 use super::announcements;
+use super::answer_body::{self, ANSWER_MAX};
 use super::engine_life::EngineLife;
 use super::intake::Intake;
 use super::keys;
@@ -27,6 +27,11 @@
 use super::speeds;
 use crate::http;
 
+/// Largest body of a rejection that is read, in bytes.
+const REJECTION_MAX: usize = 64 << 10;
+/// Time in which the body of a rejection must arrive.
+const REJECTION_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// The head of an answer, and the connection that its body arrives on.
 pub struct Head {
     /// What its status and headers say.
@@ -230,14 +235,15 @@
             watch: conn.watch(),
         });
         let is_framed = http::is_framed(response.headers());
-        let body = match response.into_body().collect().await {
-            Ok(body) => body.to_bytes(),
-            // A rejection is known from its head alone.
-            Err(_) if outcome == AttemptOutcome::Rejected || outcome == AttemptOutcome::Moved => {
-                Bytes::new()
-            }
-            Err(_) => return Err(AttemptOutcome::Lost),
-        };
+        let body = response.into_body();
+        // A rejection is known from its head alone.
+        if outcome == AttemptOutcome::Rejected || outcome == AttemptOutcome::Moved {
+            drain_rejection(shared, conn, body).await;
+            let body = Bytes::new();
+            return Ok((outcome, CompleteAnswer { status, headers, body, reply, origin }));
+        }
+        let buffer = shared.pool.answers().begin(ANSWER_MAX);
+        let body = answer_body::read(body, buffer).await.ok_or(AttemptOutcome::Lost)?;
         if outcome.verdict() == Verdict::MayHaveRun
             && has_second_answer(intake, to, is_framed, &body)
         {
@@ -257,6 +263,15 @@
     }
 }
 
+/// Reads the body of a rejection, so that its connection can be used again; one that does not end is closed.
+async fn drain_rejection(shared: &Shared, conn: Conn, body: Incoming) {
+    let read = answer_body::read(body, shared.pool.answers().begin(REJECTION_MAX));
+    match compio::time::timeout(REJECTION_TIMEOUT, read).await {
+        Ok(Some(_)) => shared.pool.put_back(conn),
+        _ => conn.close(),
+    }
+}
+
 /// Does another answer follow in the body of one that ends with its connection?
 pub fn has_second_answer(intake: &Intake, from: &Server, is_framed: bool, body: &[u8]) -> bool {
     let follows = !is_framed && response_head::follows_in(body);
--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -36,7 +36,6 @@
 use ebonyloft_router::wasted_prefill::WastedPrefill;
 use ebonyloft_router::zones::{ServiceCapacity, UrgentCapacity};
 use futures_channel::oneshot;
-use http_body_util::BodyExt;
 use hyper::Response;
 
 use self::relay::RelayEnd;
@@ -45,6 +44,7 @@
 use self::urgency::UrgencySnapshot;
 use super::announcements;
 use super::answer::{self, Body, Cause};
+use super::answer_body::{self, ANSWER_MAX};
 use super::call;
 use super::intake::Intake;
 use super::keys;
@@ -478,12 +478,12 @@
     let Head { reply, response, conn, .. } = head;
     let (status, headers) = (response.status(), headers::forwarded_to_caller(response.headers()));
     let is_framed = http::is_framed(response.headers());
-    let read = compio::time::timeout(STALL_TIMEOUT, response.into_body().collect()).await;
-    let Ok(Ok(body)) = read else {
+    let buffer = shared.pool.answers().begin(ANSWER_MAX);
+    let read = answer_body::read(response.into_body(), buffer);
+    let Ok(Some(body)) = compio::time::timeout(STALL_TIMEOUT, read).await else {
         conn.close();
         return None;
     };
-    let body = body.to_bytes();
     if send::has_second_answer(intake, server, is_framed, &body) {
         conn.close();
         return None;
--- a/crates/daemon/src/gateway/stream/incoming.rs
+++ b/crates/daemon/src/gateway/stream/incoming.rs
@@ -16,7 +16,6 @@
 use ebonyloft_router::stream_origin::Origin;
 use futures_channel::oneshot;
 use futures_util::future::{Either, select};
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 
@@ -33,6 +32,8 @@
 /// How many times its expected length an answer may take before it counts as ended: if the release
 /// is lost, the memory must not be counted for long.
 const LENGTH_FACTOR_MAX: f64 = 3.0;
+/// Largest request for a reservation, in bytes.
+const REQUEST_MAX: usize = 1 << 20;
 /// Added to that, for reading the prompt and for slow engines.
 const EXTRA_TIME: Duration = Duration::from_secs(2);
 
@@ -62,10 +63,10 @@
         return http::response(status, "text/plain", http::full_body(""));
     }
     let refused = |status| http::response(status, "text/plain", http::full_body(""));
-    let Ok(body) = body.collect().await else {
+    let Some(body) = http::read_body(body, REQUEST_MAX).await else {
         return refused(StatusCode::BAD_REQUEST);
     };
-    let Ok(request) = ciborium::from_reader::<ReservationRequest, _>(&body.to_bytes()[..]) else {
+    let Ok(request) = ciborium::from_reader::<ReservationRequest, _>(&body[..]) else {
         return refused(StatusCode::BAD_REQUEST);
     };
     // A task of its own releases what it counted even if the other gateway disconnects.
--- a/crates/daemon/src/gateway/stream/relay.rs
+++ b/crates/daemon/src/gateway/stream/relay.rs
@@ -18,7 +18,7 @@
 use super::migration::{self, CallResult, Handover};
 use super::response::ResponseStream;
 use super::state::StreamState;
-use super::{prefill, tokens_per_event, wasted_prefill, with_stall_timeout};
+use super::{STALL_TIMEOUT, prefill, tokens_per_event, wasted_prefill, with_stall_timeout};
 use crate::gateway::intake::Intake;
 use crate::gateway::origins::records;
 use crate::gateway::part_blame;
@@ -85,6 +85,12 @@
                 {
                     last_call = migration::on_event(shared, intake, relay.state);
                 }
+                if relay.splitter.is_ended() || relay.is_stalled() {
+                    let bytes = relay.splitter.incomplete().len();
+                    tracing::warn!(id = intake.id(), bytes, "stream given up: no events any more");
+                    conn.close();
+                    return RelayEnd::Outcome(AttemptOutcome::Lost);
+                }
             }
             closed => {
                 let has_ended = matches!(closed, Some(None)) && !relay.splitter.is_partial();
@@ -152,13 +158,25 @@
 impl Relay<'_> {
     /// Relays what is left of a stream whose run was stopped.
     async fn relay_rest(&mut self, body: &mut Incoming) {
-        while let Ok(Some(Ok(frame))) = compio::time::timeout(CLOSE_TIMEOUT, body.frame()).await {
-            if let Ok(bytes) = frame.into_data() {
-                self.relay_chunk(&bytes).await;
+        let mut until = self.shared.now().after(CLOSE_TIMEOUT);
+        while !self.splitter.is_ended() {
+            let left = until.since(self.shared.now());
+            let Ok(Some(Ok(frame))) = compio::time::timeout(left, body.frame()).await else {
+                return;
+            };
+            if let Ok(bytes) = frame.into_data()
+                && self.relay_chunk(&bytes).await
+            {
+                until = self.shared.now().after(CLOSE_TIMEOUT);
             }
         }
     }
 
+    /// Have bytes come for long without an event that they complete? Silence is bounded elsewhere.
+    fn is_stalled(&self) -> bool {
+        self.intake.is_repeatable() && self.shared.now() >= self.waiting_since.after(STALL_TIMEOUT)
+    }
+
     /// Relays the events that the bytes complete; true if there are any.
     async fn relay_chunk(&mut self, bytes: &Bytes) -> bool {
         let events = self.splitter.push(bytes);
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -2,20 +2,30 @@
 //!
 //! A backend server may stop in the middle of an event. Only complete events are passed on, so that another
 //! server can continue the stream.
+//!
+//! A faulty one may send bytes that are no events for as long as they are read. An event is text and has
+//! a largest size; what is neither ends the stream.
 
 use crate::response_head;
 
+/// Longest end of an event: the last line's, and a blank line with two bytes.
+const EVENT_END_MAX: usize = 3;
 /// Names of the fields of an event.
 const FIELDS: [&[u8]; 4] = [b"data", b"event", b"id", b"retry"];
 
+/// Largest event, in bytes.
+pub const EVENT_MAX: usize = 256 << 10;
+
 /// Splits a stream into complete events.
 #[derive(Clone, Debug, Default)]
 pub struct Splitter {
     buffer: Vec<u8>,
     last: Option<u64>,
     count: u64,
-    /// The head of another response has come in place of an event.
+    /// Something that is no event has come: the head of another response, or bytes without meaning.
     is_ended: bool,
+    /// Number of bytes at the start of the buffer in which no event ends.
+    searched: usize,
 }
 
 impl Splitter {
@@ -25,7 +35,8 @@
     }
 
     /// Adds bytes and returns the events that they complete, concatenated. Events that were already passed on
-    /// are skipped. Nothing is returned from the head of another response on.
+    /// are skipped. Nothing is returned from the head of another response, or other bytes that are no event,
+    /// on.
     pub fn push(&mut self, bytes: &[u8]) -> Vec<u8> {
         if self.is_ended {
             return Vec::new();
@@ -33,9 +44,10 @@
         self.buffer.extend_from_slice(bytes);
         let mut out = Vec::new();
         let mut start = 0;
-        while let Some(len) = event_len(&self.buffer[start..]) {
+        while let Some(len) = event_len(&self.buffer[start..], self.searched) {
+            self.searched = 0;
             let event = &self.buffer[start..start + len];
-            if contains_head(event) {
+            if contains_head(event) || len > EVENT_MAX || std::str::from_utf8(event).is_err() {
                 self.is_ended = true;
                 break;
             }
@@ -48,9 +60,17 @@
             start += len;
         }
         self.buffer.drain(..start);
+        self.is_ended |= self.buffer.len() > EVENT_MAX;
+        // The end of an event is up to three bytes long, which may arrive apart.
+        self.searched = self.buffer.len().saturating_sub(EVENT_END_MAX);
         out
     }
 
+    /// Has something come that is no event? The rest of the stream is ignored.
+    pub fn is_ended(&self) -> bool {
+        self.is_ended
+    }
+
     /// Id of the last complete event.
     pub fn last_id(&self) -> Option<u64> {
         self.last
@@ -74,13 +94,14 @@
     /// Drops the incomplete event; the next stream sends it again from its start.
     pub fn discard_incomplete(&mut self) {
         self.buffer.clear();
+        self.searched = 0;
         self.is_ended = false;
     }
 }
 
-/// Length of the first event including its blank line, if it is complete.
-fn event_len(bytes: &[u8]) -> Option<usize> {
-    let mut i = 0;
+/// Length of the first event including its blank line, if it is complete; none ends within `searched` bytes.
+fn event_len(bytes: &[u8], searched: usize) -> Option<usize> {
+    let mut i = searched.min(bytes.len());
     while let Some(at) = bytes[i..].iter().position(|b| *b == b'\n') {
         let next = i + at + 1;
         match &bytes[next..] {
--- a/crates/router/tests/events.rs
+++ b/crates/router/tests/events.rs
@@ -1,6 +1,6 @@
 //! Complete events from bytes that are cut at any position.
 
-use ebonyloft_router::events::Splitter;
+use ebonyloft_router::events::{EVENT_MAX, Splitter};
 use proptest::prelude::*;
 
 fn stream(ids: std::ops::Range<u64>) -> Vec<u8> {
@@ -101,3 +101,33 @@
     splitter.discard_incomplete();
     assert_eq!(splitter.push(b"id: 2\ndata: y\n\n"), b"id: 2\ndata: y\n\n");
 }
+
+/// Guards against bytes that complete no event and are kept for as long as they come.
+#[test]
+fn an_event_without_an_end_ends_the_stream() {
+    let mut splitter = Splitter::default();
+    splitter.push(b"id: 1\ndata: a\n\n");
+    let piece = [b'x'; 1_000];
+    for _ in 0..=EVENT_MAX / piece.len() {
+        assert!(splitter.push(&piece).is_empty());
+    }
+    assert!(splitter.is_ended());
+    let kept = splitter.incomplete().len();
+    assert!(splitter.push(b"\n\nid: 2\ndata: b\n\n").is_empty());
+    assert_eq!(splitter.incomplete().len(), kept);
+    // Another server resumes.
+    splitter.discard_incomplete();
+    assert_eq!(splitter.push(b"id: 2\ndata: b\n\n"), b"id: 2\ndata: b\n\n");
+}
+
+/// Guards against bytes that are no text and look like events because blank lines are among them.
+#[test]
+fn bytes_that_are_no_text_are_no_event() {
+    let mut splitter = Splitter::default();
+    assert!(splitter.push(b"\xff\xfe\n\n").is_empty());
+    assert!(splitter.is_ended() && splitter.is_partial());
+    let mut splitter = Splitter::default();
+    let text = "id: 1\ndata: señal\n\n".as_bytes();
+    let out: Vec<u8> = text.iter().flat_map(|byte| splitter.push(&[*byte])).collect();
+    assert_eq!(out, text, "a character may arrive in parts");
+}
--- a/crates/standins/src/fleet/unframed.rs
+++ b/crates/standins/src/fleet/unframed.rs
@@ -1,9 +1,10 @@
 //! A relay in front of a backend server that removes the framing of its answers: they have neither a length
-//! nor chunks, and end with their connection.
+//! nor chunks, and end with their connection, or do not end.
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use compio::BufResult;
 use compio::io::{AsyncRead, AsyncWriteExt};
@@ -16,6 +17,19 @@
 /// Blank line after the last event of a part that may be sent.
 const EVENT_END: &[u8] = b"\n\n";
 
+/// Bytes that are sent again and again until the caller closes the connection.
+#[derive(Clone, Debug, Default)]
+pub struct Flood {
+    /// Sent once before them.
+    pub start: Vec<u8>,
+    /// The bytes.
+    pub bytes: Vec<u8>,
+    /// Pause after each time.
+    pub pause: Duration,
+    /// They come in place of the head.
+    pub replaces_head: bool,
+}
+
 /// How answers end.
 #[derive(Clone, Debug, Default)]
 pub struct Ending {
@@ -27,6 +41,8 @@
     pub tail: Vec<u8>,
     /// The connection is reset at the end instead of closed.
     pub reset: bool,
+    /// They do not end.
+    pub flood: Option<Flood>,
 }
 
 /// A running relay.
@@ -37,6 +53,9 @@
     pub calls: Rc<RefCell<Ending>>,
     /// Number of answers sent.
     pub answers: Rc<Cell<usize>>,
+    /// Bytes of floods sent, and the number of floods that go on.
+    pub flooded: Rc<Cell<usize>>,
+    pub open_floods: Rc<Cell<usize>>,
     _accept_loop: JoinHandle<()>,
 }
 
@@ -51,10 +70,17 @@
         let (requests, calls) =
             (Rc::<RefCell<Ending>>::default(), Rc::<RefCell<Ending>>::default());
         let answers = Rc::<Cell<usize>>::default();
-        let endings = Endings { requests: requests.clone(), calls: calls.clone(), prefixes };
+        let (flooded, open_floods) = (Rc::<Cell<usize>>::default(), Rc::<Cell<usize>>::default());
+        let endings = Endings {
+            requests: requests.clone(),
+            calls: calls.clone(),
+            prefixes,
+            flooded: flooded.clone(),
+            open_floods: open_floods.clone(),
+        };
         let accept_loop = accept_loop(listener, target, endings, answers.clone());
         let _accept_loop = compio::runtime::spawn(accept_loop);
-        UnframedRelay { requests, calls, answers, _accept_loop }
+        UnframedRelay { requests, calls, answers, flooded, open_floods, _accept_loop }
     }
 
     /// Sets how answers to callers' requests end.
@@ -73,6 +99,8 @@
     requests: Rc<RefCell<Ending>>,
     calls: Rc<RefCell<Ending>>,
     prefixes: &'static [&'static str],
+    flooded: Rc<Cell<usize>>,
+    open_floods: Rc<Cell<usize>>,
 }
 
 impl Endings {
@@ -119,9 +147,11 @@
     let _ = upstream.set_nodelay(true);
     upstream.write_all(first).await.0?;
     let is_reset = ending.reset;
+    let _open = ending.flood.as_ref().map(|_| OpenFlood::count(&endings.open_floods));
+    let flooded = endings.flooded.clone();
     // The work is cancelled upstream as soon as the client disconnects.
     let requests = std::pin::pin!(forward_requests(client.clone(), upstream.clone()));
-    let answer = std::pin::pin!(forward_answer(upstream, client.clone(), ending));
+    let answer = std::pin::pin!(forward_answer(upstream, client.clone(), ending, &flooded));
     select(requests, answer).await;
     answers.set(answers.get() + 1);
     if is_reset {
@@ -145,7 +175,11 @@
     mut from: TcpStream,
     mut to: TcpStream,
     ending: Ending,
+    flooded: &Cell<usize>,
 ) -> std::io::Result<()> {
+    if let Some(flood) = ending.flood.as_ref().filter(|flood| flood.replaces_head) {
+        return send_flood(&mut to, flood, flooded).await;
+    }
     let mut buffer = Vec::new();
     let head_end = loop {
         let bytes = read(&mut from).await?;
@@ -174,7 +208,43 @@
         Some(length) => forward_length(&mut from, rest, length, &mut body).await?,
         None => forward_chunks(&mut from, rest, &mut body).await?,
     }
-    body.finish().await
+    let flood = body.ending.flood.take();
+    let mut to = body.to.clone();
+    body.finish().await?;
+    match flood {
+        Some(flood) => send_flood(&mut to, &flood, flooded).await,
+        None => Ok(()),
+    }
+}
+
+/// Sends a flood until the connection is closed.
+async fn send_flood(
+    to: &mut TcpStream,
+    flood: &Flood,
+    flooded: &Cell<usize>,
+) -> std::io::Result<()> {
+    to.write_all(flood.start.clone()).await.0?;
+    loop {
+        to.write_all(flood.bytes.clone()).await.0?;
+        flooded.set(flooded.get() + flood.bytes.len());
+        compio::time::sleep(flood.pause).await;
+    }
+}
+
+/// Counts a flood until its connection is closed.
+struct OpenFlood(Rc<Cell<usize>>);
+
+impl OpenFlood {
+    fn count(open: &Rc<Cell<usize>>) -> OpenFlood {
+        open.set(open.get() + 1);
+        OpenFlood(open.clone())
+    }
+}
+
+impl Drop for OpenFlood {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
 }
 
 async fn forward_length(
