Gateway: a stopping process waits for requests that are still being read

Callers of a gateway that was stopped lost requests that it had passed on to a server: the connection was closed without an answer, and a request that may run once could not be repeated.

Cause: the process ended 50 ms after its count of open requests was zero, and a request counts only once its body is read and it is admitted.

Why it works: after connections were told to close, the process waits until all of them are closed, until shortly before the grace period ends. A connection closes once its request has been read and answered, and at once when it is idle. A body that never ends holds the process no longer than that (second test).

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -92,7 +92,7 @@
     pub migration: MigrationSetting,
 }
 
-/// Runs until `stop` resolves and all open requests have ended. `hup` handles the signals that
+/// Runs until `stop` resolves and all open requests have ended, those that are being read as well. `hup` handles the signals that
 /// announce a changed settings file.
 pub async fn run(
     node: Node,
@@ -116,7 +116,8 @@
     stop.await;
     let stopped_at = shared.now();
     shared.stopping.set(Some(stopped_at));
-    tracing::info!(open = shared.open_requests.get(), "stopping");
+    let (open, connections) = (shared.open_requests.get(), shared.open_connections.get());
+    tracing::info!(open, connections, "stopping");
     compio::time::sleep(MIN_SHUTDOWN).await;
     let end = stopped_at.after(node.bounds.grace).before(CUTOFF_MARGIN);
     while shared.open_requests.get() > 0 && shared.now() < end {
@@ -126,7 +127,13 @@
     // are closed first, the others after their answers.
     let _ = close.send(());
     compio::time::sleep(STOP_POLL).await;
-    tracing::info!(open = shared.open_requests.get(), "stopped");
+    // A connection whose request is still being read, or whose answer is being written, closes after the
+    // answer.
+    while shared.open_connections.get() > 0 && shared.now() < end {
+        compio::time::sleep(STOP_POLL).await;
+    }
+    let (open, connections) = (shared.open_requests.get(), shared.open_connections.get());
+    tracing::info!(open, connections, "stopped");
     Ok(())
 }
 
--- a/crates/daemon/src/gateway/shared.rs
+++ b/crates/daemon/src/gateway/shared.rs
@@ -207,6 +207,8 @@
     pub stopping: Cell<Option<Timestamp>>,
     /// Number of requests in progress.
     pub open_requests: Cell<usize>,
+    /// Callers' connections that are open.
+    pub open_connections: Cell<usize>,
     /// Counters and histograms.
     pub metrics: Metrics,
     started_at: Timestamp,
@@ -310,6 +312,7 @@
             stage_changes: RefCell::default(),
             stopping: Cell::default(),
             open_requests: Cell::new(0),
+            open_connections: Cell::new(0),
             metrics,
             started_at: clock.now(),
             rng: RefCell::new(rng),
