--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -23,7 +23,7 @@
 use self::cluster::{
     ACCOUNT_KINDS, BASIC_KINDS, CRASH_KINDS, DRAINING_KINDS, DUPLICATE_KINDS, ENDING_KINDS,
     FOREIGN_PROMPT_KINDS, GENERAL_KINDS, MOVE_KINDS, Plan, RATE_LIMIT_KINDS, REGISTRATION_KINDS,
-    RESPONSE_KINDS, STORE_COPY_KINDS, VERSION_KINDS, run_counted, run_plan,
+    REMOVAL_KINDS, RESPONSE_KINDS, STORE_COPY_KINDS, VERSION_KINDS, run_counted, run_plan,
 };
 
 /// Seeds that failed once, each with the fault that it found.
@@ -35,7 +35,7 @@
 ];
 
 /// Kinds of faults of the plans that each seed plays by hand, one after the other.
-const PLANS: [&[u32]; 12] = [
+const PLANS: [&[u32]; 13] = [
     GENERAL_KINDS,
     DRAINING_KINDS,
     RESPONSE_KINDS,
@@ -48,6 +48,7 @@
     FOREIGN_PROMPT_KINDS,
     MOVE_KINDS,
     STORE_COPY_KINDS,
+    REMOVAL_KINDS,
 ];
 
 fn env_number(name: &str) -> Option<u64> {
@@ -135,6 +136,15 @@
     run_plan(Plan { seed: 34, ..plan });
 }
 
+/// Guards against removed servers that stay in use after watches were cut, and against answers without an end.
+#[test]
+fn removals_and_answers_without_an_end_in_a_short_run() {
+    let faults = Duration::from_secs(8);
+    let plan = Plan { seed: 41, faults, gateways: 4, kinds: REMOVAL_KINDS };
+    let counts = [run_counted(plan), run_counted(Plan { seed: 42, ..plan })];
+    assert!(counts.iter().any(|c| c.removals > 0), "no removal was checked: {counts:?}");
+}
+
 #[test]
 fn seeds_that_failed_keep_the_promises() {
     for (seed, found) in REGRESSION_SEEDS {
--- a/crates/daemon/tests/soak/callers.rs
+++ b/crates/daemon/tests/soak/callers.rs
@@ -61,6 +61,7 @@
             cluster.crash_contents.get(),
             cluster.account_checks.get(),
         );
+        let removals = cluster.removals_checked.get();
         let (served, counted) = (self.served, self.counted);
         let (taken_up, continued) = self.taken_up;
         let (refused, uncertain) = (&self.refused, &self.uncertain);
@@ -72,7 +73,7 @@
         println!(
             "seed {seed}: {served} of {counted} served, {continued} of {taken_up} take-ups went on \
              {refused:?}; run or not is unknown {uncertain:?}; \
-             checked {drains} drains, {crashes} crashing requests, {accounts} keys and quotas"
+             checked {drains} drains, {removals} removals, {crashes} crashing requests, {accounts} keys and quotas"
         );
     }
 
--- a/crates/daemon/tests/soak/cluster.rs
+++ b/crates/daemon/tests/soak/cluster.rs
@@ -101,6 +101,10 @@
 /// stopped and suspended, one by one and all at once, and other faults of the store and of network paths.
 pub const STORE_COPY_KINDS: &[u32] =
     &[0, 0, 1, 1, 2, 3, 4, 5, 6, 8, 10, 13, 13, 21, 32, 32, 32, 32, 32, 33, 33, 33];
+/// Watches that are cut while servers leave without an announcement, and servers that send bytes without an end,
+/// with the faults that leave all gateways a way to learn of it, and a few of the store.
+pub const REMOVAL_KINDS: &[u32] =
+    &[0, 0, 1, 1, 3, 3, 4, 6, 6, 8, 8, 10, 10, 34, 34, 34, 34, 34, 34, 34, 34, 35, 35, 35, 35, 35];
 /// Fraction of the callers that come to the preferred gateway.
 const PREFERENCE: f64 = 0.9;
 /// Versions that engines are replaced by.
@@ -145,6 +149,10 @@
     pub stale_until: Cell<Instant>,
     /// Drained servers for which the checks saw no late requests.
     pub drains_checked: Cell<u32>,
+    /// Removals without an announcement that were checked.
+    pub removals_checked: Cell<u32>,
+    /// Names of servers whose removal is being checked.
+    pub checked_servers: RefCell<HashSet<String>>,
     /// Request contents that crash servers, so far.
     pub crash_contents: Cell<u32>,
     /// Keys in force that a fault will revoke.
@@ -267,6 +275,8 @@
     pub moved: usize,
     /// Stage orders that reached an engine.
     pub orders: usize,
+    /// Removals without an announcement that were checked.
+    pub removals: u32,
 }
 
 /// Runs one plan. Failures name the seed. Returns the number of second answers that came while another
@@ -300,7 +310,8 @@
         cluster.kill_gateways();
         cluster.check_logs();
         let second_answers = cluster.expectations.borrow().count_second_answers(&cluster);
-        Counts { second_answers, ..moves::count(&cluster) }
+        let removals = cluster.removals_checked.get();
+        Counts { second_answers, removals, ..moves::count(&cluster) }
     })
 }
 
@@ -364,6 +375,8 @@
             second_relay,
             stale_until: Cell::new(Instant::now()),
             drains_checked: Cell::default(),
+            removals_checked: Cell::default(),
+            checked_servers: RefCell::default(),
             crash_contents: Cell::default(),
             revocable_keys: RefCell::default(),
             flooding: Cell::default(),
--- a/crates/daemon/tests/soak/faults.rs
+++ b/crates/daemon/tests/soak/faults.rs
@@ -188,6 +188,12 @@
             compio::time::sleep(duration * 2).await;
             cluster.preferred_gateway.set(None);
         }
+        34 => check_removal(cluster, runner, &mut rng).await,
+        35 => {
+            runner.set_fault(backend::Fault::Floods);
+            compio::time::sleep(duration).await;
+            runner.set_fault(backend::Fault::None);
+        }
         17 => check_rate_limit(cluster, runner, rng.random_range(2..9)).await,
         kind @ 25..=31 => moves::inject(cluster, kind, &mut rng, duration).await,
         _ => {
@@ -271,6 +277,41 @@
     }
 }
 
+/// Waiting watches are cut again and again, and a server is removed without an announcement. After the bound it
+/// must get no more requests. Later it starts again.
+async fn check_removal(cluster: &Cluster, runner: &Rc<BackendServer>, rng: &mut ChaCha8Rng) {
+    let id = runner.server.borrow().id.clone();
+    // One at a time per server: the end of another check would register it during this one.
+    if !runner.is_up() || !cluster.checked_servers.borrow_mut().insert(id.name.clone()) {
+        return;
+    }
+    let pause = ms(rng.random_range(100..1_500));
+    let cut_until = async |time: Duration| {
+        let end = Instant::now() + time;
+        while Instant::now() < end {
+            cluster.store.cut_watches();
+            compio::time::sleep(pause.min(end.saturating_duration_since(Instant::now()))).await;
+        }
+    };
+    cut_until(pause * 2).await;
+    let removed = runner.server.borrow().clone();
+    cluster.store.unregister(&removed);
+    let removed_at = Instant::now();
+    cut_until(LEAVING_BOUND + ms(300)).await;
+    let before = arrival_count(runner);
+    cut_until(ms(1_500)).await;
+    let is_same = removed.id == id && runner.server.borrow().id == id;
+    if is_same && cluster.stale_until.get() < removed_at {
+        let (seed, late) = (cluster.plan.seed, arrival_count(runner) - before);
+        assert_eq!(late, 0, "seed {seed}: requests to a backend server that was removed ({id})");
+        cluster.removals_checked.set(cluster.removals_checked.get() + 1);
+    }
+    if is_same {
+        runner.crash("the end of a life");
+    }
+    cluster.checked_servers.borrow_mut().remove(&id.name);
+}
+
 fn arrival_count(runner: &BackendServer) -> u64 {
     let seen = runner.observed.borrow();
     seen.prefill_count + seen.arrivals.values().sum::<usize>() as u64
--- a/crates/standins/src/fleet/backend.rs
+++ b/crates/standins/src/fleet/backend.rs
@@ -55,6 +55,8 @@
 const CRASH_DELAY: Duration = Duration::from_millis(10);
 /// Time that a restart under the same name takes.
 const RESTART_TIME: Duration = Duration::from_millis(50);
+/// Bytes that a flood sends at a time.
+const FLOOD_PIECE: usize = 16 << 10;
 /// Time from a crash until the registration expires.
 const REGISTRATION_TTL: Duration = Duration::from_millis(1_000);
 
@@ -129,6 +131,8 @@
     Changes,
     /// Breaks streams off after half of their events.
     Breaks,
+    /// Sends bytes without an end in place of answers, and after half of the events of a stream.
+    Floods,
     /// Breaks off each request previous running it.
     Resets,
     /// Answers the first call of a migration after the caller's time limit.
@@ -489,6 +493,7 @@
         let is_away = self.away_until.get().is_some_and(|until| Instant::now() < until);
         let fails = match self.fault.get() {
             Fault::Errors | Fault::Hangs | Fault::Loses | Fault::Sheds | Fault::Changes => true,
+            Fault::Floods => true,
             Fault::Breaks => self.server.borrow().stage.is_some(),
             _ => false,
         };
@@ -815,6 +820,7 @@
         match self.fault.get() {
             Fault::Errors => response(500, self.answer_head(&work.attempt), b"failed".to_vec()),
             Fault::Loses => broken_response(self.answer_head(&work.attempt)),
+            Fault::Floods => flood_response(self.answer_head(&work.attempt)),
             _ => {
                 let body = format!("{{\"valid\":true,\"attempt\":\"{}\"}}", work.attempt);
                 response(200, self.answer_head(&work.attempt), body.into_bytes())
@@ -900,6 +906,10 @@
                 self.observed.borrow_mut().cancelled += 1;
                 return run.finish();
             }
+            if self.fault.get() == Fault::Floods && past_half {
+                send_flood(out).await;
+                return run.finish();
+            }
             if is_break {
                 compio::time::sleep(self.spec.event_interval).await;
                 // Fails only if the client has disconnected.
@@ -1083,6 +1093,21 @@
     response
 }
 
+/// Returns a response whose body goes on until the caller closes the connection.
+fn flood_response(headers: HeaderMap) -> Response<Body> {
+    let (sender, receiver) = mpsc::channel(1);
+    compio::runtime::spawn(send_flood(sender)).detach();
+    let mut response = Response::new(StreamBody::new(receiver).boxed_unsync());
+    *response.headers_mut() = headers;
+    response
+}
+
+/// Sends bytes until the caller closes the connection.
+async fn send_flood(mut out: mpsc::Sender<Result<Frame<Bytes>, BodyAborted>>) {
+    let piece = Bytes::from_static(&[b'x'; FLOOD_PIECE]);
+    while out.send(Ok(Frame::data(piece.clone()))).await.is_ok() {}
+}
+
 /// Returns a response that breaks off previous its body.
 fn broken_response(headers: HeaderMap) -> Response<Body> {
     let (mut sender, receiver) = mpsc::channel(1);
