Requests: bodies share a bound on memory, and one that has no room is refused before it is read

Callers lost requests of kept connections when others sent large forms: 24 bodies of 4 MB at two gateways of 110 MB made the platform end the processes, which had passed requests on.

Cause: each body was read into memory whole; the single body was bounded, their sum was not. A body took some 10 MB: the frames that were read, their copy, and the copy that was written out at once.

One without room is refused unread, with 503 and a time to come back; it has not run. A body that is not there by the request's deadline gives its share back. Bodies are written out in pieces of 32 kB, so that no second copy is made. Answers take an eighth of the memory, by the same code.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -6,7 +6,7 @@
 
 pub mod announcements;
 pub mod answer;
-pub mod answer_body;
+pub mod body_memory;
 pub mod call;
 pub mod digest;
 pub mod engine_life;
--- a/crates/daemon/src/gateway/answer.rs
+++ b/crates/daemon/src/gateway/answer.rs
@@ -51,6 +51,8 @@
     NoVersion,
     /// It is not known which software version began the stream.
     OriginUnknown,
+    /// The body has no room in memory beside those of other requests.
+    Memory,
     /// All backend servers stay full for longer than the caller waits.
     Overload,
     /// Backend servers rejected the request, and the retry budget is used up.
--- a/crates/daemon/src/gateway/ingress.rs
+++ b/crates/daemon/src/gateway/ingress.rs
@@ -21,14 +21,15 @@
 use ebonyloft_router::{retry_after, routes};
 use futures_channel::oneshot;
 use futures_util::future::{Either, Shared as SharedFuture, select};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use http_body_util::BodyExt;
+use hyper::body::{Body as _, Incoming};
 use hyper::header::{CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 
 use super::answer::{self, Body, Cause};
+use super::body_memory::{BodyBuffer, Share};
 use super::intake::Intake;
 use super::shared::{Shared, SnapshotVersion};
 use super::{call, keys, origins, quarantine, quota, shedding, stream};
@@ -152,14 +153,14 @@
         let id = caller.attempt.as_deref().unwrap_or("-");
         shared.metrics.count("gateway.refused.unread", 1);
         let away = shared.store_state.borrow().is_away();
-        let is_transient = matches!(cause, Cause::NotReady | Cause::Unconfirmed);
+        let is_transient = matches!(cause, Cause::NotReady | Cause::Unconfirmed | Cause::Memory);
         let time_left = caller.time_left.filter(|_| is_transient);
         let retry_after = retry_after::wait(time_left, away, shared.random_fraction());
         let SnapshotVersion { config, roster, age } = shared.snapshot_version();
         let ms = retry_after.as_millis() as u64;
         tracing::info!(id, ?cause, away, ms, config, roster, age, "request refused unread");
         let mut response = answer::refusal(cause, Verdict::NotRun, Some(retry_after));
-        if matches!(cause, Cause::Malformed | Cause::TooLarge) {
+        if matches!(cause, Cause::Malformed | Cause::TooLarge | Cause::Memory | Cause::Timeout) {
             answer::close_after(&mut response);
         }
         response
@@ -202,17 +203,17 @@
     };
     let host = host.to_ascii_lowercase();
     let (parts, body) = req.into_parts();
-    let body = match Limited::new(body, config.limits.body).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(e) if e.is::<LengthLimitError>() => return Err(refuse(Cause::TooLarge)),
-        Err(_) => return Err(refuse(Cause::Malformed)),
-    };
+    let times = time_bounds(shared, came_at, &config.routes[route], &caller);
+    let buffer = shared.bodies.begin(config.limits.body);
+    let read = read_body(body, buffer, config.limits.body);
+    let read = compio::time::timeout(times.ends_at.since(shared.now()), read).await;
+    let (body, share) = read.unwrap_or(Err(Cause::Timeout)).map_err(refuse)?;
     let account_name = account.as_ref().map_or("", Account::as_str);
     let digest =
         shared.digester.request_digest(account_name, &parts.method, &host, &parts.uri, &body);
-    let times = time_bounds(shared, came_at, &config.routes[route], &caller);
     let target = Target { config, route, service };
     let mut intake = build_intake(times, target, parts, body, caller, digest);
+    intake.share = Some(share);
     (intake.account, intake.cost) = (account, cost);
     intake.parts = prompt_parts(shared, digest, &intake.caller);
     intake.levels = shared.urgency_levels(&intake.config, &intake.service);
@@ -220,6 +221,34 @@
     Ok(intake)
 }
 
+/// Reads the body of a request, of at most `max` bytes. One that has no room beside the others is refused
+/// before it is read, if its length is known.
+async fn read_body(
+    mut body: Incoming,
+    mut buffer: BodyBuffer,
+    max: usize,
+) -> Result<(Bytes, Share), Cause> {
+    let declared = body.size_hint().exact().map(|len| len as usize);
+    if declared.is_some_and(|len| len > max) {
+        return Err(Cause::TooLarge);
+    }
+    if declared.is_some_and(|len| !buffer.reserve(len)) {
+        return Err(Cause::Memory);
+    }
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(|_| Cause::Malformed)?.into_data() else {
+            continue;
+        };
+        if buffer.len() + data.len() > max {
+            return Err(Cause::TooLarge);
+        }
+        if !buffer.push(&data) {
+            return Err(Cause::Memory);
+        }
+    }
+    Ok(buffer.close())
+}
+
 /// Digests of the parts of a request's prompt.
 fn prompt_parts(
     shared: &Shared,
@@ -341,6 +370,7 @@
         digest,
         parts: PromptParts::default(),
         body,
+        share: None,
         config,
         route,
         origin: Origin::default(),
--- a/crates/daemon/src/gateway/intake.rs
+++ b/crates/daemon/src/gateway/intake.rs
@@ -17,6 +17,8 @@
 use http::HeaderMap;
 use hyper::{Method, Request, Uri};
 
+use super::body_memory::Share;
+
 /// Deadlines sent to backend servers are this much earlier than the caller's, to leave time for the
 /// answer to return.
 const RETURN_MARGIN: Duration = Duration::from_millis(8);
@@ -37,6 +39,8 @@
     pub parts: PromptParts,
     /// The complete body.
     pub body: Bytes,
+    /// The memory that the body takes.
+    pub share: Option<Share>,
     /// The account that its key belongs to, if any.
     pub account: Option<Account>,
     /// Its cost against the account's quota; zero without a quota.
--- a/crates/daemon/src/gateway/pool.rs
+++ b/crates/daemon/src/gateway/pool.rs
@@ -23,7 +23,7 @@
 use futures_channel::mpsc;
 use futures_util::StreamExt;
 use futures_util::future::{Either, select};
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::ext::on_informational;
@@ -31,9 +31,9 @@
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use snafu::Snafu;
 
-use super::answer_body::{self, AnswerBuffer, AnswerMemory, CALL_MAX, TRUSTED_MAX};
+use super::body_memory::{self, BodyBuffer, BodyMemory, CALL_MAX, TRUSTED_MAX};
 use crate::clock::Clock;
-use crate::http::is_framed;
+use crate::http::{Pieces, is_framed};
 
 /// Connect timeout: about a hundred times the latency between availability zones, and short enough
 /// to try another backend server within the goal of a check.
@@ -140,7 +140,7 @@
     number: u64,
     correlation: Correlation,
     watch: ConnWatch,
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Pieces>,
     /// Drives the connection; dropping it closes the socket.
     task: JoinHandle<()>,
     idle_since: Timestamp,
@@ -153,7 +153,7 @@
     }
 
     async fn send(&mut self, req: Request<Bytes>) -> Result<Response<Incoming>, ExchangeError> {
-        let mut req = req.map(Full::new);
+        let mut req = req.map(Pieces);
         let (interim_sender, interim) = mpsc::unbounded();
         on_informational(&mut req, move |_| {
             // Fails once the exchange is given up.
@@ -226,7 +226,7 @@
     conn: Conn,
     response: Response<Incoming>,
     head_at: Timestamp,
-    body: AnswerBuffer,
+    body: BodyBuffer,
 }
 
 impl PendingAnswer {
@@ -250,7 +250,7 @@
     strays: Rc<Strays>,
     /// Connections opened so far.
     opened: Cell<u64>,
-    answers: AnswerMemory,
+    answers: BodyMemory,
 }
 
 impl Pool {
@@ -262,12 +262,17 @@
             retired: RefCell::default(),
             strays: Rc::default(),
             opened: Cell::default(),
-            answers: AnswerMemory::default(),
+            answers: BodyMemory::of_answers(0),
         }
     }
 
+    /// Sets the memory of the process in megabytes; zero if unknown.
+    pub fn with_memory(self, megabytes: u32) -> Self {
+        Pool { answers: BodyMemory::of_answers(megabytes), ..self }
+    }
+
     /// Memory of the answers of servers that are being read.
-    pub fn answers(&self) -> &AnswerMemory {
+    pub fn answers(&self) -> &BodyMemory {
         &self.answers
     }
 
@@ -399,7 +404,7 @@
         let started = compio::time::timeout(limit, self.begin_exchange(addr, req, exchange)).await;
         let (conn, response) = started.unwrap_or(Err(ExchangeError::Lost))?;
         let body = match exchange {
-            Exchange::Trusted => AnswerBuffer::trusted(TRUSTED_MAX),
+            Exchange::Trusted => BodyBuffer::trusted(TRUSTED_MAX),
             _ => self.answers.begin(CALL_MAX),
         };
         Ok(PendingAnswer { conn, response, head_at: self.clock.now(), body })
@@ -425,7 +430,7 @@
         }
         read?;
         self.put_back(conn);
-        Ok((status, body.close()))
+        Ok((status, body.close().0))
     }
 
     /// Calls an address over a new connection, to see whether a server answers there.
@@ -443,7 +448,7 @@
             return Reachability::Broken;
         };
         let (parts, body) = response.into_parts();
-        if answer_body::read(body, self.answers.begin(CALL_MAX)).await.is_some() {
+        if body_memory::read(body, self.answers.begin(CALL_MAX)).await.is_some() {
             self.put_back(conn);
         }
         Reachability::Answered(parts.status, parts.headers)
@@ -552,7 +557,7 @@
 async fn read_body(
     mut body: Incoming,
     limit: Duration,
-    bytes: &mut AnswerBuffer,
+    bytes: &mut BodyBuffer,
 ) -> Result<(), ExchangeError> {
     loop {
         match compio::time::timeout(limit, body.frame()).await {
--- a/crates/daemon/src/gateway/shared.rs
+++ b/crates/daemon/src/gateway/shared.rs
@@ -52,6 +52,7 @@
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 
+use super::body_memory::BodyMemory;
 use super::digest::Digester;
 use super::keys;
 use super::origins::histories::{Histories, Polls};
@@ -209,6 +210,8 @@
     pub open_requests: Cell<usize>,
     /// Callers' connections that are open.
     pub open_connections: Cell<usize>,
+    /// Memory of the bodies of callers' requests.
+    pub bodies: BodyMemory,
     /// Counters and histograms.
     pub metrics: Metrics,
     started_at: Timestamp,
@@ -240,9 +243,10 @@
         metrics: Metrics,
         digester: Digester,
     ) -> Rc<Self> {
-        let pool = Rc::new(Pool::new(clock));
+        let pool = Rc::new(Pool::new(clock).with_memory(node.memory));
         let store = StoreClient::new(pool.clone(), node.store);
         let store_state = StoreState::new(node.bounds.heartbeat);
+        let bodies = BodyMemory::of_requests(node.memory);
         // Before the first start of the whole system there were no retries.
         let known_from = if node.first_start { Timestamp::default() } else { clock.now() };
         let (outbox, outbox_receiver) = mpsc::unbounded();
@@ -313,6 +317,7 @@
             stopping: Cell::default(),
             open_requests: Cell::new(0),
             open_connections: Cell::new(0),
+            bodies,
             metrics,
             started_at: clock.now(),
             rng: RefCell::new(rng),
--- /dev/null
+++ b/crates/daemon/tests/body_memory.rs
@@ -0,0 +1,55 @@
+//! Memory of the bodies that a gateway reads.
+
+use ebonyloftd::gateway::body_memory::{ANSWER_MAX, BodyMemory, SMALL};
+
+const PIECE: [u8; 4 << 10] = [0; 4 << 10];
+const TOTAL_MAX: usize = 16 << 20;
+
+/// Guards against many answers at once that exceed the memory although each of them is allowed.
+#[test]
+fn large_answers_share_a_bound_and_small_ones_always_fit() {
+    let memory = BodyMemory::new(TOTAL_MAX);
+    let mut answers: Vec<_> = (0..20).map(|_| memory.begin(ANSWER_MAX)).collect();
+    let mut taken = 0;
+    for answer in &mut answers {
+        while answer.push(&PIECE) {
+            taken += PIECE.len();
+        }
+    }
+    assert!(taken <= TOTAL_MAX + answers.len() * SMALL, "{taken} bytes");
+    assert!(answers.iter().all(|answer| answer.len() <= ANSWER_MAX));
+    let mut small = memory.begin(ANSWER_MAX);
+    assert!((0..SMALL / PIECE.len()).all(|_| small.push(&PIECE)));
+    assert!(!small.push(&PIECE), "the others take all");
+    // What is given up or whole makes room.
+    drop(answers);
+    assert!(small.push(&PIECE));
+    assert_eq!(small.close().0.len(), SMALL + PIECE.len());
+    let mut next = memory.begin(ANSWER_MAX);
+    assert!((0..ANSWER_MAX / PIECE.len()).all(|_| next.push(&PIECE)));
+    assert!(!next.push(&PIECE));
+}
+
+/// Guards against requests that are taken although their bodies will not fit beside the others.
+#[test]
+fn a_body_of_known_length_takes_its_memory_at_once_and_until_it_is_dropped() {
+    let memory = BodyMemory::new(TOTAL_MAX);
+    let mut first = memory.begin(TOTAL_MAX);
+    assert!(first.reserve(TOTAL_MAX));
+    let mut second = memory.begin(TOTAL_MAX);
+    assert!(!second.reserve(1 << 20) && second.reserve(SMALL));
+    assert!(!first.reserve(TOTAL_MAX + 1), "larger than it may be");
+    // The request is kept until it has been answered.
+    let (_, share) = first.close();
+    assert!(!second.reserve(1 << 20));
+    drop(share);
+    assert!(second.reserve(1 << 20));
+}
+
+/// Guards against bodies of many tiny pieces, which cost processor time.
+#[test]
+fn a_body_has_a_largest_number_of_pieces() {
+    let mut body = BodyMemory::new(TOTAL_MAX).begin(ANSWER_MAX);
+    let pieces = (0..ANSWER_MAX).take_while(|_| body.push(b"x")).count();
+    assert!((10_000..40_000).contains(&pieces), "{pieces}");
+}
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -14,6 +14,8 @@
     pub ip: IpAddr,
     /// CPU capacity of the VM in thousandths of a core.
     pub power: u32,
+    /// Memory of the process in megabytes; zero if unknown.
+    pub memory: u32,
     /// Link bandwidth of the VM in megabits per second; zero if unknown.
     pub link: u32,
     /// Address for callers; `None` on a VM that serves no callers.
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -446,6 +446,7 @@
             zone: zone.to_owned(),
             ip,
             power: 190,
+            memory: 110,
             link: 10,
             callers: Some((ip, CALLERS_PORT).into()),
             ready: Some((ip, READY_PORT).into()),
