--- a/crates/daemon/src/gateway/body_memory.rs
+++ b/crates/daemon/src/gateway/body_memory.rs
@@ -25,7 +25,7 @@
 /// Fraction of the process's memory that answers may take together, beyond small ones.
 const ANSWERS_FRACTION: usize = 8;
 /// The same for requests, which are kept until they have been answered.
-const REQUESTS_FRACTION: usize = 3;
+const REQUESTS_FRACTION: usize = 2;
 /// Memory of a process whose settings name none, in megabytes.
 const UNKNOWN_MEMORY: u32 = 128;
 
