Requests: a body has no largest number of pieces

The bound on pieces of answers held for requests as well; a caller behind a link that brings pieces of under 256 bytes would have been refused after 16,384 of them, for lack of memory, though there was room.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -92,8 +92,8 @@
     pub migration: MigrationSetting,
 }
 
-/// Runs until `stop` resolves and all open requests have ended, those that are being read as well. `hup` handles the signals that
-/// announce a changed settings file.
+/// Runs until `stop` resolves and all requests have ended, those that are being read as well. `hup`
+/// handles the signals that announce a changed settings file.
 pub async fn run(
     node: Node,
     options: Options,
--- a/crates/daemon/src/gateway/body_memory.rs
+++ b/crates/daemon/src/gateway/body_memory.rs
@@ -19,8 +19,8 @@
 pub const TRUSTED_MAX: usize = 64 << 20;
 /// Size up to which a body may always be read, whatever the others take.
 pub const SMALL: usize = 64 << 10;
-/// Most pieces of a body that are read for each `SMALL` bytes of its largest size: tiny ones cost far more
-/// processor time than their bytes.
+/// Most pieces of an answer that are read for each `SMALL` bytes of its largest size: tiny ones cost far more
+/// processor time than their bytes. Callers may be behind slow links and send such pieces.
 const PIECES: usize = 256;
 /// Fraction of the process's memory that answers may take together, beyond small ones.
 const ANSWERS_FRACTION: usize = 8;
@@ -34,17 +34,20 @@
 pub struct BodyMemory {
     taken: Rc<Cell<usize>>,
     max: usize,
+    /// Whether the number of pieces of a body is bounded.
+    bounds_pieces: bool,
 }
 
 impl BodyMemory {
     /// Memory of at most `max` bytes beyond small bodies.
     pub fn new(max: usize) -> Self {
-        BodyMemory { taken: Rc::default(), max }
+        BodyMemory { taken: Rc::default(), max, bounds_pieces: false }
     }
 
     /// Memory of answers, in a process with so many megabytes; zero if unknown.
     pub fn of_answers(process: u32) -> Self {
-        BodyMemory::new(bytes_of(process) / ANSWERS_FRACTION)
+        let max = bytes_of(process) / ANSWERS_FRACTION;
+        BodyMemory { bounds_pieces: true, ..BodyMemory::new(max) }
     }
 
     /// Memory of requests, in a process with so many megabytes; zero if unknown.
@@ -54,8 +57,9 @@
 
     /// Starts to read a body of at most `max` bytes.
     pub fn begin(&self, max: usize) -> BodyBuffer {
+        let pieces = if self.bounds_pieces { PIECES * max.div_ceil(SMALL) } else { usize::MAX };
         let share = Share { taken: 0, memory: Some(self.clone()) };
-        BodyBuffer { bytes: BytesMut::new(), max, pieces: 0, share }
+        BodyBuffer { bytes: BytesMut::new(), max, pieces, share }
     }
 }
 
@@ -75,7 +79,7 @@
     /// Takes what a body of `len` bytes needs; false if there is no room for it.
     fn grow(&mut self, len: usize) -> bool {
         let more = len.saturating_sub(SMALL).saturating_sub(self.taken);
-        let Some(BodyMemory { taken, max }) = self.memory.as_ref().filter(|_| more > 0) else {
+        let Some(BodyMemory { taken, max, .. }) = self.memory.as_ref().filter(|_| more > 0) else {
             return true;
         };
         if taken.get() + more > *max {
@@ -100,6 +104,7 @@
 pub struct BodyBuffer {
     bytes: BytesMut,
     max: usize,
+    /// Pieces that may still be added.
     pieces: usize,
     share: Share,
 }
@@ -108,7 +113,7 @@
     /// Starts to read an answer of the store or of a peer, of at most `max` bytes, whatever others take.
     pub fn trusted(max: usize) -> BodyBuffer {
         let share = Share { taken: 0, memory: None };
-        BodyBuffer { bytes: BytesMut::new(), max, pieces: 0, share }
+        BodyBuffer { bytes: BytesMut::new(), max, pieces: usize::MAX, share }
     }
 
     /// Takes the memory for a body whose length is known; false if there is no room for it.
@@ -125,11 +130,10 @@
     #[must_use]
     pub fn push(&mut self, bytes: &[u8]) -> bool {
         let len = self.bytes.len() + bytes.len();
-        self.pieces += 1;
-        let has_many_pieces = self.pieces > PIECES * self.max.div_ceil(SMALL);
-        if len > self.max || has_many_pieces || !self.share.grow(len) {
+        if len > self.max || self.pieces == 0 || !self.share.grow(len) {
             return false;
         }
+        self.pieces -= 1;
         self.bytes.extend_from_slice(bytes);
         true
     }
--- a/crates/daemon/src/gateway/watch.rs
+++ b/crates/daemon/src/gateway/watch.rs
@@ -365,5 +365,7 @@
     }
     let born = known.map(|(_, born)| born);
     let age = shared.snapshot_version().age;
-    tracing::info!(server = name, ?effect, born, %revision, age, "backend server registration changed");
+    tracing::info!(
+        server = name, ?effect, born, %revision, age, "backend server registration changed"
+    );
 }
