--- a/crates/router/src/store_state.rs
+++ b/crates/router/src/store_state.rs
@@ -34,8 +34,8 @@
 pub struct StoreState {
     heartbeat: Duration,
     unreachable_since: Option<Timestamp>,
-    /// Only peers have said so.
-    is_hearsay: bool,
+    /// Only peers have reported so.
+    by_report: bool,
     /// Start and end of the last silence; silences with no time for a renewal between them are one.
     silent_from: Timestamp,
     silent_until: Timestamp,
@@ -58,7 +58,7 @@
         StoreState {
             heartbeat,
             unreachable_since: None,
-            is_hearsay: false,
+            by_report: false,
             silent_from: never,
             silent_until: never,
             trusted_at: never,
@@ -95,9 +95,9 @@
     /// answered in time. True when the store counted as reachable before.
     pub fn on_failure(&mut self, since: Timestamp) -> bool {
         let was_reachable = self.unreachable_since.is_none();
-        // What peers said is confirmed: the store has been silent since they last reached it.
-        let since = if self.is_hearsay { self.known_at.min(since) } else { since };
-        self.is_hearsay = false;
+        // Confirms what peers reported: the store has been silent since they last reached it.
+        let since = if self.by_report { self.known_at.min(since) } else { since };
+        self.by_report = false;
         self.unreachable_since = Some(self.unreachable_since.map_or(since, |s| s.min(since)));
         was_reachable
     }
@@ -111,7 +111,7 @@
             StoreLink::Away if before => {}
             StoreLink::Away => {
                 self.unreachable_since = Some(now);
-                self.is_hearsay = true;
+                self.by_report = true;
             }
             StoreLink::Heard { settles, .. } => {
                 self.end_silence(now);
@@ -177,7 +177,7 @@
 
     /// Ends a silence of the store and returns its start; `None` if there was none that matters.
     fn end_silence(&mut self, at: Timestamp) -> Option<Timestamp> {
-        self.is_hearsay = false;
+        self.by_report = false;
         let since = self.unreachable_since.take().filter(|since| !self.is_brief(*since, at))?;
         let renewal = self.heartbeat.mul_f64(RENEWAL_INTERVALS);
         if since.since(self.silent_until) >= renewal {
