Registry: a gateway that has just started does not vouch for removals at once

Where the gateways that follow the store start at the end of an outage, the others would drop servers that only lapsed in it, until these have registered again, up to two seconds.

Cause: a process that starts knows of no silence of the store before its start, so that it took the first answer for that of a store that was never away, trusted all removals, and told its peers so. Peers that were cut off as well rely on what such a gateway says alone.

Why it works: until it has heard a peer that vouches for the store, a process that starts later than the whole system treats its first answer as the return from a silence of unknown length. What vanishes after its list is complete has the deadline of its own that counts from the list, so that a removed server is left in time. At the first start of the whole system no registration can have lapsed, and nothing changes.

--- a/crates/daemon/src/gateway/shared.rs
+++ b/crates/daemon/src/gateway/shared.rs
@@ -245,7 +245,10 @@
     ) -> Rc<Self> {
         let pool = Rc::new(Pool::new(clock).with_memory(node.memory));
         let store = StoreClient::new(pool.clone(), node.store);
-        let store_state = StoreState::new(node.bounds.heartbeat);
+        let store_state = match node.first_start {
+            true => StoreState::new(node.bounds.heartbeat),
+            false => StoreState::restarted(node.bounds.heartbeat),
+        };
         let bodies = BodyMemory::of_requests(node.memory);
         // Before the first start of the whole system there were no retries.
         let known_from = if node.first_start { Timestamp::default() } else { clock.now() };
--- a/crates/router/src/store_state.rs
+++ b/crates/router/src/store_state.rs
@@ -8,6 +8,9 @@
 //! A failed call alone is no outage: a watch may be cut at any time, and the store may reject some VMs
 //! while it serves the others. What counts is how long calls of this gateway were not answered. Peers that
 //! can't reach the store tell nothing of the servers' access to it, unless it fails this gateway as well.
+//!
+//! A gateway that has just started knows of no silence before its start. Until lapsed servers have had time to
+//! register again, or a peer vouches for the store, it does not tell others that a missing one is gone.
 
 use std::time::Duration;
 
@@ -36,6 +39,8 @@
     unreachable_since: Option<Timestamp>,
     /// Only peers have reported so.
     by_report: bool,
+    /// Neither the store nor a peer that reaches it was heard since this process started beside others.
+    is_starting: bool,
     /// Start and end of the last silence; silences with no time for a renewal between them are one.
     silent_from: Timestamp,
     silent_until: Timestamp,
@@ -52,13 +57,15 @@
 }
 
 impl StoreState {
-    /// State of a store that was never reached, where servers renew their registrations each `heartbeat`.
+    /// State at the first start of the whole system, where servers renew their registrations each
+    /// `heartbeat`: none can have lapsed.
     pub fn new(heartbeat: Duration) -> Self {
         let never = Timestamp::default();
         StoreState {
             heartbeat,
             unreachable_since: None,
             by_report: false,
+            is_starting: false,
             silent_from: never,
             silent_until: never,
             trusted_at: never,
@@ -67,6 +74,11 @@
         }
     }
 
+    /// State of a process that starts at any later time: the store may have been silent until now.
+    pub fn restarted(heartbeat: Duration) -> Self {
+        StoreState { is_starting: true, ..StoreState::new(heartbeat) }
+    }
+
     /// Records an answer of the store whose content was applied and is valid as of `known_at`; true when
     /// the store was unreachable before.
     pub fn on_answer(&mut self, now: Timestamp, known_at: Timestamp) -> bool {
@@ -79,7 +91,8 @@
     /// are trusted depends on how long the store was silent before. True when it was unreachable.
     pub fn on_reached(&mut self, now: Timestamp, at: Timestamp) -> bool {
         let returned = self.is_away();
-        if self.end_silence(at).is_some_and(|since| self.can_lapse_within(since, at)) {
+        let may_lapse = self.end_silence(at).is_some_and(|since| self.can_lapse_within(since, at));
+        if std::mem::take(&mut self.is_starting) || may_lapse {
             self.trusted_at = self.trusted_at.max(now.after(REREGISTRATION_TIME));
         }
         returned
@@ -115,6 +128,7 @@
             }
             StoreLink::Heard { settles, .. } => {
                 self.end_silence(now);
+                self.is_starting = false;
                 self.trusted_at = now.after(Duration::from_millis(settles.into()));
             }
         }
@@ -160,7 +174,7 @@
 
     /// Does a missing registration mean that the backend server is gone?
     pub fn is_trusted(&self, now: Timestamp) -> bool {
-        self.unreachable_since.is_none() && now >= self.trusted_at
+        self.unreachable_since.is_none() && !self.is_starting && now >= self.trusted_at
     }
 
     /// Returns until when a server may be kept whose registration has just vanished while it is not
--- a/crates/router/tests/removals.rs
+++ b/crates/router/tests/removals.rs
@@ -126,6 +126,32 @@
     assert!(state.is_trusted(at(5_300)), "servers renewed between the outages");
 }
 
+/// Guards against a gateway that starts at the end of an outage and tells its peers that servers which lapsed in
+/// it are gone.
+#[test]
+fn a_gateway_that_started_does_not_vouch_for_removals_at_once() {
+    let mut state = StoreState::restarted(HEARTBEAT);
+    assert!(!state.is_trusted(NOW), "nothing is known of the store");
+    state.on_reached(NOW, NOW);
+    state.known(NOW);
+    assert!(!state.is_trusted(at(2_000)));
+    let link = state.link(NOW, Duration::from_secs(1));
+    assert!(matches!(link, StoreLink::Heard { settles: 2_000.., .. }), "{link:?}");
+    assert!(state.is_trusted(NOW.after(REREGISTRATION_TIME)));
+    // What leaves meanwhile is left in time.
+    assert!(state.kept_until(at(500), DRAIN).is_some_and(|until| until < at(2_000)));
+}
+
+/// Guards against a gateway that waits although peers vouch for the store.
+#[test]
+fn a_gateway_that_started_adopts_the_trust_of_its_peers() {
+    let mut state = StoreState::restarted(HEARTBEAT);
+    state.adopt(NOW, StoreLink::Heard { settles: 0, age: 100 });
+    assert!(state.is_trusted(NOW));
+    state.on_reached(at(300), at(300));
+    assert!(state.is_trusted(at(300)));
+}
+
 /// Sizes of fleets, with the groups of gateways that follow the store together.
 const FLEETS: [(usize, usize); 3] = [(4, 1), (29, 4), (300, 4)];
 const SERVERS: usize = 8;
@@ -258,3 +284,63 @@
     }
     assert!(lapses > 100, "{lapses} registrations lapsed");
 }
+
+/// Guards against gateways that start at the end of an outage, know of no silence, and have all others drop the
+/// servers that lapsed in it.
+#[test]
+fn servers_that_lapse_stay_in_use_where_gateways_start_at_the_end_of_the_outage() {
+    let mut lapses = 0;
+    for (gateways, groups) in FLEETS {
+        for (seed, access) in (0..6).zip([Access::Silent, Access::Rejected].into_iter().cycle()) {
+            let mut world = World::new(gateways, groups, SERVERS, seed);
+            let time = Duration::from_secs(5);
+            let trouble = Trouble { access, rejected: None, time, cut_every: None };
+            let followers = groups * LEADERS_PER_ZONE;
+            let start_at = TROUBLE_AT + time - TICK * (seed as u32 * 5);
+            while world.elapsed() < TROUBLE_AT + time + Duration::from_secs(4) {
+                if world.elapsed() == start_at {
+                    (0..followers).for_each(|n| world.restart(n));
+                }
+                world.step(&trouble);
+                for n in followers..gateways {
+                    let unused = (0..SERVERS).find(|s| !world.uses(n, *s));
+                    let at = world.elapsed();
+                    assert_eq!(unused, None, "{gateways}: gateway {n}, seed {seed}, {at:?}");
+                }
+            }
+            lapses += world.lapses();
+        }
+    }
+    assert!(lapses > 50, "{lapses} registrations lapsed");
+}
+
+/// Guards against a removed server that is kept because the gateways that follow the store have just started.
+#[test]
+fn a_removed_server_is_left_in_time_where_the_followers_of_the_store_have_just_started() {
+    for (gateways, groups) in FLEETS {
+        for seed in 0..6 {
+            let mut world = World::new(gateways, groups, SERVERS, seed);
+            let trouble = Trouble {
+                access: Access::Served,
+                rejected: None,
+                time: Duration::ZERO,
+                cut_every: None,
+            };
+            let start_at = TROUBLE_AT - TICK * (seed as u32 * 10);
+            let followers = groups * LEADERS_PER_ZONE;
+            let mut latest = Duration::ZERO;
+            while world.elapsed() < TROUBLE_AT + Duration::from_secs(5) {
+                if world.elapsed() == start_at {
+                    (0..followers).for_each(|n| world.restart(n));
+                }
+                if world.elapsed() == TROUBLE_AT + Duration::from_millis(200) {
+                    world.remove(0);
+                }
+                world.step(&trouble);
+                let uses = (0..gateways).filter_map(|n| world.late_use(n, 0));
+                latest = latest.max(uses.max().unwrap_or_default());
+            }
+            assert!(latest <= DRAIN, "{gateways} gateways, seed {seed}: {latest:?}");
+        }
+    }
+}
--- a/crates/router/tests/removals/world.rs
+++ b/crates/router/tests/removals/world.rs
@@ -2,6 +2,7 @@
 //!
 //! The gateways decide with the code of the product; calls, datagrams and the store are played in ticks.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use ebonyloft_core::time::Timestamp;
@@ -107,17 +108,7 @@
             state.on_answer(START, START);
             let mut registry = ServerRegistry::default();
             registry.replace(history.clone(), (servers as u64).into(), true);
-            Gateway {
-                rank: n / groups,
-                group: n % groups,
-                role: LeaderState::new(START, n / groups),
-                state,
-                registry,
-                call: Call::Idle(START),
-                backoff: RETRY_MIN,
-                report_at: START,
-                upkeep_at: START,
-            }
+            Gateway::start(START, n / groups, n % groups, state, registry)
         };
         let gateways: Vec<Gateway> = (0..gateways).map(gateway).collect();
         let servers = (0..servers).map(|_| LiveServer {
@@ -140,6 +131,15 @@
         self.unregister(server);
     }
 
+    /// Ends the process of a gateway and starts it again without what it knew.
+    pub fn restart(&mut self, gateway: usize) {
+        let Gateway { rank, group, .. } = self.gateways[gateway];
+        let state = StoreState::restarted(DEFAULT_HEARTBEAT);
+        self.gateways[gateway] =
+            Gateway::start(self.now, rank, group, state, ServerRegistry::default());
+        self.reports[gateway] = None;
+    }
+
     /// Is this server used by this gateway?
     pub fn uses(&self, gateway: usize, server: usize) -> bool {
         let name = name(server);
@@ -251,11 +251,17 @@
             return;
         };
         let peer = &self.gateways[peer];
-        let changes = peer.registry.since(own).expect("no removal was dropped");
+        if !peer.registry.is_complete() {
+            return;
+        }
+        let (changes, list) = (peer.registry.since(own), peer.registry.changes());
         let (revision, settled) = (peer.registry.revision(), peer.state.is_trusted(now));
         let gateway = &mut self.gateways[n];
         let settled = settled && (gateway.state.is_away() || gateway.state.is_trusted(now));
-        let effects = gateway.registry.catch_up(changes, revision, settled);
+        let effects = match changes {
+            Some(changes) => gateway.registry.catch_up(changes, revision, settled),
+            None => gateway.registry.replace(list, revision, settled),
+        };
         effects.into_iter().for_each(|(name, effect)| gateway.on_effect(now, &name, effect));
         gateway.report_at = now;
     }
@@ -300,6 +306,11 @@
         let now = self.now;
         let gateway = &mut self.gateways[n];
         gateway.state.on_reached(now, now);
+        if !gateway.registry.is_complete() {
+            let settled = gateway.state.is_trusted(now);
+            let revision = (self.history.len() as u64).into();
+            gateway.registry.replace(listed(&self.history), revision, settled);
+        }
         let known = gateway.registry.revision().number() as usize;
         for change in &self.history[known.min(self.history.len())..] {
             let settled = gateway.state.is_trusted(now);
@@ -341,6 +352,26 @@
 }
 
 impl Gateway {
+    fn start(
+        now: Timestamp,
+        rank: usize,
+        group: usize,
+        state: StoreState,
+        registry: ServerRegistry,
+    ) -> Gateway {
+        Gateway {
+            rank,
+            group,
+            role: LeaderState::new(now, rank),
+            state,
+            registry,
+            call: Call::Idle(now),
+            backoff: RETRY_MIN,
+            report_at: now,
+            upkeep_at: now,
+        }
+    }
+
     fn on_effect(&mut self, now: Timestamp, name: &str, effect: Effect) {
         if effect == Effect::Unheard
             && let Some(until) = self.state.kept_until(now, DRAIN)
@@ -350,6 +381,15 @@
     }
 }
 
+/// The registrations that the store holds after these changes.
+fn listed(history: &[Change]) -> Vec<Change> {
+    let mut held = BTreeMap::new();
+    for change in history {
+        held.insert(&change.name, change);
+    }
+    held.into_values().filter(|c| c.entry != Registration::Removed).cloned().collect()
+}
+
 fn name(server: usize) -> String {
     format!("i-{server}")
 }
