Registration: a call without an answer counts as a silence of the store from its sending

Joining the fleet counted it from its end and did not log it, so that the length of the silence was short by the time limit of the call, and the metric of the store's return had no loss before it. Found by reading. A failed call is now recorded in one place for both. Nothing was measured: at the first start no registration can have lapsed, and later starts trust no removal at first.

--- a/crates/daemon/src/gateway/registration.rs
+++ b/crates/daemon/src/gateway/registration.rs
@@ -17,7 +17,7 @@
 use super::orders;
 use super::shared::Shared;
 use super::state_sync;
-use super::watch::Sink;
+use super::watch::{self, Sink};
 
 /// Prefix of the system's own keys.
 pub const PREFIX: &str = "ebonyloft/";
@@ -133,6 +133,7 @@
         let own = own_registration(shared);
         let complete = shared.registry.borrow().is_complete();
         let current = shared.fleet.borrow().registration(&shared.node().name) == Some(&own);
+        let sent = shared.now();
         match joining.step(shared.now(), complete, current) {
             JoinStep::List => match list_nearby(shared).await {
                 Ok((list, revision)) => {
@@ -144,14 +145,14 @@
                     tracing::info!(known, %revision, current, "registrations read");
                     ask_peers(shared);
                 }
-                Err(e) => on_join_failure(shared, &mut joining, &e),
+                Err(e) => on_join_failure(shared, &mut joining, sent, &e),
             },
             JoinStep::Register => match register(shared, &own).await {
                 Ok(revision) => {
                     (seen_at, is_new) = (Some(revision), true);
                     joining.on_registered(shared.now(), shared.random_fraction());
                 }
-                Err(e) => on_join_failure(shared, &mut joining, &e),
+                Err(e) => on_join_failure(shared, &mut joining, sent, &e),
             },
             JoinStep::Wait(until) => {
                 let pause = until.since(shared.now()).min(membership::RELIST_PAUSE / 8);
@@ -165,8 +166,8 @@
     }
 }
 
-fn on_join_failure(shared: &Shared, joining: &mut Joining, error: &StoreError) {
-    shared.store_state.borrow_mut().on_failure(shared.now());
+fn on_join_failure(shared: &Shared, joining: &mut Joining, sent: Timestamp, error: &StoreError) {
+    watch::on_store_failure(shared, PREFIX, sent, error);
     joining.on_failure(shared.now(), shared.random_fraction());
     tracing::info!(%error, "can't read or write registrations");
 }
--- a/crates/daemon/src/gateway/watch.rs
+++ b/crates/daemon/src/gateway/watch.rs
@@ -213,7 +213,7 @@
 }
 
 /// Records a call that failed and was sent at `sent`.
-fn on_store_failure(shared: &Shared, prefix: &str, sent: Timestamp, error: &StoreError) {
+pub fn on_store_failure(shared: &Shared, prefix: &str, sent: Timestamp, error: &StoreError) {
     let now = shared.now();
     let since = if matches!(error, StoreError::Silent) { sent } else { now };
     if shared.store_state.borrow_mut().on_failure(since) {
