Bodies: one loop reads them, with an error that says why one was not read

Requests, answers and calls each had a loop of their own, and the largest size of a request was checked beside the buffer that has it. Behaviour is unchanged.

--- a/crates/daemon/src/gateway/body_memory.rs
+++ b/crates/daemon/src/gateway/body_memory.rs
@@ -6,10 +6,12 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use snafu::Snafu;
 
 /// Largest answer that is read into memory, in bytes.
 pub const ANSWER_MAX: usize = 4 << 20;
@@ -29,6 +31,23 @@
 /// Memory of a process whose settings name none, in megabytes.
 const UNKNOWN_MEMORY: u32 = 128;
 
+/// Why a body was not read to its end.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Snafu)]
+pub enum BodyError {
+    /// Its sender broke it off.
+    #[snafu(display("the body broke off"))]
+    Broken,
+    /// It is larger than it may be, or in more pieces.
+    #[snafu(display("the body is too large"))]
+    TooLarge,
+    /// It has no room in memory beside the others.
+    #[snafu(display("the body has no room in memory"))]
+    NoRoom,
+    /// Its next part did not come in time.
+    #[snafu(display("the body did not come in time"))]
+    Stalled,
+}
+
 /// Memory taken by the large bodies of one kind; cheap to clone.
 #[derive(Clone, Debug)]
 pub struct BodyMemory {
@@ -76,18 +95,18 @@
 }
 
 impl Share {
-    /// Takes what a body of `len` bytes needs; false if there is no room for it.
-    fn grow(&mut self, len: usize) -> bool {
+    /// Takes what a body of `len` bytes needs.
+    fn grow(&mut self, len: usize) -> Result<(), BodyError> {
         let more = len.saturating_sub(SMALL).saturating_sub(self.taken);
         let Some(BodyMemory { taken, max, .. }) = self.memory.as_ref().filter(|_| more > 0) else {
-            return true;
+            return Ok(());
         };
         if taken.get() + more > *max {
-            return false;
+            return Err(BodyError::NoRoom);
         }
         taken.set(taken.get() + more);
         self.taken += more;
-        true
+        Ok(())
     }
 }
 
@@ -116,26 +135,46 @@
         BodyBuffer { bytes: BytesMut::new(), max, pieces: usize::MAX, share }
     }
 
-    /// Takes the memory for a body whose length is known; false if there is no room for it.
-    #[must_use]
-    pub fn reserve(&mut self, len: usize) -> bool {
-        let has_room = len <= self.max && self.share.grow(len);
-        if has_room {
-            self.bytes.reserve(len);
+    /// Takes the memory for a body whose length is known; fails if it is too large or has no room.
+    pub fn reserve(&mut self, len: usize) -> Result<(), BodyError> {
+        if len > self.max {
+            return Err(BodyError::TooLarge);
         }
-        has_room
+        self.share.grow(len)?;
+        self.bytes.reserve(len);
+        Ok(())
     }
 
-    /// Adds bytes; false if there is no room for them.
-    #[must_use]
-    pub fn push(&mut self, bytes: &[u8]) -> bool {
+    /// Adds bytes; fails if the body is too large with them or has no room.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<(), BodyError> {
         let len = self.bytes.len() + bytes.len();
-        if len > self.max || self.pieces == 0 || !self.share.grow(len) {
-            return false;
+        if len > self.max || self.pieces == 0 {
+            return Err(BodyError::TooLarge);
         }
+        self.share.grow(len)?;
         self.pieces -= 1;
         self.bytes.extend_from_slice(bytes);
-        true
+        Ok(())
+    }
+
+    /// Reads a body to its end, of which each part must come within `pause`, if one is given.
+    pub async fn read(
+        &mut self,
+        mut body: Incoming,
+        pause: Option<Duration>,
+    ) -> Result<(), BodyError> {
+        loop {
+            let frame = match pause {
+                Some(pause) => compio::time::timeout(pause, body.frame()).await,
+                None => Ok(body.frame().await),
+            };
+            let Some(frame) = frame.map_err(|_| BodyError::Stalled)? else {
+                return Ok(());
+            };
+            if let Ok(data) = frame.map_err(|_| BodyError::Broken)?.into_data() {
+                self.push(&data)?;
+            }
+        }
     }
 
     /// Number of bytes read so far.
@@ -154,16 +193,14 @@
     }
 }
 
-/// Reads a whole body; `None` if it broke off or is too large.
-pub async fn read(mut body: Incoming, mut buffer: BodyBuffer) -> Option<Bytes> {
-    while let Some(frame) = body.frame().await {
-        let Ok(data) = frame.ok()?.into_data() else {
-            continue;
-        };
-        if !buffer.push(&data) {
-            tracing::warn!(bytes = buffer.len() + data.len(), "answer given up: it is too large");
-            return None;
+/// Reads a whole answer; `None` if it broke off, is too large or has no room.
+pub async fn read(body: Incoming, mut buffer: BodyBuffer) -> Option<Bytes> {
+    match buffer.read(body, None).await {
+        Ok(()) => Some(buffer.close().0),
+        Err(BodyError::Broken) => None,
+        Err(error) => {
+            tracing::warn!(%error, bytes = buffer.len(), "answer given up");
+            None
         }
     }
-    Some(buffer.close().0)
 }
--- a/crates/daemon/src/gateway/ingress.rs
+++ b/crates/daemon/src/gateway/ingress.rs
@@ -21,7 +21,6 @@
 use ebonyloft_router::{retry_after, routes};
 use futures_channel::oneshot;
 use futures_util::future::{Either, Shared as SharedFuture, select};
-use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
 use hyper::header::{CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
 use hyper::server::conn::http1;
@@ -29,7 +28,7 @@
 use hyper::{Request, Response};
 
 use super::answer::{self, Body, Cause};
-use super::body_memory::{BodyBuffer, Share};
+use super::body_memory::{BodyBuffer, BodyError, Share};
 use super::intake::Intake;
 use super::shared::{Shared, SnapshotVersion};
 use super::{call, keys, origins, quarantine, quota, shedding, stream};
@@ -204,10 +203,10 @@
     let host = host.to_ascii_lowercase();
     let (parts, body) = req.into_parts();
     let times = time_bounds(shared, came_at, &config.routes[route], &caller);
-    let buffer = shared.bodies.begin(config.limits.body);
-    let read = read_body(body, buffer, config.limits.body);
+    let read = read_body(body, shared.bodies.begin(config.limits.body));
     let read = compio::time::timeout(times.ends_at.since(shared.now()), read).await;
-    let (body, share) = read.unwrap_or(Err(Cause::Timeout)).map_err(refuse)?;
+    let read = read.unwrap_or(Err(BodyError::Stalled));
+    let (body, share) = read.map_err(|e| refuse(refused_body(e)))?;
     let account_name = account.as_ref().map_or("", Account::as_str);
     let digest =
         shared.digester.request_digest(account_name, &parts.method, &host, &parts.uri, &body);
@@ -221,34 +220,26 @@
     Ok(intake)
 }
 
-/// Reads the body of a request, of at most `max` bytes. One that has no room beside the others is refused
-/// before it is read, if its length is known.
-async fn read_body(
-    mut body: Incoming,
-    mut buffer: BodyBuffer,
-    max: usize,
-) -> Result<(Bytes, Share), Cause> {
-    let declared = body.size_hint().exact().map(|len| len as usize);
-    if declared.is_some_and(|len| len > max) {
-        return Err(Cause::TooLarge);
-    }
-    if declared.is_some_and(|len| !buffer.reserve(len)) {
-        return Err(Cause::Memory);
-    }
-    while let Some(frame) = body.frame().await {
-        let Ok(data) = frame.map_err(|_| Cause::Malformed)?.into_data() else {
-            continue;
-        };
-        if buffer.len() + data.len() > max {
-            return Err(Cause::TooLarge);
-        }
-        if !buffer.push(&data) {
-            return Err(Cause::Memory);
-        }
+/// Reads the body of a request. One that is too large or has no room beside the others is refused before it is
+/// read, if its length is known.
+async fn read_body(body: Incoming, mut buffer: BodyBuffer) -> Result<(Bytes, Share), BodyError> {
+    if let Some(len) = body.size_hint().exact() {
+        buffer.reserve(len as usize)?;
     }
+    buffer.read(body, None).await?;
     Ok(buffer.close())
 }
 
+/// Why a request is refused whose body was not read.
+fn refused_body(error: BodyError) -> Cause {
+    match error {
+        BodyError::Broken => Cause::Malformed,
+        BodyError::TooLarge => Cause::TooLarge,
+        BodyError::NoRoom => Cause::Memory,
+        BodyError::Stalled => Cause::Timeout,
+    }
+}
+
 /// Digests of the parts of a request's prompt.
 fn prompt_parts(
     shared: &Shared,
--- a/crates/daemon/src/gateway/pool.rs
+++ b/crates/daemon/src/gateway/pool.rs
@@ -23,7 +23,6 @@
 use futures_channel::mpsc;
 use futures_util::StreamExt;
 use futures_util::future::{Either, select};
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::ext::on_informational;
@@ -31,7 +30,7 @@
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use snafu::Snafu;
 
-use super::body_memory::{self, BodyBuffer, BodyMemory, CALL_MAX, TRUSTED_MAX};
+use super::body_memory::{self, BodyBuffer, BodyError, BodyMemory, CALL_MAX, TRUSTED_MAX};
 use crate::clock::Clock;
 use crate::http::{Pieces, is_framed};
 
@@ -427,9 +426,9 @@
     ) -> Result<(StatusCode, Bytes), ExchangeError> {
         let PendingAnswer { conn, response, head_at, mut body } = pending;
         let status = response.status();
-        let read =
-            compio::time::timeout(BODY_TIMEOUT, read_body(response.into_body(), limit, &mut body));
-        let read = read.await.unwrap_or(Err(ExchangeError::Lost));
+        let read = body.read(response.into_body(), Some(limit));
+        let read = compio::time::timeout(BODY_TIMEOUT, read).await;
+        let read = read.unwrap_or(Err(BodyError::Stalled)).map_err(|_| ExchangeError::Lost);
         let took = self.clock.now().since(head_at);
         if took > BODY_SLOW || read.is_err() {
             let (addr, bytes, ms) = (conn.addr, body.len(), took.as_millis() as u64);
@@ -560,25 +559,6 @@
     }
 }
 
-/// Reads a body; `limit` applies to each part.
-async fn read_body(
-    mut body: Incoming,
-    limit: Duration,
-    bytes: &mut BodyBuffer,
-) -> Result<(), ExchangeError> {
-    loop {
-        match compio::time::timeout(limit, body.frame()).await {
-            Ok(None) => return Ok(()),
-            Ok(Some(Ok(frame))) => {
-                if frame.into_data().is_ok_and(|data| !bytes.push(&data)) {
-                    return Err(ExchangeError::Lost);
-                }
-            }
-            Ok(Some(Err(_))) | Err(_) => return Err(ExchangeError::Lost),
-        }
-    }
-}
-
 /// Did a connection end because of what the other end sent, rather than by a socket error or early
 /// close? Only bytes that arrive while no answer is due end it so: other malformed ones are reported
 /// to the exchange.
