--- a/crates/daemon/src/gateway/ingress.rs
+++ b/crates/daemon/src/gateway/ingress.rs
@@ -80,7 +80,7 @@
 }
 
 async fn handle_connection(shared: Rc<Shared>, stream: TcpStream, closing: Closing) {
-    let _open = OpenConnection::count(shared.clone());
+    let _open = shared.open_connections.begin();
     // Without it small answers wait for acknowledgements; a failure to set it is harmless.
     let _ = stream.set_nodelay(true);
     let limits = shared.config().map_or_else(Limits::default, |c| c.limits.clone());
@@ -108,22 +108,6 @@
     }
 }
 
-/// Counts a connection until it is closed.
-struct OpenConnection(Rc<Shared>);
-
-impl OpenConnection {
-    fn count(shared: Rc<Shared>) -> Self {
-        shared.open_connections.set(shared.open_connections.get() + 1);
-        OpenConnection(shared)
-    }
-}
-
-impl Drop for OpenConnection {
-    fn drop(&mut self) {
-        self.0.open_connections.set(self.0.open_connections.get() - 1);
-    }
-}
-
 /// Answers one request; the future is dropped when the caller disconnects.
 async fn handle(shared: Rc<Shared>, req: Request<Incoming>) -> Response<Body> {
     let came_at = shared.now();
--- a/crates/daemon/src/gateway/origins.rs
+++ b/crates/daemon/src/gateway/origins.rs
@@ -111,7 +111,7 @@
     if shared.origin_questions.get() >= QUESTIONS_MAX {
         return Origin::Unknown;
     }
-    let _open = OpenQuestion::new(shared.clone());
+    let _open = shared.origin_questions.begin();
     let asked_at = shared.now();
     let question = Question { key, service: service.to_owned() };
     loop {
@@ -141,22 +141,6 @@
     }
 }
 
-/// Counts a request that asks peers until it is dropped, which it also is if its caller disconnects.
-struct OpenQuestion(Rc<Shared>);
-
-impl OpenQuestion {
-    fn new(shared: Rc<Shared>) -> Self {
-        shared.origin_questions.set(shared.origin_questions.get() + 1);
-        OpenQuestion(shared)
-    }
-}
-
-impl Drop for OpenQuestion {
-    fn drop(&mut self) {
-        self.0.origin_questions.set(self.0.origin_questions.get() - 1);
-    }
-}
-
 fn recorded(shared: &Shared, key: Option<StreamKey>) -> Testimony {
     let now = shared.now();
     key.map_or(Testimony::Nothing, |key| shared.origins.borrow().testimony(now, key))
--- a/crates/daemon/src/gateway/shared.rs
+++ b/crates/daemon/src/gateway/shared.rs
@@ -62,6 +62,7 @@
 use super::uploads::Uploads;
 use crate::clock::Clock;
 use crate::metrics::Metrics;
+use crate::open_count::OpenCount;
 use crate::settings::MigrationSetting;
 
 /// Versions and age of the state that a decision used.
@@ -197,7 +198,7 @@
     /// Polls of the store beside the watch.
     pub polls: Cell<Polls>,
     /// Questions to peers about the software that began a stream, under way.
-    pub origin_questions: Cell<usize>,
+    pub origin_questions: OpenCount,
     /// Peers whose gossip state differs from this gateway's, and since when.
     pub divergence: RefCell<DivergenceDetector>,
     /// True while no gateway is known to be the leader that orders engines.
@@ -209,7 +210,7 @@
     /// Number of requests in progress.
     pub open_requests: Cell<usize>,
     /// Callers' connections that are open.
-    pub open_connections: Cell<usize>,
+    pub open_connections: OpenCount,
     /// Memory of the bodies of callers' requests.
     pub bodies: BodyMemory,
     /// Counters and histograms.
@@ -313,13 +314,13 @@
             watched_revision: Cell::default(),
             restored_at: Cell::default(),
             polls: Cell::default(),
-            origin_questions: Cell::new(0),
+            origin_questions: OpenCount::default(),
             divergence: RefCell::default(),
             lock_available: Cell::new(true),
             stage_changes: RefCell::default(),
             stopping: Cell::default(),
             open_requests: Cell::new(0),
-            open_connections: Cell::new(0),
+            open_connections: OpenCount::default(),
             bodies,
             metrics,
             started_at: clock.now(),
--- a/crates/standins/src/fleet/store.rs
+++ b/crates/standins/src/fleet/store.rs
@@ -14,6 +14,7 @@
 use ebonyloft_platform::store::{ERA, Item};
 use ebonyloft_router::catalog::Server;
 use ebonyloftd::http::{self, Body};
+use ebonyloftd::open_count::OpenCount;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 
@@ -74,7 +75,7 @@
     /// Price of all calls, in tenths of a usual one's.
     price: Cell<u64>,
     /// Watches that wait for changes now.
-    open_watches: Rc<Cell<usize>>,
+    open_watches: OpenCount,
     /// Rises each time that the waiting watches are cut.
     cuts: Cell<u64>,
 }
@@ -246,7 +247,7 @@
 
     async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> (u16, Vec<u8>) {
         let end = Instant::now() + wait;
-        let _open = OpenWatch::count(&self.open_watches);
+        let _open = self.open_watches.begin();
         let (era, cuts) = (self.era.get(), self.cuts.get());
         loop {
             if self.cuts.get() != cuts {
@@ -276,22 +277,6 @@
     }
 }
 
-/// Counts a watch until it is answered or its caller is gone.
-struct OpenWatch(Rc<Cell<usize>>);
-
-impl OpenWatch {
-    fn count(open: &Rc<Cell<usize>>) -> OpenWatch {
-        open.set(open.get() + 1);
-        OpenWatch(open.clone())
-    }
-}
-
-impl Drop for OpenWatch {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
 impl State {
     fn write(&mut self, key: &str, value: Option<Bytes>, lease: u64) {
         self.revision += 1;
--- a/crates/standins/src/fleet/unframed.rs
+++ b/crates/standins/src/fleet/unframed.rs
@@ -10,6 +10,7 @@
 use compio::io::{AsyncRead, AsyncWriteExt};
 use compio::net::{TcpListener, TcpStream};
 use compio::runtime::JoinHandle;
+use ebonyloftd::open_count::OpenCount;
 use futures_util::future::select;
 
 /// Bytes read at a time.
@@ -55,7 +56,7 @@
     pub answers: Rc<Cell<usize>>,
     /// Bytes of floods sent, and the number of floods that go on.
     pub flooded: Rc<Cell<usize>>,
-    pub open_floods: Rc<Cell<usize>>,
+    pub open_floods: OpenCount,
     _accept_loop: JoinHandle<()>,
 }
 
@@ -70,7 +71,7 @@
         let (requests, calls) =
             (Rc::<RefCell<Ending>>::default(), Rc::<RefCell<Ending>>::default());
         let answers = Rc::<Cell<usize>>::default();
-        let (flooded, open_floods) = (Rc::<Cell<usize>>::default(), Rc::<Cell<usize>>::default());
+        let (flooded, open_floods) = (Rc::<Cell<usize>>::default(), OpenCount::default());
         let endings = Endings {
             requests: requests.clone(),
             calls: calls.clone(),
@@ -100,7 +101,7 @@
     calls: Rc<RefCell<Ending>>,
     prefixes: &'static [&'static str],
     flooded: Rc<Cell<usize>>,
-    open_floods: Rc<Cell<usize>>,
+    open_floods: OpenCount,
 }
 
 impl Endings {
@@ -147,7 +148,7 @@
     let _ = upstream.set_nodelay(true);
     upstream.write_all(first).await.0?;
     let is_reset = ending.reset;
-    let _open = ending.flood.as_ref().map(|_| OpenFlood::count(&endings.open_floods));
+    let _open = ending.flood.as_ref().map(|_| endings.open_floods.begin());
     let flooded = endings.flooded.clone();
     // The work is cancelled upstream as soon as the client disconnects.
     let requests = std::pin::pin!(forward_requests(client.clone(), upstream.clone()));
@@ -231,22 +232,6 @@
     }
 }
 
-/// Counts a flood until its connection is closed.
-struct OpenFlood(Rc<Cell<usize>>);
-
-impl OpenFlood {
-    fn count(open: &Rc<Cell<usize>>) -> OpenFlood {
-        open.set(open.get() + 1);
-        OpenFlood(open.clone())
-    }
-}
-
-impl Drop for OpenFlood {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
 async fn forward_length(
     from: &mut TcpStream,
     mut bytes: Vec<u8>,
