--- a/crates/daemon/src/gateway/pool.rs
+++ b/crates/daemon/src/gateway/pool.rs
@@ -4,35 +4,30 @@
 //! at once, which tells the other end that the answer is no longer wanted. An answer that belongs to
 //! another exchange ends its connection, and connections to that address are not reused for a while.
 
+mod conn;
+
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::error::Error;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
-use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use compio::net::TcpStream;
-use compio::runtime::JoinHandle;
 use cyper_core::HyperStream;
 use ebonyloft_core::time::Timestamp;
 use ebonyloft_platform::headers;
 use ebonyloft_router::correlation::{Correlation, Exchange};
-use futures_channel::mpsc;
-use futures_util::StreamExt;
-use futures_util::future::{Either, select};
 use hyper::body::Incoming;
-use hyper::client::conn::http1::{self, SendRequest};
-use hyper::ext::on_informational;
-use hyper::header::CONNECTION;
+use hyper::client::conn::http1;
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use snafu::Snafu;
 
+pub use self::conn::{Conn, ConnUse, ConnWatch};
 use super::body_memory::{self, BodyBuffer, BodyError, BodyMemory, CALL_MAX, TRUSTED_MAX};
 use crate::clock::Clock;
-use crate::http::{Pieces, is_framed};
 
 /// Connect timeout: about a hundred times the latency between availability zones, and short enough
 /// to try another backend server within the goal of a check.
@@ -49,8 +44,6 @@
 /// A body that takes longer than this after its head is logged, since other data on the same link
 /// is delayed too.
 const BODY_SLOW: Duration = Duration::from_millis(100);
-/// Interim answers that an exchange may have.
-const INTERIM_MAX: usize = 16;
 /// Most bytes of an answer that are read at a time, and so the longest head.
 const READ_BUFFER_MAX: usize = 64 << 10;
 /// Idle connections kept per address.
@@ -58,9 +51,6 @@
 /// How long connections to an address that sent a stray answer are not reused.
 const NO_REUSE: Duration = Duration::from_secs(10);
 
-/// References to the state of a watch that a connection itself has: its own, and its task's.
-const OWN_WATCHES: usize = 2;
-
 /// Longest part of an id that is logged, in bytes.
 const LOGGED_ID_MAX: usize = 64;
 
@@ -98,105 +88,6 @@
     }
 }
 
-/// Tells later whether the other end closed a connection unannounced, as the end of its process does.
-/// Nothing more is learned once the connection is closed at this end.
-#[derive(Clone, Debug, Default)]
-pub struct ConnWatch(Rc<WatchState>);
-
-#[derive(Debug, Default)]
-struct WatchState {
-    is_closed: Cell<bool>,
-    is_announced: Cell<bool>,
-}
-
-impl ConnWatch {
-    /// Did the other end close the connection without an announcement?
-    pub fn has_broken(&self) -> bool {
-        self.0.is_closed.get() && !self.0.is_announced.get()
-    }
-
-    fn on_head(&self, headers: &HeaderMap) {
-        let mut options = headers.get_all(CONNECTION).iter().filter_map(|v| v.to_str().ok());
-        let closes = options.any(|v| v.split(',').any(|o| o.trim().eq_ignore_ascii_case("close")));
-        if closes || !is_framed(headers) {
-            self.0.is_announced.set(true);
-        }
-    }
-}
-
-/// A connection and what it has carried, for the log.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct ConnUse {
-    /// Number of the connection in this process.
-    pub number: u64,
-    /// Exchanges with the backend server that it carried before.
-    pub carried: usize,
-}
-
-/// An open connection with no exchange on it.
-pub struct Conn {
-    addr: SocketAddr,
-    number: u64,
-    correlation: Correlation,
-    watch: ConnWatch,
-    sender: SendRequest<Pieces>,
-    /// Drives the connection; dropping it closes the socket.
-    task: JoinHandle<()>,
-    idle_since: Timestamp,
-}
-
-impl Conn {
-    /// The connection and what it has carried, for the log.
-    pub fn usage(&self) -> ConnUse {
-        ConnUse { number: self.number, carried: self.correlation.exchanges() }
-    }
-
-    async fn send(&mut self, req: Request<Bytes>) -> Result<Response<Incoming>, ExchangeError> {
-        let mut req = req.map(Pieces);
-        let (interim_sender, interim) = mpsc::unbounded();
-        on_informational(&mut req, move |_| {
-            // Fails once the exchange is given up.
-            let _ = interim_sender.unbounded_send(());
-        });
-        let sent = pin!(self.sender.try_send_request(req));
-        let result = match select(sent, interim.skip(INTERIM_MAX).into_future()).await {
-            Either::Left((result, _)) => result,
-            Either::Right(((None, _), sent)) => sent.await,
-            Either::Right(((Some(()), _), _)) => {
-                tracing::warn!(addr = %self.addr, "answer given up: interim answers do not end");
-                return Err(ExchangeError::Lost);
-            }
-        };
-        match result {
-            Ok(response) => Ok(response),
-            Err(mut e) => Err(match e.take_message() {
-                Some(_) => ExchangeError::Unsent,
-                None => ExchangeError::Lost,
-            }),
-        }
-    }
-
-    /// Tells whether the other end has closed it.
-    pub fn watch(&self) -> ConnWatch {
-        self.watch.clone()
-    }
-
-    /// Is it open, and has it been idle for no longer than connections are kept?
-    fn is_recent(&self, now: Timestamp) -> bool {
-        now.since(self.idle_since) < IDLE_MAX && !self.sender.is_closed()
-    }
-
-    /// Does something depend on the life of the process at the other end?
-    fn is_watched(&self) -> bool {
-        Rc::strong_count(&self.watch.0) > OWN_WATCHES
-    }
-
-    /// Closes the socket.
-    pub fn close(self) {
-        drop(self.task);
-    }
-}
-
 /// Result of a call that checks whether a server answers at an address.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Reachability {
