Settings: a changed heartbeat interval takes effect when the settings are reloaded

It was read at the start only, so that after a change the time in which registrations lapse was judged by the old one until a restart. The reload sets it; the test covers the decision, the reload itself is one line without a test.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -262,6 +262,7 @@
         Ok(node) if node == *shared.node() => {}
         Ok(node) => {
             tracing::info!(name = %node.name, zone = %node.zone, "settings reloaded");
+            shared.store_state.borrow_mut().set_heartbeat(node.bounds.heartbeat);
             *shared.node.borrow_mut() = Rc::new(node);
         }
         Err(e) => {
--- a/crates/router/src/store_state.rs
+++ b/crates/router/src/store_state.rs
@@ -79,6 +79,11 @@
         StoreState { is_starting: true, ..StoreState::new(heartbeat) }
     }
 
+    /// Sets the interval at which servers renew their registrations.
+    pub fn set_heartbeat(&mut self, heartbeat: Duration) {
+        self.heartbeat = heartbeat;
+    }
+
     /// Records an answer of the store whose content was applied and is valid as of `known_at`; true when
     /// the store was unreachable before.
     pub fn on_answer(&mut self, now: Timestamp, known_at: Timestamp) -> bool {
--- a/crates/router/tests/removals.rs
+++ b/crates/router/tests/removals.rs
@@ -126,6 +126,22 @@
     assert!(state.is_trusted(at(5_300)), "servers renewed between the outages");
 }
 
+/// Guards against a changed heartbeat interval that has no effect until a restart.
+#[test]
+fn how_soon_registrations_lapse_follows_the_heartbeat_interval_in_force() {
+    let outage = |state: &mut StoreState, start| {
+        state.on_failure(at(start));
+        state.on_answer(at(start + 2_600), at(start + 2_600));
+        state.is_trusted(at(start + 2_600))
+    };
+    let mut state = heard();
+    assert!(!outage(&mut state, 100));
+    state.set_heartbeat(HEARTBEAT * 3);
+    assert!(outage(&mut state, 20_000), "2.6 s are less than one interval");
+    state.set_heartbeat(HEARTBEAT);
+    assert!(!outage(&mut state, 60_000));
+}
+
 /// Guards against a gateway that starts at the end of an outage and tells its peers that servers which lapsed in
 /// it are gone.
 #[test]
