--- a/crates/standins/tests/large_bodies.rs
+++ b/crates/standins/tests/large_bodies.rs
@@ -45,16 +45,23 @@
     }
 }
 
-/// Guards against bodies that exceed the memory together although each of them is allowed: the process was ended,
-/// and requests that it had passed on were not answered.
-#[test]
-fn bodies_that_have_no_room_beside_others_are_refused_unread() {
+/// Runs a test on a gateway that takes bodies of this size, and requests that last `timeout` at most.
+fn with_large_bodies(timeout: Duration, test: impl AsyncFnOnce(&Fleet)) {
     with_fleet(FleetSpec { gateways: 1, ..FleetSpec::default() }, async |fleet| {
         let mut next = config(2, &FleetSpec::default());
         next.limits.body = BODY;
-        next.routes.iter_mut().for_each(|route| route.timeout = Duration::from_secs(10));
+        next.routes.iter_mut().for_each(|route| route.timeout = timeout);
         fleet.configure(&next);
         compio::time::sleep(Duration::from_secs(1)).await;
+        test(fleet).await;
+    });
+}
+
+/// Guards against bodies that exceed the memory together although each of them is allowed: the process was ended,
+/// and requests that it had passed on were not answered.
+#[test]
+fn bodies_that_have_no_room_beside_others_are_refused_unread() {
+    with_large_bodies(Duration::from_secs(10), async |fleet| {
         let mut uploads = Vec::new();
         for n in 0..UPLOADS {
             uploads.push(Upload::start(fleet, &format!("form-{n}")).await);
@@ -87,12 +94,7 @@
 /// Guards against a caller that never sends its body and takes the memory of others for good.
 #[test]
 fn a_body_that_does_not_come_gives_its_memory_back_at_the_deadline() {
-    with_fleet(FleetSpec { gateways: 1, ..FleetSpec::default() }, async |fleet| {
-        let mut next = config(2, &FleetSpec::default());
-        next.limits.body = BODY;
-        next.routes.iter_mut().for_each(|route| route.timeout = Duration::from_secs(2));
-        fleet.configure(&next);
-        compio::time::sleep(Duration::from_secs(1)).await;
+    with_large_bodies(Duration::from_secs(2), async |fleet| {
         let mut uploads = Vec::new();
         for n in 0..UPLOADS {
             uploads.push(Upload::start(fleet, &format!("stuck-{n}")).await);
