Tests: wrong rules on removals that the virtual-time checks must see

Four mutants: a cut watch counts as an outage, a lapse counts as a removal, what is kept has no deadline, and a gateway that has just started vouches for removals. Each is seen at four gateways. The first one is seen only where what is kept has no deadline either: with the deadline a server is left in time even where each cut counts as an outage.

--- a/crates/router/tests/removals.rs
+++ b/crates/router/tests/removals.rs
@@ -11,7 +11,7 @@
 use ebonyloft_router::zone_leader::{LEADERS_PER_ZONE, StoreLink};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use world::{Access, DRAIN, Plan, TICK, World};
+use world::{Access, DRAIN, Mutant, Plan, TICK, World};
 
 const NOW: Timestamp = Timestamp::from_millis(1_000_000);
 /// Servers renew their registrations as often as this.
@@ -175,11 +175,14 @@
 const TROUBLE_AT: Duration = Duration::from_secs(5);
 
 /// The store treats the gateways in a set, or all gateways and servers, in some way for a while.
+#[derive(Clone, Debug, Default)]
 struct Trouble {
     access: Access,
     rejected: Option<BTreeSet<usize>>,
     time: Duration,
     cut_every: Option<Duration>,
+    /// When the gateways that follow the store start again.
+    restart_at: Option<Duration>,
 }
 
 impl Trouble {
@@ -205,13 +208,35 @@
     }
 }
 
+fn step(world: &mut World, trouble: &Trouble) {
+    if trouble.restart_at == Some(world.elapsed()) {
+        (0..world.followers()).for_each(|n| world.restart(n));
+    }
+    world.step(trouble);
+}
+
+/// Plays the trouble; returns the first gateway that does not use a server, and when, among those that ran all the
+/// while.
+fn first_unused(world: &mut World, trouble: &Trouble) -> Option<(usize, Duration)> {
+    let restarted = if trouble.restart_at.is_some() { world.followers() } else { 0 };
+    while world.elapsed() < TROUBLE_AT + trouble.time + Duration::from_secs(4) {
+        step(world, trouble);
+        let at = world.elapsed();
+        let lacks = |n: &usize| (0..SERVERS).any(|s| !world.uses(*n, s));
+        if let Some(gateway) = (restarted..world.len()).find(lacks) {
+            return Some((gateway, at));
+        }
+    }
+    None
+}
+
 /// Plays a removal 0.4 s after the trouble begins; returns the latest use of the server by a gateway that
 /// the store serves.
 fn latest_use(world: &mut World, trouble: &Trouble) -> Duration {
     let mut latest = Duration::ZERO;
     let mut is_removed = false;
     while world.elapsed() < TROUBLE_AT + Duration::from_secs(6) {
-        world.step(trouble);
+        step(world, trouble);
         if !is_removed && world.elapsed() >= TROUBLE_AT + Duration::from_millis(400) {
             world.remove(0);
             is_removed = true;
@@ -232,7 +257,7 @@
             let mut world = World::new(gateways, groups, SERVERS, seed);
             let rejected = Some(rejected(gateways, groups, seed));
             let time = Duration::from_secs(5);
-            let trouble = Trouble { access, rejected, time, cut_every: None };
+            let trouble = Trouble { access, rejected, time, ..Trouble::default() };
             let latest = latest_use(&mut world, &trouble);
             assert!(latest <= DRAIN, "{gateways} gateways, seed {seed}, {access:?}: {latest:?}");
         }
@@ -264,8 +289,7 @@
         for ms in [200, 700, 1_500] {
             let mut world = World::new(gateways, groups, SERVERS, ms);
             let cut_every = Some(Duration::from_millis(ms));
-            let (access, rejected, time) = (Access::Served, None, Duration::ZERO);
-            let trouble = Trouble { access, rejected, time, cut_every };
+            let trouble = Trouble { cut_every, ..Trouble::default() };
             let latest = latest_use(&mut world, &trouble);
             assert!(latest <= DRAIN, "{gateways} gateways, cut every {ms} ms: {latest:?}");
         }
@@ -282,18 +306,9 @@
             for seconds in [2, 5] {
                 let mut world = World::new(gateways, groups, SERVERS, seed);
                 let time = Duration::from_secs(seconds);
-                let trouble = Trouble { access, rejected: None, time, cut_every: None };
-                while world.elapsed() < TROUBLE_AT + time + Duration::from_secs(4) {
-                    world.step(&trouble);
-                    for n in 0..gateways {
-                        let unused = (0..SERVERS).find(|s| !world.uses(n, *s));
-                        let at = world.elapsed();
-                        assert_eq!(
-                            unused, None,
-                            "{gateways}: gateway {n}, seed {seed}, {at:?} of {time:?}"
-                        );
-                    }
-                }
+                let trouble = Trouble { access, time, ..Trouble::default() };
+                let unused = first_unused(&mut world, &trouble);
+                assert_eq!(unused, None, "{gateways} gateways, seed {seed}, {access:?}, {time:?}");
                 lapses += world.lapses();
             }
         }
@@ -301,6 +316,13 @@
     assert!(lapses > 100, "{lapses} registrations lapsed");
 }
 
+/// An outage of 5 s in which the followers of the store end; they start again around its end.
+fn outage_with_restarts(seed: u64, access: Access) -> Trouble {
+    let time = Duration::from_secs(5);
+    let restart_at = Some(TROUBLE_AT + time - TICK * (seed as u32 * 5));
+    Trouble { access, time, restart_at, ..Trouble::default() }
+}
+
 /// Guards against gateways that start at the end of an outage, know of no silence, and have all others drop the
 /// servers that lapsed in it.
 #[test]
@@ -309,54 +331,50 @@
     for (gateways, groups) in FLEETS {
         for (seed, access) in (0..6).zip([Access::Silent, Access::Rejected].into_iter().cycle()) {
             let mut world = World::new(gateways, groups, SERVERS, seed);
-            let time = Duration::from_secs(5);
-            let trouble = Trouble { access, rejected: None, time, cut_every: None };
-            let followers = groups * LEADERS_PER_ZONE;
-            let start_at = TROUBLE_AT + time - TICK * (seed as u32 * 5);
-            while world.elapsed() < TROUBLE_AT + time + Duration::from_secs(4) {
-                if world.elapsed() == start_at {
-                    (0..followers).for_each(|n| world.restart(n));
-                }
-                world.step(&trouble);
-                for n in followers..gateways {
-                    let unused = (0..SERVERS).find(|s| !world.uses(n, *s));
-                    let at = world.elapsed();
-                    assert_eq!(unused, None, "{gateways}: gateway {n}, seed {seed}, {at:?}");
-                }
-            }
+            let unused = first_unused(&mut world, &outage_with_restarts(seed, access));
+            assert_eq!(unused, None, "{gateways} gateways, seed {seed}, {access:?}");
             lapses += world.lapses();
         }
     }
     assert!(lapses > 50, "{lapses} registrations lapsed");
 }
 
+/// The followers of the store start again some time before a removal.
+fn restarts(seed: u64) -> Trouble {
+    let restart_at = Some(TROUBLE_AT - TICK * (seed as u32 * 10));
+    Trouble { restart_at, ..Trouble::default() }
+}
+
 /// Guards against a removed server that is kept because the gateways that follow the store have just started.
 #[test]
 fn a_removed_server_is_left_in_time_where_the_followers_of_the_store_have_just_started() {
     for (gateways, groups) in FLEETS {
         for seed in 0..6 {
             let mut world = World::new(gateways, groups, SERVERS, seed);
-            let trouble = Trouble {
-                access: Access::Served,
-                rejected: None,
-                time: Duration::ZERO,
-                cut_every: None,
-            };
-            let start_at = TROUBLE_AT - TICK * (seed as u32 * 10);
-            let followers = groups * LEADERS_PER_ZONE;
-            let mut latest = Duration::ZERO;
-            while world.elapsed() < TROUBLE_AT + Duration::from_secs(5) {
-                if world.elapsed() == start_at {
-                    (0..followers).for_each(|n| world.restart(n));
-                }
-                if world.elapsed() == TROUBLE_AT + Duration::from_millis(200) {
-                    world.remove(0);
-                }
-                world.step(&trouble);
-                let uses = (0..gateways).filter_map(|n| world.late_use(n, 0));
-                latest = latest.max(uses.max().unwrap_or_default());
-            }
+            let latest = latest_use(&mut world, &restarts(seed));
             assert!(latest <= DRAIN, "{gateways} gateways, seed {seed}: {latest:?}");
         }
     }
 }
+
+/// Shows that the checks above see each wrong rule.
+#[test]
+fn the_checks_see_wrong_rules() {
+    let seeds = 0..6;
+    let world = |seed, mutant| World::new(4, 1, SERVERS, seed).with_mutant(mutant);
+    let is_late = |mutant, trouble: &dyn Fn(u64) -> Trouble| {
+        let latest = |seed| latest_use(&mut world(seed, mutant), &trouble(seed));
+        seeds.clone().any(|seed| latest(seed) > DRAIN)
+    };
+    let drops = |mutant, trouble: &dyn Fn(u64) -> Trouble| {
+        let unused = |seed| first_unused(&mut world(seed, mutant), &trouble(seed));
+        seeds.clone().any(|seed| unused(seed).is_some())
+    };
+    let cuts = |_| Trouble { cut_every: Some(Duration::from_millis(700)), ..Trouble::default() };
+    let outage =
+        |_| Trouble { access: Access::Silent, time: Duration::from_secs(5), ..Trouble::default() };
+    assert!(is_late(Mutant::CutIsOutage, &cuts));
+    assert!(is_late(Mutant::KeepsUntilTrusted, &restarts));
+    assert!(drops(Mutant::LapseIsRemoval, &outage));
+    assert!(drops(Mutant::StartVouches, &|seed| outage_with_restarts(seed, Access::Silent)));
+}
--- a/crates/router/tests/removals/world.rs
+++ b/crates/router/tests/removals/world.rs
@@ -10,7 +10,9 @@
 use ebonyloft_router::node::DEFAULT_HEARTBEAT;
 use ebonyloft_router::registry::{Change, Effect, Registration, ServerRegistry};
 use ebonyloft_router::store_state::StoreState;
-use ebonyloft_router::zone_leader::{HigherRanked, LEADER_TIMEOUT, LeaderState, StoreLink};
+use ebonyloft_router::zone_leader::{
+    HigherRanked, LEADER_TIMEOUT, LEADERS_PER_ZONE, LeaderState, StoreLink,
+};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -32,9 +34,10 @@
 const START: Timestamp = Timestamp::from_millis(1_000_000);
 
 /// How the store treats calls.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Access {
     /// It answers.
+    #[default]
     Served,
     /// It rejects them at once.
     Rejected,
@@ -42,6 +45,20 @@
     Silent,
 }
 
+/// A wrong rule in place of one of the product's.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Mutant {
+    /// A cut watch counts as an outage in which registrations lapse, and what is kept has no deadline of its
+    /// own, which would cover it.
+    CutIsOutage,
+    /// A registration that lapsed counts as removed by its owner.
+    LapseIsRemoval,
+    /// A server that is kept has no deadline of its own.
+    KeepsUntilTrusted,
+    /// A gateway that has just started trusts all removals.
+    StartVouches,
+}
+
 /// What the store does at a time, to each gateway by its number and to the servers.
 pub trait Plan {
     /// Access of a gateway.
@@ -96,6 +113,8 @@
     servers: Vec<LiveServer>,
     history: Vec<Change>,
     was_silent: bool,
+    groups: usize,
+    mutant: Option<Mutant>,
 }
 
 impl World {
@@ -118,7 +137,22 @@
             removed_at: None,
         });
         let (servers, reports) = (servers.collect(), vec![None; gateways.len()]);
-        World { now: START, rng, gateways, reports, servers, history, was_silent: false }
+        World {
+            now: START,
+            rng,
+            gateways,
+            reports,
+            servers,
+            history,
+            was_silent: false,
+            groups,
+            mutant: None,
+        }
+    }
+
+    /// The same with a wrong rule.
+    pub fn with_mutant(self, mutant: Mutant) -> World {
+        World { mutant: Some(mutant), ..self }
     }
 
     pub fn elapsed(&self) -> Duration {
@@ -131,10 +165,18 @@
         self.unregister(server);
     }
 
+    /// The number of gateways that follow the store for all; they come first.
+    pub fn followers(&self) -> usize {
+        self.groups * LEADERS_PER_ZONE
+    }
+
     /// Ends the process of a gateway and starts it again without what it knew.
     pub fn restart(&mut self, gateway: usize) {
         let Gateway { rank, group, .. } = self.gateways[gateway];
-        let state = StoreState::restarted(DEFAULT_HEARTBEAT);
+        let state = match self.mutant {
+            Some(Mutant::StartVouches) => StoreState::new(DEFAULT_HEARTBEAT),
+            _ => StoreState::restarted(DEFAULT_HEARTBEAT),
+        };
         self.gateways[gateway] =
             Gateway::start(self.now, rank, group, state, ServerRegistry::default());
         self.reports[gateway] = None;
@@ -257,13 +299,14 @@
         let (changes, list) = (peer.registry.since(own), peer.registry.changes());
         let (revision, settled) = (peer.registry.revision(), peer.state.is_trusted(now));
         let gateway = &mut self.gateways[n];
-        let settled = settled && (gateway.state.is_away() || gateway.state.is_trusted(now));
+        let settled = settled && (gateway.state.is_away() || gateway.state.is_trusted(now))
+            || self.mutant == Some(Mutant::LapseIsRemoval);
         let effects = match changes {
             Some(changes) => gateway.registry.catch_up(changes, revision, settled),
             None => gateway.registry.replace(list, revision, settled),
         };
-        effects.into_iter().for_each(|(name, effect)| gateway.on_effect(now, &name, effect));
         gateway.report_at = now;
+        effects.into_iter().for_each(|(name, effect)| self.on_effect(n, &name, effect));
     }
 
     fn call(&mut self, n: usize, access: Access, cut: bool) {
@@ -296,6 +339,10 @@
 
     fn fail(&mut self, n: usize, since: Timestamp) {
         let gateway = &mut self.gateways[n];
+        let since = match self.mutant {
+            Some(Mutant::CutIsOutage) => since.before(DEFAULT_HEARTBEAT * 3),
+            _ => since,
+        };
         gateway.state.on_failure(since);
         let pause = gateway.backoff.mul_f64(0.5 + self.rng.random::<f64>());
         gateway.call = Call::Idle(self.now.after(pause));
@@ -306,24 +353,37 @@
         let now = self.now;
         let gateway = &mut self.gateways[n];
         gateway.state.on_reached(now, now);
+        let trusts_all = self.mutant == Some(Mutant::LapseIsRemoval);
+        let settled = gateway.state.is_trusted(now) || trusts_all;
         if !gateway.registry.is_complete() {
-            let settled = gateway.state.is_trusted(now);
             let revision = (self.history.len() as u64).into();
             gateway.registry.replace(listed(&self.history), revision, settled);
         }
         let known = gateway.registry.revision().number() as usize;
-        for change in &self.history[known.min(self.history.len())..] {
-            let settled = gateway.state.is_trusted(now);
-            let effect = gateway.registry.apply(change.clone(), settled);
-            gateway.on_effect(now, &change.name, effect);
+        let news: Vec<Change> = self.history[known.min(self.history.len())..].to_vec();
+        let pause = if news.is_empty() { Duration::ZERO } else { BATCH_DELAY };
+        for change in news {
+            let name = change.name.clone();
+            let effect = self.gateways[n].registry.apply(change, settled);
+            self.on_effect(n, &name, effect);
         }
-        let pause = if known < self.history.len() { BATCH_DELAY } else { Duration::ZERO };
+        let gateway = &mut self.gateways[n];
         gateway.state.known(now);
         gateway.backoff = RETRY_MIN;
         gateway.call = Call::Idle(now.after(pause));
         gateway.report_at = now;
     }
 
+    fn on_effect(&mut self, n: usize, name: &str, effect: Effect) {
+        let gateway = &mut self.gateways[n];
+        if effect == Effect::Unheard
+            && !matches!(self.mutant, Some(Mutant::KeepsUntilTrusted | Mutant::CutIsOutage))
+            && let Some(until) = gateway.state.kept_until(self.now, DRAIN)
+        {
+            gateway.registry.keep_until(name, until);
+        }
+    }
+
     fn upkeep(&mut self, n: usize) {
         let now = self.now;
         let gateway = &mut self.gateways[n];
@@ -371,14 +431,6 @@
             upkeep_at: now,
         }
     }
-
-    fn on_effect(&mut self, now: Timestamp, name: &str, effect: Effect) {
-        if effect == Effect::Unheard
-            && let Some(until) = self.state.kept_until(now, DRAIN)
-        {
-            self.registry.keep_until(name, until);
-        }
-    }
 }
 
 /// The registrations that the store holds after these changes.
