Bodies: a share always belongs to a memory, and whole answers are read by it

Answers of the store and of peers had a constructor of their own, and a share without a memory for them alone; an unbounded memory is the same. Four callers began a buffer and passed it to the reading loop, which the memory now does.

--- a/crates/daemon/src/gateway/body_memory.rs
+++ b/crates/daemon/src/gateway/body_memory.rs
@@ -77,9 +77,22 @@
     /// Starts to read a body of at most `max` bytes.
     pub fn begin(&self, max: usize) -> BodyBuffer {
         let pieces = if self.bounds_pieces { PIECES * max.div_ceil(SMALL) } else { usize::MAX };
-        let share = Share { taken: 0, memory: Some(self.clone()) };
+        let share = Share { taken: 0, memory: self.clone() };
         BodyBuffer { bytes: BytesMut::new(), max, pieces, share }
     }
+
+    /// Reads a whole answer of at most `max` bytes; `None` if it broke off, is too large or has no room.
+    pub async fn read(&self, body: Incoming, max: usize) -> Option<Bytes> {
+        let mut buffer = self.begin(max);
+        match buffer.read(body, None).await {
+            Ok(()) => Some(buffer.close().0),
+            Err(BodyError::Broken) => None,
+            Err(error) => {
+                tracing::warn!(%error, bytes = buffer.len(), "answer given up");
+                None
+            }
+        }
+    }
 }
 
 fn bytes_of(process: u32) -> usize {
@@ -91,20 +104,18 @@
 #[derive(Debug)]
 pub struct Share {
     taken: usize,
-    memory: Option<BodyMemory>,
+    memory: BodyMemory,
 }
 
 impl Share {
     /// Takes what a body of `len` bytes needs.
     fn grow(&mut self, len: usize) -> Result<(), BodyError> {
         let more = len.saturating_sub(SMALL).saturating_sub(self.taken);
-        let Some(BodyMemory { taken, max, .. }) = self.memory.as_ref().filter(|_| more > 0) else {
-            return Ok(());
-        };
-        if taken.get() + more > *max {
+        let taken = self.memory.taken.get() + more;
+        if more > 0 && taken > self.memory.max {
             return Err(BodyError::NoRoom);
         }
-        taken.set(taken.get() + more);
+        self.memory.taken.set(taken);
         self.taken += more;
         Ok(())
     }
@@ -112,9 +123,7 @@
 
 impl Drop for Share {
     fn drop(&mut self) {
-        if let Some(BodyMemory { taken, .. }) = &self.memory {
-            taken.set(taken.get() - self.taken);
-        }
+        self.memory.taken.set(self.memory.taken.get() - self.taken);
     }
 }
 
@@ -129,12 +138,6 @@
 }
 
 impl BodyBuffer {
-    /// Starts to read an answer of the store or of a peer, of at most `max` bytes, whatever others take.
-    pub fn trusted(max: usize) -> BodyBuffer {
-        let share = Share { taken: 0, memory: None };
-        BodyBuffer { bytes: BytesMut::new(), max, pieces: usize::MAX, share }
-    }
-
     /// Takes the memory for a body whose length is known; fails if it is too large or has no room.
     pub fn reserve(&mut self, len: usize) -> Result<(), BodyError> {
         if len > self.max {
@@ -192,15 +195,3 @@
         (self.bytes.freeze(), self.share)
     }
 }
-
-/// Reads a whole answer; `None` if it broke off, is too large or has no room.
-pub async fn read(body: Incoming, mut buffer: BodyBuffer) -> Option<Bytes> {
-    match buffer.read(body, None).await {
-        Ok(()) => Some(buffer.close().0),
-        Err(BodyError::Broken) => None,
-        Err(error) => {
-            tracing::warn!(%error, bytes = buffer.len(), "answer given up");
-            None
-        }
-    }
-}
--- a/crates/daemon/src/gateway/pool.rs
+++ b/crates/daemon/src/gateway/pool.rs
@@ -26,7 +26,7 @@
 use snafu::Snafu;
 
 pub use self::conn::{Conn, ConnUse, ConnWatch};
-use super::body_memory::{self, BodyBuffer, BodyError, BodyMemory, CALL_MAX, TRUSTED_MAX};
+use super::body_memory::{BodyBuffer, BodyError, BodyMemory, CALL_MAX, TRUSTED_MAX};
 use crate::clock::Clock;
 
 /// Connect timeout: about a hundred times the latency between availability zones, and short enough
@@ -301,7 +301,8 @@
         let started = compio::time::timeout(limit, self.begin_exchange(addr, req, exchange)).await;
         let (conn, response) = started.unwrap_or(Err(ExchangeError::Lost))?;
         let body = match exchange {
-            Exchange::Trusted => BodyBuffer::trusted(TRUSTED_MAX),
+            // The store and peers are read whatever the answers of servers take.
+            Exchange::Trusted => BodyMemory::new(usize::MAX).begin(TRUSTED_MAX),
             _ => self.answers.begin(CALL_MAX),
         };
         Ok(PendingAnswer { conn, response, head_at: self.clock.now(), body })
@@ -345,7 +346,7 @@
             return Reachability::Broken;
         };
         let (parts, body) = response.into_parts();
-        if body_memory::read(body, self.answers.begin(CALL_MAX)).await.is_some() {
+        if self.answers.read(body, CALL_MAX).await.is_some() {
             self.put_back(conn);
         }
         Reachability::Answered(parts.status, parts.headers)
--- a/crates/daemon/src/gateway/send.rs
+++ b/crates/daemon/src/gateway/send.rs
@@ -14,7 +14,7 @@
 use hyper::{HeaderMap, Request, Response, StatusCode};
 
 use super::announcements;
-use super::body_memory::{self, ANSWER_MAX};
+use super::body_memory::ANSWER_MAX;
 use super::engine_life::EngineLife;
 use super::intake::Intake;
 use super::keys;
@@ -242,8 +242,8 @@
             let body = Bytes::new();
             return Ok((outcome, CompleteAnswer { status, headers, body, reply, origin }));
         }
-        let buffer = shared.pool.answers().begin(ANSWER_MAX);
-        let body = body_memory::read(body, buffer).await.ok_or(AttemptOutcome::Lost)?;
+        let read = shared.pool.answers().read(body, ANSWER_MAX);
+        let body = read.await.ok_or(AttemptOutcome::Lost)?;
         if outcome.verdict() == Verdict::MayHaveRun
             && has_second_answer(intake, to, is_framed, &body)
         {
@@ -265,7 +265,7 @@
 
 /// Reads the body of a rejection, so that its connection can be used again; one that does not end is closed.
 async fn drain_rejection(shared: &Shared, conn: Conn, body: Incoming) {
-    let read = body_memory::read(body, shared.pool.answers().begin(REJECTION_MAX));
+    let read = shared.pool.answers().read(body, REJECTION_MAX);
     match compio::time::timeout(REJECTION_TIMEOUT, read).await {
         Ok(Some(_)) => shared.pool.put_back(conn),
         _ => conn.close(),
--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -44,7 +44,7 @@
 use self::urgency::UrgencySnapshot;
 use super::announcements;
 use super::answer::{self, Body, Cause};
-use super::body_memory::{self, ANSWER_MAX};
+use super::body_memory::ANSWER_MAX;
 use super::call;
 use super::intake::Intake;
 use super::keys;
@@ -478,8 +478,7 @@
     let Head { reply, response, conn, .. } = head;
     let (status, headers) = (response.status(), headers::forwarded_to_caller(response.headers()));
     let is_framed = http::is_framed(response.headers());
-    let buffer = shared.pool.answers().begin(ANSWER_MAX);
-    let read = body_memory::read(response.into_body(), buffer);
+    let read = shared.pool.answers().read(response.into_body(), ANSWER_MAX);
     let Ok(Some(body)) = compio::time::timeout(STALL_TIMEOUT, read).await else {
         conn.close();
         return None;
