Watch: one function applies an answer of the store, in the order that removals depend on

What an answer says of a removal depends on the silence that it ends, recorded before, and on the age of the list, renewed after. Four places kept that order by hand. StoreState::on_answer did both at once, which no caller but tests could use since the two were split; it goes, and the tests call the two. Behaviour is unchanged; assertions are the same.

--- a/crates/daemon/src/gateway/watch.rs
+++ b/crates/daemon/src/gateway/watch.rs
@@ -121,13 +121,13 @@
         return Err(StoreError::Unknown { detail });
     }
     on_era(shared, page.revision.era());
-    if age == Consistency::Current {
-        on_store_reached(shared, prefix, known_at);
-    }
-    sink.replace(page.items, page.revision);
-    if age == Consistency::Current {
-        on_store_applied(shared, known_at);
-        confirm_config(shared, |recency| recency.confirm(known_at));
+    let replace = || sink.replace(page.items, page.revision);
+    match age {
+        Consistency::Current => {
+            apply_answer(shared, prefix, known_at, replace);
+            confirm_config(shared, |recency| recency.confirm(known_at));
+        }
+        Consistency::Stale => replace(),
     }
     Ok(page.revision)
 }
@@ -154,11 +154,8 @@
         }
     };
     let empty = page.items.is_empty();
-    on_store_reached(shared, prefix, known_at);
-    for item in page.items {
-        sink.apply(item);
-    }
-    on_store_applied(shared, known_at);
+    let apply = || page.items.into_iter().for_each(|item| sink.apply(item));
+    apply_answer(shared, prefix, known_at, apply);
     confirm_config(shared, |recency| recency.on_watch(known_at, sent, waited, empty));
     Ok(page.revision.max(after))
 }
@@ -194,7 +191,15 @@
     }
 }
 
-/// Records an answer of the store, before its content is applied, which is current as of `at`.
+/// Applies the content of an answer of the store that is current as of `at`. What a removal in it means depends on
+/// the silence that the answer ends, and on how old the list was before.
+fn apply_answer(shared: &Shared, prefix: &str, at: Timestamp, apply: impl FnOnce()) {
+    on_store_reached(shared, prefix, at);
+    apply();
+    shared.store_state.borrow_mut().known(at);
+}
+
+/// Records an answer of the store that is current as of `at`.
 fn on_store_reached(shared: &Shared, prefix: &str, at: Timestamp) {
     let now = shared.now();
     let away_since = shared.store_state.borrow().unreachable_since();
@@ -207,11 +212,6 @@
     }
 }
 
-/// Records that the content of an answer was applied, which is current as of `at`.
-fn on_store_applied(shared: &Shared, at: Timestamp) {
-    shared.store_state.borrow_mut().known(at);
-}
-
 /// Records a call that failed and was sent at `sent`.
 pub fn on_store_failure(shared: &Shared, prefix: &str, sent: Timestamp, error: &StoreError) {
     let now = shared.now();
--- a/crates/daemon/src/gateway/watch/roster_watch.rs
+++ b/crates/daemon/src/gateway/watch/roster_watch.rs
@@ -16,10 +16,7 @@
 use ebonyloft_router::revision::Revision;
 use futures_util::future::{Either, select};
 
-use super::{
-    BACKOFF_MAX, RosterSink, Sink, batch_delay, on_era, on_store_applied, on_store_reached,
-    watch_timeout,
-};
+use super::{BACKOFF_MAX, RosterSink, Sink, apply_answer, batch_delay, on_era, watch_timeout};
 use crate::gateway::shared::Shared;
 
 /// How long an answer may take before the second watch starts: as long as changes are batched.
@@ -78,18 +75,14 @@
         let known_at = shared.now();
         let page = shared.store.list(servers::PREFIX, Consistency::Current).await?;
         on_era(shared, page.revision.era());
-        on_store_reached(shared, servers::PREFIX, known_at);
-        sink.replace(page.items, page.revision);
-        on_store_applied(shared, known_at);
+        let replace = || sink.replace(page.items, page.revision);
+        apply_answer(shared, servers::PREFIX, known_at, replace);
         return Ok(page.revision);
     };
     let reply = shared.store.watch(servers::PREFIX, after, watch_timeout(shared)).await?.reply;
     let known_at = reply.head_at();
     let page = shared.store.read_watch(reply, after).await?;
-    on_store_reached(shared, servers::PREFIX, known_at);
-    for item in page.items {
-        sink.apply(item);
-    }
-    on_store_applied(shared, known_at);
+    let apply = || page.items.into_iter().for_each(|item| sink.apply(item));
+    apply_answer(shared, servers::PREFIX, known_at, apply);
     Ok(page.revision.max(after))
 }
--- a/crates/router/src/store_state.rs
+++ b/crates/router/src/store_state.rs
@@ -87,14 +87,6 @@
         self.heartbeat = heartbeat;
     }
 
-    /// Records an answer of the store whose content was applied and is valid as of `known_at`; true when
-    /// the store was unreachable before.
-    pub fn on_answer(&mut self, now: Timestamp, known_at: Timestamp) -> bool {
-        let returned = self.on_reached(now, known_at);
-        self.known(known_at);
-        returned
-    }
-
     /// Records an answer that the store gave at `at`, before its content is applied: whether removals in it
     /// are trusted depends on how long the store was silent before. True when it was unreachable.
     pub fn on_reached(&mut self, now: Timestamp, at: Timestamp) -> bool {
--- a/crates/router/tests/delegate.rs
+++ b/crates/router/tests/delegate.rs
@@ -304,7 +304,8 @@
 #[test]
 fn a_gateway_without_an_answer_for_long_reports_the_store_as_unreachable() {
     let mut fresh = StoreState::default();
-    fresh.on_answer(NOW, NOW);
+    fresh.on_reached(NOW, NOW);
+    fresh.known(NOW);
     let link = |at: Timestamp| fresh.link(at, SILENCE);
     assert_eq!(link(NOW.after(SILENCE)), StoreLink::Heard { settles: 0, age: 1_200 });
     assert_eq!(link(NOW.after(SILENCE).after(Duration::from_millis(1))), StoreLink::Away);
@@ -314,7 +315,8 @@
 #[test]
 fn an_answer_is_valid_as_of_its_head() {
     let mut fresh = StoreState::default();
-    fresh.on_answer(NOW.after(SILENCE), NOW);
+    fresh.on_reached(NOW.after(SILENCE), NOW);
+    fresh.known(NOW);
     assert_eq!(fresh.known_at(), NOW);
     fresh.known(NOW.before(SILENCE));
     assert_eq!(fresh.known_at(), NOW, "it never goes back");
--- a/crates/router/tests/removals.rs
+++ b/crates/router/tests/removals.rs
@@ -21,10 +21,17 @@
     NOW.after(Duration::from_millis(ms))
 }
 
+/// Records an answer that is current as of `known_at` and applied; true if the store was unreachable before.
+fn answer(state: &mut StoreState, now: Timestamp, known_at: Timestamp) -> bool {
+    let returned = state.on_reached(now, known_at);
+    state.known(known_at);
+    returned
+}
+
 /// A store that was heard at `at(0)`.
 fn heard() -> StoreState {
     let mut state = StoreState::default();
-    state.on_answer(NOW, NOW);
+    answer(&mut state, NOW, NOW);
     state
 }
 
@@ -33,7 +40,7 @@
 fn a_removal_after_a_cut_watch_is_trusted() {
     let mut state = heard();
     assert!(state.on_failure(at(500)));
-    assert!(state.on_answer(at(560), at(555)));
+    assert!(answer(&mut state, at(560), at(555)));
     assert!(state.is_trusted(at(560)), "a registration can't lapse within 60 ms");
 }
 
@@ -43,7 +50,7 @@
     let mut state = heard();
     for ms in (1_000..30_000).step_by(250) {
         state.on_failure(at(ms));
-        state.on_answer(at(ms + 90), at(ms + 85));
+        answer(&mut state, at(ms + 90), at(ms + 85));
         assert!(state.is_trusted(at(ms + 100)), "{ms}");
     }
 }
@@ -53,7 +60,7 @@
 fn the_first_answer_to_a_gateway_refutes_an_outage_that_only_peers_reported() {
     let mut state = heard();
     assert!(state.adopt(at(1_200), StoreLink::Away));
-    assert!(state.on_answer(at(1_400), at(1_395)));
+    assert!(answer(&mut state, at(1_400), at(1_395)));
     assert!(state.is_trusted(at(1_400)));
 }
 
@@ -63,7 +70,7 @@
     let mut state = heard();
     state.adopt(at(1_200), StoreLink::Away);
     state.on_failure(at(1_500));
-    state.on_answer(at(2_600), at(2_600));
+    answer(&mut state, at(2_600), at(2_600));
     assert!(!state.is_trusted(at(2_600)), "2.6 s are enough for a registration to lapse");
 }
 
@@ -75,7 +82,7 @@
         state.on_failure(at(100));
         let back = at(100).after(silence);
         assert!(!state.is_trusted(back), "{silence:?}");
-        state.on_answer(back, back);
+        answer(&mut state, back, back);
         assert!(!state.is_trusted(back), "{silence:?}");
         assert!(!state.is_trusted(back.after(Duration::from_secs(2))), "{silence:?}");
         assert!(state.is_trusted(back.after(REREGISTRATION_TIME)), "{silence:?}");
@@ -115,13 +122,13 @@
     let mut state = heard();
     for start in [1_000, 2_500] {
         state.on_failure(at(start));
-        state.on_answer(at(start + 1_300), at(start + 1_300));
+        answer(&mut state, at(start + 1_300), at(start + 1_300));
     }
     assert!(!state.is_trusted(at(3_800)), "no renewal for 2.8 s");
     let mut state = heard();
     for start in [1_000, 4_000] {
         state.on_failure(at(start));
-        state.on_answer(at(start + 1_300), at(start + 1_300));
+        answer(&mut state, at(start + 1_300), at(start + 1_300));
     }
     assert!(state.is_trusted(at(5_300)), "servers renewed between the outages");
 }
@@ -131,7 +138,7 @@
 fn how_soon_registrations_lapse_follows_the_heartbeat_interval_in_force() {
     let outage = |state: &mut StoreState, start| {
         state.on_failure(at(start));
-        state.on_answer(at(start + 2_600), at(start + 2_600));
+        answer(state, at(start + 2_600), at(start + 2_600));
         state.is_trusted(at(start + 2_600))
     };
     let mut state = heard();
--- a/crates/router/tests/removals/world.rs
+++ b/crates/router/tests/removals/world.rs
@@ -124,7 +124,8 @@
         let history: Vec<Change> = (0..servers).map(|n| registered(n, n as u64 + 1)).collect();
         let gateway = |n: usize| {
             let mut state = StoreState::default();
-            state.on_answer(START, START);
+            state.on_reached(START, START);
+            state.known(START);
             let mut registry = ServerRegistry::default();
             registry.replace(history.clone(), (servers as u64).into(), true);
             Gateway::start(START, n / groups, n % groups, state, registry)
--- a/crates/router/tests/roster.rs
+++ b/crates/router/tests/roster.rs
@@ -344,13 +344,15 @@
 fn the_store_is_trusted_some_time_after_its_return() {
     let mut fresh = StoreState::default();
     let start = Timestamp::from_millis(1_000);
-    fresh.on_answer(start, start);
+    fresh.on_reached(start, start);
+    fresh.known(start);
     assert!(fresh.is_trusted(start));
     assert!(fresh.on_failure(Timestamp::from_millis(2_000)));
     assert!(!fresh.on_failure(Timestamp::from_millis(2_100)));
     assert!(!fresh.is_trusted(Timestamp::from_millis(60_000)));
     let back = Timestamp::from_millis(60_000);
-    assert!(fresh.on_answer(back, back));
+    assert!(fresh.on_reached(back, back));
+    fresh.known(back);
     assert!(!fresh.is_trusted(back));
     assert!(fresh.is_trusted(back.after(REREGISTRATION_TIME)));
 }
--- a/crates/router/tests/store_copies.rs
+++ b/crates/router/tests/store_copies.rs
@@ -110,7 +110,8 @@
 #[test]
 fn missing_registrations_are_not_trusted_at_once_after_the_store_came_back() {
     let mut state = StoreState::default();
-    state.on_answer(NOW, NOW);
+    state.on_reached(NOW, NOW);
+    state.known(NOW);
     assert!(state.is_trusted(NOW));
     state.on_restored(NOW);
     assert!(!state.is_trusted(NOW.after(Duration::from_secs(2))));
