Relay and join: the clock is read where it can matter only

A relay read it once more for each piece of a stream that brought events, to ask whether events had stopped coming; after an event the answer is no. Joining read it three times for one step. Behaviour is unchanged.

--- a/crates/daemon/src/gateway/registration.rs
+++ b/crates/daemon/src/gateway/registration.rs
@@ -133,8 +133,8 @@
         let own = own_registration(shared);
         let complete = shared.registry.borrow().is_complete();
         let current = shared.fleet.borrow().registration(&shared.node().name) == Some(&own);
-        let sent = shared.now();
-        match joining.step(shared.now(), complete, current) {
+        let now = shared.now();
+        match joining.step(now, complete, current) {
             JoinStep::List => match list_nearby(shared).await {
                 Ok((list, revision)) => {
                     let current = list.get(&shared.node().name) == Some(&own);
@@ -145,17 +145,17 @@
                     tracing::info!(known, %revision, current, "registrations read");
                     ask_peers(shared);
                 }
-                Err(e) => on_join_failure(shared, &mut joining, sent, &e),
+                Err(e) => on_join_failure(shared, &mut joining, now, &e),
             },
             JoinStep::Register => match register(shared, &own).await {
                 Ok(revision) => {
                     (seen_at, is_new) = (Some(revision), true);
                     joining.on_registered(shared.now(), shared.random_fraction());
                 }
-                Err(e) => on_join_failure(shared, &mut joining, sent, &e),
+                Err(e) => on_join_failure(shared, &mut joining, now, &e),
             },
             JoinStep::Wait(until) => {
-                let pause = until.since(shared.now()).min(membership::RELIST_PAUSE / 8);
+                let pause = until.since(now).min(membership::RELIST_PAUSE / 8);
                 compio::time::sleep(pause).await;
             }
             JoinStep::Joined => {
--- a/crates/daemon/src/gateway/stream/relay.rs
+++ b/crates/daemon/src/gateway/stream/relay.rs
@@ -79,13 +79,14 @@
         };
         match frame {
             Some(Some(Ok(frame))) => {
-                if let Ok(bytes) = frame.into_data()
-                    && relay.relay_chunk(&bytes).await
-                    && last_call.is_none()
-                {
+                let has_events = match frame.into_data() {
+                    Ok(bytes) => relay.relay_chunk(&bytes).await,
+                    Err(_) => false,
+                };
+                if has_events && last_call.is_none() {
                     last_call = migration::on_event(shared, intake, relay.state);
                 }
-                if relay.splitter.is_ended() || relay.is_stalled() {
+                if relay.splitter.is_ended() || !has_events && relay.is_stalled() {
                     let bytes = relay.splitter.incomplete().len();
                     tracing::warn!(id = intake.id(), bytes, "stream given up: no events any more");
                     conn.close();
