--- a/crates/router/tests/removals.rs
+++ b/crates/router/tests/removals.rs
@@ -195,6 +195,14 @@
 /// Sizes of fleets, with the groups of gateways that follow the store together.
 const FLEETS: [(usize, usize); 3] = [(4, 1), (29, 4), (300, 4)];
 const SERVERS: usize = 8;
+/// The fleets with seeds and ways in which the store does not answer.
+fn plays() -> impl Iterator<Item = (usize, usize, u64, Access)> {
+    FLEETS.into_iter().flat_map(|(gateways, groups)| {
+        let access = [Access::Silent, Access::Rejected].into_iter().cycle();
+        (0..6).zip(access).map(move |(seed, access)| (gateways, groups, seed, access))
+    })
+}
+
 /// When the store begins to treat calls differently.
 const TROUBLE_AT: Duration = Duration::from_secs(5);
 
@@ -232,6 +240,7 @@
     }
 }
 
+/// Plays one tick of the trouble.
 fn step(world: &mut World, trouble: &Trouble) {
     if trouble.restart_at == Some(world.elapsed()) {
         (0..world.followers()).for_each(|n| world.restart(n));
@@ -276,15 +285,13 @@
 /// Asserts that a removed server is left in time by the gateways that the store serves, while it treats a third
 /// of all in another way; `rejected` chooses those by the size of the fleet, its groups and a seed.
 fn assert_left_in_time(rejected: impl Fn(usize, usize, u64) -> BTreeSet<usize>) {
-    for (gateways, groups) in FLEETS {
-        for (seed, access) in (0..6).zip([Access::Silent, Access::Rejected].into_iter().cycle()) {
-            let mut world = World::new(gateways, groups, SERVERS, seed);
-            let rejected = Some(rejected(gateways, groups, seed));
-            let time = Duration::from_secs(5);
-            let trouble = Trouble { access, rejected, time, ..Trouble::default() };
-            let latest = latest_use(&mut world, &trouble);
-            assert!(latest <= DRAIN, "{gateways} gateways, seed {seed}, {access:?}: {latest:?}");
-        }
+    for (gateways, groups, seed, access) in plays() {
+        let mut world = World::new(gateways, groups, SERVERS, seed);
+        let rejected = Some(rejected(gateways, groups, seed));
+        let time = Duration::from_secs(5);
+        let trouble = Trouble { access, rejected, time, ..Trouble::default() };
+        let latest = latest_use(&mut world, &trouble);
+        assert!(latest <= DRAIN, "{gateways} gateways, seed {seed}, {access:?}: {latest:?}");
     }
 }
 
@@ -325,16 +332,14 @@
 #[test]
 fn servers_that_lapse_in_an_outage_stay_in_use() {
     let mut lapses = 0;
-    for (gateways, groups) in FLEETS {
-        for (seed, access) in (0..6).zip([Access::Silent, Access::Rejected].into_iter().cycle()) {
-            for seconds in [2, 5] {
-                let mut world = World::new(gateways, groups, SERVERS, seed);
-                let time = Duration::from_secs(seconds);
-                let trouble = Trouble { access, time, ..Trouble::default() };
-                let unused = first_unused(&mut world, &trouble);
-                assert_eq!(unused, None, "{gateways} gateways, seed {seed}, {access:?}, {time:?}");
-                lapses += world.lapses();
-            }
+    for (gateways, groups, seed, access) in plays() {
+        for seconds in [2, 5] {
+            let mut world = World::new(gateways, groups, SERVERS, seed);
+            let time = Duration::from_secs(seconds);
+            let trouble = Trouble { access, time, ..Trouble::default() };
+            let unused = first_unused(&mut world, &trouble);
+            assert_eq!(unused, None, "{gateways} gateways, seed {seed}, {access:?}, {time:?}");
+            lapses += world.lapses();
         }
     }
     assert!(lapses > 100, "{lapses} registrations lapsed");
@@ -352,13 +357,11 @@
 #[test]
 fn servers_that_lapse_stay_in_use_where_gateways_start_at_the_end_of_the_outage() {
     let mut lapses = 0;
-    for (gateways, groups) in FLEETS {
-        for (seed, access) in (0..6).zip([Access::Silent, Access::Rejected].into_iter().cycle()) {
-            let mut world = World::new(gateways, groups, SERVERS, seed);
-            let unused = first_unused(&mut world, &outage_with_restarts(seed, access));
-            assert_eq!(unused, None, "{gateways} gateways, seed {seed}, {access:?}");
-            lapses += world.lapses();
-        }
+    for (gateways, groups, seed, access) in plays() {
+        let mut world = World::new(gateways, groups, SERVERS, seed);
+        let unused = first_unused(&mut world, &outage_with_restarts(seed, access));
+        assert_eq!(unused, None, "{gateways} gateways, seed {seed}, {access:?}");
+        lapses += world.lapses();
     }
     assert!(lapses > 50, "{lapses} registrations lapsed");
 }
--- a/crates/standins/tests/endless.rs
+++ b/crates/standins/tests/endless.rs
@@ -57,18 +57,22 @@
     ]
 }
 
+/// Answers that consist of a flood after their head.
+fn without_end(flood: Flood) -> Ending {
+    Ending { cut_at: Some(0), flood: Some(flood), ..Ending::default() }
+}
+
 /// Floods all answers to callers' requests from the server of a stage that has answered most.
-fn flood_busiest(fleet: &Fleet, stage: Option<Stage>, flood: Option<Flood>) -> usize {
+fn flood_busiest(fleet: &Fleet, stage: Option<Stage>, flood: Flood) -> usize {
     let is_meant = |n: &usize| fleet.backends[*n].server.borrow().stage == stage;
     let servers = (0..fleet.backends.len()).filter(is_meant);
     let first = servers.max_by_key(|n| fleet.relays[*n].answers.get()).expect("a server");
-    let cut_at = flood.is_some().then_some(0);
-    fleet.relays[first].end_requests(Ending { cut_at, flood, ..Ending::default() });
+    fleet.relays[first].end_requests(without_end(flood));
     fleet.relays[first].flooded.set(0);
     first
 }
 
-/// Asserts that no flood goes on and that each was given up early.
+/// Asserts that no flood goes on.
 async fn assert_closed(fleet: &Fleet, name: &str) {
     compio::time::sleep(Duration::from_millis(300)).await;
     for relay in &fleet.relays {
@@ -76,6 +80,14 @@
     }
 }
 
+/// Asserts that the server behind a relay sent so many floods, at least one, and that each was given up early.
+async fn assert_given_up(fleet: &Fleet, relay: usize, floods: usize, name: &str) {
+    assert!(floods > 0, "{name}: the server was not used");
+    assert_closed(fleet, name).await;
+    let taken = fleet.relays[relay].flooded.get() / floods;
+    assert!(taken < TAKEN_MAX, "{name}: {taken} bytes of each of {floods} answers");
+}
+
 /// Sends calls, one of each kind at a time, while the answers of one server are floods.
 fn assert_calls_give_up(name: &str, flood: Flood) {
     with_fleet(spec(), async |fleet| {
@@ -83,7 +95,7 @@
             let answer = fleet.caller(0).call(CHECK, &format!("before-{n}")).await;
             assert_eq!(answer.expect("an answer").status, 200);
         }
-        let first = flood_busiest(fleet, None, Some(flood));
+        let first = flood_busiest(fleet, None, flood);
         let before = fleet.relays[first].answers.get();
         for n in 0..20 {
             let attempt = format!("once-{n}");
@@ -96,10 +108,7 @@
             assert_eq!(again.expect("an answer").status, 200, "{name}: the other server answers");
         }
         let floods = fleet.relays[first].answers.get() - before;
-        assert!(floods > 0, "{name}: the server was not used");
-        assert_closed(fleet, name).await;
-        let taken = fleet.relays[first].flooded.get() / floods;
-        assert!(taken < TAKEN_MAX, "{name}: {taken} bytes of each of {floods} answers");
+        assert_given_up(fleet, first, floods, name).await;
     });
 }
 
@@ -154,7 +163,7 @@
 /// Sends summaries while the answers of one engine are floods.
 fn assert_streams_go_on(name: &str, flood: Flood) {
     with_fleet(spec(), async |fleet| {
-        let first = flood_busiest(fleet, Some(Stage::Decode), Some(flood));
+        let first = flood_busiest(fleet, Some(Stage::Decode), flood);
         // An engine that broke off is left alone for a while.
         for n in 0..ATTEMPTS {
             if fleet.relays[first].answers.get() >= 2 {
@@ -167,10 +176,7 @@
             assert_eq!(answer.events(), (1..=20).collect::<Vec<u64>>(), "{name}");
         }
         let floods = fleet.relays[first].answers.get();
-        assert!(floods > 0, "{name}: the engine was not used");
-        assert_closed(fleet, name).await;
-        let taken = fleet.relays[first].flooded.get() / floods;
-        assert!(taken < TAKEN_MAX, "{name}: {taken} bytes of each of {floods} streams");
+        assert_given_up(fleet, first, floods, name).await;
     });
 }
 
@@ -206,7 +212,7 @@
     let spec = FleetSpec { decode_engines: 1, ..spec() };
     with_fleet(spec, async |fleet| {
         let (name, flood) = floods().remove(1);
-        flood_busiest(fleet, Some(Stage::Decode), Some(flood));
+        flood_busiest(fleet, Some(Stage::Decode), flood);
         let begun = Instant::now();
         let answer = fleet.caller(0).summary(ONCE_SUMMARY, "once").await;
         assert!(begun.elapsed() < Duration::from_secs(3), "{name}: {:?}", begun.elapsed());
@@ -222,7 +228,7 @@
     with_fleet(spec(), async |fleet| {
         let pause = Duration::from_millis(50);
         let trickle = Flood { pause, ..flood(b"data: x\n".to_vec()) };
-        let first = flood_busiest(fleet, Some(Stage::Decode), Some(trickle));
+        let first = flood_busiest(fleet, Some(Stage::Decode), trickle);
         for n in 0..6 {
             let attempt = format!("trickle-{n}");
             let begun = Instant::now();
@@ -242,8 +248,7 @@
         for (name, flood) in floods().into_iter().chain(head_floods()) {
             for relay in &fleet.relays {
                 relay.flooded.set(0);
-                let cut_at = Some(0);
-                relay.end_calls(Ending { cut_at, flood: Some(flood.clone()), ..Ending::default() });
+                relay.end_calls(without_end(flood.clone()));
             }
             let before: usize = fleet.relays.iter().map(|relay| relay.answers.get()).sum();
             for n in 0..3 {
--- a/crates/standins/tests/large_bodies.rs
+++ b/crates/standins/tests/large_bodies.rs
@@ -45,6 +45,15 @@
     }
 }
 
+/// Starts uploads, whose ids are the name with their number.
+async fn start_uploads(fleet: &Fleet, name: &str) -> Vec<Upload> {
+    let mut uploads = Vec::new();
+    for n in 0..UPLOADS {
+        uploads.push(Upload::start(fleet, &format!("{name}-{n}")).await);
+    }
+    uploads
+}
+
 /// Runs a test on a gateway that takes bodies of this size, and requests that last `timeout` at most.
 fn with_large_bodies(timeout: Duration, test: impl AsyncFnOnce(&Fleet)) {
     with_fleet(FleetSpec { gateways: 1, ..FleetSpec::default() }, async |fleet| {
@@ -62,10 +71,7 @@
 #[test]
 fn bodies_that_have_no_room_beside_others_are_refused_unread() {
     with_large_bodies(Duration::from_secs(10), async |fleet| {
-        let mut uploads = Vec::new();
-        for n in 0..UPLOADS {
-            uploads.push(Upload::start(fleet, &format!("form-{n}")).await);
-        }
+        let mut uploads = start_uploads(fleet, "form").await;
         for upload in &mut uploads {
             upload.read(ANSWERED_WITHIN / UPLOADS as u32).await;
         }
@@ -95,10 +101,7 @@
 #[test]
 fn a_body_that_does_not_come_gives_its_memory_back_at_the_deadline() {
     with_large_bodies(Duration::from_secs(2), async |fleet| {
-        let mut uploads = Vec::new();
-        for n in 0..UPLOADS {
-            uploads.push(Upload::start(fleet, &format!("stuck-{n}")).await);
-        }
+        let _uploads = start_uploads(fleet, "stuck").await;
         compio::time::sleep(Duration::from_millis(2_500)).await;
         let mut next = Upload::start(fleet, "next").await;
         next.finish().await;
