Review: a request that was sent goes on from another request's handle

Tried: a prefill engine that crashes and starts again under its id while the transfer of a request that names its handle waits. Seen: the decode engine fetches the memory of another request.

--- a/review/standins-2/src/bin/handles.rs
+++ b/review/standins-2/src/bin/handles.rs
@@ -1,8 +1,10 @@
-//! A prefill engine crashes and starts again under its id while a request waits with a handle that the engine gave.
+//! A prefill engine crashes and starts again under its id while a request has a handle that the engine gave. The
+//! next life of the engine gives the same name to the handle of another request. Which request a decode engine then
+//! goes on from is read from the prefill engine's own table. The second argument names the case:
 //!
-//! The engine's answer with the handle had `Connection: close`, as answers occasionally have. The next life of the
-//! engine gives the same name to the handle of another request. Which request a decode engine then goes on from is
-//! read from the prefill engine's own table.
+//! - `waiting`: the request was rejected by a decode engine and waits for another one; the answer with its handle had
+//!   `Connection: close`, as answers occasionally have.
+//! - `sent`: a decode engine has the request, whose transfer waits behind others.
 
 use std::collections::HashMap;
 use std::io::Write;
@@ -16,6 +18,7 @@
 use ebonyloft_review_standins_2::gateway::Gateway;
 use ebonyloft_review_standins_2::http::{Conn, Head};
 use ebonyloft_review_standins_2::record::Record;
+use ebonyloft_review_standins_2::runner::is_closed;
 use ebonyloft_review_standins_2::store::StoreThread;
 use ebonyloft_review_standins_2::{addr, has_trouble};
 
@@ -28,15 +31,16 @@
 const SECOND_PROMPT: u64 = 900;
 /// Largest reservation that the decode engines grant while they are nearly full.
 const NEARLY_FULL: u64 = 2_000;
-/// Times after the first request's rejection: of the crash, of the engine's return, of the second request, of the
+/// Times after the first request has reached a decode engine: of the crash, of the engine's return, of the second request, of the
 /// end of the shortage, and of the first heartbeat of the engine's new life.
 const CRASH: Duration = Duration::from_millis(30);
 const RETURN: Duration = Duration::from_millis(130);
 const SECOND: Duration = Duration::from_millis(140);
 const ROOM: Duration = Duration::from_millis(260);
 const HEARTBEAT: Duration = Duration::from_millis(1_000);
-/// How long the second request's transfer waits behind others.
+/// How long the transfers wait behind others: of the second request, and of the first one where it is sent already.
 const TRANSFER_QUEUE: Duration = Duration::from_millis(600);
+const FIRST_TRANSFER: Duration = Duration::from_millis(400);
 
 /// What the engines share in this process; each engine uses its own part.
 #[derive(Default)]
@@ -47,8 +51,10 @@
     life: u32,
     last_hold: u32,
     is_down: bool,
-    /// When the first request was rejected.
-    rejected_at: Option<Instant>,
+    /// The case `waiting`, else `sent`.
+    is_waiting: bool,
+    /// When the first request reached a decode engine.
+    reached_at: Option<Instant>,
     /// Open connections of the prefill engine.
     open: Vec<TcpStream>,
     /// Requests that went on from a handle, with the request that it was made for.
@@ -61,12 +67,12 @@
     format!(
         "{{\"version\":1,\"routes\":[\
          {{\"name\":\"r-sum\",\"hostname\":\"{HOST}\",\"path_prefix\":\"/sum/\",\"kind\":\"streaming\",\
-           \"timeout_ms\":14000,\"latency_goal_ms\":4000,\"gap_aim_ms\":300,\"priority\":1,\
+           \"timeout_ms\":14000,\"latency_goal_ms\":2000,\"gap_aim_ms\":300,\"priority\":1,\
            \"traffic_split\":[{{\"service\":\"llm\",\"weight\":100}}],\"max_attempts\":2,\
            \"session_affinity\":true,\"resumable\":false}}],\
-         \"services\":[{{\"name\":\"llm\",\"max_conns\":200,\"health_path\":\"/health\",\
-           \"engine\":{{\"slot_count\":24,\"kv_tokens\":42606,\"stride\":12,\"handle_ttl_s\":0.5,\"switch_s\":6,\
-           \"hold_ms\":2000,\"token_kv_bytes\":18432}}}}],\
+         \"services\":[{{\"name\":\"llm\",\"max_conns\":290,\"health_path\":\"/health\",\
+           \"engine\":{{\"slot_count\":12,\"kv_tokens\":31321,\"stride\":14,\"handle_ttl_s\":0.5,\"switch_s\":6,\
+           \"hold_ms\":2000,\"token_kv_bytes\":163840}}}}],\
          \"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\
          \"idle_timeout_ms\":15000}}}}"
     )
@@ -78,7 +84,7 @@
 
 fn registration(host: u8, stage: &str, born: u128) -> String {
     format!(
-        "{{\"service\":\"llm\",\"address\":\"{}\",\"zone\":\"a\",\"version\":\"v1\",\"slot_count\":24,\
+        "{{\"service\":\"llm\",\"address\":\"{}\",\"zone\":\"a\",\"version\":\"v1\",\"slot_count\":12,\
          \"state\":\"ready\",\"cold_remaining_ms\":0,\"stage\":\"{stage}\",\"born\":{born},\
          \"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],\"sequence\":1}}",
         addr(host, 8147)
@@ -90,10 +96,15 @@
 }
 
 fn main() {
+    let is_waiting = match std::env::args().nth(2).as_deref() {
+        Some("waiting") => true,
+        Some("sent") => false,
+        _ => exit(2),
+    };
     let record = Record::create();
     let folder = std::env::temp_dir().join(format!("review-handles-{}", std::process::id()));
     std::fs::create_dir_all(&folder).expect("a temporary folder");
-    let code = run(&record, &folder).unwrap_or(2);
+    let code = run(is_waiting, &record, &folder).unwrap_or(2);
     let _ = std::fs::remove_dir_all(&folder);
     exit(code);
 }
@@ -142,7 +153,7 @@
             let stage = if host == PREFILL { "prefill" } else { "decode" };
             let text = format!(
                 "{{\"stage\":\"{stage}\",\"models\":[],\"busy\":false,\"sequence\":0,\"queued\":0,\"active\":0,\
-                 \"kv_used\":0,\"kv_total\":42606,\"handle_count\":0}}"
+                 \"kv_used\":0,\"kv_total\":31321,\"handle_count\":0}}"
             );
             answer(conn, "200 OK", json, &text)
         }
@@ -172,7 +183,7 @@
         .unwrap_or(0);
     let hold = {
         let mut world = world.lock().expect("no panic");
-        let is_short = world.rejected_at.is_some_and(|at| at.elapsed() < ROOM);
+        let is_short = world.is_waiting && world.reached_at.is_some_and(|at| at.elapsed() < ROOM);
         if is_short && tokens > NEARLY_FULL {
             None
         } else {
@@ -200,7 +211,7 @@
         return answer(conn, "421 Misdirected Request", &format!("Attempt-Id: {attempt}\r\n"), "");
     }
     std::thread::sleep(Duration::from_millis(60));
-    let (handle, life) = {
+    let (handle, life, is_waiting) = {
         let mut world = world.lock().expect("no panic");
         if world.is_down {
             return false;
@@ -208,9 +219,9 @@
         world.last_handle += 1;
         let handle = format!("h{}", world.last_handle);
         world.handles.insert(handle.clone(), attempt.clone());
-        (handle, world.life)
+        (handle, world.life, world.is_waiting)
     };
-    let closes = attempt == "first" && std::env::var("CLOSE").as_deref() != Ok("0");
+    let closes = is_waiting && attempt == "first" && std::env::var("CLOSE").as_deref() != Ok("0");
     let close = if closes { "Connection: close\r\n" } else { "" };
     record.line(format!(
         "engine {}, life {life}, has read the prompt of {attempt}: handle {handle} {}",
@@ -233,19 +244,29 @@
         "engine {id} gets {attempt}: Kv-From {source}, Kv-Hold {}",
         head.get("kv-hold").unwrap_or("none")
     ));
-    if attempt == "first" {
+    let (is_waiting, is_first) = {
         let mut world = world.lock().expect("no panic");
-        if world.rejected_at.is_none() {
-            world.rejected_at = Some(Instant::now());
-            drop(world);
-            record.line(format!(
-                "engine {id} rejects {attempt}: its transfer would wait more than two seconds"
-            ));
-            let headers = format!("Attempt-Id: {attempt}\r\nNot-Run: 1\r\n");
-            return answer(conn, "503 Service Unavailable", &headers, "");
+        let is_first = attempt == "first" && world.reached_at.is_none();
+        if is_first {
+            world.reached_at = Some(Instant::now());
         }
-    } else {
+        (world.is_waiting, is_first)
+    };
+    if is_first && is_waiting {
+        record.line(format!(
+            "engine {id} rejects {attempt}: its transfer would wait more than two seconds"
+        ));
+        let headers = format!("Attempt-Id: {attempt}\r\nNot-Run: 1\r\n");
+        return answer(conn, "503 Service Unavailable", &headers, "");
+    }
+    if attempt != "first" {
         std::thread::sleep(TRANSFER_QUEUE);
+    } else if !is_waiting {
+        std::thread::sleep(FIRST_TRANSFER);
+    }
+    if is_closed(&conn.stream) {
+        record.line(format!("engine {id} drops {attempt}: its connection has ended"));
+        return false;
     }
     if let Some((_, handle)) = source.split_once('/') {
         let owner = {
@@ -318,12 +339,15 @@
     })
 }
 
-fn run(record: &Record, folder: &Path) -> Option<i32> {
+fn run(is_waiting: bool, record: &Record, folder: &Path) -> Option<i32> {
     let store_addr = addr(1, 8142);
     let store = StoreThread::start(store_addr);
     std::thread::sleep(Duration::from_millis(200));
     let world = Shared::default();
-    world.lock().expect("no panic").life = 1;
+    {
+        let mut world = world.lock().expect("no panic");
+        (world.life, world.is_waiting) = (1, is_waiting);
+    }
     start_engine(PREFILL, &world, record);
     DECODE.iter().for_each(|host| start_engine(*host, &world, record));
     store.put("op/config", &config());
@@ -341,8 +365,8 @@
     std::thread::sleep(Duration::from_millis(8_000));
     let first = request(record, gateways[0].front(), "first", FIRST_PROMPT);
     let limit = Instant::now() + Duration::from_secs(5);
-    let rejected_at = loop {
-        if let Some(at) = world.lock().expect("no panic").rejected_at {
+    let reached_at = loop {
+        if let Some(at) = world.lock().expect("no panic").reached_at {
             break at;
         }
         if Instant::now() > limit {
@@ -352,7 +376,7 @@
         std::thread::sleep(Duration::from_millis(1));
     };
     let until = |after: Duration| {
-        std::thread::sleep((rejected_at + after).saturating_duration_since(Instant::now()));
+        std::thread::sleep((reached_at + after).saturating_duration_since(Instant::now()));
     };
     let mut born_again = born;
     until(CRASH);
--- a/review/standins-2/src/runner.rs
+++ b/review/standins-2/src/runner.rs
@@ -177,7 +177,7 @@
 }
 
 /// Has the other end closed the connection?
-fn is_closed(stream: &TcpStream) -> bool {
+pub fn is_closed(stream: &TcpStream) -> bool {
     let _ = stream.set_nonblocking(true);
     let mut byte = [0];
     let closed = match stream.peek(&mut byte) {
