Pool: the part of an answer that is reset during the upload does not count as whole

What callers saw: a 200 without a length whose connection was reset while a long upload was still being written came to the caller as a complete answer.

Cause: the system reports a reset once per socket. When the write of the upload took the error, the next read returned no bytes, and the HTTP library took that for the end of a body without a length.

Why the fix works: the end of the stream is held back until the request is written or a write has failed, and becomes an error in the latter case.

--- a/crates/daemon/src/gateway/pool.rs
+++ b/crates/daemon/src/gateway/pool.rs
@@ -16,7 +16,6 @@
 
 use bytes::Bytes;
 use compio::net::TcpStream;
-use cyper_core::HyperStream;
 use ebonyloft_core::time::Timestamp;
 use ebonyloft_platform::headers;
 use ebonyloft_router::correlation::{Correlation, Exchange};
@@ -27,6 +26,7 @@
 
 pub use self::conn::{Conn, ConnUse, ConnWatch};
 use super::body_memory::{BodyBuffer, BodyError, BodyMemory, CALL_MAX, TRUSTED_MAX};
+use crate::answer_socket;
 use crate::clock::Clock;
 
 /// Connect timeout: about a hundred times the latency between availability zones, and short enough
@@ -416,7 +416,7 @@
     async fn handshake(&self, addr: SocketAddr, stream: TcpStream) -> Result<Conn, ExchangeError> {
         // Without it small writes wait for acknowledgements; a failure to set it is harmless.
         let _ = stream.set_nodelay(true);
-        let io = HyperStream::new_plain(stream);
+        let (io, writes) = answer_socket::wrap(stream);
         let handshake = http1::Builder::new().max_buf_size(READ_BUFFER_MAX).handshake(io).await;
         let (sender, conn) = handshake.map_err(|_| ExchangeError::Unsent)?;
         let (strays, clock) = (self.strays.clone(), self.clock);
@@ -436,7 +436,7 @@
         });
         let correlation = Correlation::default();
         let idle_since = self.clock.now();
-        Ok(Conn { addr, number, correlation, watch, sender, task, idle_since })
+        Ok(Conn { addr, number, correlation, watch, sender, writes, task, idle_since })
     }
 
     async fn begin_exchange(
--- a/crates/daemon/src/gateway/pool/conn.rs
+++ b/crates/daemon/src/gateway/pool/conn.rs
@@ -19,7 +19,8 @@
 use hyper::{HeaderMap, Request, Response};
 
 use super::{ExchangeError, IDLE_MAX};
-use crate::http::{Pieces, is_framed};
+use crate::answer_socket::{Upload, WriteState};
+use crate::http::is_framed;
 
 /// Interim answers that an exchange may have.
 const INTERIM_MAX: usize = 16;
@@ -67,7 +68,8 @@
     pub(super) number: u64,
     pub(super) correlation: Correlation,
     pub(super) watch: ConnWatch,
-    pub(super) sender: SendRequest<Pieces>,
+    pub(super) sender: SendRequest<Upload>,
+    pub(super) writes: Rc<WriteState>,
     /// Drives the connection; dropping it closes the socket.
     pub(super) task: JoinHandle<()>,
     pub(super) idle_since: Timestamp,
@@ -83,7 +85,7 @@
         &mut self,
         req: Request<Bytes>,
     ) -> Result<Response<Incoming>, ExchangeError> {
-        let mut req = req.map(Pieces);
+        let mut req = req.map(|body| self.writes.upload(body));
         let (interim_sender, interim) = mpsc::unbounded();
         on_informational(&mut req, move |_| {
             // Fails once the exchange is given up.
--- a/crates/standins/tests/unframed.rs
+++ b/crates/standins/tests/unframed.rs
@@ -1,5 +1,10 @@
 //! Answers that have neither a length nor chunks and end with their connection.
 
+use std::io::{Read, Write};
+use std::net::{IpAddr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::thread;
 use std::time::Duration;
 
 use ebonyloft_router::catalog::Stage;
@@ -14,6 +19,11 @@
 /// Most summaries sent until one runs, and the pause between two.
 const ATTEMPTS: u32 = 100;
 const PAUSE: Duration = Duration::from_millis(50);
+/// Bytes of an upload that a server's socket does not hold, and the number of uploads.
+const UPLOAD: usize = 3 << 20;
+const UPLOADS: usize = 60;
+/// Body of an answer that comes before the upload has been read.
+const EARLY: &str = "{\"valid\":true}";
 /// Number of events of a summary.
 const EVENTS: u64 = 20;
 
@@ -127,6 +137,89 @@
     });
 }
 
+/// A server that answers a request when it has read a part of its upload.
+struct EarlyServer {
+    addr: SocketAddr,
+    answers: Arc<AtomicUsize>,
+    /// Whether it resets connections after its answers, or ends them properly.
+    resets: Arc<AtomicBool>,
+}
+
+impl EarlyServer {
+    fn start(ip: IpAddr) -> Self {
+        let listener = TcpListener::bind((ip, 0)).expect("a free port");
+        let server = EarlyServer {
+            addr: listener.local_addr().expect("an address"),
+            answers: Arc::default(),
+            resets: Arc::default(),
+        };
+        let (answers, resets) = (server.answers.clone(), server.resets.clone());
+        thread::spawn(move || {
+            for stream in listener.incoming() {
+                let (answers, resets) = (answers.clone(), resets.clone());
+                let stream = stream.expect("a caller");
+                thread::spawn(move || answer_early(stream, &answers, &resets).ok());
+            }
+        });
+        server
+    }
+}
+
+fn answer_early(
+    mut stream: TcpStream,
+    answers: &AtomicUsize,
+    resets: &AtomicBool,
+) -> std::io::Result<()> {
+    let mut buffer = vec![0; 16 << 10];
+    let mut len = stream.read(&mut buffer)?;
+    let text = String::from_utf8_lossy(&buffer[..len]).into_owned();
+    let echo = text.lines().find(|line| line.to_ascii_lowercase().starts_with("attempt-id:"));
+    let echo = echo.unwrap_or("x: y").to_owned();
+    while len < UPLOAD / 4 {
+        len += stream.read(&mut buffer)?;
+    }
+    answers.fetch_add(1, Ordering::SeqCst);
+    let head = format!("HTTP/1.1 200 OK\r\n{echo}\r\nserver-stamp: i-9\r\n\r\n{EARLY}");
+    stream.write_all(head.as_bytes())?;
+    if resets.load(Ordering::SeqCst) {
+        // Closing the socket with unread bytes resets the connection.
+        return Ok(());
+    }
+    stream.shutdown(Shutdown::Write)?;
+    while stream.read(&mut buffer)? > 0 {}
+    Ok(())
+}
+
+/// Guards against a write of the upload that takes the error of a reset, so that the part of an answer which came
+/// early looks whole; an early answer that ends properly is passed on.
+#[test]
+fn a_call_whose_answer_is_reset_during_its_upload_gets_no_part_of_it() {
+    with_fleet(single(), async |fleet| {
+        let plain = fleet.backends.last().expect("a plain server").clone();
+        let early = EarlyServer::start(plain.server.borrow().addr.ip());
+        plain.server.borrow_mut().addr = early.addr;
+        fleet.store.register(&plain.server.borrow());
+        let body = "x".repeat(UPLOAD);
+        for n in 0..UPLOADS {
+            let resets = n % 3 > 0;
+            early.resets.store(resets, Ordering::SeqCst);
+            let path = [CHECK, LOOKUP][n % 2];
+            let attempt = format!("upload-{n}");
+            let before = early.answers.load(Ordering::SeqCst);
+            let answer = fleet.caller(0).send_body(path, &attempt, body.clone()).await;
+            let answer = answer.expect("an answer");
+            let was_sent = early.answers.load(Ordering::SeqCst) > before;
+            let text = String::from_utf8_lossy(&answer.body);
+            if was_sent && !resets {
+                assert_eq!((answer.status, &*text), (200, EARLY), "{path}");
+            } else {
+                assert!(matches!(answer.status, 502..=504), "{path}: {}", answer.status);
+            }
+        }
+        assert!(early.answers.load(Ordering::SeqCst) > UPLOADS / 2);
+    });
+}
+
 /// Guards against a second answer's bytes at the end of a call's answer.
 #[test]
 fn a_call_whose_answer_is_followed_by_another_one_gets_neither_as_its_own() {
