Pool: an answer whose status is none in the protocol does not count as an answer

What callers saw: an answer with status 101, without the rest of it, and answers with statuses from 600 to 999, where a server in trouble sent such a head.

Cause: the HTTP library takes all statuses of three digits from 100, and hands out 101 as a final answer.

Why the fix works: the pool is where every head enters; what is not 200 to 599 ends the exchange as lost, so that the request counts as one that may have run, and its connection is closed.

--- a/crates/daemon/src/gateway/pool/conn.rs
+++ b/crates/daemon/src/gateway/pool/conn.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::pin::pin;
 use std::rc::Rc;
 
@@ -24,6 +25,9 @@
 
 /// Interim answers that an exchange may have.
 const INTERIM_MAX: usize = 16;
+/// Statuses of final answers. The HTTP library also takes those above, which are none, and 101, which answers a
+/// request for another protocol and is never asked for.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
 /// References to the state of a watch that a connection itself has: its own, and its task's.
 const OWN_WATCHES: usize = 2;
 
@@ -101,7 +105,12 @@
             }
         };
         match result {
-            Ok(response) => Ok(response),
+            Ok(response) if FINAL_STATUSES.contains(&response.status().as_u16()) => Ok(response),
+            Ok(response) => {
+                let status = response.status().as_u16();
+                tracing::warn!(addr = %self.addr, status, "answer given up: its status is none");
+                Err(ExchangeError::Lost)
+            }
             Err(mut e) => Err(match e.take_message() {
                 Some(_) => ExchangeError::Unsent,
                 None => ExchangeError::Lost,
--- a/crates/daemon/tests/reset_answers.rs
+++ b/crates/daemon/tests/broken_answers.rs
@@ -1,4 +1,5 @@
-//! Answers without a length that come while the request is still being written, and how their connections end.
+//! Answers that are broken, at each place that reads answers: without a length and reset while the request is still
+//! being written, and with heads that are none in the protocol.
 
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -9,10 +10,11 @@
 use ebonyloft_router::correlation::Exchange;
 use ebonyloftd::clock::Clock;
 use ebonyloftd::gateway::body_memory::ANSWER_MAX;
-use ebonyloftd::gateway::pool::{IDLE_MAX, Pool};
+use ebonyloftd::gateway::pool::{IDLE_MAX, Pool, Reachability};
 use http_body_util::BodyExt;
 use hyper::Request;
 
+/// Time in which an answer is read or given up.
 const LIMIT: Duration = Duration::from_secs(5);
 /// Bytes of an upload that no socket buffer holds.
 const LARGE: usize = 24 << 20;
@@ -124,8 +126,7 @@
 }
 
 /// Reads the answers of a server in all places.
-fn read_all(early: Early, upload: usize) -> Vec<(Reader, Option<Bytes>)> {
-    let addr = start(early);
+fn read_all(addr: SocketAddr, upload: usize) -> Vec<(Reader, Option<Bytes>)> {
     let runtime = compio::runtime::Runtime::new().expect("a runtime");
     runtime.block_on(async {
         let mut read = Vec::new();
@@ -140,13 +141,13 @@
 
 /// Asserts that no place takes the part of an answer for a whole one.
 fn assert_broken(early: Early, upload: usize) {
-    for (reader, answer) in read_all(early, upload) {
+    for (reader, answer) in read_all(start(early), upload) {
         assert_eq!(answer, None, "{reader:?} {early:?}, {upload} bytes");
     }
 }
 
 fn assert_whole(early: Early, upload: usize) {
-    for (reader, answer) in read_all(early, upload) {
+    for (reader, answer) in read_all(start(early), upload) {
         assert_eq!(answer.as_deref(), Some(PART.as_bytes()), "{reader:?} {early:?}");
     }
 }
@@ -199,3 +200,131 @@
         }
     }
 }
+
+const CONTENT: &str = "content";
+
+/// Starts a server that answers each connection with these bytes, and leaves it open.
+fn start_fixed(bytes: Vec<u8>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let addr = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let (mut stream, bytes) = (stream.expect("a caller"), bytes.clone());
+            thread::spawn(move || {
+                let mut buffer = [0; 4_096];
+                let len = stream.read(&mut buffer)?;
+                let echo = find(&buffer[..len], ATTEMPT.as_bytes());
+                let (line, rest) =
+                    bytes.split_at(bytes.iter().position(|b| *b == b'\n').unwrap_or(0) + 1);
+                stream.write_all(line)?;
+                if echo {
+                    stream.write_all(ATTEMPT.as_bytes())?;
+                }
+                stream.write_all(rest)?;
+                // Open until the caller closes it.
+                stream.read(&mut buffer)
+            });
+        }
+    });
+    addr
+}
+
+/// An answer with this status line and these headers.
+fn with_head(status_line: &[u8], headers: &[&[u8]]) -> Vec<u8> {
+    let end = format!("content-length: {}", CONTENT.len());
+    let mut lines = vec![status_line];
+    lines.extend(headers);
+    lines.extend([end.as_bytes(), b"", CONTENT.as_bytes()]);
+    lines.join(&b"\r\n"[..])
+}
+
+const OK: &[u8] = b"HTTP/1.1 200 OK";
+
+/// What the places make of an answer; `None` if it is none.
+fn read_fixed(bytes: &[u8]) -> Vec<(String, Option<Bytes>)> {
+    let addr = start_fixed(bytes.to_vec());
+    let mut read: Vec<_> =
+        read_all(addr, 0).into_iter().map(|(reader, body)| (format!("{reader:?}"), body)).collect();
+    let runtime = compio::runtime::Runtime::new().expect("a runtime");
+    let found = runtime.block_on(async {
+        let pool = Pool::new(Clock::default());
+        let check = pool.check_address(addr, Request::new(Bytes::new()));
+        compio::time::timeout(LIMIT, check).await.expect("an answer in time")
+    });
+    let is_answered = matches!(found, Reachability::Answered(..));
+    read.push(("liveness check".to_owned(), is_answered.then(|| CONTENT.into())));
+    read
+}
+
+fn assert_no_answer(bytes: &[u8]) {
+    for (reader, body) in read_fixed(bytes) {
+        assert_eq!(body, None, "{reader}: {}", bytes.escape_ascii());
+    }
+}
+
+/// Guards against a status that is none in the protocol, which callers get as an answer.
+#[test]
+fn an_answer_whose_status_is_none_is_no_answer() {
+    let lines: [&[u8]; 12] = [
+        b"HTTP/1.1 000 OK",
+        b"HTTP/1.1 000",
+        b"HTTP/1.1 099 OK",
+        b"HTTP/1.1 101 Switching Protocols",
+        b"HTTP/1.1 600 OK",
+        b"HTTP/1.1 999 OK",
+        b"HTTP/1.1 20 OK",
+        b"HTTP/1.1 2000 OK",
+        b"HTTP/1.1 2x0 OK",
+        b"HTTP/1.1 +20 OK",
+        b"HTTP/3.1 200 OK",
+        b"200 OK",
+    ];
+    for line in lines {
+        assert_no_answer(&with_head(line, &[]));
+    }
+}
+
+/// Guards against a line that is no header and is passed on, or hides where the body begins.
+#[test]
+fn an_answer_with_a_line_that_is_no_header_is_no_answer() {
+    let lines: [&[u8]; 15] = [
+        b"X Y: 1",
+        b"X-Y : 1",
+        b"X-Y\t: 1",
+        b"X\x01Y: 1",
+        b"X\0Y: 1",
+        b"X\x7fY: 1",
+        b"X\rY: 1",
+        b"\xc3\xa9: 1",
+        b" X-Y: 1",
+        b": 1",
+        b"no colon",
+        b"X-Y: a\x01b",
+        b"X-Y: a\0b",
+        b"X-Y: 1\r\n folded",
+        b"Content Length: 2",
+    ];
+    for line in lines {
+        assert_no_answer(&with_head(OK, &[line]));
+        assert_no_answer(&with_head(OK, &[b"X-Before: 1", line, b"X-After: 1"]));
+    }
+    assert_no_answer(&with_head(OK, &[b"Content-Length : 2"]));
+}
+
+/// Guards against a check of heads that refuses sound ones.
+#[test]
+fn an_answer_without_a_reason_or_with_text_in_a_value_is_whole() {
+    let plain = &[&b"X-Y: 1"[..]][..];
+    let text = &[&b"X-Y: caf\xc3\xa9"[..], b"X-Empty:"][..];
+    for (line, headers) in [(&b"HTTP/1.1 200 "[..], plain), (b"HTTP/1.1 200", plain), (OK, text)] {
+        let bytes = with_head(line, headers);
+        for (reader, body) in read_fixed(&bytes) {
+            assert_eq!(
+                body.as_deref(),
+                Some(CONTENT.as_bytes()),
+                "{reader}: {}",
+                bytes.escape_ascii()
+            );
+        }
+    }
+}
