Origins: records of streams reach the store ten times a second, not once

Cause: their records were written to the store once a second.

Why the fix works: a record is at most some 0.13 s old when it is in the store, at most ten writes a second and scope, at any size of the fleet. The slot follows the time of day, so that a process that has just started does not write over the newest records. No version is guessed.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -167,6 +167,7 @@
     spawn(gossip::broadcast(shared.clone(), socket.clone()));
     spawn(origins::records::report(shared.clone()));
     spawn(origins::histories::keep(shared.clone()));
+    spawn(origins::records::keep(shared.clone()));
     spawn(peers::send_messages(shared.clone(), socket.clone()));
     spawn(keys::keep_fresh(shared.clone()));
     spawn(peers::receive(shared.clone(), socket));
--- a/crates/daemon/src/gateway/origins/histories.rs
+++ b/crates/daemon/src/gateway/origins/histories.rs
@@ -16,14 +16,13 @@
 use ebonyloft_router::stream_origin::{SoftwareId, Testimony};
 use ebonyloft_router::zones::Scope;
 
-use super::records;
 use crate::gateway::shared::Shared;
 use crate::gateway::watch::{ALL_KEYS, Sink};
 
 /// Prefix of the store's histories, by hash of the service's name.
 pub const HISTORY_PREFIX: &str = "ebonyloft/software/";
 /// Interval at which histories are observed and written to the store.
-pub const SAVE_INTERVAL: Duration = Duration::from_millis(500);
+const SAVE_INTERVAL: Duration = Duration::from_millis(500);
 /// Rounds after which the second gateway that follows the store writes what the first one did not.
 const STANDBY_ROUNDS: u32 = 6;
 /// Longest wait for the store to confirm that no other version has joined: as long as a watch.
@@ -119,10 +118,8 @@
 
 /// Observes the softwares of services and keeps in the store what outlives this process.
 pub async fn keep(shared: Rc<Shared>) {
-    let mut round = 0_u64;
     loop {
         compio::time::sleep(SAVE_INTERVAL).await;
-        round += 1;
         shared.origins.borrow_mut().expire(shared.now());
         shared.metrics.gauge("gateway.origin.records", shared.origins.borrow().len() as u64);
         if !shared.role.borrow().follows() {
@@ -132,7 +129,6 @@
         }
         observe(&shared);
         save_histories(&shared).await;
-        records::save(&shared, round).await;
     }
 }
 
--- a/crates/daemon/src/gateway/origins/records.rs
+++ b/crates/daemon/src/gateway/origins/records.rs
@@ -15,7 +15,6 @@
 use serde::{Deserialize, Serialize};
 
 use super::followers_in_scope;
-use super::histories::SAVE_INTERVAL;
 use crate::gateway::intake::Intake;
 use crate::gateway::shared::Shared;
 use crate::gateway::watch::Sink;
@@ -26,14 +25,12 @@
 pub const REPORT_INTERVAL: Duration = Duration::from_millis(30);
 /// Most records in a datagram.
 pub const RECORDS_MAX: usize = 128;
-/// Rounds between two writes of records to the store.
-const RECORD_ROUNDS: u32 = 2;
-/// Interval at which records are written to the store.
-pub const RECORD_INTERVAL: Duration = SAVE_INTERVAL.saturating_mul(RECORD_ROUNDS);
+/// Interval at which new records are written to the store. What is not written yet is lost with all gateways.
+pub const RECORD_INTERVAL: Duration = Duration::from_millis(100);
 /// Most records of one write.
 const SAVED_MAX: usize = 4_096;
 /// Slots that records are written to in turn: half a minute of streams.
-const SLOTS: u64 = 32;
+const SLOTS: u64 = 320;
 
 /// A record in the store.
 #[derive(Debug, Deserialize, Serialize)]
@@ -92,13 +89,20 @@
     }
 }
 
-/// Writes new records to the store while a service has had several softwares, in each second round.
-pub async fn save(shared: &Shared, round: u64) {
-    let is_mixed = shared.histories.borrow().values().any(|history| history.is_mixed());
-    let is_due = round.is_multiple_of(RECORD_ROUNDS.into());
-    if !is_due || !is_mixed || !shared.role.borrow().leads() {
-        return;
+/// Writes new records to the store while a service has had several softwares.
+pub async fn keep(shared: Rc<Shared>) {
+    loop {
+        compio::time::sleep(RECORD_INTERVAL).await;
+        let is_mixed = shared.histories.borrow().values().any(|history| history.is_mixed());
+        if is_mixed && shared.role.borrow().leads() {
+            save(&shared).await;
+        }
     }
+}
+
+/// Writes new records to the slot of the current time, so that a process that has just started leaves
+/// alone what others wrote last.
+async fn save(shared: &Shared) {
     let now = shared.now();
     let records = shared.origins.borrow_mut().take_unsaved(now, SAVED_MAX);
     if records.is_empty() {
@@ -109,11 +113,8 @@
     if let Err(e) = ciborium::into_writer(&saved, &mut value) {
         return tracing::error!(error = %e, "can't encode records of streams");
     }
-    let key = format!(
-        "{RECORD_PREFIX}{}/{}",
-        shared.node().zone,
-        round / u64::from(RECORD_ROUNDS) % SLOTS
-    );
+    let slot = now.as_millis() / RECORD_INTERVAL.as_millis() as u64 % SLOTS;
+    let key = format!("{RECORD_PREFIX}{}/{slot}", shared.node().zone);
     let write = Write { key: &key, value: &value, lease: 0 };
     if let Err(e) = shared.store.txn(&[], &[write]).await {
         tracing::info!(error = %e, count = records.len(), "can't write records of streams");
--- a/crates/standins/tests/versions.rs
+++ b/crates/standins/tests/versions.rs
@@ -172,6 +172,27 @@
     });
 }
 
+/// Guards against streams being refused that were begun in the last second before all gateways were
+/// killed: their records had not reached the store.
+#[test]
+fn streams_begun_just_before_all_gateways_were_killed_are_continued() {
+    with_fleet(FleetSpec { threads: true, ..spec(2) }, async |fleet| {
+        add_engines(fleet, &["v1", "v1", "v2", "v2"]).await;
+        for n in 0..4 {
+            let attempt = format!("s{n}");
+            let caller = fleet.caller(n % 2);
+            let request = caller.summary_request(SUMMARY, &attempt);
+            let begun = caller.send_until(request, 2).await.expect("an answer");
+            compio::time::sleep(REPORTED).await;
+            fleet.kill(0);
+            fleet.kill(1);
+            fleet.restart_gateways(&[0, 1]).await;
+            let rest = take_up(fleet, n % 2, &attempt, &begun).await;
+            assert_continued(&begun, &rest);
+        }
+    });
+}
+
 /// Guards against streams being refused after the loss of all gateways though the service has had
 /// only one version, of which no stream is recorded in the store.
 #[test]
