Stop: what a stopping gateway takes is answered before it ends

What callers saw: calls that came late in the grace period were passed on and cut without an answer when the process ended, among them calls that may run only once; after a changed grace period, a summary and calls were cut 12 s early.

Cause: calls were taken until 1.5 s before the end of the grace period, whatever their deadline, while the process ended 0.3 s before it.

The new test of stopping.rs failed before: a call was lost.

Why the fix works: one end, computed from the settings in force, decides both. A call is taken if its deadline passes before it, and refused as not run otherwise; in the first 2.8 s one with a longer deadline is taken with its deadline moved to the end.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -46,6 +46,7 @@
 use compio::net::{TcpListener, UdpSocket};
 use ebonyloft_platform::settings;
 use ebonyloft_router::node::Node;
+use ebonyloft_router::shutdown::Shutdown;
 use futures_channel::oneshot;
 use futures_util::FutureExt;
 use hyper::body::Incoming;
@@ -63,8 +64,6 @@
 /// Shortest time between the stop signal and the exit: the platform notices after two readiness
 /// checks, one a second; the rest is a margin.
 const MIN_SHUTDOWN: Duration = Duration::from_millis(3_000);
-/// Time before the end of the grace period at which the remaining streams are cut off.
-const CUTOFF_MARGIN: Duration = Duration::from_millis(300);
 /// Interval between checks for open requests while stopping.
 const STOP_POLL: Duration = Duration::from_millis(50);
 /// Interval between upkeep rounds.
@@ -114,13 +113,14 @@
     start_tasks(&shared, &node, &options, registry, closing.shared(), hup).await?;
     tracing::info!(name = %node.name, zone = %node.zone, version = env!("CARGO_PKG_VERSION"), "started");
     stop.await;
-    let stopped_at = shared.now();
-    shared.stopping.set(Some(stopped_at));
+    let shutdown = Shutdown { stopped_at: shared.now() };
+    shared.shutdown.set(Some(shutdown));
     let (open, connections) = (shared.open_requests.get(), shared.open_connections.get());
     tracing::info!(open, connections, "stopping");
+    // The settings may be reloaded meanwhile.
+    let has_time = || shared.now() < shutdown.ends_at(shared.node().bounds.grace);
     compio::time::sleep(MIN_SHUTDOWN).await;
-    let end = stopped_at.after(node.bounds.grace).before(CUTOFF_MARGIN);
-    while shared.open_requests.get() > 0 && shared.now() < end {
+    while shared.open_requests.get() > 0 && has_time() {
         compio::time::sleep(STOP_POLL).await;
     }
     // Callers were accepted until now, since other gateways may be stopping too. Idle connections
@@ -129,7 +129,7 @@
     compio::time::sleep(STOP_POLL).await;
     // A connection whose request is still being read, or whose answer is being written, closes after the
     // answer.
-    while shared.open_connections.get() > 0 && shared.now() < end {
+    while shared.open_connections.get() > 0 && has_time() {
         compio::time::sleep(STOP_POLL).await;
     }
     let (open, connections) = (shared.open_requests.get(), shared.open_connections.get());
--- a/crates/daemon/src/gateway/ingress.rs
+++ b/crates/daemon/src/gateway/ingress.rs
@@ -3,7 +3,6 @@
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::rc::Rc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use compio::net::{TcpListener, TcpStream};
@@ -41,13 +40,6 @@
 /// Smallest read buffer that hyper allows.
 const BUFFER_MIN: usize = 8 << 10;
 
-/// How long streams are accepted after the stop signal. The platform sends callers elsewhere after
-/// two readiness checks, one a second; a stream accepted by then has most of the grace period left.
-const STREAMS_ACCEPTED: Duration = Duration::from_millis(2_800);
-/// Time left of the grace period below which short calls are refused: the longest of their
-/// deadlines.
-const CALLS_TIME_LEFT: Duration = Duration::from_millis(1_500);
-
 /// Resolves when callers' connections must be closed.
 pub type Closing = SharedFuture<oneshot::Receiver<()>>;
 
@@ -176,17 +168,14 @@
     if config.routes[route].kind == Kind::Stream && caller.resumes == Resumes::Malformed {
         return Err(refuse(Cause::Malformed));
     }
-    if let Some(stopped_at) = shared.stopping.get()
-        && !can_finish(shared, stopped_at, came_at, config.routes[route].kind)
-    {
+    let Some(times) = time_bounds(shared, came_at, &config.routes[route], &caller) else {
         return Err(refuse(Cause::Stopping));
-    }
+    };
     let Some(service) = choose_service(shared, &config, route) else {
         return Err(refuse(Cause::NoServer));
     };
     let host = host.to_ascii_lowercase();
     let (parts, body) = req.into_parts();
-    let times = time_bounds(shared, came_at, &config.routes[route], &caller);
     let read = read_body(body, shared.bodies.begin(config.limits.body));
     let read = compio::time::timeout(times.ends_at.since(shared.now()), read).await;
     let read = read.unwrap_or(Err(BodyError::Stalled));
@@ -277,16 +266,6 @@
     Ok(Charge { account: Some(account.name.clone()), cost, priority: account.priority })
 }
 
-/// Can a request that arrives now finish before the process exits?
-fn can_finish(shared: &Shared, stopped_at: Timestamp, now: Timestamp, kind: Kind) -> bool {
-    match kind {
-        Kind::Stream => now < stopped_at.after(STREAMS_ACCEPTED),
-        Kind::Idempotent | Kind::Once => {
-            now < stopped_at.after(shared.node().bounds.grace).before(CALLS_TIME_LEFT)
-        }
-    }
-}
-
 /// Timestamps that bound a request.
 struct TimeBounds {
     came_at: Timestamp,
@@ -301,20 +280,23 @@
     service: String,
 }
 
+/// The times of a request; none if the process is stopping and would end before it.
 fn time_bounds(
     shared: &Shared,
     came_at: Timestamp,
     route: &Route,
     caller: &headers::CallerHeaders,
-) -> TimeBounds {
+) -> Option<TimeBounds> {
     let caller_timeout = caller.time_left.unwrap_or(route.timeout);
     let mut deadlines = shared.caller_deadlines.borrow_mut();
     let spent = deadlines.time_spent(came_at, &route.name, route.timeout, caller_timeout);
-    TimeBounds {
-        came_at,
-        ends_at: came_at.after(caller_timeout.min(route.timeout)),
-        goal_at: came_at.before(spent).after(route.goal),
-    }
+    let deadline = came_at.after(caller_timeout.min(route.timeout));
+    let grace = shared.node().bounds.grace;
+    let ends_at = match shared.shutdown.get() {
+        Some(shutdown) => shutdown.admit(came_at, grace, route.kind, deadline)?,
+        None => deadline,
+    };
+    Some(TimeBounds { came_at, ends_at, goal_at: came_at.before(spent).after(route.goal) })
 }
 
 fn build_intake(
--- a/crates/daemon/src/gateway/shared.rs
+++ b/crates/daemon/src/gateway/shared.rs
@@ -39,6 +39,7 @@
 use ebonyloft_router::request_digest::RequestDigest;
 use ebonyloft_router::revision::Revision;
 use ebonyloft_router::shedding::Shedding;
+use ebonyloft_router::shutdown::Shutdown;
 use ebonyloft_router::stage_changes::{STAGE_CHANGE_BACKOFF, StageChanges};
 use ebonyloft_router::staleness::ConfigStaleness;
 use ebonyloft_router::store_state::StoreState;
@@ -205,8 +206,8 @@
     pub lock_available: Cell<bool>,
     /// Engines that are changing their stage.
     pub stage_changes: RefCell<StageChanges>,
-    /// When the process was told to stop.
-    pub stopping: Cell<Option<Timestamp>>,
+    /// Its shutdown, once it was told to stop.
+    pub shutdown: Cell<Option<Shutdown>>,
     /// Number of requests in progress.
     pub open_requests: Cell<usize>,
     /// Callers' connections that are open.
@@ -318,7 +319,7 @@
             divergence: RefCell::default(),
             lock_available: Cell::new(true),
             stage_changes: RefCell::default(),
-            stopping: Cell::default(),
+            shutdown: Cell::default(),
             open_requests: Cell::new(0),
             open_connections: OpenCount::default(),
             bodies,
@@ -408,7 +409,7 @@
 
     /// True once the process was told to stop.
     pub fn is_stopping(&self) -> bool {
-        self.stopping.get().is_some()
+        self.shutdown.get().is_some()
     }
 
     /// Number of live gateways, this one included.
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -48,6 +48,7 @@
 pub mod routes;
 pub mod sampling;
 pub mod shedding;
+pub mod shutdown;
 pub mod stage_changes;
 pub mod stages;
 pub mod staleness;
--- a/crates/standins/tests/stopping.rs
+++ b/crates/standins/tests/stopping.rs
@@ -2,10 +2,17 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use compio::BufResult;
 use compio::io::{AsyncRead, AsyncWriteExt};
 use compio::net::TcpStream;
-use ebonyloft_standins::fleet::{Fleet, FleetSpec, with_fleet};
+use ebonyloft_platform::simulation::{self, CallerRequest};
+use ebonyloft_standins::fleet::backend::BackendSpec;
+use ebonyloft_standins::fleet::caller::Answer;
+use ebonyloft_standins::fleet::{CHECK, Fleet, FleetSpec, HOST, ONCE_SUMMARY, config, with_fleet};
+use ebonyloftd::gateway::pool::ExchangeError;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 
 const SECOND: Duration = Duration::from_secs(1);
 /// Shortest time from the stop signal to the end of a gateway that has nothing to do.
@@ -66,3 +73,62 @@
         assert_eq!(fleet.run_count("half"), 0);
     });
 }
+
+/// Guards against calls that come late in the grace period, are passed on and are cut when the process ends: those
+/// that can't be answered by then are refused at once.
+#[test]
+fn a_call_that_the_process_would_cut_is_refused_at_once() {
+    // The summary keeps the process running.
+    let event_interval = SECOND / 2;
+    let runner =
+        BackendSpec { call_time: SECOND * 14 / 10, event_interval, ..BackendSpec::default() };
+    let spec = FleetSpec { threads: true, runner, ..FleetSpec::default() };
+    with_fleet(spec.clone(), async |fleet| {
+        let mut later = config(2, &spec);
+        later.routes.iter_mut().for_each(|route| route.timeout = route.timeout.max(3 * SECOND));
+        fleet.configure(&later);
+        compio::time::sleep(SECOND).await;
+        let caller = fleet.caller(0);
+        let summary = caller.send_unread(caller.summary_request(ONCE_SUMMARY, "long"));
+        let _summary = summary.await.expect("an answer");
+        fleet.stop(0);
+        compio::time::sleep(6 * SECOND).await;
+        let (mut answered, mut refused) = (0, 0);
+        let times = [SECOND * 3 / 2, 3 * SECOND].into_iter().cycle().take(14);
+        let calls = times.enumerate().map(|(n, time)| send_call(fleet, n, time));
+        let mut calls: FuturesUnordered<_> = calls.collect();
+        while let Some((attempt, answer)) = calls.next().await {
+            let answer = answer.expect("an answer");
+            match answer.status {
+                200 => answered += 1,
+                503 => {
+                    refused += 1;
+                    assert_eq!(fleet.run_count(&attempt), 0, "{attempt}");
+                    assert!(answer.total_time < SECOND / 2, "{:?}", answer.total_time);
+                }
+                status => panic!("{attempt}: {status}"),
+            }
+        }
+        assert!(answered > 0 && refused > 0, "{answered} answered, {refused} refused");
+    });
+}
+
+/// Sends the call number `n`, which may run only once, 50 ms after the one before.
+async fn send_call(
+    fleet: &Fleet,
+    n: usize,
+    time_left: Duration,
+) -> (String, Result<Answer, ExchangeError>) {
+    compio::time::sleep(SECOND / 20 * n as u32).await;
+    let attempt = format!("late-{n}");
+    let request = CallerRequest {
+        host: HOST,
+        path: CHECK,
+        attempt: &attempt,
+        time_left,
+        tokens: None,
+        body: Bytes::new(),
+    };
+    let answer = fleet.caller(0).send(simulation::caller_request(&request)).await;
+    (attempt, answer)
+}
