Tests: many answers without an end at once, the memory of the process and other callers

They don't: 64 requests at once, whose answers are floods of seven kinds, from plain servers and from engines, leave the process (gateway and stand-ins) under half of the gateway's 110 MB, and requests to other servers are all served meanwhile. The tests before sent one flood at a time.

--- a/crates/standins/tests/endless.rs
+++ b/crates/standins/tests/endless.rs
@@ -7,12 +7,17 @@
 use ebonyloft_standins::fleet::{
     CHECK, Fleet, FleetSpec, LOOKUP, ONCE_SUMMARY, SUMMARY, with_fleet,
 };
+use futures_util::future::{join, join_all};
 
 /// Most bytes of one answer that a gateway may take in: the largest answer, and what sockets hold.
 const TAKEN_MAX: usize = 12 << 20;
 /// Time in which a caller is told that a call was lost, far below its deadline.
 const TOLD_WITHIN: Duration = Duration::from_millis(600);
 const PIECE: usize = 64 << 10;
+/// Memory of a gateway, as its settings state it.
+const MEMORY: usize = 110_000_000;
+/// Requests of each kind that are sent at once.
+const AT_ONCE: usize = 32;
 /// Most requests sent until a server has been used twice, and the pause between two.
 const ATTEMPTS: usize = 100;
 const PAUSE: Duration = Duration::from_millis(50);
@@ -269,3 +274,82 @@
         }
     });
 }
+
+/// Memory that this process takes now, in bytes; its gateway and all stand-ins are in it.
+fn memory_taken() -> usize {
+    let status = std::fs::read_to_string("/proc/self/status").expect("the process's status");
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).expect("its memory");
+    let kilobytes = line.trim().trim_end_matches(" kB").parse::<usize>().expect("a number");
+    kilobytes * 1_024
+}
+
+async fn send(fleet: &Fleet, path: &str, attempt: &str) -> u16 {
+    let caller = fleet.caller(0);
+    let answer = match path {
+        CHECK | LOOKUP => caller.call(path, attempt).await,
+        _ => caller.summary(path, attempt).await,
+    };
+    // A stream that is broken off has no answer that counts.
+    answer.ok().filter(|answer| answer.complete).map_or(0, |answer| answer.status)
+}
+
+/// Sends requests of these kinds at once, whose answers are floods, and one after the other requests of `others`, which
+/// go to other servers; returns the most memory taken meanwhile.
+async fn flood_at_once(fleet: &Fleet, name: &str, paths: [&str; 2], others: &str) -> usize {
+    let (mut most, done) = (0, std::cell::Cell::new(false));
+    let attempt = |n: usize, path: &str| format!("{name}-{n}{path}").replace([' ', '/', ','], "-");
+    let requests = (0..AT_ONCE).flat_map(|n| paths.map(|path| (n, path)));
+    let flooded = async {
+        let sent = requests.map(async |(n, path)| send(fleet, path, &attempt(n, path)).await);
+        let statuses = join_all(sent).await;
+        done.set(true);
+        statuses
+    };
+    let watched = async {
+        while !done.get() {
+            most = most.max(memory_taken());
+            compio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    let served = async {
+        for n in 0.. {
+            if done.get() {
+                break;
+            }
+            assert_eq!(send(fleet, others, &attempt(n, others)).await, 200, "{name}: {others}");
+        }
+    };
+    let (statuses, ..) = join(flooded, join(watched, served)).await;
+    assert!(!statuses.contains(&200), "{name}: a flood looks like an answer");
+    most
+}
+
+/// Guards against many answers without an end that together exhaust the memory of the process, or keep other
+/// callers from their answers.
+#[test]
+fn many_answers_without_an_end_at_once_leave_memory_and_other_callers_alone() {
+    with_fleet(spec(), async |fleet| {
+        for path in [CHECK, LOOKUP, SUMMARY, ONCE_SUMMARY] {
+            assert_eq!(send(fleet, path, &format!("before-{path}")).await, 200);
+        }
+        let before = memory_taken();
+        // Plain servers first: engines that broke off are left alone for a while.
+        for (stage, paths, others) in [
+            (None, [CHECK, LOOKUP], SUMMARY),
+            (Some(Stage::Decode), [SUMMARY, ONCE_SUMMARY], LOOKUP),
+        ] {
+            for (name, flood) in floods().into_iter().chain(head_floods()) {
+                let servers = fleet.backends.iter().zip(&fleet.relays);
+                for (_, relay) in servers.filter(|(b, _)| b.server.borrow().stage == stage) {
+                    relay.end_requests(without_end(flood.clone()));
+                }
+                let taken = flood_at_once(fleet, name, paths, others).await.saturating_sub(before);
+                assert!(taken < MEMORY / 2, "{name}: {taken} bytes more");
+                fleet.relays.iter().for_each(|relay| relay.end_requests(Ending::default()));
+                assert_closed(fleet, name).await;
+            }
+        }
+        let flooded: usize = fleet.relays.iter().map(|relay| relay.flooded.get()).sum();
+        assert!(flooded > TAKEN_MAX, "too few floods were sent");
+    });
+}
