Sidecar: calls to the service tell broken answers as the gateway does

What callers saw, of entries and sidecars: an answer with status 101, and possibly the part of one that was reset during the upload, counted as whole; a body without an end was read into memory.

Cause: the sidecar reads its service's answers by a client of its own, which has neither the socket that tells a reset from an end nor a bound.

Evidence: broken_answers.rs reads in the sidecar's place too.

Why the fix works: the exchange goes over the socket that the pool uses, with the same range of statuses. A redirect of the service is passed on now, where the client followed it.

--- a/crates/daemon/src/answer_socket.rs
+++ b/crates/daemon/src/answer_socket.rs
@@ -8,6 +8,7 @@
 use std::cell::{Cell, RefCell};
 use std::future::poll_fn;
 use std::io;
+use std::ops::RangeInclusive;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
@@ -20,9 +21,17 @@
 use compio::net::TcpStream;
 use cyper_core::HyperStream;
 use hyper::body::{Body, Frame, SizeHint};
+use hyper::client::conn::http1;
+use hyper::header::HOST;
+use hyper::{Request, Response};
 
-use crate::http::Pieces;
+use crate::http::{self, Pieces};
 
+/// Statuses of final answers. The HTTP library also takes those above, which are none, and 101, which answers a
+/// request for another protocol and is never asked for.
+pub const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+/// Port of URIs that name none.
+const HTTP_PORT: u16 = 80;
 /// How long a reset is waited for after an end that came before the request was written.
 const RESET_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -37,6 +46,26 @@
     (HyperStream::new_plain((reader, writer)), state)
 }
 
+/// Sends one request to the host in its URI, over a connection of its own. None if no whole answer of at most `limit`
+/// bytes comes back.
+pub async fn exchange(req: Request<Bytes>, limit: usize) -> Option<Response<Bytes>> {
+    let uri = req.uri().clone();
+    let host = uri.host()?;
+    let stream = TcpStream::connect((host, uri.port_u16().unwrap_or(HTTP_PORT))).await.ok()?;
+    let (io, writes) = wrap(stream);
+    let (mut sender, conn) = http1::handshake(io).await.ok()?;
+    // Dropping the task closes the socket.
+    let _conn = compio::runtime::spawn(conn);
+    let mut req = req.map(|body| writes.upload(body));
+    req.headers_mut().insert(HOST, uri.authority()?.as_str().parse().ok()?);
+    *req.uri_mut() = uri.path_and_query()?.as_str().parse().ok()?;
+    let response = sender.send_request(req).await.ok()?;
+    let (parts, body) = response.into_parts();
+    let is_final = FINAL_STATUSES.contains(&parts.status.as_u16());
+    let body = http::read_body(body, limit).await.filter(|_| is_final)?;
+    Some(Response::from_parts(parts, body))
+}
+
 /// How far the requests of a connection have been written.
 #[derive(Debug, Default)]
 pub struct WriteState {
--- a/crates/daemon/src/gateway/pool/conn.rs
+++ b/crates/daemon/src/gateway/pool/conn.rs
@@ -2,7 +2,6 @@
 
 use std::cell::Cell;
 use std::net::SocketAddr;
-use std::ops::RangeInclusive;
 use std::pin::pin;
 use std::rc::Rc;
 
@@ -20,14 +19,11 @@
 use hyper::{HeaderMap, Request, Response};
 
 use super::{ExchangeError, IDLE_MAX};
-use crate::answer_socket::{Upload, WriteState};
+use crate::answer_socket::{FINAL_STATUSES, Upload, WriteState};
 use crate::http::is_framed;
 
 /// Interim answers that an exchange may have.
 const INTERIM_MAX: usize = 16;
-/// Statuses of final answers. The HTTP library also takes those above, which are none, and 101, which answers a
-/// request for another protocol and is never asked for.
-const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
 /// References to the state of a watch that a connection itself has: its own, and its task's.
 const OWN_WATCHES: usize = 2;
 
--- a/crates/daemon/tests/broken_answers.rs
+++ b/crates/daemon/tests/broken_answers.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use ebonyloft_router::correlation::Exchange;
+use ebonyloftd::answer_socket;
 use ebonyloftd::clock::Clock;
 use ebonyloftd::gateway::body_memory::ANSWER_MAX;
 use ebonyloftd::gateway::pool::{IDLE_MAX, Pool, Reachability};
@@ -94,9 +95,12 @@
     ServerCall,
     /// The store and peers.
     Trusted,
+    /// Calls of a sidecar to its service.
+    Sidecar,
 }
 
-const READERS: [Reader; 4] = [Reader::Call, Reader::Stream, Reader::ServerCall, Reader::Trusted];
+const READERS: [Reader; 5] =
+    [Reader::Call, Reader::Stream, Reader::ServerCall, Reader::Trusted, Reader::Sidecar];
 
 impl Reader {
     /// Sends an upload and reads the answer; `None` if it broke off.
@@ -106,6 +110,11 @@
         match self {
             Reader::ServerCall => pool.call_server(addr, req, LIMIT).await.ok().map(|a| a.body),
             Reader::Trusted => pool.call(addr, req, LIMIT).await.ok().map(|(_, body)| body),
+            Reader::Sidecar => {
+                *req.uri_mut() = format!("http://{addr}/a?b").parse().expect("a URI");
+                let answer = answer_socket::exchange(req, ANSWER_MAX).await;
+                answer.map(hyper::Response::into_body)
+            }
             Reader::Call | Reader::Stream => {
                 let exchange = Exchange::Attempt("a");
                 req.headers_mut().insert("attempt-id", "a".parse().expect("a value"));
