Read once more: one server frame, a pause after a failed write of records, logs

Reading the change as a newcomer: a store that is down was asked ten times a second for records of streams and logged each time, which the writes of the new interval brought; after a failed write there is a second's pause now, as the old interval had.

--- a/crates/daemon/src/gateway/origins.rs
+++ b/crates/daemon/src/gateway/origins.rs
@@ -2,8 +2,8 @@
 //!
 //! A gateway remembers the streams that it begins and reports them to the gateways that follow the
 //! store, which answer the questions of all others. While servers of several versions serve, the first
-//! of them also writes what it was told to the store once a second, and whenever a version joins or
-//! leaves, which versions a service has had: so much outlives the loss of all gateways. What follows from
+//! of them also writes what it was told to the store, ten times a second at most, and whenever a version joins
+//! or leaves, which versions a service has had: so much outlives the loss of all gateways. What follows from
 //! it is decided in `ebonyloft_router::stream_origin`.
 
 pub mod histories;
--- a/crates/daemon/src/gateway/origins/records.rs
+++ b/crates/daemon/src/gateway/origins/records.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use ebonyloft_core::time::Timestamp;
-use ebonyloft_platform::store::{Item, Write};
+use ebonyloft_platform::store::{Item, StoreError, Write};
 use ebonyloft_router::catalog::Server;
 use ebonyloft_router::load_report::{GossipMessage, GossipState};
 use ebonyloft_router::stream_origin::table::OriginRecord;
@@ -27,6 +27,8 @@
 pub const RECORDS_MAX: usize = 128;
 /// Interval at which new records are written to the store. What is not written yet is lost with all gateways.
 pub const RECORD_INTERVAL: Duration = Duration::from_millis(100);
+/// Pause after a write that failed, for a store that is down or overloaded.
+const RETRY_PAUSE: Duration = Duration::from_secs(1);
 /// Most records of one write.
 const SAVED_MAX: usize = 4_096;
 /// Slots that records are written to in turn: half a minute of streams.
@@ -94,32 +96,35 @@
     loop {
         compio::time::sleep(RECORD_INTERVAL).await;
         let is_mixed = shared.histories.borrow().values().any(|history| history.is_mixed());
-        if is_mixed && shared.role.borrow().leads() {
-            save(&shared).await;
+        if is_mixed && shared.role.borrow().leads() && save(&shared).await.is_err() {
+            compio::time::sleep(RETRY_PAUSE).await;
         }
     }
 }
 
 /// Writes new records to the slot of the current time, so that a process that has just started leaves
 /// alone what others wrote last.
-async fn save(shared: &Shared) {
+async fn save(shared: &Shared) -> Result<(), StoreError> {
     let now = shared.now();
     let records = shared.origins.borrow_mut().take_unsaved(now, SAVED_MAX);
     if records.is_empty() {
-        return;
+        return Ok(());
     }
     let saved: Vec<SavedRecord> = records.iter().map(|record| saved_record(now, record)).collect();
     let mut value = Vec::new();
     if let Err(e) = ciborium::into_writer(&saved, &mut value) {
-        return tracing::error!(error = %e, "can't encode records of streams");
+        tracing::error!(error = %e, "can't encode records of streams");
+        return Ok(());
     }
     let slot = now.as_millis() / RECORD_INTERVAL.as_millis() as u64 % SLOTS;
     let key = format!("{RECORD_PREFIX}{}/{slot}", shared.node().zone);
     let write = Write { key: &key, value: &value, lease: 0 };
-    if let Err(e) = shared.store.txn(&[], &[write]).await {
+    let written = shared.store.txn(&[], &[write]).await;
+    if let Err(e) = &written {
         tracing::info!(error = %e, count = records.len(), "can't write records of streams");
         shared.origins.borrow_mut().restore_unsaved(&records);
     }
+    written.map(drop)
 }
 
 fn saved_record(now: Timestamp, record: &OriginRecord) -> SavedRecord {
--- a/crates/daemon/src/gateway/pool/conn.rs
+++ b/crates/daemon/src/gateway/pool/conn.rs
@@ -69,6 +69,7 @@
     pub(super) correlation: Correlation,
     pub(super) watch: ConnWatch,
     pub(super) sender: SendRequest<Upload>,
+    /// How far its requests have been written.
     pub(super) writes: Rc<WriteState>,
     /// Drives the connection; dropping it closes the socket.
     pub(super) task: JoinHandle<()>,
--- a/crates/daemon/tests/broken_answers.rs
+++ b/crates/daemon/tests/broken_answers.rs
@@ -44,15 +44,15 @@
     Closed { reads_after: Duration },
 }
 
-/// Starts a server that answers each connection so.
-fn start(early: Early) -> SocketAddr {
+/// Starts a server that serves each connection in a thread of its own.
+fn serve(answer: impl Fn(TcpStream) -> std::io::Result<()> + Clone + Send + 'static) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let addr = listener.local_addr().expect("an address");
     thread::spawn(move || {
         for stream in listener.incoming() {
-            let stream = stream.expect("a caller");
+            let (stream, answer) = (stream.expect("a caller"), answer.clone());
             // The caller may have closed the connection.
-            thread::spawn(move || answer(stream, early).ok());
+            thread::spawn(move || answer(stream).ok());
         }
     });
     addr
@@ -150,13 +150,13 @@
 
 /// Asserts that no place takes the part of an answer for a whole one.
 fn assert_broken(early: Early, upload: usize) {
-    for (reader, answer) in read_all(start(early), upload) {
+    for (reader, answer) in read_all(serve(move |stream| answer(stream, early)), upload) {
         assert_eq!(answer, None, "{reader:?} {early:?}, {upload} bytes");
     }
 }
 
 fn assert_whole(early: Early, upload: usize) {
-    for (reader, answer) in read_all(start(early), upload) {
+    for (reader, answer) in read_all(serve(move |stream| answer(stream, early)), upload) {
         assert_eq!(answer.as_deref(), Some(PART.as_bytes()), "{reader:?} {early:?}");
     }
 }
@@ -212,30 +212,16 @@
 
 const CONTENT: &str = "content";
 
-/// Starts a server that answers each connection with these bytes, and leaves it open.
-fn start_fixed(bytes: Vec<u8>) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let addr = listener.local_addr().expect("an address");
-    thread::spawn(move || {
-        for stream in listener.incoming() {
-            let (mut stream, bytes) = (stream.expect("a caller"), bytes.clone());
-            thread::spawn(move || {
-                let mut buffer = [0; 4_096];
-                let len = stream.read(&mut buffer)?;
-                let echo = find(&buffer[..len], ATTEMPT.as_bytes());
-                let (line, rest) =
-                    bytes.split_at(bytes.iter().position(|b| *b == b'\n').unwrap_or(0) + 1);
-                stream.write_all(line)?;
-                if echo {
-                    stream.write_all(ATTEMPT.as_bytes())?;
-                }
-                stream.write_all(rest)?;
-                // Open until the caller closes it.
-                stream.read(&mut buffer)
-            });
-        }
-    });
-    addr
+/// Answers with these bytes, with the attempt's id after the first line, and leaves the connection open.
+fn answer_fixed(mut stream: TcpStream, bytes: &[u8]) -> std::io::Result<()> {
+    let mut buffer = [0; 4_096];
+    let len = stream.read(&mut buffer)?;
+    let line_end = bytes.iter().position(|b| *b == b'\n').map_or(0, |at| at + 1);
+    let (line, rest) = bytes.split_at(line_end);
+    let echo = if find(&buffer[..len], ATTEMPT.as_bytes()) { ATTEMPT } else { "" };
+    stream.write_all(&[line, echo.as_bytes(), rest].concat())?;
+    // Until the caller closes it.
+    stream.read(&mut buffer).map(drop)
 }
 
 /// An answer with this status line and these headers.
@@ -251,7 +237,8 @@
 
 /// What the places make of an answer; `None` if it is none.
 fn read_fixed(bytes: &[u8]) -> Vec<(String, Option<Bytes>)> {
-    let addr = start_fixed(bytes.to_vec());
+    let fixed = bytes.to_vec();
+    let addr = serve(move |stream| answer_fixed(stream, &fixed));
     let mut read: Vec<_> =
         read_all(addr, 0).into_iter().map(|(reader, body)| (format!("{reader:?}"), body)).collect();
     let runtime = compio::runtime::Runtime::new().expect("a runtime");
