Tests: which calls a stopping gateway takes is asked apart from the bounds

a_call_that_the_process_would_cut_is_refused_at_once took calls of 1.4 s with a deadline of 1.5 s to be answered: a busy machine could miss that by 0.1 s, though nothing is wrong. Now calls with 3 s come early, and each of them must be answered; each late one must be refused and not run, where the test asked for some of both.

--- a/crates/standins/tests/stopping.rs
+++ b/crates/standins/tests/stopping.rs
@@ -92,35 +92,34 @@
         let summary = caller.send_unread(caller.summary_request(ONCE_SUMMARY, "long"));
         let _summary = summary.await.expect("an answer");
         fleet.stop(0);
-        compio::time::sleep(6 * SECOND).await;
-        let (mut answered, mut refused) = (0, 0);
-        let times = [SECOND * 3 / 2, 3 * SECOND].into_iter().cycle().take(14);
-        let calls = times.enumerate().map(|(n, time)| send_call(fleet, n, time));
-        let mut calls: FuturesUnordered<_> = calls.collect();
-        while let Some((attempt, answer)) = calls.next().await {
+        // Taken, as their deadlines pass before the end at 7.7 s.
+        let early = (0..4).map(|n| send_call(fleet, n, 4 * SECOND, 3 * SECOND));
+        // Not taken: they have 1.5 or 3 s, and less is left.
+        let late =
+            (4..14).map(|n| send_call(fleet, n, SECOND * 63 / 10, SECOND * 3 / 2 * (1 + n % 2)));
+        let mut calls: FuturesUnordered<_> = early.chain(late).collect();
+        while let Some((n, attempt, answer)) = calls.next().await {
             let answer = answer.expect("an answer");
-            match answer.status {
-                200 => answered += 1,
-                503 => {
-                    refused += 1;
-                    assert_eq!(fleet.run_count(&attempt), 0, "{attempt}");
-                    assert!(answer.total_time < SECOND / 2, "{:?}", answer.total_time);
-                }
-                status => panic!("{attempt}: {status}"),
+            let runs = fleet.run_count(&attempt);
+            if n < 4 {
+                assert_eq!((answer.status, runs), (200, 1), "{attempt}");
+            } else {
+                assert_eq!((answer.status, runs), (503, 0), "{attempt}");
+                assert!(answer.total_time < SECOND, "{attempt}: {:?}", answer.total_time);
             }
         }
-        assert!(answered > 0 && refused > 0, "{answered} answered, {refused} refused");
     });
 }
 
-/// Sends the call number `n`, which may run only once, 50 ms after the one before.
+/// Sends the call number `n`, which may run only once, 30 ms for each number after the pause.
 async fn send_call(
     fleet: &Fleet,
-    n: usize,
+    n: u32,
+    pause: Duration,
     time_left: Duration,
-) -> (String, Result<Answer, ExchangeError>) {
-    compio::time::sleep(SECOND / 20 * n as u32).await;
-    let attempt = format!("late-{n}");
+) -> (u32, String, Result<Answer, ExchangeError>) {
+    compio::time::sleep(pause + SECOND * 3 / 100 * n).await;
+    let attempt = format!("call-{n}");
     let request = CallerRequest {
         host: HOST,
         path: CHECK,
@@ -130,5 +129,5 @@
         body: Bytes::new(),
     };
     let answer = fleet.caller(0).send(simulation::caller_request(&request)).await;
-    (attempt, answer)
+    (n, attempt, answer)
 }
